--- /dev/null
+++ b/packages/control/include/citronwick/control/control_meter.hpp
@@ -0,0 +1,34 @@
+#ifndef CITRONWICK_CONTROL_CONTROL_METER_HPP_INCLUDED
+#define CITRONWICK_CONTROL_CONTROL_METER_HPP_INCLUDED
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string_view>
+
+namespace citronwick {
+
+/// Purposes of control traffic.
+enum class control_kind : std::uint8_t { gossip, documents, probes, key_value, vm_list, claims };
+
+constexpr std::array<std::string_view, 6> control_kind_names{"gossip",    "documents", "probes",
+                                                             "key_value", "vm_list",   "claims"};
+
+/// Bytes spent on control traffic by kind, with estimated packet headers:
+/// what is sent to routers, and both directions of probes and platform calls.
+class control_meter {
+public:
+    void add(control_kind kind, std::uint64_t bytes) {
+        bytes_.at(static_cast<std::size_t>(kind)).fetch_add(bytes, std::memory_order_relaxed);
+    }
+    std::uint64_t bytes(control_kind kind) const {
+        return bytes_.at(static_cast<std::size_t>(kind)).load(std::memory_order_relaxed);
+    }
+
+private:
+    std::array<std::atomic<std::uint64_t>, control_kind_names.size()> bytes_{};
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/include/citronwick/control/control_plane.hpp
@@ -0,0 +1,64 @@
+#ifndef CITRONWICK_CONTROL_CONTROL_PLANE_HPP_INCLUDED
+#define CITRONWICK_CONTROL_CONTROL_PLANE_HPP_INCLUDED
+
+#include "citronwick/control/control_meter.hpp"
+#include "citronwick/control/control_settings.hpp"
+#include "citronwick/control/fleet_view.hpp"
+#include "citronwick/core/failure.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace citronwick {
+
+class claim_registry;
+
+/// The control thread: membership, configuration, upstream states and claims.
+///
+/// It alone changes that state, and publishes it as views that traffic threads
+/// read without waiting.
+class control_plane {
+public:
+    /// @param incarnation number that grows with each start of this VM's router
+    control_plane(control_settings settings, std::uint64_t incarnation);
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+    ~control_plane();
+
+    /// Opens the fleet channel and starts the thread.
+    /// @return the bound fleet endpoint
+    io_result<endpoint> start();
+
+    /// Stops the thread.
+    void stop();
+
+    /// Tells the fleet that this router is leaving. Callable from any thread.
+    void leave();
+
+    /// The newest view, never null. Callable from any thread.
+    std::shared_ptr<const fleet_view> view() const;
+
+    /// Reports whether an upstream could be connected to. Callable from any thread.
+    void report_contact(std::uint64_t upstream, bool succeeded);
+
+    /// Passes on a load report that came with a response. Callable from any thread.
+    void report_load(std::uint64_t upstream, double in_flight, std::uint64_t incarnation, bool leaving);
+
+    /// Executor of the control thread, for `claims()`.
+    boost::asio::any_io_executor executor() const;
+
+    /// Claims on non-idempotent requests; to be used on the control thread only.
+    claim_registry& claims();
+
+    const control_meter& meter() const;
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/include/citronwick/control/control_settings.hpp
@@ -0,0 +1,34 @@
+#ifndef CITRONWICK_CONTROL_CONTROL_SETTINGS_HPP_INCLUDED
+#define CITRONWICK_CONTROL_CONTROL_SETTINGS_HPP_INCLUDED
+
+#include "citronwick/core/endpoint.hpp"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+/// Settings of the control thread.
+struct control_settings {
+    std::string vm;
+    std::string region;
+    std::string failure_domain;
+    endpoint fleet_listen;          ///< UDP and TCP; port 0 takes a free one
+    std::string advertised_address; ///< "ip:port" that others use, empty for the listening one
+    std::string fleet_key;
+    std::vector<endpoint> seeds; ///< fleet addresses of other routers
+    std::vector<endpoint> key_value_servers;
+    endpoint vm_list_server;
+    std::string key_prefix = "/citronwick";
+    std::uint32_t control_bytes_per_second = 3'000;
+    std::chrono::milliseconds platform_timeout{1'000};
+    std::chrono::milliseconds probe_interval{2'000};
+    std::chrono::milliseconds vm_list_interval{1'000};
+    std::chrono::milliseconds config_check_interval{5'000}; ///< reads beside the watch
+    std::chrono::seconds claim_lifetime{3'600};             ///< time for which a claim is remembered
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/include/citronwick/control/fleet_channel.hpp
@@ -0,0 +1,47 @@
+#ifndef CITRONWICK_CONTROL_FLEET_CHANNEL_HPP_INCLUDED
+#define CITRONWICK_CONTROL_FLEET_CHANNEL_HPP_INCLUDED
+
+#include "citronwick/platform/task.hpp"
+#include "citronwick/wire/envelope.hpp"
+#include "citronwick/wire/replay_filter.hpp"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+
+namespace citronwick {
+
+/// Datagrams between routers: sealed, counted, and opened only if authentic
+/// and newer than what their sender sent before.
+class fleet_channel {
+public:
+    using receiver = std::function<void(const wire::header&, const wire::gossip&)>;
+
+    /// @param from sender's hash and incarnation; its sequence is counted here
+    fleet_channel(const asio::any_io_executor& executor, const wire::envelope& envelope, wire::header from);
+
+    /// Binds the socket.
+    /// @return the bound endpoint
+    io_result<endpoint> open(const endpoint& listen);
+
+    /// Sends a message to several routers; a lost datagram is not an error.
+    /// @return bytes sent, with packet headers
+    std::size_t send(const wire::gossip& message, const std::vector<endpoint>& targets);
+
+    /// Receives until the socket is closed.
+    task<void> run(receiver receive);
+
+private:
+    static constexpr std::size_t datagram_limit = 65'507;
+
+    asio::ip::udp::socket socket_;
+    const wire::envelope& envelope_;
+    wire::header from_;
+    wire::replay_filter replays_;
+    std::array<char, datagram_limit> buffer_{};
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/include/citronwick/control/prober.hpp
@@ -0,0 +1,44 @@
+#ifndef CITRONWICK_CONTROL_PROBER_HPP_INCLUDED
+#define CITRONWICK_CONTROL_PROBER_HPP_INCLUDED
+
+#include "citronwick/control/upstream_table.hpp"
+#include "citronwick/platform/http_connection.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace citronwick {
+
+/// Asks upstreams for their health and load over kept connections. Which
+/// router probes which upstream is decided by the caller at each round.
+class prober {
+public:
+    using observer = std::function<void(std::uint32_t upstream, const upstream_observation& seen)>;
+    using byte_counter = std::function<void(std::size_t)>;
+
+    prober(asio::any_io_executor executor, observer observe, byte_counter count);
+
+    /// Probes all targets at once and forgets the connections of others. A
+    /// target that has not answered yet is left alone.
+    void probe(const std::vector<upstream_table::target>& targets);
+
+private:
+    struct connection {
+        connection(const asio::any_io_executor& executor, const endpoint& address);
+        http_connection http;
+        bool busy = false;
+        int failures = 0;
+    };
+
+    task<void> probe_one(std::shared_ptr<connection> used, std::uint32_t upstream);
+
+    asio::any_io_executor executor_;
+    observer observe_;
+    byte_counter count_;
+    std::map<std::uint32_t, std::shared_ptr<connection>> connections_;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/include/citronwick/control/upstream_table.hpp
@@ -0,0 +1,104 @@
+#ifndef CITRONWICK_CONTROL_UPSTREAM_TABLE_HPP_INCLUDED
+#define CITRONWICK_CONTROL_UPSTREAM_TABLE_HPP_INCLUDED
+
+#include "citronwick/control/fleet_view.hpp"
+#include "citronwick/control/vm_list.hpp"
+#include "citronwick/core/time.hpp"
+#include "citronwick/wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+/// What a prober or a response says of an upstream.
+struct upstream_observation {
+    bool reachable = false;
+    double in_flight = 0.0;
+    std::uint64_t incarnation = 0; ///< 0 where the source does not know it
+    bool leaving = false;
+    time_point at;
+};
+
+/// The control thread's knowledge of all upstreams, merged from the VM list,
+/// probes, other routers' messages and this router's own requests.
+class upstream_table {
+public:
+    explicit upstream_table(std::string region);
+
+    /// Replaces the set of upstreams. Counters of those that stay are kept.
+    void apply_vm_list(const std::vector<listed_vm>& vms, time_point now);
+
+    /// Upstreams that operators have drained, by name.
+    void set_drained(const std::vector<std::string>& names);
+
+    /// Takes in an observation if it is newer than the last one.
+    /// @return whether anything changed
+    bool observe(std::uint32_t upstream, const upstream_observation& seen);
+
+    /// Notes the outcome of this router's own attempt to connect.
+    void record_contact(std::uint32_t upstream, bool succeeded, time_point now);
+
+    /// Takes in a mark that an incarnation is leaving; older news never undoes it.
+    /// @return whether the mark is new
+    bool mark_leaving(std::uint32_t upstream, std::uint64_t incarnation);
+
+    /// Requests that another router has in flight.
+    void record_peer_usage(std::uint64_t router, const std::vector<wire::usage_entry>& usage);
+
+    /// Drops what routers said that are not heard any more.
+    void forget_peers(const std::vector<std::uint64_t>& routers);
+
+    /// Builds the traffic threads' view of all upstreams.
+    /// @param all_heard whether every known router is live, so that the sum of
+    ///        what the routers say is the whole load
+    std::map<std::string, std::vector<upstream_view>, std::less<>> view(bool all_heard, time_point now) const;
+
+    /// Own requests in flight, for gossip.
+    std::vector<wire::usage_entry> own_usage() const;
+
+    /// Marks to repeat in gossip.
+    std::vector<wire::leaving_entry> leaving_marks() const;
+
+    /// Addresses to probe, with each upstream's short hash.
+    struct target {
+        std::uint32_t upstream = 0;
+        std::uint64_t hash = 0;
+        std::string name;
+        endpoint address;
+    };
+    std::vector<target> probe_targets() const;
+
+private:
+    struct entry {
+        listed_vm vm;
+        std::uint64_t hash = 0;
+        time_point joined_at;
+        std::uint64_t incarnation = 0;
+        std::shared_ptr<upstream_usage> usage;
+        std::optional<upstream_observation> report;
+        std::int32_t own_at_report = 0;
+        std::optional<time_point> contact_failed_at;
+        std::map<std::uint64_t, std::uint16_t> peer_usage;
+    };
+
+    availability state_of(const entry& upstream, time_point now) const;
+    static double elsewhere(const entry& upstream, bool all_heard, time_point now);
+
+    std::string region_;
+    std::map<std::uint32_t, entry> entries_;
+    std::set<std::string> drained_;
+    std::map<std::uint32_t, std::uint64_t> leaving_; ///< highest leaving incarnation
+};
+
+/// Short hash of an upstream's name, as gossip carries it.
+std::uint32_t short_hash(std::uint64_t hash);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/control/src/claim_registry.cpp
@@ -0,0 +1,202 @@
+#include "citronwick/control/claim_registry.hpp"
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/platform/json_text.hpp"
+#include "citronwick/platform/log.hpp"
+
+#include <boost/json/serialize.hpp>
+
+namespace citronwick {
+
+namespace {
+
+/// Part of a lease's time that is left unused, against clock drift between
+/// this VM and the service.
+constexpr int drift_divisor = 20;
+
+/// What a claim's key holds.
+struct claim_value {
+    std::string owner;
+    std::string attempt; ///< unique to one try, settles lost answers
+    std::string fingerprint;
+    bool released = false; ///< the request reached no upstream
+};
+
+std::string to_json(const claim_value& value) {
+    return boost::json::serialize(boost::json::object{{"owner", value.owner},
+                                                      {"attempt", value.attempt},
+                                                      {"fingerprint", value.fingerprint},
+                                                      {"state", value.released ? "released" : "claimed"}});
+}
+
+claim_value parse_claim(const std::string& json) {
+    const auto object = parse_json_object(json).value_or(boost::json::object{});
+    return {string_member(object, "owner"), string_member(object, "attempt"),
+            string_member(object, "fingerprint"), string_member(object, "state") == "released"};
+}
+
+claim_result refused(std::string detail) {
+    return {.verdict = claim_verdict::refused, .detail = std::move(detail)};
+}
+
+/// Verdict for a resend that meets another router's claim.
+claim_result judge_holder(const kv_entry& holder, const std::string& fingerprint) {
+    const claim_value held = parse_claim(holder.value);
+    if (held.fingerprint != fingerprint) {
+        return {.verdict = claim_verdict::mismatch};
+    }
+    return {.verdict = claim_verdict::unknown, .detail = "claimed by " + held.owner};
+}
+
+} // namespace
+
+claim_registry::claim_registry(kv_client& service, std::string prefix, std::string owner,
+                               std::chrono::seconds lifetime)
+    : service_{service}, prefix_{std::move(prefix)}, owner_{std::move(owner)}, lifetime_{lifetime} {}
+
+std::string claim_registry::name_of(const std::string& service, const std::string& key) const {
+    return prefix_ + "/claims/" + service + "/" + sha256_hex(key);
+}
+
+task<claim_result> claim_registry::claim(std::string service, std::string key, std::string fingerprint,
+                                         time_point now) {
+    const std::string name = name_of(service, key);
+    const auto known = local_.find(name);
+    if (known != local_.end()) {
+        const local_claim& held = known->second;
+        if (held.fingerprint != fingerprint) {
+            co_return claim_result{.verdict = claim_verdict::mismatch};
+        }
+        co_return claim_result{.verdict = held.verdict, .answer = held.answer};
+    }
+    local_.emplace(name, local_claim{.fingerprint = fingerprint, .since = now});
+    std::string attempt = random_id();
+    auto made = co_await create(name, std::move(fingerprint), std::move(attempt), now);
+    if (made.verdict != claim_verdict::granted) {
+        local_.erase(name);
+    }
+    co_return made;
+}
+
+task<io_result<claim_registry::lease_bucket>> claim_registry::current_lease(time_point now) {
+    if (lease_ && now < lease_->renewal) {
+        co_return *lease_;
+    }
+    auto lease = co_await service_.grant_lease(2 * lifetime_);
+    if (lease.has_error()) {
+        co_return lease.error();
+    }
+    const auto time_to_live = duration{lease->time_to_live};
+    lease_ =
+        lease_bucket{lease->id, now + time_to_live / 2, now + time_to_live - time_to_live / drift_divisor};
+    co_return *lease_;
+}
+
+/// Writes a claim; where the answer is lost, finds out by reading back.
+task<io_result<swap_outcome>> claim_registry::write_claim(std::string name, std::int64_t expected,
+                                                          std::string value, std::int64_t lease) {
+    auto swapped = co_await service_.compare_and_swap(name, expected, value, lease);
+    if (swapped.has_value()) {
+        co_return *swapped;
+    }
+    lease_.reset();
+    const failure error = swapped.error();
+    if (!error.may_have_taken_effect) {
+        co_return error;
+    }
+    auto current = co_await service_.read(name);
+    if (current.has_error()) {
+        co_return error;
+    }
+    swap_outcome outcome{.current = *current};
+    outcome.succeeded = outcome.current && outcome.current->value == value;
+    outcome.revision = outcome.succeeded ? outcome.current->mod_revision : 0;
+    if (!outcome.current) {
+        // The write may still be under way, so its absence now proves nothing.
+        co_return error;
+    }
+    co_return outcome;
+}
+
+claim_result claim_registry::granted(const std::string& name, std::int64_t mod_revision,
+                                     time_point valid_until) {
+    local_[name].mod_revision = mod_revision;
+    return {.verdict = claim_verdict::granted, .valid_until = valid_until};
+}
+
+task<claim_result> claim_registry::create(std::string name, std::string fingerprint, std::string attempt,
+                                          time_point now) {
+    auto lease = co_await current_lease(now);
+    if (lease.has_error()) {
+        co_return refused(to_text(lease.error()));
+    }
+    const std::string value = to_json(claim_value{owner_, attempt, fingerprint});
+    auto written = co_await write_claim(name, 0, value, lease->id);
+    if (written.has_error()) {
+        co_return refused(to_text(written.error()));
+    }
+    if (written->succeeded) {
+        co_return granted(name, written->revision, lease->expiry);
+    }
+    if (!written->current) {
+        co_return refused("the claim vanished while it was made");
+    }
+    const kv_entry holder = *written->current;
+    const claim_value held = parse_claim(holder.value);
+    if (!held.released || held.fingerprint != fingerprint) {
+        co_return judge_holder(holder, fingerprint);
+    }
+    auto taken_over = co_await write_claim(name, holder.mod_revision, value, lease->id);
+    if (taken_over.has_error()) {
+        co_return refused(to_text(taken_over.error()));
+    }
+    if (taken_over->succeeded) {
+        co_return granted(name, taken_over->revision, lease->expiry);
+    }
+    co_return taken_over->current ? judge_holder(*taken_over->current, fingerprint)
+                                  : refused("the claim vanished while it was made");
+}
+
+void claim_registry::record_answer(const std::string& service, const std::string& key,
+                                   std::shared_ptr<const recorded_answer> answer, time_point now) {
+    const auto found = local_.find(name_of(service, key));
+    if (found != local_.end()) {
+        found->second.verdict = claim_verdict::answered;
+        found->second.answer = std::move(answer);
+        found->second.since = now;
+    }
+}
+
+void claim_registry::record_unknown(const std::string& service, const std::string& key) {
+    const auto found = local_.find(name_of(service, key));
+    if (found != local_.end()) {
+        found->second.verdict = claim_verdict::unknown;
+    }
+}
+
+task<void> claim_registry::release(std::string service, std::string key) {
+    const std::string name = name_of(service, key);
+    const auto found = local_.find(name);
+    if (found == local_.end()) {
+        co_return;
+    }
+    const local_claim held = found->second;
+    const std::string value = to_json(claim_value{owner_, random_id(), held.fingerprint, true});
+    const std::int64_t lease = lease_ ? lease_->id : 0;
+    auto released = co_await service_.compare_and_swap(name, held.mod_revision, value, lease);
+    if (released.has_error()) {
+        log_failure("claim_not_released", released.error());
+        record_unknown(service, key);
+        co_return;
+    }
+    local_.erase(name);
+}
+
+void claim_registry::expire(time_point now) {
+    std::erase_if(local_, [&](const auto& each) {
+        const bool ended = each.second.verdict != claim_verdict::in_progress;
+        return ended && now - each.second.since >= lifetime_;
+    });
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/control/src/control_plane.cpp
@@ -0,0 +1,609 @@
+#include "citronwick/control/control_plane.hpp"
+
+#include "citronwick/config/config_store.hpp"
+#include "citronwick/config/io_result_of.hpp"
+#include "citronwick/control/claim_registry.hpp"
+#include "citronwick/control/document_exchange.hpp"
+#include "citronwick/control/document_store.hpp"
+#include "citronwick/control/fleet_channel.hpp"
+#include "citronwick/control/membership.hpp"
+#include "citronwick/control/prober.hpp"
+#include "citronwick/control/upstream_table.hpp"
+#include "citronwick/control/vm_list.hpp"
+#include "citronwick/core/hash.hpp"
+#include "citronwick/core/snapshot.hpp"
+#include "citronwick/platform/etcd_gateway_client.hpp"
+#include "citronwick/platform/log.hpp"
+#include "citronwick/platform/vm_list_client.hpp"
+#include "citronwick/policy/token_bucket.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <ranges>
+#include <set>
+#include <thread>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+using wire::document_kind;
+
+constexpr duration gossip_tick = 100ms;
+constexpr duration heartbeat = 1s;
+constexpr duration refresh_interval = 2s;
+constexpr duration view_interval = 20ms;
+constexpr std::size_t watchers_per_domain = 2;
+constexpr std::size_t probers_per_upstream = 1;
+constexpr std::size_t reports_per_message = 100;
+constexpr std::size_t small_fleet = 8;
+constexpr double burst_seconds = 2.0;
+constexpr int mark_repeats = 3;
+
+/// Duties that rendezvous hashing assigns to routers.
+const std::uint64_t watch_duty = hash64("platform watcher");
+
+task<void> sleep_for(duration time) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(use_tuple);
+}
+
+} // namespace
+
+class control_plane::state {
+public:
+    state(control_settings settings, std::uint64_t incarnation)
+        : settings_{std::move(settings)}, envelope_{settings_.fleet_key}, members_{self_record(incarnation)},
+          upstreams_{settings_.region}, channel_{context_.get_executor(), envelope_, header(incarnation)},
+          exchange_{context_.get_executor(), envelope_, header(incarnation), documents_,
+                    counter(control_kind::documents)},
+          prober_{
+              context_.get_executor(),
+              [this](std::uint32_t upstream, const upstream_observation& seen) { observe(upstream, seen); },
+              counter(control_kind::probes)},
+          config_service_{make_etcd_gateway_client(context_.get_executor(), settings_.key_value_servers,
+                                                   settings_.platform_timeout)},
+          claim_service_{make_etcd_gateway_client(context_.get_executor(), settings_.key_value_servers,
+                                                  settings_.platform_timeout)},
+          vm_list_{make_http_vm_list_client(context_.get_executor(), settings_.vm_list_server,
+                                            settings_.platform_timeout)},
+          config_store_{*config_service_, settings_.key_prefix},
+          claims_{*claim_service_, settings_.key_prefix, settings_.vm + "#" + std::to_string(incarnation),
+                  settings_.claim_lifetime},
+          budget_{static_cast<double>(settings_.control_bytes_per_second),
+                  burst_seconds * settings_.control_bytes_per_second, clock::now()},
+          view_{std::make_shared<const fleet_view>()} {}
+
+    io_result<endpoint> start() {
+        auto bound = channel_.open(settings_.fleet_listen);
+        if (bound.has_error()) {
+            return bound;
+        }
+        auto listening = exchange_.open(*bound);
+        if (listening.has_error()) {
+            return listening.error();
+        }
+        if (settings_.advertised_address.empty()) {
+            settings_.advertised_address = to_text(*bound);
+        }
+        members_.set_address(settings_.advertised_address);
+        spawn(channel_.run(
+            [this](const wire::header& from, const wire::gossip& message) { receive(from, message); }));
+        spawn(exchange_.serve());
+        spawn(gossip_loop());
+        spawn(probe_loop());
+        spawn(config_loop());
+        spawn(vm_list_loop());
+        spawn(view_loop());
+        thread_ = std::jthread{[this] { context_.run(); }};
+        return bound;
+    }
+
+    void stop() {
+        context_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    template <class Function>
+    void post(Function function) {
+        asio::post(context_, std::move(function));
+    }
+
+    void leave() {
+        members_.leave();
+        urgent_ = true;
+    }
+
+    void observe(std::uint32_t upstream, const upstream_observation& seen) {
+        if (!upstreams_.observe(upstream, seen)) {
+            return;
+        }
+        view_changed_ = true;
+        pending_reports_[upstream] = seen;
+        if (seen.leaving) {
+            urgent_ = true;
+        }
+    }
+
+    void record_contact(std::uint32_t upstream, bool succeeded) {
+        upstreams_.record_contact(upstream, succeeded, clock::now());
+        view_changed_ = true;
+    }
+
+    std::shared_ptr<const fleet_view> view() const { return view_.load(); }
+    asio::any_io_executor executor() { return context_.get_executor(); }
+    claim_registry& claims() { return claims_; }
+    const control_meter& meter() const { return meter_; }
+
+private:
+    wire::member_record self_record(std::uint64_t incarnation) const {
+        return {.vm = settings_.vm,
+                .region = settings_.region,
+                .failure_domain = settings_.failure_domain,
+                .incarnation = incarnation};
+    }
+
+    wire::header header(std::uint64_t incarnation) const { return {hash64(settings_.vm), incarnation, 0}; }
+
+    std::function<void(std::size_t)> counter(control_kind kind) {
+        return [this, kind](std::size_t bytes) { spend(kind, bytes); };
+    }
+
+    void spend(control_kind kind, std::size_t bytes) {
+        meter_.add(kind, bytes);
+        if (kind != control_kind::claims) {
+            budget_.charge(static_cast<double>(bytes), clock::now());
+        }
+    }
+
+    void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
+
+    // Fleet channel
+
+    void receive(const wire::header& from, const wire::gossip& message) {
+        const auto now = clock::now();
+        for (const wire::member_record& record : message.members) {
+            if (members_.merge(record, now)) {
+                log_info("member_learnt", {{"vm", record.vm},
+                                           {"failure_domain", record.failure_domain},
+                                           {"leaving", record.leaving ? "yes" : "no"}});
+                introduce_ = true;
+                view_changed_ = true;
+            }
+        }
+        if (!members_.heard_from(from, now)) {
+            introduce_ = true;
+            return;
+        }
+        upstreams_.record_peer_usage(from.sender, message.usage);
+        take_reports(message.reports, now);
+        for (const wire::leaving_entry& mark : message.leaving) {
+            if (upstreams_.mark_leaving(mark.upstream, mark.incarnation)) {
+                marks_to_repeat_ = mark_repeats;
+            }
+        }
+        for (const wire::document_version& version : message.documents) {
+            pull_if_newer(from.sender, version);
+        }
+        view_changed_ = true;
+    }
+
+    void take_reports(const std::vector<wire::report_entry>& reports, time_point now) {
+        for (const wire::report_entry& report : reports) {
+            const upstream_observation seen{.reachable = report.reachable,
+                                            .in_flight = static_cast<double>(report.in_flight),
+                                            .at = now - std::chrono::milliseconds{report.age}};
+            const bool is_news = upstreams_.observe(report.upstream, seen);
+            if (is_news && members_.live(now).size() > small_fleet) {
+                pending_reports_[report.upstream] = seen;
+            }
+        }
+    }
+
+    task<void> gossip_loop() {
+        while (true) {
+            co_await sleep_for(gossip_tick);
+            const auto now = clock::now();
+            upstreams_.forget_peers(members_.silent(now));
+            upstreams_.forget_peers(members_.forget_silent(now));
+            count_platform_bytes();
+            gossip_if_due(now);
+        }
+    }
+
+    void count_platform_bytes() {
+        spend(control_kind::key_value, config_service_->take_byte_count());
+        spend(control_kind::vm_list, vm_list_->take_byte_count());
+        spend(control_kind::claims, claims_.take_byte_count());
+    }
+
+    void gossip_if_due(time_point now) {
+        const bool refresh = now - refreshed_at_ >= refresh_interval;
+        const bool must = urgent_ || refresh || now - gossiped_at_ >= heartbeat;
+        auto usage = usage_to_send(refresh, now);
+        const bool wants = must || introduce_ || !usage.empty() || !pending_reports_.empty();
+        if (!wants || (!must && !budget_.take(0.0, now))) {
+            return;
+        }
+        wire::gossip message;
+        message.usage = std::move(usage);
+        add_members(message, refresh);
+        add_reports(message, now);
+        add_marks(message, refresh);
+        add_versions(message, refresh);
+        std::vector<endpoint> targets;
+        for (const member* other : members_.choose_targets(now)) {
+            targets.push_back(other->address);
+        }
+        if (introduce_ || refresh || targets.empty()) {
+            add_unheard_seeds(targets, now);
+        }
+        spend(control_kind::gossip, channel_.send(message, targets));
+        gossiped_at_ = now;
+        refreshed_at_ = refresh ? now : refreshed_at_;
+        urgent_ = false;
+        introduce_ = false;
+    }
+
+    void add_unheard_seeds(std::vector<endpoint>& targets, time_point now) {
+        std::set<endpoint> heard;
+        for (const member* other : members_.live(now)) {
+            heard.insert(other->address);
+        }
+        std::ranges::copy_if(settings_.seeds, std::back_inserter(targets), [&](const endpoint& seed) {
+            return to_text(seed) != settings_.advertised_address && !heard.contains(seed) &&
+                   std::ranges::find(targets, seed) == targets.end();
+        });
+    }
+
+    /// Changed counts; all of them at a refresh. Large fleets rely on reports.
+    std::vector<wire::usage_entry> usage_to_send(bool refresh, time_point now) {
+        if (members_.live(now).size() > small_fleet) {
+            return {};
+        }
+        std::vector<wire::usage_entry> changed;
+        for (const wire::usage_entry& entry : upstreams_.own_usage()) {
+            auto& sent = sent_usage_[entry.upstream];
+            if (refresh || sent != entry.in_flight) {
+                changed.push_back(entry);
+                sent = entry.in_flight;
+            }
+        }
+        return changed;
+    }
+
+    void add_members(wire::gossip& message, bool refresh) {
+        if (refresh || introduce_ || urgent_) {
+            message.members.push_back(members_.self());
+            if (const auto other = members_.next_record_to_spread()) {
+                message.members.push_back(*other);
+            }
+        }
+    }
+
+    void add_reports(wire::gossip& message, time_point now) {
+        while (!pending_reports_.empty() && message.reports.size() < reports_per_message) {
+            const auto [upstream, seen] = *pending_reports_.begin();
+            pending_reports_.erase(pending_reports_.begin());
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - seen.at).count();
+            message.reports.push_back(
+                {upstream, static_cast<std::uint16_t>(std::clamp(seen.in_flight, 0.0, 65'535.0)),
+                 static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, 65'535)), seen.reachable});
+        }
+    }
+
+    void add_marks(wire::gossip& message, bool refresh) {
+        if (refresh || marks_to_repeat_ > 0) {
+            message.leaving = upstreams_.leaving_marks();
+            marks_to_repeat_ = std::max(0, marks_to_repeat_ - 1);
+        }
+    }
+
+    void add_versions(wire::gossip& message, bool refresh) {
+        for (const auto kind : {document_kind::configuration, document_kind::vm_list}) {
+            const std::uint64_t generation = documents_.generation(kind);
+            auto& sent = sent_generation_.at(static_cast<std::size_t>(kind));
+            if (generation != 0 && (refresh || generation != sent)) {
+                message.documents.push_back({kind, generation});
+                sent = generation;
+            }
+        }
+    }
+
+    // Documents
+
+    void pull_if_newer(std::uint64_t sender, const wire::document_version& version) {
+        const auto index = static_cast<std::size_t>(version.kind);
+        if (index >= pulling_.size() || pulling_.at(index) ||
+            version.generation <= documents_.generation(version.kind)) {
+            return;
+        }
+        const auto peer = members_.address_of(sender);
+        if (peer) {
+            pulling_.at(index) = true;
+            spawn(pull(*peer, version.kind));
+        }
+    }
+
+    task<void> pull(endpoint peer, document_kind kind) {
+        auto offered = co_await exchange_.fetch(peer, kind);
+        pulling_.at(static_cast<std::size_t>(kind)) = false;
+        if (offered.has_error()) {
+            log_failure("document_not_fetched", offered.error());
+            co_return;
+        }
+        accept(kind, offered->generation, std::move(offered->header), to_text(peer));
+    }
+
+    /// Puts a document in force if it is newer and sound.
+    void accept(document_kind kind, std::uint64_t generation, std::string header, const std::string& source) {
+        if (generation <= documents_.generation(kind)) {
+            return;
+        }
+        const std::string text = joined_chunks(header);
+        const bool sound = kind == document_kind::configuration ? adopt_configuration(header, text, source)
+                                                                : adopt_vm_list(text, source);
+        if (sound && documents_.accept(kind, generation, std::move(header))) {
+            urgent_ = true;
+            view_changed_ = true;
+        }
+    }
+
+    std::string joined_chunks(const std::string& header) const {
+        std::string text;
+        for (const std::string& digest : digests_of(header)) {
+            const std::string* const chunk = documents_.find_chunk(digest);
+            text += chunk == nullptr ? std::string{} : *chunk;
+        }
+        return text;
+    }
+
+    bool adopt_configuration(const std::string& header, const std::string& text, const std::string& source) {
+        auto made = io_result_of<configuration>([&]() -> result<configuration> {
+            BOOST_LEAF_AUTO(root, parse_configuration_root(header, source));
+            return make_configuration(std::move(root), text);
+        });
+        if (made.has_error()) {
+            log_failure("configuration_refused", made.error());
+            return false;
+        }
+        log_info("configuration_in_force", {{"generation", std::to_string(made->root.generation)},
+                                            {"preset", made->root.active_preset},
+                                            {"source", source}});
+        upstreams_.set_drained(made->root.drained);
+        config_ = std::make_shared<const configuration>(std::move(*made));
+        return true;
+    }
+
+    bool adopt_vm_list(const std::string& text, const std::string& source) {
+        auto vms = io_result_of<std::vector<listed_vm>>([&] { return parse_vm_lines(text, source); });
+        if (vms.has_error()) {
+            log_failure("vm_list_refused", vms.error());
+            return false;
+        }
+        apply_vm_list(*vms);
+        return true;
+    }
+
+    void apply_vm_list(const std::vector<listed_vm>& vms) {
+        const auto now = clock::now();
+        upstreams_.apply_vm_list(vms, now);
+        log_info("vm_list_applied", {{"vms", std::to_string(vms.size())}});
+    }
+
+    bool is_watcher() const {
+        return is_assigned(watch_duty, members_.self_hash(), members_.live_in_domain(clock::now()),
+                           watchers_per_domain);
+    }
+
+    task<void> config_loop() {
+        while (true) {
+            if (!is_watcher()) {
+                co_await sleep_for(heartbeat);
+                continue;
+            }
+            auto revision = co_await load_configuration();
+            if (revision.has_error()) {
+                log_failure("configuration_not_read", revision.error());
+                co_await sleep_for(heartbeat);
+                continue;
+            }
+            auto changed = co_await config_service_->wait_for_change(config_store_.root_key(), *revision,
+                                                                     settings_.config_check_interval);
+            if (changed.has_error()) {
+                log_failure("watch_ended", changed.error());
+                co_await sleep_for(heartbeat);
+            }
+        }
+    }
+
+    /// Reads the root and the chunks that are missing.
+    /// @return the root's revision
+    task<io_result<std::int64_t>> load_configuration() {
+        auto entry = co_await config_service_->read(config_store_.root_key());
+        if (entry.has_error()) {
+            co_return entry.error();
+        }
+        if (!entry->has_value()) {
+            co_return std::int64_t{0};
+        }
+        const kv_entry root = **entry;
+        auto parsed = io_result_of<configuration_root>(
+            [&] { return parse_configuration_root(root.value, config_store_.root_key()); });
+        if (parsed.has_error()) {
+            co_return parsed.error();
+        }
+        if (parsed->generation > documents_.generation(document_kind::configuration)) {
+            for (const std::string& digest : documents_.missing(root.value)) {
+                auto chunk = co_await config_store_.read_chunk(digest);
+                if (chunk.has_error()) {
+                    co_return chunk.error();
+                }
+                documents_.add_chunk(std::move(*chunk));
+            }
+            accept(document_kind::configuration, parsed->generation, root.value, "key-value service");
+        }
+        co_return root.mod_revision;
+    }
+
+    task<void> vm_list_loop() {
+        bool reported = false;
+        while (true) {
+            if (is_watcher()) {
+                auto fetched = co_await vm_list_->fetch(documents_.generation(document_kind::vm_list));
+                if (fetched.has_error() && !reported) {
+                    log_failure("vm_list_not_read", fetched.error());
+                }
+                reported = fetched.has_error();
+                if (fetched.has_value() && fetched->has_value()) {
+                    take_platform_list(**fetched);
+                }
+            }
+            co_await sleep_for(settings_.vm_list_interval);
+        }
+    }
+
+    /// Cuts the platform's list into the chunks that routers pass on.
+    void take_platform_list(const vm_list_document& list) {
+        auto vms = io_result_of<std::vector<listed_vm>>(
+            [&] { return parse_platform_vm_list(list.json, "VM list"); });
+        if (vms.has_error()) {
+            log_failure("vm_list_refused", vms.error());
+            return;
+        }
+        boost::json::array digests;
+        for (std::string& chunk : split_chunks(to_lines(*vms))) {
+            digests.emplace_back(sha256_hex(chunk));
+            documents_.add_chunk(std::move(chunk));
+        }
+        std::string header = boost::json::serialize(boost::json::object{{"chunks", std::move(digests)}});
+        accept(document_kind::vm_list, list.version, std::move(header), "VM list");
+    }
+
+    // Probes and views
+
+    task<void> probe_loop() {
+        while (true) {
+            const auto region = members_.live_in_region(clock::now());
+            auto targets = upstreams_.probe_targets();
+            std::erase_if(targets, [&](const upstream_table::target& target) {
+                return !is_assigned(target.hash, members_.self_hash(), region, probers_per_upstream);
+            });
+            prober_.probe(targets);
+            const bool nothing_known = targets.empty();
+            co_await sleep_for(nothing_known ? gossip_tick : duration{settings_.probe_interval});
+        }
+    }
+
+    task<void> view_loop() {
+        while (true) {
+            co_await sleep_for(view_interval);
+            const auto now = clock::now();
+            if (view_changed_ || now - viewed_at_ >= heartbeat) {
+                publish(now);
+                claims_.expire(now);
+            }
+        }
+    }
+
+    void publish(time_point now) {
+        const auto live = members_.live(now).size();
+        auto next = std::make_shared<fleet_view>();
+        next->config = config_;
+        next->upstreams = upstreams_.view(live <= small_fleet && members_.silent(now).empty(), now);
+        next->live_routers = live + 1;
+        view_.store(std::move(next));
+        view_changed_ = false;
+        viewed_at_ = now;
+    }
+
+    control_settings settings_;
+    asio::io_context context_{1};
+    wire::envelope envelope_;
+    membership members_;
+    upstream_table upstreams_;
+    document_store documents_;
+    fleet_channel channel_;
+    document_exchange exchange_;
+    prober prober_;
+    std::unique_ptr<kv_client> config_service_;
+    std::unique_ptr<kv_client> claim_service_;
+    std::unique_ptr<vm_list_client> vm_list_;
+    config_store config_store_;
+    claim_registry claims_;
+    control_meter meter_;
+    token_bucket budget_;
+    std::shared_ptr<const configuration> config_;
+    snapshot<fleet_view> view_;
+
+    std::map<std::uint32_t, upstream_observation> pending_reports_;
+    std::map<std::uint32_t, std::uint16_t> sent_usage_;
+    std::array<std::uint64_t, 2> sent_generation_{};
+    std::array<bool, 2> pulling_{};
+    time_point gossiped_at_;
+    time_point refreshed_at_;
+    time_point viewed_at_;
+    int marks_to_repeat_ = 0;
+    bool urgent_ = true;
+    bool introduce_ = true;
+    bool view_changed_ = true;
+    std::jthread thread_;
+};
+
+control_plane::control_plane(control_settings settings, std::uint64_t incarnation)
+    : state_{std::make_unique<state>(std::move(settings), incarnation)} {}
+
+control_plane::~control_plane() {
+    stop();
+}
+
+io_result<endpoint> control_plane::start() {
+    return state_->start();
+}
+
+void control_plane::stop() {
+    state_->stop();
+}
+
+void control_plane::leave() {
+    state_->post([state = state_.get()] { state->leave(); });
+}
+
+std::shared_ptr<const fleet_view> control_plane::view() const {
+    return state_->view();
+}
+
+void control_plane::report_contact(std::uint64_t upstream, bool succeeded) {
+    state_->post([state = state_.get(), upstream, succeeded] {
+        state->record_contact(short_hash(upstream), succeeded);
+    });
+}
+
+void control_plane::report_load(std::uint64_t upstream, double in_flight, std::uint64_t incarnation,
+                                bool leaving) {
+    const upstream_observation seen{true, in_flight, incarnation, leaving, clock::now()};
+    state_->post([state = state_.get(), upstream, seen] { state->observe(short_hash(upstream), seen); });
+}
+
+boost::asio::any_io_executor control_plane::executor() const {
+    return state_->executor();
+}
+
+claim_registry& control_plane::claims() {
+    return state_->claims();
+}
+
+const control_meter& control_plane::meter() const {
+    return state_->meter();
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/control/src/document_exchange.cpp
@@ -0,0 +1,180 @@
+#include "citronwick/control/document_exchange.hpp"
+
+#include "citronwick/config/io_result_of.hpp"
+#include "citronwick/platform/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/endian/buffers.hpp>
+
+namespace citronwick {
+
+namespace {
+
+using boost::beast::tcp_stream;
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds exchange_timeout{3};
+constexpr std::uint32_t frame_limit = std::uint32_t{16} << 20U;
+constexpr std::size_t chunks_per_request = 32;
+constexpr std::size_t connection_header_bytes = 240; ///< handshake, teardown and acknowledgements
+
+using frame_length = boost::endian::big_uint32_buf_t;
+
+task<io_result<void>> write_frame(tcp_stream& stream, std::string sealed, const std::string& peer) {
+    const frame_length length{static_cast<std::uint32_t>(sealed.size())};
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(&length, sizeof(length)),
+                                                    asio::buffer(sealed)};
+    stream.expires_after(exchange_timeout);
+    auto [error, written] = co_await asio::async_write(stream, buffers, use_tuple);
+    if (error) {
+        co_return failure{"send document message", peer, error.message()};
+    }
+    co_return io_result<void>{};
+}
+
+task<io_result<std::string>> read_frame(tcp_stream& stream, const std::string& peer) {
+    frame_length length{};
+    const auto head = asio::buffer(&length, sizeof(length));
+    stream.expires_after(exchange_timeout);
+    auto [head_error, head_size] = co_await asio::async_read(stream, head, use_tuple);
+    if (head_error || length.value() > frame_limit) {
+        co_return failure{"read document message", peer,
+                          head_error ? head_error.message() : "message too long"};
+    }
+    std::string sealed(length.value(), '\0');
+    const auto body = asio::buffer(sealed);
+    auto [error, size] = co_await asio::async_read(stream, body, use_tuple);
+    if (error) {
+        co_return failure{"read document message", peer, error.message()};
+    }
+    co_return sealed;
+}
+
+} // namespace
+
+document_exchange::document_exchange(asio::any_io_executor executor, const wire::envelope& envelope,
+                                     wire::header from, document_store& store, byte_counter count)
+    : executor_{std::move(executor)}, acceptor_{executor_}, envelope_{envelope}, from_{from}, store_{store},
+      count_{std::move(count)} {}
+
+io_result<void> document_exchange::open(const endpoint& listen) {
+    boost::system::error_code error;
+    const auto address = to_tcp(listen);
+    acceptor_.open(address.protocol(), error);
+    acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+    acceptor_.bind(address, error);
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failure{"listen for documents", to_text(listen), error.message()};
+    }
+    return {};
+}
+
+task<void> document_exchange::serve() {
+    while (acceptor_.is_open()) {
+        asio::ip::tcp::socket socket{executor_};
+        auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
+        if (!error) {
+            asio::co_spawn(executor_, serve_one(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+task<void> document_exchange::serve_one(asio::ip::tcp::socket socket) {
+    boost::system::error_code ignored;
+    const std::string peer = to_text(to_endpoint(socket.remote_endpoint(ignored)));
+    tcp_stream stream{std::move(socket)};
+    auto sealed = co_await read_frame(stream, peer);
+    if (sealed.has_error()) {
+        co_return;
+    }
+    auto opened = io_result_of<wire::opened<wire::document_request>>(
+        [&] { return envelope_.open<wire::document_request>(*sealed, peer); });
+    if (opened.has_error()) {
+        log_failure("document_request_refused", opened.error());
+        co_return;
+    }
+    std::string reply = envelope_.seal(from_, answer(opened->message));
+    count_(reply.size() + connection_header_bytes);
+    auto sent = co_await write_frame(stream, std::move(reply), peer);
+    if (sent.has_error()) {
+        log_failure("document_not_sent", sent.error());
+    }
+}
+
+wire::document_response document_exchange::answer(const wire::document_request& request) const {
+    wire::document_response response{.kind = request.kind};
+    if (const document* const held = store_.current(request.kind)) {
+        response.generation = held->generation;
+        response.header = held->header;
+    }
+    for (const std::string& digest : request.wanted) {
+        if (const std::string* const content = store_.find_chunk(digest)) {
+            response.contents.push_back(*content);
+        }
+    }
+    return response;
+}
+
+task<io_result<wire::document_response>> document_exchange::request(endpoint peer,
+                                                                    wire::document_request request) {
+    const std::string name = to_text(peer);
+    const auto address = to_tcp(peer);
+    tcp_stream stream{executor_};
+    stream.expires_after(exchange_timeout);
+    auto [error] = co_await stream.async_connect(address, use_tuple);
+    if (error) {
+        co_return failure{"connect for documents", name, error.message()};
+    }
+    std::string sealed = envelope_.seal(from_, request);
+    count_(sealed.size() + connection_header_bytes);
+    auto sent = co_await write_frame(stream, std::move(sealed), name);
+    if (sent.has_error()) {
+        co_return sent.error();
+    }
+    auto reply = co_await read_frame(stream, name);
+    if (reply.has_error()) {
+        co_return reply.error();
+    }
+    auto opened = io_result_of<wire::opened<wire::document_response>>(
+        [&] { return envelope_.open<wire::document_response>(*reply, name); });
+    if (opened.has_error()) {
+        co_return opened.error();
+    }
+    co_return std::move(opened->message);
+}
+
+task<io_result<offered_document>> document_exchange::fetch(endpoint peer, wire::document_kind kind) {
+    wire::document_request head_request{kind, {}};
+    auto head = co_await request(peer, std::move(head_request));
+    if (head.has_error()) {
+        co_return head.error();
+    }
+    auto missing = store_.missing(head->header);
+    while (!missing.empty()) {
+        const auto count = std::min(missing.size(), chunks_per_request);
+        wire::document_request chunk_request{kind,
+                                             {missing.begin(), missing.begin() + static_cast<long>(count)}};
+        auto chunks = co_await request(peer, std::move(chunk_request));
+        if (chunks.has_error()) {
+            co_return chunks.error();
+        }
+        for (std::string& content : chunks->contents) {
+            store_.add_chunk(std::move(content));
+        }
+        const auto before = missing.size();
+        missing = store_.missing(head->header);
+        if (missing.size() == before) {
+            co_return failure{"fetch document", to_text(peer), "the peer no longer holds its chunks"};
+        }
+    }
+    co_return offered_document{head->generation, std::move(head->header)};
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/control/src/fleet_channel.cpp
@@ -0,0 +1,71 @@
+#include "citronwick/control/fleet_channel.hpp"
+
+#include "citronwick/config/io_result_of.hpp"
+#include "citronwick/platform/log.hpp"
+
+namespace citronwick {
+
+namespace {
+
+namespace udp = asio::ip;
+
+/// UDP and IPv4 headers of one datagram.
+constexpr std::size_t datagram_header_bytes = 28;
+
+udp::udp::endpoint to_udp(const endpoint& value) {
+    return {asio::ip::make_address(value.ip), value.port};
+}
+
+} // namespace
+
+fleet_channel::fleet_channel(const asio::any_io_executor& executor, const wire::envelope& envelope,
+                             wire::header from)
+    : socket_{executor}, envelope_{envelope}, from_{from} {}
+
+io_result<endpoint> fleet_channel::open(const endpoint& listen) {
+    boost::system::error_code error;
+    const auto address = to_udp(listen);
+    socket_.open(address.protocol(), error);
+    if (!error) {
+        socket_.bind(address, error);
+    }
+    if (error) {
+        return failure{"bind fleet channel", to_text(listen), error.message()};
+    }
+    socket_.non_blocking(true, error);
+    return endpoint{listen.ip, socket_.local_endpoint().port()};
+}
+
+std::size_t fleet_channel::send(const wire::gossip& message, const std::vector<endpoint>& targets) {
+    ++from_.sequence;
+    const std::string sealed = envelope_.seal(from_, message);
+    for (const endpoint& target : targets) {
+        boost::system::error_code ignored;
+        socket_.send_to(asio::buffer(sealed), to_udp(target), 0, ignored);
+    }
+    return targets.size() * (sealed.size() + datagram_header_bytes);
+}
+
+task<void> fleet_channel::run(receiver receive) {
+    while (socket_.is_open()) {
+        udp::udp::endpoint sender;
+        const auto buffer = asio::buffer(buffer_);
+        auto [error, size] = co_await socket_.async_receive_from(buffer, sender, use_tuple);
+        if (error) {
+            continue;
+        }
+        const std::string_view sealed{buffer_.data(), size};
+        const std::string peer = sender.address().to_string() + ":" + std::to_string(sender.port());
+        auto opened = io_result_of<wire::opened<wire::gossip>>(
+            [&] { return envelope_.open<wire::gossip>(sealed, peer); });
+        if (opened.has_error()) {
+            log_failure("fleet_message_refused", opened.error());
+            continue;
+        }
+        if (opened->header.sender != from_.sender && replays_.accept(opened->header)) {
+            receive(opened->header, opened->message);
+        }
+    }
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/control/src/prober.cpp
@@ -0,0 +1,67 @@
+#include "citronwick/control/prober.hpp"
+
+#include "citronwick/control/load_report.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds probe_timeout = 1s;
+constexpr std::uint64_t body_limit = 65'536;
+constexpr int failures_until_unreachable = 2;
+
+} // namespace
+
+prober::connection::connection(const asio::any_io_executor& executor, const endpoint& address)
+    : http{executor, address, body_limit} {}
+
+prober::prober(asio::any_io_executor executor, observer observe, byte_counter count)
+    : executor_{std::move(executor)}, observe_{std::move(observe)}, count_{std::move(count)} {}
+
+void prober::probe(const std::vector<upstream_table::target>& targets) {
+    std::map<std::uint32_t, std::shared_ptr<connection>> kept;
+    for (const upstream_table::target& target : targets) {
+        auto& held = connections_[target.upstream];
+        if (!held || held->http.peer() != target.address) {
+            held = std::make_shared<connection>(executor_, target.address);
+        }
+        kept.emplace(target.upstream, held);
+        if (!held->busy) {
+            held->busy = true;
+            asio::co_spawn(executor_, probe_one(held, target.upstream), asio::detached);
+        }
+    }
+    connections_ = std::move(kept);
+}
+
+task<void> prober::probe_one(std::shared_ptr<connection> used, std::uint32_t upstream) {
+    http_request request{http::verb::get, "/health", 11};
+    request.set(load_report_format_header, "JSON");
+    auto answer = co_await used->http.exchange(std::move(request), probe_timeout);
+    const auto moved = used->http.take_byte_count();
+    count_(moved.sent + moved.received);
+    used->busy = false;
+    const auto now = clock::now();
+    if (answer.has_error() || answer->result() != http::status::ok) {
+        ++used->failures;
+        if (used->failures >= failures_until_unreachable ||
+            (answer.has_error() && answer.error().step == "connect")) {
+            observe_(upstream, {.reachable = false, .at = now});
+        }
+        co_return;
+    }
+    used->failures = 0;
+    const auto report = parse_load_report((*answer)[load_report_header]).value_or(load_report{});
+    observe_(upstream, {.reachable = true,
+                        .in_flight = report.in_flight,
+                        .incarnation = report.incarnation,
+                        .leaving = report.leaving,
+                        .at = now});
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/core/include/citronwick/core/time.hpp
@@ -0,0 +1,27 @@
+#ifndef CITRONWICK_CORE_TIME_HPP_INCLUDED
+#define CITRONWICK_CORE_TIME_HPP_INCLUDED
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace citronwick {
+
+/// Clock of every deadline and lease; it never jumps.
+using clock = std::chrono::steady_clock;
+/// Instant on `clock`.
+using time_point = clock::time_point;
+/// Duration at the resolution of `clock`.
+using duration = clock::duration;
+
+/// Reads a duration with a unit, such as "250ms", "3s", "10m" or "2h".
+/// @return nothing where the unit or the number is missing
+std::optional<std::chrono::milliseconds> parse_duration(std::string_view text);
+
+/// Writes a duration in the largest unit that loses nothing.
+std::string to_text(std::chrono::milliseconds value);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/core/src/time.cpp
@@ -0,0 +1,39 @@
+#include "citronwick/core/time.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace citronwick {
+
+namespace {
+
+using unit = std::pair<std::string_view, std::int64_t>;
+
+/// Units of a duration in milliseconds, largest first.
+constexpr std::array<unit, 4> units{unit{"h", 3'600'000}, {"m", 60'000}, {"s", 1'000}, {"ms", 1}};
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> parse_duration(std::string_view text) {
+    std::int64_t count = 0;
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (error != std::errc{} || count < 0) {
+        return std::nullopt;
+    }
+    const std::string_view suffix = text.substr(static_cast<std::size_t>(rest - text.data()));
+    const auto* found = std::ranges::find(units, suffix, &unit::first);
+    if (found == units.end()) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds{count * found->second};
+}
+
+std::string to_text(std::chrono::milliseconds value) {
+    const auto* largest =
+        std::ranges::find_if(units, [&](const unit& each) { return value.count() % each.second == 0; });
+    return std::to_string(value.count() / largest->second) + std::string{largest->first};
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/core/tests/core.tests.cpp
@@ -0,0 +1,39 @@
+#include "citronwick/core/endpoint.hpp"
+#include "citronwick/core/hash.hpp"
+#include "citronwick/core/time.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+TEST_CASE("durations need a number and a known unit") {
+    CHECK(citronwick::parse_duration("250ms") == 250ms);
+    CHECK(citronwick::parse_duration("3s") == 3s);
+    CHECK(citronwick::parse_duration("2h") == 2h);
+    for (const auto* const bad : {"", "s", "3", "-1s", "3 s", "3d", "3ss"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(citronwick::parse_duration(bad).has_value());
+    }
+    CHECK(citronwick::to_text(1500ms) == "1500ms");
+    CHECK(citronwick::to_text(120s) == "2m");
+}
+
+TEST_CASE("endpoints take numeric addresses only") {
+    CHECK(citronwick::parse_endpoint("127.0.0.1:80") == citronwick::endpoint{"127.0.0.1", 80});
+    CHECK(citronwick::to_text(*citronwick::parse_endpoint("[::1]:80")) == "[::1]:80");
+    for (const auto* const bad :
+         {"", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999", "127.0.0.1:8x"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(citronwick::parse_endpoint(bad).has_value());
+    }
+}
+
+TEST_CASE("digests match their published test vectors") {
+    CHECK(citronwick::sha256_hex("abc") ==
+          "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(citronwick::sha256_hex(citronwick::hmac_sha256("Jefe", "what do ya want for nothing?")).size() ==
+          64);
+    CHECK(citronwick::equal_constant_time("same", "same"));
+    CHECK_FALSE(citronwick::equal_constant_time("same", "some"));
+}
--- /dev/null
+++ b/packages/ctl/include/citronwick/ctl/commands.hpp
@@ -0,0 +1,19 @@
+#ifndef CITRONWICK_CTL_COMMANDS_HPP_INCLUDED
+#define CITRONWICK_CTL_COMMANDS_HPP_INCLUDED
+
+#include "citronwick/ctl/command_options.hpp"
+
+#include <iosfwd>
+#include <string_view>
+
+namespace citronwick {
+
+/// Runs one of citronctl's commands.
+/// @param name words of the command, such as "preset use"
+/// @param out where results go; errors go to `errors`
+exit_code run_command(std::string_view name, const command_options& options, std::ostream& out,
+                      std::ostream& errors);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/platform/include/citronwick/platform/task.hpp
@@ -0,0 +1,31 @@
+#ifndef CITRONWICK_PLATFORM_TASK_HPP_INCLUDED
+#define CITRONWICK_PLATFORM_TASK_HPP_INCLUDED
+
+#include "citronwick/core/endpoint.hpp"
+#include "citronwick/core/failure.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace citronwick {
+
+namespace asio = boost::asio;
+
+/// Coroutine that yields a `T`.
+template <class T>
+using task = asio::awaitable<T>;
+
+/// Completion token: the operation yields a tuple that starts with its error code.
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// TCP address of an endpoint.
+asio::ip::tcp::endpoint to_tcp(const endpoint& value);
+
+/// Endpoint of a TCP address.
+endpoint to_endpoint(const asio::ip::tcp::endpoint& value);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/platform/src/etcd_gateway_client.cpp
@@ -0,0 +1,203 @@
+#include "citronwick/platform/etcd_gateway_client.hpp"
+
+#include "citronwick/core/time.hpp"
+#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/platform/json_text.hpp"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace citronwick {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::uint64_t body_limit = std::uint64_t{4} << 20U;
+
+http_request post(std::string_view path, const json::object& body) {
+    http_request request{http::verb::post, path, 11};
+    request.set(http::field::content_type, "application/json");
+    request.body() = json::serialize(body);
+    return request;
+}
+
+std::optional<kv_entry> first_entry(const json::object& range) {
+    const auto* const kvs = array_member(range, "kvs");
+    if (kvs == nullptr || kvs->empty() || !kvs->front().is_object()) {
+        return std::nullopt;
+    }
+    const auto& found = kvs->front().as_object();
+    return kv_entry{base64_decode(string_member(found, "value")).value_or(""),
+                    integer_member(found, "create_revision"), integer_member(found, "mod_revision")};
+}
+
+std::int64_t header_revision(const json::object& response) {
+    const auto* const header = object_member(response, "header");
+    return header == nullptr ? 0 : integer_member(*header, "revision");
+}
+
+json::object range_of(const std::string& key) {
+    return {{"key", base64_encode(key)}};
+}
+
+/// The transaction of a compare-and-swap: put on success, read on failure.
+json::object swap_transaction(const std::string& key, std::int64_t expected_revision,
+                              const std::string& value, std::int64_t lease) {
+    const json::object comparison{{"key", base64_encode(key)},
+                                  {"target", "MOD"},
+                                  {"result", "EQUAL"},
+                                  {"mod_revision", std::to_string(expected_revision)}};
+    json::object put{{"key", base64_encode(key)}, {"value", base64_encode(value)}};
+    if (lease != 0) {
+        put["lease"] = std::to_string(lease);
+    }
+    return {{"compare", json::array{comparison}},
+            {"success", json::array{json::object{{"request_put", put}}}},
+            {"failure", json::array{json::object{{"request_range", range_of(key)}}}}};
+}
+
+http_request watch_request(const std::string& key, std::int64_t after_revision) {
+    json::object create{{"key", base64_encode(key)}, {"start_revision", std::to_string(after_revision + 1)}};
+    return post("/v3/watch", json::object{{"create_request", std::move(create)}});
+}
+
+swap_outcome read_swap(const json::object& answer) {
+    const auto* const succeeded = answer.if_contains("succeeded");
+    swap_outcome outcome{succeeded != nullptr && succeeded->is_bool() && succeeded->as_bool(),
+                         header_revision(answer)};
+    const auto* const responses = array_member(answer, "responses");
+    if (!outcome.succeeded && responses != nullptr && !responses->empty() && responses->front().is_object()) {
+        const auto* const range = object_member(responses->front().as_object(), "response_range");
+        outcome.current = range == nullptr ? std::nullopt : first_entry(*range);
+    }
+    return outcome;
+}
+
+class etcd_gateway_client final : public kv_client {
+public:
+    etcd_gateway_client(asio::any_io_executor executor, std::vector<endpoint> servers,
+                        std::chrono::milliseconds timeout)
+        : executor_{std::move(executor)}, servers_{std::move(servers)}, timeout_{timeout} {}
+
+    task<io_result<std::optional<kv_entry>>> read(std::string key) override {
+        auto body = range_of(key);
+        auto answer = co_await call("/v3/kv/range", std::move(body));
+        if (answer.has_error()) {
+            co_return answer.error();
+        }
+        co_return first_entry(*answer);
+    }
+
+    task<io_result<swap_outcome>> compare_and_swap(std::string key, std::int64_t expected_revision,
+                                                   std::string value, std::int64_t lease) override {
+        auto body = swap_transaction(key, expected_revision, value, lease);
+        auto answer = co_await call("/v3/kv/txn", std::move(body));
+        if (answer.has_error()) {
+            co_return answer.error();
+        }
+        co_return read_swap(*answer);
+    }
+
+    task<io_result<kv_lease>> grant_lease(std::chrono::seconds time_to_live) override {
+        json::object body;
+        body["TTL"] = std::to_string(time_to_live.count());
+        auto answer = co_await call("/v3/lease/grant", std::move(body));
+        if (answer.has_error()) {
+            co_return answer.error();
+        }
+        co_return kv_lease{integer_member(*answer, "ID"),
+                           std::chrono::seconds{integer_member(*answer, "TTL")}};
+    }
+
+    task<io_result<bool>> wait_for_change(std::string key, std::int64_t after_revision,
+                                          std::chrono::milliseconds timeout) override {
+        const auto deadline = clock::now() + timeout;
+        http_connection connection{executor_, servers_[server_], body_limit};
+        auto request = watch_request(key, after_revision);
+        auto sent = co_await connection.send(std::move(request), timeout_);
+        if (sent.has_error()) {
+            next_server();
+            co_return sent.error();
+        }
+        auto changed = co_await read_events(connection, deadline);
+        count(connection);
+        co_return changed;
+    }
+
+    std::uint64_t take_byte_count() override { return std::exchange(bytes_, 0); }
+
+private:
+    /// Reads the open-ended response until an event arrives or time is up.
+    static task<io_result<bool>> read_events(http_connection& connection, time_point deadline) {
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(boost::none);
+        std::array<char, 4096> piece{};
+        std::string text;
+        while (true) {
+            parser.get().body().data = piece.data();
+            parser.get().body().size = piece.size();
+            connection.stream().expires_at(deadline);
+            auto [error, read] =
+                co_await http::async_read_some(connection.stream(), connection.buffer(), parser, use_tuple);
+            text.append(piece.data(), piece.size() - parser.get().body().size);
+            if (text.find("\"events\"") != std::string::npos) {
+                co_return true;
+            }
+            if (error == boost::beast::error::timeout) {
+                co_return false;
+            }
+            if (parser.is_done() || (error && error != http::error::need_buffer)) {
+                co_return failure{"watch", to_text(connection.peer()),
+                                  error ? error.message() : "watch ended"};
+            }
+        }
+    }
+
+    task<io_result<json::object>> call(std::string_view path, json::object body) {
+        http_connection connection{executor_, servers_[server_], body_limit};
+        auto request = post(path, body);
+        auto answer = co_await connection.exchange(std::move(request), timeout_);
+        count(connection);
+        if (answer.has_error()) {
+            next_server();
+            co_return answer.error();
+        }
+        const std::string peer = to_text(connection.peer());
+        if (answer->result() != http::status::ok) {
+            co_return failure{std::string{path}, peer, "status " + std::to_string(answer->result_int()),
+                              true};
+        }
+        auto parsed = parse_json_object(answer->body());
+        if (!parsed) {
+            co_return failure{std::string{path}, peer, "answer is not a JSON object", true};
+        }
+        co_return std::move(*parsed);
+    }
+
+    void next_server() { server_ = (server_ + 1) % servers_.size(); }
+
+    void count(http_connection& connection) {
+        const auto moved = connection.take_byte_count();
+        bytes_ += moved.sent + moved.received;
+    }
+
+    asio::any_io_executor executor_;
+    std::vector<endpoint> servers_;
+    std::chrono::milliseconds timeout_;
+    std::size_t server_ = 0;
+    std::uint64_t bytes_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<kv_client> make_etcd_gateway_client(const asio::any_io_executor& executor,
+                                                    std::vector<endpoint> servers,
+                                                    std::chrono::milliseconds timeout) {
+    return std::make_unique<etcd_gateway_client>(executor, std::move(servers), timeout);
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/platform/src/http_connection.cpp
@@ -0,0 +1,91 @@
+#include "citronwick/platform/http_connection.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace citronwick {
+
+namespace {
+
+/// TCP/IP headers of one packet without options.
+constexpr std::uint64_t packet_header_bytes = 40;
+
+} // namespace
+
+http_connection::http_connection(const asio::any_io_executor& executor, endpoint peer,
+                                 std::uint64_t body_limit)
+    : peer_{std::move(peer)}, body_limit_{body_limit}, stream_{executor} {}
+
+failure http_connection::failed(std::string step, const std::string& detail, bool may_have_taken_effect) {
+    close();
+    return {std::move(step), to_text(peer_), detail, may_have_taken_effect};
+}
+
+void http_connection::close() {
+    open_ = false;
+    buffer_.clear();
+    stream_.close();
+}
+
+byte_count http_connection::take_byte_count() {
+    return std::exchange(count_, {});
+}
+
+task<io_result<void>> http_connection::connect(std::chrono::milliseconds timeout) {
+    if (open_) {
+        co_return io_result<void>{};
+    }
+    const auto address = to_tcp(peer_);
+    stream_.expires_after(timeout);
+    auto [error] = co_await stream_.async_connect(address, use_tuple);
+    count_.sent += 2 * packet_header_bytes;
+    count_.received += packet_header_bytes;
+    if (error) {
+        co_return failed("connect", error.message(), false);
+    }
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
+    open_ = true;
+    co_return io_result<void>{};
+}
+
+task<io_result<void>> http_connection::send(http_request request, std::chrono::milliseconds timeout) {
+    auto connected = co_await connect(timeout);
+    if (connected.has_error()) {
+        co_return connected.error();
+    }
+    request.set(http::field::host, to_text(peer_));
+    request.prepare_payload();
+    stream_.expires_after(timeout);
+    auto [error, written] = co_await http::async_write(stream_, request, use_tuple);
+    count_.sent += written + packet_header_bytes;
+    if (error) {
+        co_return failed("send request", error.message(), true);
+    }
+    co_return io_result<void>{};
+}
+
+task<io_result<http_response>> http_connection::exchange(http_request request,
+                                                         std::chrono::milliseconds timeout) {
+    auto sent = co_await send(std::move(request), timeout);
+    if (sent.has_error()) {
+        co_return sent.error();
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(body_limit_);
+    stream_.expires_after(timeout);
+    auto [error, read] = co_await http::async_read(stream_, buffer_, parser, use_tuple);
+    count_.received += read + packet_header_bytes;
+    count_.sent += packet_header_bytes;
+    if (error) {
+        co_return failed("read response", error.message(), true);
+    }
+    stream_.expires_never();
+    if (!parser.get().keep_alive()) {
+        close();
+    }
+    co_return parser.release();
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/platform/src/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON is compiled into the workspace here, once.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/packages/platform/src/kv_client.cpp
@@ -0,0 +1,7 @@
+#include "citronwick/platform/kv_client.hpp"
+
+namespace citronwick {
+
+kv_client::~kv_client() = default;
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/router/include/citronwick/router/router_settings.hpp
@@ -0,0 +1,27 @@
+#ifndef CITRONWICK_ROUTER_ROUTER_SETTINGS_HPP_INCLUDED
+#define CITRONWICK_ROUTER_ROUTER_SETTINGS_HPP_INCLUDED
+
+#include "citronwick/control/control_settings.hpp"
+#include "citronwick/core/failure.hpp"
+#include "citronwick/traffic/traffic_settings.hpp"
+
+#include <string>
+
+namespace citronwick {
+
+/// Settings of one router, read from its TOML file.
+struct router_settings {
+    control_settings control;
+    traffic_settings traffic;
+    std::string port_file; ///< bound ports are written here, empty for none
+    std::string log_format = "key_value";
+    std::string log_level = "info";
+};
+
+/// Reads and checks a settings file.
+/// @return a `failure` whose detail lists each problem with file, line and key
+result<router_settings> read_router_settings(const std::string& file);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/router/src/main.cpp
@@ -0,0 +1,70 @@
+#include "citronwick/config/io_result_of.hpp"
+#include "citronwick/platform/log.hpp"
+#include "citronwick/router/router.hpp"
+#include "citronwick/router/router_settings.hpp"
+
+#include <docopt/docopt.h>
+#include <iostream>
+
+namespace {
+
+constexpr const char* usage = R"(citronwickd: routes chats and service calls to upstreams.
+
+Usage:
+  citronwickd --config FILE [--check]
+  citronwickd (-h | --help)
+  citronwickd --version
+
+Options:
+  --config FILE  Settings of this router (TOML).
+  --check        Check the settings and exit.
+  -h --help      Show this text.
+  --version      Show the version.
+
+Exit codes: 0 stopped or checked, 1 could not start, 2 bad usage or settings.
+)";
+
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+int run(const citronwick::router_settings& settings) {
+    const bool json = settings.log_format == "json";
+    citronwick::open_log(json ? citronwick::log_format::json : citronwick::log_format::key_value,
+                         settings.log_level);
+    const auto ended = citronwick::run_router(settings);
+    if (ended.has_error()) {
+        citronwick::log_failure("router_not_started", ended.error());
+    }
+    citronwick::close_log();
+    return ended.has_error() ? exit_failure : 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return 0;
+    } catch (const docopt::DocoptExitVersion&) {
+        std::cout << "citronwickd 0.1.0\n";
+        return 0;
+    } catch (const std::exception&) {
+        std::cerr << usage;
+        return exit_usage;
+    }
+    const std::string file = arguments.at("--config").asString();
+    const auto settings = citronwick::io_result_of<citronwick::router_settings>(
+        [&] { return citronwick::read_router_settings(file); });
+    if (settings.has_error()) {
+        std::cerr << settings.error().detail << "\n";
+        return exit_usage;
+    }
+    if (arguments.at("--check").asBool()) {
+        std::cout << file << ": ok\n";
+        return 0;
+    }
+    return run(*settings);
+}
--- /dev/null
+++ b/packages/router/src/router_settings.cpp
@@ -0,0 +1,155 @@
+#include "citronwick/router/router_settings.hpp"
+
+#include "citronwick/config/table_reader.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+
+namespace citronwick {
+
+namespace {
+
+constexpr std::size_t least_key_bytes = 16;
+constexpr std::array<std::string_view, 4> log_levels{"debug", "info", "warn", "error"};
+
+void read_vm(const toml::table& table, router_settings& settings, problem_list& problems) {
+    table_reader reader{table, "vm", problems};
+    reader.require("name", settings.control.vm)
+        .require("region", settings.control.region)
+        .require("failure_domain", settings.control.failure_domain);
+    reader.finish();
+}
+
+void read_listen(const toml::table& table, router_settings& settings, problem_list& problems) {
+    table_reader reader{table, "listen", problems};
+    reader.require("callers", settings.traffic.callers)
+        .require("operators", settings.traffic.operators)
+        .require("fleet", settings.control.fleet_listen)
+        .read("port_file", settings.port_file);
+    reader.finish();
+}
+
+std::string read_first_line(const std::string& file) {
+    std::ifstream input{file};
+    std::string line;
+    std::getline(input, line);
+    return line;
+}
+
+void read_fleet(const toml::table& table, router_settings& settings, problem_list& problems) {
+    std::string key_file;
+    table_reader reader{table, "fleet", problems};
+    reader.read("key", settings.control.fleet_key)
+        .read("key_file", key_file)
+        .read("seeds", settings.control.seeds)
+        .read("advertise", settings.control.advertised_address)
+        .read("control_bytes_per_second", settings.control.control_bytes_per_second)
+        .read("probe_interval", settings.control.probe_interval);
+    reader.finish();
+    if (!key_file.empty()) {
+        settings.control.fleet_key = read_first_line(key_file);
+    }
+    if (settings.control.fleet_key.size() < least_key_bytes) {
+        reader.reject("key", "expected at least 16 characters, here or in the first line of key_file");
+    }
+}
+
+void read_platform(const toml::table& table, router_settings& settings, problem_list& problems) {
+    std::chrono::milliseconds claim_lifetime = settings.control.claim_lifetime;
+    table_reader reader{table, "platform", problems};
+    reader.require("key_value", settings.control.key_value_servers)
+        .require("vm_list", settings.control.vm_list_server)
+        .read("key_prefix", settings.control.key_prefix)
+        .read("timeout", settings.control.platform_timeout)
+        .read("vm_list_interval", settings.control.vm_list_interval)
+        .read("config_check_interval", settings.control.config_check_interval)
+        .read("claim_lifetime", claim_lifetime);
+    reader.finish();
+    settings.control.claim_lifetime = std::chrono::duration_cast<std::chrono::seconds>(claim_lifetime);
+    if (claim_lifetime < std::chrono::seconds{1}) {
+        reader.reject("claim_lifetime", "expected at least \"1s\"");
+    }
+    if (settings.control.key_value_servers.empty()) {
+        reader.reject("key_value", "expected at least one address");
+    }
+}
+
+void read_limits(const toml::table& table, router_settings& settings, problem_list& problems) {
+    traffic_settings& limits = settings.traffic;
+    table_reader reader{table, "limits", problems};
+    reader.read("threads", limits.threads)
+        .read("header_bytes", limits.header_bytes)
+        .read("body_bytes", limits.body_bytes)
+        .read("answer_bytes", limits.answer_bytes)
+        .read("connections", limits.connections)
+        .read("caller_idle_timeout", limits.caller_idle_timeout)
+        .read("caller_read_timeout", limits.caller_read_timeout)
+        .read("caller_write_timeout", limits.caller_write_timeout)
+        .read("pooled_connection_age", limits.pooled_connection_age);
+    reader.finish();
+    if (limits.threads == 0) {
+        reader.reject("threads", "expected at least 1");
+    }
+}
+
+void read_shutdown(const toml::table& table, router_settings& settings, problem_list& problems) {
+    table_reader reader{table, "shutdown", problems};
+    reader.read("balancer_lag", settings.traffic.balancer_lag)
+        .read("drain_limit", settings.traffic.drain_limit);
+    reader.finish();
+}
+
+void read_log(const toml::table& table, router_settings& settings, problem_list& problems) {
+    table_reader reader{table, "log", problems};
+    reader.read("format", settings.log_format).read("level", settings.log_level);
+    reader.finish();
+    if (settings.log_format != "key_value" && settings.log_format != "json") {
+        reader.reject("format", R"(expected "key_value" or "json")");
+    }
+    if (std::ranges::find(log_levels, settings.log_level) == log_levels.end()) {
+        reader.reject("level", R"(expected "debug", "info", "warn" or "error")");
+    }
+}
+
+/// Reader of one table of the file.
+struct section {
+    std::string_view name;
+    void (*read)(const toml::table&, router_settings&, problem_list&);
+};
+
+constexpr std::array sections{
+    section{"vm", &read_vm},         section{"listen", &read_listen},
+    section{"fleet", &read_fleet},   section{"platform", &read_platform},
+    section{"limits", &read_limits}, section{"shutdown", &read_shutdown},
+    section{"log", &read_log},
+};
+
+result<toml::table> parse_file(const std::string& file) {
+    try {
+        return toml::parse_file(file);
+    } catch (const toml::parse_error& error) {
+        problem_list problems{file};
+        problems.add(error.source(), "syntax", std::string{error.description()});
+        return fail({"read settings", file, problems.text()});
+    }
+}
+
+} // namespace
+
+result<router_settings> read_router_settings(const std::string& file) {
+    BOOST_LEAF_AUTO(document, parse_file(file));
+    problem_list problems{file};
+    table_reader reader{document, "", problems};
+    router_settings settings;
+    for (const section& each : sections) {
+        each.read(reader.table(each.name), settings, problems);
+    }
+    reader.finish();
+    if (!problems.empty()) {
+        return fail({"read settings", file, problems.text()});
+    }
+    return settings;
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/include/citronwick/traffic/admission.hpp
@@ -0,0 +1,95 @@
+#ifndef CITRONWICK_TRAFFIC_ADMISSION_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_ADMISSION_HPP_INCLUDED
+
+#include "citronwick/control/fleet_view.hpp"
+#include "citronwick/control/upstream_usage.hpp"
+#include "citronwick/platform/task.hpp"
+#include "citronwick/policy/fair_queue.hpp"
+#include "citronwick/policy/placement.hpp"
+#include "citronwick/traffic/problem.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+class control_plane;
+class metrics;
+
+/// Request that needs an upstream of a service.
+struct admission_request {
+    std::string service;
+    std::string team;
+    double team_weight = 1.0;
+    placement_request placement;
+    std::string_view policy;               ///< name of the placement policy
+    std::vector<std::uint64_t> excluded{}; ///< upstreams that this request failed on
+    std::string request_id;
+    std::string chat; ///< for the log
+};
+
+/// Upstream that a request was given, counted as in flight while this lives.
+struct admitted_request {
+    upstream_view upstream;
+    usage_guard usage;
+    std::string_view reason;
+};
+
+/// Places requests, and lets them wait in fair queues while all upstreams of
+/// their service are full. Shared by the traffic threads.
+class admission {
+public:
+    admission(control_plane& control, metrics& counters);
+    admission(const admission&) = delete;
+    admission& operator=(const admission&) = delete;
+    ~admission();
+
+    /// Finds an upstream, waiting for one up to the preset's queue timeout.
+    /// @return the upstream, or the refusal that the caller is to be told
+    task<boost::system::result<admitted_request, problem>> admit(const admission_request& request);
+
+    /// Wakes the request whose turn is next, after one has ended.
+    void request_ended(const std::string& service);
+
+private:
+    struct waiter {
+        asio::any_io_executor executor;
+        std::shared_ptr<asio::steady_timer> timer;
+    };
+    struct service_queue {
+        fair_queue queue;
+        std::map<fair_queue::ticket, waiter> waiters;
+    };
+    struct placement_attempt {
+        std::optional<admitted_request> admitted;
+        std::string_view reason;
+    };
+
+    placement_attempt place(const admission_request& request, time_point now);
+    void log_decision(const admission_request& request, const std::vector<candidate>& candidates,
+                      const placement_decision& decision);
+    std::optional<fair_queue::ticket> enqueue(const admission_request& request, const preset& policy,
+                                              time_point now, waiter self);
+    bool queue_is_empty(const std::string& service);
+    bool is_first(const std::string& service, fair_queue::ticket ticket);
+    void leave_queue(const std::string& service, fair_queue::ticket ticket);
+    void wake_first(service_queue& waiting);
+
+    control_plane& control_;
+    metrics& counters_;
+    std::map<std::string, std::unique_ptr<placement_policy>, std::less<>> policies_;
+    std::mutex mutex_;
+    std::map<std::string, service_queue> queues_;
+};
+
+/// Called by Boost.System where `value()` is taken of a refused admission.
+[[noreturn]] void throw_exception_from_error(const problem& error, const boost::source_location& location);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/admission.cpp
@@ -0,0 +1,176 @@
+#include "citronwick/traffic/admission.hpp"
+
+#include "citronwick/control/control_plane.hpp"
+#include "citronwick/core/registry.hpp"
+#include "citronwick/platform/log.hpp"
+#include "citronwick/traffic/metrics.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <stdexcept>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A waiting request looks for room at least this often, since requests of
+/// other routers end unnoticed.
+constexpr duration recheck_interval = 25ms;
+constexpr std::string_view full_reason = "all upstreams full";
+
+problem refusal(std::string_view reason, bool waited) {
+    if (reason == full_reason) {
+        return {503, waited ? "queue-timeout" : "queue-full", std::string{reason}, outcome::not_run, 1s};
+    }
+    return {503, "no-upstream", std::string{reason}, outcome::not_run, 2s};
+}
+
+} // namespace
+
+void throw_exception_from_error(const problem& error, const boost::source_location& /*location*/) {
+    throw std::runtime_error(error.detail);
+}
+
+admission::admission(control_plane& control, metrics& counters) : control_{control}, counters_{counters} {
+    const auto& known = registry<placement_policy>::instance();
+    for (const std::string& name : known.names()) {
+        policies_.emplace(name, known.make(name));
+    }
+}
+
+admission::~admission() = default;
+
+void admission::log_decision(const admission_request& request, const std::vector<candidate>& candidates,
+                             const placement_decision& decision) {
+    std::string skipped;
+    for (const skipped_candidate& each : decision.skipped) {
+        skipped += skipped.empty() ? "" : ",";
+        skipped += std::string{candidates[each.index].name} + ":" + std::string{each.reason};
+    }
+    const bool placed = decision.index.has_value();
+    log_info("placement",
+             {{"request", request.request_id},
+              {"service", request.service},
+              {"team", request.team},
+              {"chat", request.chat},
+              {"upstream", placed ? std::string{candidates[*decision.index].name} : "none"},
+              {"reason", std::string{decision.reason}},
+              {"in_flight", placed ? std::to_string(candidates[*decision.index].in_flight) : "-"},
+              {"skipped", skipped.empty() ? "-" : skipped}});
+}
+
+admission::placement_attempt admission::place(const admission_request& request, time_point now) {
+    const auto view = control_.view();
+    const auto found = view->upstreams.find(request.service);
+    if (found == view->upstreams.end() || !view->config) {
+        return {std::nullopt, "no upstream listed"};
+    }
+    const auto& upstreams = found->second;
+    std::vector<candidate> candidates(upstreams.size());
+    std::ranges::transform(upstreams, candidates.begin(), to_candidate);
+    for (candidate& each : candidates) {
+        if (std::ranges::find(request.excluded, each.hash) != request.excluded.end()) {
+            each.state = availability::excluded;
+        }
+    }
+    const auto& policy = policies_.find(request.policy)->second;
+    const auto decision = policy->place(request.placement, candidates, view->config->active, now);
+    if (!decision.index) {
+        return {std::nullopt, decision.reason};
+    }
+    log_decision(request, candidates, decision);
+    counters_.count_placement(request.service, decision.reason);
+    const upstream_view& chosen = upstreams[*decision.index];
+    return {admitted_request{chosen, usage_guard{chosen.usage}, decision.reason}, decision.reason};
+}
+
+task<boost::system::result<admitted_request, problem>> admission::admit(const admission_request& request) {
+    const auto arrived = clock::now();
+    const auto executor = co_await asio::this_coro::executor;
+    std::string_view reason = full_reason;
+    if (queue_is_empty(request.service)) {
+        auto attempt = place(request, arrived);
+        if (attempt.admitted) {
+            counters_.observe_queue_wait(request.service, duration::zero());
+            co_return std::move(*attempt.admitted);
+        }
+        reason = attempt.reason;
+    }
+    const auto config = control_.view()->config;
+    auto timer = std::make_shared<asio::steady_timer>(executor);
+    const auto ticket = reason == full_reason && config
+                            ? enqueue(request, config->active, arrived, {executor, timer})
+                            : std::nullopt;
+    if (!ticket) {
+        co_return refusal(reason, false);
+    }
+    const auto deadline = arrived + config->active.queue_timeout;
+    while (clock::now() < deadline && reason == full_reason) {
+        timer->expires_after(recheck_interval);
+        co_await timer->async_wait(use_tuple);
+        if (!is_first(request.service, *ticket)) {
+            continue;
+        }
+        auto attempt = place(request, clock::now());
+        reason = attempt.reason;
+        if (attempt.admitted) {
+            leave_queue(request.service, *ticket);
+            counters_.observe_queue_wait(request.service, clock::now() - arrived);
+            co_return std::move(*attempt.admitted);
+        }
+    }
+    leave_queue(request.service, *ticket);
+    co_return refusal(reason, true);
+}
+
+std::optional<fair_queue::ticket> admission::enqueue(const admission_request& request, const preset& policy,
+                                                     time_point now, waiter self) {
+    const std::scoped_lock lock{mutex_};
+    service_queue& waiting = queues_[request.service];
+    if (waiting.queue.size() >= policy.queue_length) {
+        return std::nullopt;
+    }
+    const auto ticket = waiting.queue.push(request.team, request.team_weight, now + policy.queue_timeout);
+    waiting.waiters.emplace(ticket, std::move(self));
+    return ticket;
+}
+
+bool admission::queue_is_empty(const std::string& service) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = queues_.find(service);
+    return found == queues_.end() || found->second.queue.size() == 0;
+}
+
+bool admission::is_first(const std::string& service, fair_queue::ticket ticket) {
+    const std::scoped_lock lock{mutex_};
+    return queues_[service].queue.front() == ticket;
+}
+
+void admission::leave_queue(const std::string& service, fair_queue::ticket ticket) {
+    const std::scoped_lock lock{mutex_};
+    service_queue& waiting = queues_[service];
+    waiting.queue.remove(ticket);
+    waiting.waiters.erase(ticket);
+    wake_first(waiting);
+}
+
+void admission::request_ended(const std::string& service) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = queues_.find(service);
+    if (found != queues_.end()) {
+        wake_first(found->second);
+    }
+}
+
+void admission::wake_first(service_queue& waiting) {
+    const auto first = waiting.queue.front();
+    if (!first) {
+        return;
+    }
+    const waiter& next = waiting.waiters.at(*first);
+    asio::post(next.executor, [timer = next.timer] { timer->cancel(); });
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/caller.cpp
@@ -0,0 +1,135 @@
+#include "citronwick/traffic/caller.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace citronwick {
+
+namespace {
+
+constexpr const char* request_field = "Citronwick-Request";
+constexpr const char* outcome_field = "Citronwick-Outcome";
+
+} // namespace
+
+caller::caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
+               std::chrono::milliseconds write_timeout)
+    : stream_{stream}, request_id_{std::move(request_id)}, keep_alive_{keep_alive},
+      write_timeout_{write_timeout}, watch_{std::make_shared<hang_up_watch>()} {}
+
+caller::~caller() {
+    watch_->notify = nullptr;
+    watch_->detached = true;
+    if (watch_->active) {
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
+    }
+}
+
+bool caller::finish(const boost::system::error_code& error) {
+    if (error) {
+        keep_alive_ = false;
+    }
+    return !error;
+}
+
+template <class Message>
+task<bool> caller::write(Message& message) {
+    stream_.expires_after(write_timeout_);
+    auto [error, size] = co_await http::async_write(stream_, message, use_tuple);
+    co_return finish(error);
+}
+
+task<bool> caller::answer(whole_answer whole) {
+    answered_ = true;
+    http_response response{http::int_to_status(whole.status), 11};
+    response.set(request_field, request_id_);
+    response.set(outcome_field, to_text(whole.result));
+    response.set(http::field::content_type, whole.content_type);
+    for (const auto& [name, value] : whole.headers) {
+        response.set(name, value);
+    }
+    response.keep_alive(keep_alive_);
+    response.body() = std::move(whole.body);
+    response.prepare_payload();
+    co_return co_await write(response);
+}
+
+task<bool> caller::refuse(problem why) {
+    whole_answer refusal{.status = why.status,
+                         .content_type = "application/problem+json",
+                         .body = to_json(why, request_id_),
+                         .result = why.result};
+    if (why.retry_after) {
+        refusal.headers.emplace_back("Retry-After", std::to_string(why.retry_after->count()));
+    }
+    co_return co_await answer(std::move(refusal));
+}
+
+task<bool> caller::begin_stream(header_fields headers) {
+    answered_ = true;
+    http::response<http::empty_body> response{http::status::ok, 11};
+    response.set(request_field, request_id_);
+    response.set(http::field::content_type, "text/event-stream");
+    response.set(http::field::cache_control, "no-cache");
+    response.set(http::field::trailer, outcome_field);
+    for (const auto& [name, value] : headers) {
+        response.set(name, value);
+    }
+    response.keep_alive(keep_alive_);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer{response};
+    stream_.expires_after(write_timeout_);
+    auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
+    co_return finish(error);
+}
+
+task<bool> caller::write_events(std::string events) {
+    const auto chunk = http::make_chunk(asio::buffer(events));
+    stream_.expires_after(write_timeout_);
+    auto [error, size] = co_await asio::async_write(stream_, chunk, use_tuple);
+    co_return finish(error);
+}
+
+task<bool> caller::end_stream(outcome result) {
+    http::fields trailer;
+    trailer.set(outcome_field, to_text(result));
+    const auto last = http::make_chunk_last(trailer);
+    stream_.expires_after(write_timeout_);
+    auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
+    co_return finish(error);
+}
+
+void caller::on_hang_up(std::function<void()> function) {
+    watch_->notify = std::move(function);
+    if (watch_->hung_up && watch_->notify) {
+        std::exchange(watch_->notify, nullptr)();
+    } else if (!watch_->active && watch_->notify) {
+        watch();
+    }
+}
+
+void caller::watch() {
+    watch_->active = true;
+    auto& socket = stream_.socket();
+    socket.async_wait(asio::socket_base::wait_read,
+                      [state = watch_, &socket](const boost::system::error_code& error) {
+                          state->active = false;
+                          if (error || state->detached) {
+                              return;
+                          }
+                          std::array<char, 1> byte{};
+                          boost::system::error_code peek_error;
+                          socket.non_blocking(true, peek_error);
+                          socket.receive(asio::buffer(byte), asio::socket_base::message_peek, peek_error);
+                          const bool gone = peek_error && peek_error != asio::error::would_block;
+                          state->hung_up = state->hung_up || gone;
+                          if (gone && state->notify) {
+                              std::exchange(state->notify, nullptr)();
+                          }
+                      });
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/connection_pool.cpp
@@ -0,0 +1,33 @@
+#include "citronwick/traffic/connection_pool.hpp"
+
+namespace citronwick {
+
+connection_pool::connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit)
+    : executor_{std::move(executor)}, idle_limit_{idle_limit} {}
+
+std::unique_ptr<upstream_connection> connection_pool::take(const endpoint& peer, time_point now) {
+    auto& waiting = idle_[peer];
+    std::erase_if(waiting, [&](const idle_connection& each) { return now - each.since >= idle_limit_; });
+    while (!waiting.empty()) {
+        auto newest = std::move(waiting.back().connection);
+        waiting.pop_back();
+        if (newest->is_quiet()) {
+            return newest;
+        }
+    }
+    return take_new(peer);
+}
+
+std::unique_ptr<upstream_connection> connection_pool::take_new(const endpoint& peer) const {
+    return std::make_unique<upstream_connection>(executor_, peer);
+}
+
+void connection_pool::give_back(std::unique_ptr<upstream_connection> connection, time_point now) {
+    constexpr std::size_t most_idle = 64;
+    auto& waiting = idle_[connection->peer()];
+    if (connection->reusable() && waiting.size() < most_idle) {
+        waiting.push_back({std::move(connection), now});
+    }
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/front.cpp
@@ -0,0 +1,327 @@
+#include "citronwick/traffic/front.hpp"
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/platform/log.hpp"
+#include "citronwick/traffic/caller.hpp"
+#include "citronwick/traffic/chat_handler.hpp"
+#include "citronwick/traffic/service_handler.hpp"
+#include "citronwick/traffic/traffic_context.hpp"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <set>
+#include <thread>
+
+namespace citronwick {
+
+namespace {
+
+namespace beast = boost::beast;
+
+/// Handler of a path prefix.
+struct route {
+    std::string_view prefix;
+    task<void> (*serve)(thread_context&, caller&, const http_request&);
+};
+
+constexpr std::array routes{
+    route{"/v1/chat/completions", &serve_chat},
+    route{"/services/", &serve_service},
+};
+
+/// Refusal of a request that could not be read, by the parser's error.
+problem unreadable(const boost::system::error_code& error) {
+    if (error == http::error::header_limit) {
+        return {431, "header-too-large", "the request header is too large"};
+    }
+    if (error == http::error::body_limit) {
+        return {413, "body-too-large", "the request body is too large"};
+    }
+    if (error == beast::error::timeout) {
+        return {408, "request-timeout", "the request did not arrive in time"};
+    }
+    return {400, "bad-request", "the request is not well-formed HTTP: " + error.message()};
+}
+
+/// Whether a failed read is worth an answer: the caller sent something and may
+/// still be there.
+bool deserves_answer(const boost::system::error_code& error) {
+    return error != http::error::end_of_stream && error != asio::error::operation_aborted &&
+           error != asio::error::connection_reset && error != asio::error::eof &&
+           error != http::error::partial_message;
+}
+
+} // namespace
+
+class front::state {
+public:
+    state(const traffic_settings& settings, control_plane& control, metrics& counters)
+        : settings_{settings}, admission_{control, counters},
+          shared_{control, settings_, counters, admission_}, acceptor_{accept_context_} {}
+
+    io_result<endpoint> start() {
+        boost::system::error_code error;
+        const auto address = to_tcp(settings_.callers);
+        acceptor_.open(address.protocol(), error);
+        acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+        acceptor_.bind(address, error);
+        if (!error) {
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return failure{"listen for callers", to_text(settings_.callers), error.message()};
+        }
+        for (std::uint32_t index = 0; index < settings_.threads; ++index) {
+            workers_.push_back(std::make_unique<worker>(shared_));
+        }
+        asio::co_spawn(accept_context_, accept(), asio::detached);
+        accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
+        return to_endpoint(acceptor_.local_endpoint());
+    }
+
+    void announce_shutdown() { leaving_ = true; }
+
+    void stop_accepting() {
+        asio::post(accept_context_, [this] {
+            boost::system::error_code ignored;
+            acceptor_.close(ignored);
+        });
+    }
+
+    void close_idle_connections() {
+        for (const auto& each : workers_) {
+            asio::post(each->context, [&each] {
+                for (beast::tcp_stream* idle : each->idle) {
+                    idle->cancel();
+                }
+            });
+        }
+    }
+
+    void stop() {
+        accept_context_.stop();
+        for (const auto& each : workers_) {
+            each->context.stop();
+        }
+        workers_.clear();
+        if (accept_thread_.joinable()) {
+            accept_thread_.join();
+        }
+    }
+
+    std::size_t open_connections() const { return connections_.load(); }
+    std::size_t requests_in_flight() const { return requests_.load(); }
+
+private:
+    /// One traffic thread.
+    struct worker {
+        explicit worker(traffic_context& shared)
+            : thread{shared, {context.get_executor(), shared.settings.pooled_connection_age}, {}},
+              runner{[this] { context.run(); }} {}
+
+        asio::io_context context{1};
+        asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
+        thread_context thread;
+        std::set<beast::tcp_stream*> idle; ///< connections that wait for a request
+        std::jthread runner;
+    };
+
+    task<void> accept() {
+        std::size_t next = 0;
+        while (acceptor_.is_open()) {
+            worker& chosen = *workers_[next++ % workers_.size()];
+            asio::ip::tcp::socket socket{chosen.context};
+            auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
+            if (error) {
+                continue;
+            }
+            if (connections_ >= settings_.connections) {
+                log_warn("connection_refused", {{"reason", "too many connections"}});
+                continue;
+            }
+            ++connections_;
+            asio::co_spawn(chosen.context, serve_connection(chosen, std::move(socket)),
+                           [this](const std::exception_ptr& fault) {
+                               --connections_;
+                               note_fault(fault);
+                           });
+        }
+    }
+
+    static void note_fault(const std::exception_ptr& fault) {
+        try {
+            if (fault) {
+                std::rethrow_exception(fault);
+            }
+        } catch (const std::exception& error) {
+            log_warn("connection_failed", {{"detail", error.what()}});
+        }
+    }
+
+    task<void> serve_connection(worker& thread, asio::ip::tcp::socket socket) {
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+        beast::tcp_stream stream{std::move(socket)};
+        beast::flat_buffer buffer;
+        while (co_await serve_request(thread, stream, buffer)) {
+        }
+        stream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+    }
+
+    /// Reads and serves one request.
+    /// @return whether the connection may carry another
+    task<bool> serve_request(worker& thread, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(settings_.header_bytes);
+        parser.body_limit(settings_.body_bytes);
+        auto header_error = co_await read_header(thread, stream, buffer, parser);
+        if (!header_error) {
+            const request_count counted{requests_};
+            header_error = co_await read_body(stream, buffer, parser);
+            if (!header_error) {
+                co_return co_await dispatch(thread.thread, stream, parser.release());
+            }
+        }
+        if (deserves_answer(header_error)) {
+            caller from{stream, random_id(), false, settings_.caller_write_timeout};
+            auto why = unreadable(header_error);
+            co_await from.refuse(std::move(why));
+            co_await drain_input(stream);
+        }
+        co_return false;
+    }
+
+    task<boost::system::error_code> read_header(worker& thread, beast::tcp_stream& stream,
+                                                beast::flat_buffer& buffer,
+                                                http::request_parser<http::string_body>& parser) {
+        constexpr std::size_t first_read_bytes = 4'096;
+        if (buffer.size() == 0) {
+            thread.idle.insert(&stream);
+            stream.expires_after(settings_.caller_idle_timeout);
+            const auto space = buffer.prepare(first_read_bytes);
+            auto [error, size] = co_await stream.async_read_some(space, use_tuple);
+            buffer.commit(size);
+            thread.idle.erase(&stream);
+            if (error) {
+                co_return error == beast::error::timeout ? boost::system::error_code{asio::error::eof}
+                                                         : error;
+            }
+        }
+        stream.expires_after(settings_.caller_read_timeout);
+        auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
+        co_return error;
+    }
+
+    task<boost::system::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                              http::request_parser<http::string_body>& parser) {
+        stream.expires_after(settings_.caller_read_timeout);
+        if (parser.get()[http::field::expect] == "100-continue") {
+            http::response<http::string_body> go_on{http::status::continue_, 11};
+            auto [write_error, written] = co_await http::async_write(stream, go_on, use_tuple);
+            if (write_error) {
+                co_return write_error;
+            }
+        }
+        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        co_return error;
+    }
+
+    /// Takes in what a refused caller still sends, so that the refusal is not
+    /// lost to a connection reset.
+    static task<void> drain_input(beast::tcp_stream& stream) {
+        constexpr std::chrono::seconds patience{1};
+        std::array<char, 4096> waste{};
+        boost::system::error_code ignored;
+        stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+        stream.expires_after(patience);
+        while (true) {
+            const auto piece = asio::buffer(waste);
+            auto [error, size] = co_await stream.async_read_some(piece, use_tuple);
+            if (error) {
+                co_return;
+            }
+        }
+    }
+
+    task<bool> dispatch(thread_context& thread, beast::tcp_stream& stream, http_request request) {
+        const bool keep_alive = request.keep_alive() && !leaving_;
+        caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout};
+        const std::string_view target = request.target();
+        const auto* const found = std::ranges::find_if(
+            routes, [target](const route& each) { return target.starts_with(each.prefix); });
+        if (found == routes.end()) {
+            problem why{404, "unknown-path", "nothing is served at this path"};
+            co_await from.refuse(std::move(why));
+        } else {
+            co_await found->serve(thread, from, request);
+        }
+        co_return from.keep_alive() && from.answered();
+    }
+
+    /// Counts a request for as long as it is being served.
+    class request_count {
+    public:
+        explicit request_count(std::atomic<std::size_t>& count) : count_{count} { ++count_; }
+        request_count(const request_count&) = delete;
+        request_count& operator=(const request_count&) = delete;
+        ~request_count() { --count_; }
+
+    private:
+        std::atomic<std::size_t>& count_;
+    };
+
+    const traffic_settings& settings_;
+    admission admission_;
+    traffic_context shared_;
+    asio::io_context accept_context_{1};
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::unique_ptr<worker>> workers_;
+    std::atomic<std::size_t> connections_{0};
+    std::atomic<std::size_t> requests_{0};
+    std::atomic<bool> leaving_{false};
+    std::jthread accept_thread_;
+};
+
+front::front(const traffic_settings& settings, control_plane& control, metrics& counters)
+    : state_{std::make_unique<state>(settings, control, counters)} {}
+
+front::~front() {
+    stop();
+}
+
+io_result<endpoint> front::start() {
+    return state_->start();
+}
+
+void front::announce_shutdown() {
+    state_->announce_shutdown();
+}
+
+void front::stop_accepting() {
+    state_->stop_accepting();
+}
+
+std::size_t front::open_connections() const {
+    return state_->open_connections();
+}
+
+std::size_t front::requests_in_flight() const {
+    return state_->requests_in_flight();
+}
+
+void front::close_idle_connections() {
+    state_->close_idle_connections();
+}
+
+void front::stop() {
+    state_->stop();
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/operator_server.cpp
@@ -0,0 +1,162 @@
+#include "citronwick/traffic/operator_server.hpp"
+
+#include "citronwick/control/control_plane.hpp"
+#include "citronwick/control/upstream_usage.hpp"
+#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/traffic/front.hpp"
+#include "citronwick/traffic/metrics.hpp"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <thread>
+
+namespace citronwick {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::seconds operator_timeout{10};
+
+json::object to_json(const upstream_view& upstream) {
+    const bool ready = upstream.state == availability::ready;
+    return {{"name", upstream.name},
+            {"failure_domain", upstream.failure_domain},
+            {"address", to_text(upstream.address)},
+            {"state", ready ? "ready" : std::string{to_text(upstream.state)}},
+            {"incarnation", upstream.incarnation},
+            {"own_in_flight", upstream.usage->in_flight.load(std::memory_order_relaxed)},
+            {"in_flight", estimated_in_flight(upstream)}};
+}
+
+json::object to_json(const fleet_view& view) {
+    json::object services;
+    for (const auto& [name, upstreams] : view.upstreams) {
+        json::array list;
+        for (const upstream_view& upstream : upstreams) {
+            list.push_back(to_json(upstream));
+        }
+        services[name] = std::move(list);
+    }
+    return {{"generation", view.config ? view.config->root.generation : 0},
+            {"preset", view.config ? view.config->root.active_preset : ""},
+            {"live_routers", view.live_routers},
+            {"services", std::move(services)}};
+}
+
+} // namespace
+
+class operator_server::state {
+public:
+    state(endpoint listen, control_plane& control, metrics& counters, front& callers)
+        : listen_{std::move(listen)}, control_{control}, counters_{counters}, callers_{callers},
+          acceptor_{context_} {}
+
+    ~state() { context_.stop(); }
+
+    io_result<endpoint> start() {
+        boost::system::error_code error;
+        const auto address = to_tcp(listen_);
+        acceptor_.open(address.protocol(), error);
+        acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+        acceptor_.bind(address, error);
+        if (!error) {
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return failure{"listen for operators", to_text(listen_), error.message()};
+        }
+        asio::co_spawn(context_, accept(), asio::detached);
+        thread_ = std::jthread{[this] { context_.run(); }};
+        return to_endpoint(acceptor_.local_endpoint());
+    }
+
+    void set_unready() { ready_ = false; }
+
+private:
+    task<void> accept() {
+        while (true) {
+            asio::ip::tcp::socket socket{context_};
+            auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
+            if (!error) {
+                asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            }
+        }
+    }
+
+    task<void> serve(asio::ip::tcp::socket socket) {
+        boost::beast::tcp_stream stream{std::move(socket)};
+        boost::beast::flat_buffer buffer;
+        while (true) {
+            http_request request;
+            stream.expires_after(operator_timeout);
+            auto [read_error, read] = co_await http::async_read(stream, buffer, request, use_tuple);
+            if (read_error) {
+                co_return;
+            }
+            http_response response = answer(request.target());
+            response.keep_alive(request.keep_alive());
+            response.prepare_payload();
+            auto [write_error, written] = co_await http::async_write(stream, response, use_tuple);
+            if (write_error || !request.keep_alive()) {
+                co_return;
+            }
+        }
+    }
+
+    http_response answer(std::string_view target) {
+        http_response response{http::status::ok, 11};
+        response.set(http::field::content_type, "text/plain; charset=utf-8");
+        if (target == "/healthz") {
+            response.body() = "ok\n";
+        } else if (target == "/readyz") {
+            const bool ready = ready_ && control_.view()->config;
+            response.result(ready ? http::status::ok : http::status::service_unavailable);
+            response.body() = ready ? "ready\n" : "not ready\n";
+        } else if (target == "/metrics") {
+            response.body() = counters_.page(control_);
+        } else if (target == "/debug/view") {
+            json::object page = to_json(*control_.view());
+            page["connections"] = callers_.open_connections();
+            page["requests_in_flight"] = callers_.requests_in_flight();
+            response.set(http::field::content_type, "application/json");
+            response.body() = json::serialize(page);
+        } else {
+            response.result(http::status::not_found);
+            response.body() = "pages: /healthz /readyz /metrics /debug/view\n";
+        }
+        return response;
+    }
+
+    endpoint listen_;
+    control_plane& control_;
+    metrics& counters_;
+    front& callers_;
+    asio::io_context context_{1};
+    asio::ip::tcp::acceptor acceptor_;
+    std::atomic<bool> ready_{true};
+    std::jthread thread_;
+};
+
+operator_server::operator_server(const endpoint& listen, control_plane& control, metrics& counters,
+                                 front& callers)
+    : state_{std::make_unique<state>(listen, control, counters, callers)} {}
+
+operator_server::~operator_server() = default;
+
+io_result<endpoint> operator_server::start() {
+    return state_->start();
+}
+
+void operator_server::set_unready() {
+    state_->set_unready();
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -0,0 +1,83 @@
+#ifndef CITRONWICK_WIRE_MESSAGES_HPP_INCLUDED
+#define CITRONWICK_WIRE_MESSAGES_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Messages between routers. Lists and texts carry 16-bit lengths, which keeps
+/// datagrams small and bounds what a decoder allocates.
+namespace citronwick::wire {
+
+/// What a router says of itself or of another router.
+struct member_record {
+    std::string vm;
+    std::string region;
+    std::string failure_domain;
+    std::string fleet_address; ///< "ip:port" of the fleet channel, UDP and TCP alike
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+};
+
+/// Requests that the sender has in flight on one upstream.
+struct usage_entry {
+    std::uint32_t upstream = 0; ///< short hash of the upstream's name
+    std::uint16_t in_flight = 0;
+};
+
+/// Load and reachability of one upstream as a prober last saw it.
+struct report_entry {
+    std::uint32_t upstream = 0;
+    std::uint16_t in_flight = 0;
+    std::uint16_t age = 0; ///< milliseconds since the observation
+    bool reachable = true;
+};
+
+/// Mark that an incarnation of an upstream takes no new work; never withdrawn.
+struct leaving_entry {
+    std::uint32_t upstream = 0;
+    std::uint64_t incarnation = 0;
+};
+
+/// Kinds of documents that spread from router to router.
+enum class document_kind : std::uint8_t { configuration = 0, vm_list = 1 };
+
+/// Newest generation of a document that the sender holds.
+struct document_version {
+    document_kind kind = document_kind::configuration;
+    std::uint64_t generation = 0;
+};
+
+/// Verdict on a request that crashed upstreams.
+struct conviction_entry {
+    std::uint64_t fingerprint = 0; ///< hash of team and body
+    std::uint32_t expires_in = 0;  ///< milliseconds
+};
+
+/// One datagram of the fleet channel.
+struct gossip {
+    std::vector<member_record> members;
+    std::vector<usage_entry> usage;
+    std::vector<report_entry> reports;
+    std::vector<leaving_entry> leaving;
+    std::vector<document_version> documents;
+    std::vector<conviction_entry> convictions;
+};
+
+/// Request for a document over TCP: its header, and chunks by their digests.
+struct document_request {
+    document_kind kind = document_kind::configuration;
+    std::vector<std::string> wanted;
+};
+
+/// Answer to `document_request`; generation 0 where the peer holds none.
+struct document_response {
+    document_kind kind = document_kind::configuration;
+    std::uint64_t generation = 0;
+    std::string header;
+    std::vector<std::string> contents; ///< of the wanted chunks that the peer holds
+};
+
+} // namespace citronwick::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -0,0 +1,113 @@
+#ifndef CITRONWICK_WIRE_SERIALIZATION_HPP_INCLUDED
+#define CITRONWICK_WIRE_SERIALIZATION_HPP_INCLUDED
+
+#include "citronwick/wire/messages.hpp"
+
+#include <algorithm>
+#include <cereal/cereal.hpp>
+#include <limits>
+
+/// cereal functions of the fleet's messages.
+namespace citronwick::wire {
+
+/// List or text with a 16-bit length in place of cereal's 64-bit one.
+template <class Container>
+struct compact {
+    Container& items;
+};
+
+template <class Container>
+compact(Container&) -> compact<Container>;
+
+template <class Archive, class Container>
+void save(Archive& archive, const compact<Container>& list) {
+    constexpr std::size_t most = std::numeric_limits<std::uint16_t>::max();
+    const auto count = static_cast<std::uint16_t>(std::min(list.items.size(), most));
+    archive(count);
+    std::for_each_n(list.items.begin(), count, [&archive](auto& item) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(item)>, std::string>) {
+            archive(compact{item});
+        } else {
+            archive(item);
+        }
+    });
+}
+
+template <class Archive, class Container>
+void load(Archive& archive, compact<Container>& list) {
+    std::uint16_t count = 0;
+    archive(count);
+    list.items.clear();
+    for (std::uint16_t index = 0; index < count; ++index) {
+        typename Container::value_type item{};
+        if constexpr (std::is_same_v<typename Container::value_type, std::string>) {
+            compact<std::string> text{item};
+            archive(text);
+        } else {
+            archive(item);
+        }
+        list.items.push_back(std::move(item));
+    }
+}
+
+template <class Archive, class... Lists>
+void serialize_lists(Archive& archive, Lists&... lists) {
+    const auto each = [&archive](auto& list) {
+        compact wrapped{list};
+        archive(wrapped);
+    };
+    (each(lists), ...);
+}
+
+template <class Archive>
+void serialize(Archive& archive, member_record& record) {
+    serialize_lists(archive, record.vm, record.region, record.failure_domain, record.fleet_address);
+    archive(record.incarnation, record.leaving);
+}
+
+template <class Archive>
+void serialize(Archive& archive, usage_entry& entry) {
+    archive(entry.upstream, entry.in_flight);
+}
+
+template <class Archive>
+void serialize(Archive& archive, report_entry& entry) {
+    archive(entry.upstream, entry.in_flight, entry.age, entry.reachable);
+}
+
+template <class Archive>
+void serialize(Archive& archive, leaving_entry& entry) {
+    archive(entry.upstream, entry.incarnation);
+}
+
+template <class Archive>
+void serialize(Archive& archive, document_version& version) {
+    archive(version.kind, version.generation);
+}
+
+template <class Archive>
+void serialize(Archive& archive, conviction_entry& entry) {
+    archive(entry.fingerprint, entry.expires_in);
+}
+
+template <class Archive>
+void serialize(Archive& archive, gossip& message) {
+    serialize_lists(archive, message.members, message.usage, message.reports, message.leaving,
+                    message.documents, message.convictions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, document_request& request) {
+    archive(request.kind);
+    serialize_lists(archive, request.wanted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, document_response& response) {
+    archive(response.kind, response.generation);
+    serialize_lists(archive, response.header, response.contents);
+}
+
+} // namespace citronwick::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/tests/envelope.tests.cpp
@@ -0,0 +1,79 @@
+#include "citronwick/wire/envelope.hpp"
+#include "citronwick/wire/replay_filter.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace citronwick;
+
+namespace {
+
+wire::gossip sample() {
+    wire::gossip message;
+    message.members.push_back({"entry-a1", "kr-south", "busan-a", "127.0.0.1:7070", 17, false});
+    message.usage.push_back({0xabcd, 3});
+    message.reports.push_back({0xabcd, 4, 120, true});
+    message.leaving.push_back({0xef, 5});
+    message.documents.push_back({wire::document_kind::vm_list, 9});
+    return message;
+}
+
+bool opens(const wire::envelope& envelope, std::string_view bytes) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(envelope.open<wire::gossip>(bytes, "peer"));
+            return true;
+        },
+        [](const failure& error) {
+            CHECK(error.peer == "peer");
+            return false;
+        },
+        [] { return false; });
+}
+
+} // namespace
+
+TEST_CASE("a sealed message opens with the same content") {
+    const wire::envelope envelope{"key"};
+    const auto sealed = envelope.seal({1, 2, 3}, sample());
+    const auto opened = envelope.open<wire::gossip>(sealed, "peer");
+    REQUIRE(opened);
+    CHECK(opened->header.sequence == 3);
+    CHECK(opened->message.members.at(0).vm == "entry-a1");
+    CHECK(opened->message.reports.at(0).age == 120);
+    CHECK(opened->message.documents.at(0).generation == 9);
+    CHECK(sealed.size() < 160);
+}
+
+TEST_CASE("forged, truncated and mistyped messages are refused") {
+    const wire::envelope envelope{"key"};
+    const auto sealed = envelope.seal({1, 2, 3}, sample());
+    CHECK_FALSE(opens(wire::envelope{"other key"}, sealed));
+    CHECK_FALSE(opens(envelope, envelope.seal({1, 2, 3}, wire::document_request{})));
+    CHECK(rc::check("any change of any byte is refused", [&] {
+        auto changed = sealed;
+        const auto at = *rc::gen::inRange<std::size_t>(0, sealed.size());
+        changed[at] = static_cast<char>(changed[at] ^ *rc::gen::inRange(1, 256));
+        RC_ASSERT(!opens(envelope, changed));
+    }));
+    CHECK(rc::check("any truncation is refused", [&] {
+        const auto length = *rc::gen::inRange<std::size_t>(0, sealed.size());
+        RC_ASSERT(!opens(envelope, std::string_view{sealed}.substr(0, length)));
+    }));
+    CHECK(rc::check("random bytes are refused", [&] {
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        RC_ASSERT(!opens(envelope, bytes));
+    }));
+}
+
+TEST_CASE("replayed and overtaken messages are refused") {
+    wire::replay_filter filter;
+    CHECK(filter.accept({1, 10, 1}));
+    CHECK_FALSE(filter.accept({1, 10, 1}));
+    CHECK(filter.accept({1, 10, 3}));
+    CHECK_FALSE(filter.accept({1, 10, 2}));
+    CHECK(filter.accept({1, 11, 1}));
+    CHECK_FALSE(filter.accept({1, 10, 4}));
+    CHECK(filter.accept({2, 1, 1}));
+}
--- /dev/null
+++ b/tests/harness/fleet.cpp
@@ -0,0 +1,313 @@
+#include "fleet.hpp"
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/platform/json_text.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <stdexcept>
+
+namespace citronwick::harness {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* fleet_key = "a fleet key for tests only";
+constexpr std::chrono::seconds start_timeout{15};
+
+std::string make_directory() {
+    std::string name = (std::filesystem::temp_directory_path() / "citronwick-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary folder");
+    }
+    return name;
+}
+
+/// Reads the addresses in a port file, which are the last word of each line.
+std::vector<endpoint> read_port_file(const std::string& file) {
+    std::ifstream input{file};
+    std::vector<endpoint> addresses;
+    for (std::string line; std::getline(input, line);) {
+        const auto parsed = parse_endpoint(line.substr(line.rfind(' ') + 1));
+        if (parsed) {
+            addresses.push_back(*parsed);
+        }
+    }
+    return addresses;
+}
+
+void await_addresses(node& target, const std::string& port_file) {
+    const bool bound = wait_until(
+        [&] { return std::filesystem::exists(port_file) || !target.process->is_running(); }, start_timeout);
+    target.addresses = read_port_file(port_file);
+    if (!bound || target.addresses.empty()) {
+        throw std::runtime_error(target.name + " did not start, see " + target.log);
+    }
+}
+
+std::string team_table(const std::string& name) {
+    return "[[team]]\nname = \"" + name + "\"\nkey_sha256 = \"" + sha256_hex(team_key(name)) + "\"\n\n";
+}
+
+std::string make_declaration(const fleet_options& options) {
+    return "[[service]]\nname = \"citron-bench\"\nkind = \"engine\"\nmodels = [\"repair-draft\"]\n\n"
+           "[[service]]\nname = \"shop-desk\"\nkind = \"plain\"\n" +
+           options.service + "\n\n" + team_table("hanbit-north") + team_table("hanbit-south") +
+           team_table("club") + "[preset.ordinary]\n" + options.preset +
+           "\n[preset.peak]\nskew_target = 1.5\n\n" + "[preset.maintenance]\nqueue_timeout = \"5s\"\n";
+}
+
+json::object vm_entry(const node& upstream, const std::string& service) {
+    return {{"name", upstream.name},
+            {"role", "upstream"},
+            {"service", service},
+            {"region", "kr-south"},
+            {"failure_domain", upstream.failure_domain},
+            {"address", to_text(upstream.address())},
+            {"state", upstream.leaving ? "leaving" : "live"}};
+}
+
+json::object post_json(const endpoint& peer, const std::string& target, const std::string& body) {
+    const auto answer = http_call(peer, {.method = "POST", .target = target, .body = body});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+} // namespace
+
+std::string binary(const std::string& name) {
+    const char* const folder = std::getenv("CITRONWICK_BINARIES");
+    return std::string{folder == nullptr ? "build/dev" : folder} + "/bin/" + name;
+}
+
+std::string team_key(const std::string& team) {
+    return "key-of-" + team;
+}
+
+endpoint node::address() const {
+    return proxy ? proxy->addresses.front() : addresses.front();
+}
+
+void set_fault(const node& target, const std::string& json) {
+    post_json(target.addresses.front(), "/standin/fault", json);
+}
+
+void set_proxy_fault(const node& target, const std::string& json) {
+    post_json(target.proxy->addresses.at(1), "/standin/fault", json);
+}
+
+json::object stats(const node& target) {
+    const auto answer = http_call(target.addresses.front(), {.target = "/standin/stats"});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+fleet::fleet(fleet_options options)
+    : options_{std::move(options)}, directory_{make_directory()},
+      declaration_{options_.declaration.empty() ? make_declaration(options_) : options_.declaration} {
+    key_value_ = start_standin("kv", "kv", {});
+    vm_list_ = start_standin("vmlist", "vmlist", {});
+    const auto domain = [this](std::size_t index) {
+        return options_.failure_domains[index % options_.failure_domains.size()];
+    };
+    for (std::size_t index = 0; index < options_.engines; ++index) {
+        add_engine(domain(index));
+    }
+    for (std::size_t index = 0; index < options_.service_workers; ++index) {
+        workers_.push_back(start_standin("service", "desk-" + std::to_string(index), {}));
+        workers_.back().failure_domain = domain(index);
+    }
+    publish_vms();
+    for (std::size_t index = 0; index < options_.routers; ++index) {
+        add_router(domain(index));
+    }
+    std::ofstream{file("fleet.toml")} << declaration_;
+    if (options_.apply) {
+        const auto applied = ctl({"apply", file("fleet.toml"), "--preset", "ordinary"});
+        if (applied.exit != 0) {
+            throw std::runtime_error("declaration not applied: " + applied.output);
+        }
+    }
+}
+
+fleet::~fleet() {
+    routers_.clear();
+    engines_.clear();
+    workers_.clear();
+    key_value_ = {};
+    vm_list_ = {};
+    if (std::getenv("CITRONWICK_KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        std::filesystem::remove_all(directory_, ignored);
+    }
+}
+
+node fleet::start_standin(const std::string& kind, const std::string& name,
+                          std::vector<std::string> arguments) {
+    const std::string port_file = file(name + "." + std::to_string(started_++) + ".ports");
+    node started{.name = name, .log = file(name + ".log")};
+    std::vector<std::string> command{binary("standin"), kind, "--port-file", port_file};
+    std::ranges::copy(arguments, std::back_inserter(command));
+    started.process = std::make_unique<child_process>(command, started.log);
+    await_addresses(started, port_file);
+    const bool is_proxy = kind == "proxy";
+    if (options_.proxies && !is_proxy) {
+        put_behind_proxy(started);
+    }
+    return started;
+}
+
+void fleet::put_behind_proxy(node& target) {
+    if (!target.proxy) {
+        target.proxy = std::make_unique<node>(start_standin("proxy", target.name + "-proxy", {}));
+    }
+    const std::string body = "{\"target\":\"" + to_text(target.addresses.back()) + "\"}";
+    post_json(target.proxy->addresses.at(1), "/standin/target", body);
+}
+
+node& fleet::add_engine(const std::string& failure_domain) {
+    const std::string name = "engine-" + std::to_string(started_);
+    engines_.push_back(start_standin("engine", name, options_.engine_arguments));
+    engines_.back().failure_domain = failure_domain;
+    return engines_.back();
+}
+
+void fleet::remove_engine(const std::string& name) {
+    const auto found = std::ranges::find(engines_, name, &node::name);
+    if (found != engines_.end()) {
+        engines_.erase(found);
+    }
+}
+
+void fleet::restart_engine(node& engine) {
+    engine.process->kill();
+    auto again = start_standin("engine", engine.name, options_.engine_arguments);
+    engine.process = std::move(again.process);
+    engine.addresses = std::move(again.addresses);
+    if (engine.proxy) {
+        put_behind_proxy(engine);
+    }
+}
+
+router_node& fleet::add_router(const std::string& failure_domain) {
+    router_node& router = routers_.emplace_back();
+    router.name = "entry-" + std::to_string(started_++);
+    router.failure_domain = failure_domain;
+    router.log = file(router.name + ".log");
+    if (options_.proxies) {
+        router.proxy = std::make_unique<node>(start_standin("proxy", router.name + "-proxy", {}));
+    }
+    start_router(router);
+    return router;
+}
+
+void fleet::restart_router(router_node& router) {
+    router.process->kill();
+    start_router(router);
+}
+
+std::string fleet::router_file(const router_node& router) const {
+    std::string seeds;
+    for (const router_node& other : routers_) {
+        if (!other.addresses.empty() && &other != &router) {
+            const endpoint address = other.proxy ? other.proxy->addresses.front() : other.addresses.at(2);
+            seeds += (seeds.empty() ? "\"" : ", \"") + to_text(address) + "\"";
+        }
+    }
+    std::ostringstream text;
+    text << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\nfailure_domain = \""
+         << router.failure_domain
+         << "\"\n\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
+         << "fleet = \"127.0.0.1:0\"\nport_file = \"" << file(router.name + ".ports")
+         << "\"\n\n[fleet]\nkey = \"" << fleet_key << "\"\nseeds = [" << seeds << "]\n"
+         << (router.proxy ? "advertise = \"" + to_text(router.proxy->addresses.front()) + "\"\n" : "")
+         << options_.fleet_settings << "\n\n[platform]\nkey_value = [\"" << to_text(key_value_.address())
+         << "\"]\nvm_list = \"" << to_text(vm_list_.address()) << "\"\n"
+         << options_.platform_settings << "\n\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nlevel = \""
+         << options_.log_level << "\"\n"
+         << options_.router_settings;
+    return text.str();
+}
+
+void fleet::start_router(router_node& router) {
+    const std::string settings = file(router.name + ".toml");
+    const std::string port_file = file(router.name + ".ports");
+    std::filesystem::remove(port_file);
+    std::ofstream{settings} << router_file(router);
+    router.process = std::make_unique<child_process>(
+        std::vector<std::string>{binary("citronwickd"), "--config", settings}, router.log);
+    await_addresses(router, port_file);
+    if (router.proxy) {
+        put_behind_proxy(router);
+    }
+}
+
+void fleet::publish_vms() {
+    json::array vms;
+    for (const node& engine : engines_) {
+        vms.push_back(vm_entry(engine, "citron-bench"));
+    }
+    for (const node& worker : workers_) {
+        vms.push_back(vm_entry(worker, "shop-desk"));
+    }
+    post_json(vm_list_.addresses.front(), "/standin/vms",
+              json::serialize(json::object{{"vms", std::move(vms)}}));
+}
+
+json::object fleet::view(const router_node& router) const {
+    const auto answer = http_call(router.operators(), {.target = "/debug/view"});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+bool fleet::wait_ready(std::chrono::milliseconds timeout) {
+    const auto is_ready = [this](router_node& router) {
+        if (!router.process->is_running()) {
+            return true;
+        }
+        const auto seen = view(router);
+        const auto* const services = object_member(seen, "services");
+        const auto* const engines = services == nullptr ? nullptr : array_member(*services, "citron-bench");
+        const std::size_t known = engines == nullptr ? 0 : engines->size();
+        return integer_member(seen, "generation") > 0 && known == engines_.size() &&
+               integer_member(seen, "live_routers") == static_cast<std::int64_t>(routers_.size());
+    };
+    return wait_until([&] { return std::ranges::all_of(routers_, is_ready); }, timeout);
+}
+
+bool fleet::wait_generation(std::int64_t generation, std::chrono::milliseconds timeout) {
+    const auto has_it = [&](router_node& router) {
+        return !router.process->is_running() || integer_member(view(router), "generation") >= generation;
+    };
+    return wait_until([&] { return std::ranges::all_of(routers_, has_it); }, timeout);
+}
+
+command_result fleet::ctl(std::vector<std::string> arguments, bool with_platform) {
+    const std::string log = file("ctl." + std::to_string(started_++) + ".log");
+    arguments.insert(arguments.begin(), binary("citronctl"));
+    if (with_platform) {
+        arguments.insert(arguments.end(), {"--kv", to_text(key_value_.address())});
+    }
+    child_process command{arguments, log};
+    const auto exit = command.wait(std::chrono::seconds{30});
+    std::ifstream input{log};
+    return {exit.value_or(-1), std::string{std::istreambuf_iterator<char>{input}, {}}};
+}
+
+std::vector<std::string> fleet::log_lines(const node& source, const std::string& text) const {
+    std::ifstream input{source.log};
+    std::vector<std::string> found;
+    for (std::string line; std::getline(input, line);) {
+        if (line.find(text) != std::string::npos) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+} // namespace citronwick::harness
--- /dev/null
+++ b/tests/standin/engine.cpp
@@ -0,0 +1,301 @@
+#include "engine.hpp"
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/platform/json_text.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <cstdlib>
+#include <spdlog/fmt/fmt.h>
+
+namespace citronwick::standin {
+
+namespace {
+
+namespace json = boost::json;
+using boost::beast::tcp_stream;
+
+constexpr std::int64_t default_tokens = 16;
+constexpr std::chrono::milliseconds poll_interval{5};
+constexpr std::size_t most_known = 1'000;
+
+double seconds_since_epoch() {
+    return std::chrono::duration<double>{std::chrono::system_clock::now().time_since_epoch()}.count();
+}
+
+std::string prompt_of(const json::object& body) {
+    std::string prompt;
+    if (const auto* const messages = array_member(body, "messages")) {
+        for (const json::value& message : *messages) {
+            if (message.is_object()) {
+                prompt += string_member(message.as_object(), "role") + ":";
+                prompt += string_member(message.as_object(), "content") + "\n";
+            }
+        }
+    }
+    return prompt;
+}
+
+/// Text of a token: the same prompt gives the same answer on every engine.
+std::string token_text(const std::string& prompt, std::int64_t index) {
+    return fmt::format("t{}-{:04x} ", index, hash64(prompt, static_cast<std::uint64_t>(index)) & 0xffffU);
+}
+
+json::object usage_of(std::size_t prompt, std::size_t cached, std::int64_t completion) {
+    return {{"prompt_tokens", prompt},
+            {"completion_tokens", completion},
+            {"prompt_tokens_details", json::object{{"cached_tokens", cached}}}};
+}
+
+std::string event(std::int64_t id, const json::object& data) {
+    return "id: " + std::to_string(id) + "\ndata: " + json::serialize(data) + "\n\n";
+}
+
+task<bool> write_chunk(tcp_stream& stream, std::string text) {
+    const auto chunk = http::make_chunk(asio::buffer(text));
+    auto [error, size] = co_await asio::async_write(stream, chunk, use_tuple);
+    co_return !error;
+}
+
+} // namespace
+
+engine::engine(asio::io_context& context, const std::string& ip, const engine_settings& settings)
+    : settings_{settings}, start_time_{seconds_since_epoch()}, cache_{settings.cache_tokens},
+      server_{context, ip, 0, [this](tcp_stream& stream, http_request request) {
+                  return handle(stream, std::move(request));
+              }} {
+    asio::co_spawn(context, report_loop(), asio::detached);
+}
+
+task<void> engine::report_loop() {
+    while (true) {
+        co_await sleep_for(settings_.report_lag);
+        reported_running_ = running_;
+        reported_waiting_ = waiting_;
+    }
+}
+
+std::string engine::load_report() const {
+    return "JSON " + json::serialize(json::object{
+                         {"named_metrics", json::object{{"num_requests_running", reported_running_},
+                                                        {"num_requests_waiting", reported_waiting_},
+                                                        {"process_start_time_seconds", start_time_},
+                                                        {"draining", draining_ ? 1 : 0}}}});
+}
+
+std::string engine::shown_id(const generation& work) const {
+    return faults_.wrong_id ? "another" : work.id;
+}
+
+task<bool> engine::handle(tcp_stream& stream, http_request request) {
+    const std::string target{request.target()};
+    if (target == "/standin/fault") {
+        co_return co_await set_fault(stream, request.body());
+    }
+    if (target == "/standin/stats") {
+        co_return co_await stats(stream);
+    }
+    while (faults_.freeze) {
+        co_await sleep_for(poll_interval);
+    }
+    if (target == "/health") {
+        ++probes_;
+        auto report = load_report();
+        co_return co_await reply(stream, http::status::ok, "", "text/plain", std::move(report));
+    }
+    if (target == "/v1/chat/completions" && request.method() == http::verb::post) {
+        co_return co_await complete(stream, std::move(request));
+    }
+    co_return co_await reply(stream, http::status::not_found, "{}");
+}
+
+task<bool> engine::set_fault(tcp_stream& stream, const std::string& body) {
+    const auto order = parse_json_object(body).value_or(json::object{});
+    faults_ = {.crash_on = string_member(order, "crash_on"),
+               .cut_after_events = integer_member(order, "cut_after_events"),
+               .cuts = integer_member(order, "cuts"),
+               .freeze = integer_member(order, "freeze") != 0,
+               .stall = integer_member(order, "stall") != 0,
+               .refuse = integer_member(order, "refuse") != 0,
+               .wrong_id = integer_member(order, "wrong_id") != 0};
+    draining_ = integer_member(order, "draining") != 0;
+    if (integer_member(order, "clear_cache") != 0) {
+        cache_.clear();
+    }
+    json::object answer{{"ok", true}};
+    co_return co_await reply_json(stream, std::move(answer));
+}
+
+task<bool> engine::stats(tcp_stream& stream) {
+    json::object figures{{"running", running_},
+                         {"waiting", waiting_},
+                         {"runs", runs_},
+                         {"cancelled", cancelled_},
+                         {"completed", completed_},
+                         {"resumed", resumed_},
+                         {"probes", probes_},
+                         {"prompt_tokens", prompt_tokens_},
+                         {"cached_tokens", cached_tokens_}};
+    co_return co_await reply_json(stream, std::move(figures));
+}
+
+task<bool> engine::complete(tcp_stream& stream, http_request request) {
+    const auto body = parse_json_object(request.body()).value_or(json::object{});
+    generation work{.id = std::string{request["X-Request-Id"]},
+                    .prompt = prompt_of(body),
+                    .tokens =
+                        body.contains("max_tokens") ? integer_member(body, "max_tokens") : default_tokens,
+                    .stream = body.contains("stream") && body.at("stream") == json::value{true}};
+    if (!faults_.crash_on.empty() && work.prompt.find(faults_.crash_on) != std::string::npos) {
+        std::_Exit(1);
+    }
+    if (faults_.refuse || (draining_ && request["Last-Event-ID"].empty())) {
+        auto report = load_report();
+        co_return co_await reply(stream, http::status::service_unavailable, "{}", "application/json",
+                                 std::move(report));
+    }
+    const std::string last{request["Last-Event-ID"]};
+    if (!last.empty()) {
+        const auto known = known_.find(work.id);
+        if (known == known_.end()) {
+            co_return co_await reply(stream, http::status::gone, "{}");
+        }
+        work = known->second;
+        std::from_chars(last.data(), last.data() + last.size(), work.next);
+        ++work.next;
+        ++resumed_;
+    }
+    co_return co_await run(stream, work);
+}
+
+task<bool> engine::run(tcp_stream& stream, generation& work) {
+    if (work.next == 1) {
+        ++runs_;
+    }
+    if (!co_await wait_for_slot(stream)) {
+        ++cancelled_;
+        co_return false;
+    }
+    ++running_;
+    bool whole = work.next > 1 || co_await prefill(stream, work);
+    if (whole) {
+        whole = work.stream ? co_await stream_answer(stream, work) : co_await whole_answer(stream, work);
+    }
+    --running_;
+    ++(whole ? completed_ : cancelled_);
+    co_return whole;
+}
+
+task<bool> engine::wait_for_slot(tcp_stream& stream) {
+    ++waiting_;
+    bool alive = true;
+    while (alive && running_ >= settings_.slots) {
+        co_await sleep_for(poll_interval);
+        alive = !is_closed(stream);
+    }
+    --waiting_;
+    co_return alive;
+}
+
+task<bool> engine::prefill(tcp_stream& stream, generation& work) {
+    work.prompt_tokens = token_count(work.prompt);
+    work.cached_tokens = std::min(cache_.lookup(work.prompt), work.prompt_tokens);
+    prompt_tokens_ += work.prompt_tokens;
+    cached_tokens_ += work.cached_tokens;
+    auto left =
+        settings_.prefill_per_token * static_cast<std::int64_t>(work.prompt_tokens - work.cached_tokens);
+    while (left.count() > 0) {
+        const auto slice = std::min<std::chrono::microseconds>(left, poll_interval);
+        co_await sleep_for(slice);
+        left -= slice;
+        if (is_closed(stream)) {
+            co_return false;
+        }
+    }
+    cache_.insert(work.prompt);
+    if (known_.size() >= most_known) {
+        known_.erase(known_.begin());
+    }
+    known_[work.id] = work;
+    co_return true;
+}
+
+/// Waits for one token; a larger batch makes each step longer.
+task<bool> engine::decode_step(tcp_stream& stream) const {
+    const auto slowed = settings_.decode_per_token * static_cast<std::int64_t>(settings_.slots + running_) /
+                        static_cast<std::int64_t>(settings_.slots);
+    co_await sleep_for(slowed);
+    co_return !is_closed(stream);
+}
+
+task<bool> engine::stream_answer(tcp_stream& stream, generation& work) {
+    http::response<http::empty_body> header{http::status::ok, 11};
+    header.set(http::field::content_type, "text/event-stream");
+    header.set("X-Request-Id", shown_id(work));
+    header.set("endpoint-load-metrics", load_report());
+    header.chunked(true);
+    http::response_serializer<http::empty_body> serializer{header};
+    auto [error, size] = co_await http::async_write_header(stream, serializer, use_tuple);
+    if (error) {
+        co_return false;
+    }
+    const bool cut = faults_.cuts > 0;
+    faults_.cuts -= cut ? 1 : 0;
+    const std::int64_t first = work.next;
+    for (std::int64_t index = first; index <= work.tokens; ++index) {
+        if (cut && index - first >= faults_.cut_after_events) {
+            co_return false;
+        }
+        while (faults_.stall && index > first) {
+            co_await sleep_for(poll_interval);
+            if (is_closed(stream)) {
+                co_return false;
+            }
+        }
+        const json::object delta{{"content", token_text(work.prompt, index)}};
+        const json::object choice{{"index", 0}, {"delta", delta}};
+        auto text = event(index, {{"id", work.id}, {"choices", json::array{choice}}});
+        if (!co_await decode_step(stream) || !co_await write_chunk(stream, std::move(text))) {
+            co_return false;
+        }
+    }
+    const json::object last{{"id", work.id},
+                            {"choices", json::array{}},
+                            {"usage", usage_of(work.prompt_tokens, work.cached_tokens, work.tokens)}};
+    std::string closing = event(work.tokens + 1, last) + "data: [DONE]\n\n";
+    if (!co_await write_chunk(stream, std::move(closing))) {
+        co_return false;
+    }
+    const auto end = http::make_chunk_last();
+    auto [end_error, end_size] = co_await asio::async_write(stream, end, use_tuple);
+    co_return !end_error;
+}
+
+task<bool> engine::whole_answer(tcp_stream& stream, generation& work) {
+    std::string text;
+    for (std::int64_t index = 1; index <= work.tokens; ++index) {
+        if (!co_await decode_step(stream)) {
+            co_return false;
+        }
+        text += token_text(work.prompt, index);
+    }
+    const json::object message{{"role", "assistant"}, {"content", text}};
+    const json::object choice{{"index", 0}, {"message", message}, {"finish_reason", "stop"}};
+    auto body = json::serialize(
+        json::object{{"id", work.id},
+                     {"choices", json::array{choice}},
+                     {"usage", usage_of(work.prompt_tokens, work.cached_tokens, work.tokens)}});
+    auto report = load_report();
+    auto id = shown_id(work);
+    co_return co_await reply(stream, http::status::ok, std::move(body), "application/json", std::move(report),
+                             std::move(id));
+}
+
+} // namespace citronwick::standin
--- /dev/null
+++ b/tests/standin/key_value_service.hpp
@@ -0,0 +1,60 @@
+#ifndef CITRONWICK_TESTS_STANDIN_KEY_VALUE_SERVICE_HPP_INCLUDED
+#define CITRONWICK_TESTS_STANDIN_KEY_VALUE_SERVICE_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+#include "standin_server.hpp"
+
+#include <boost/json/array.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace citronwick::standin {
+
+/// Stand-in of the platform's key-value service, in the shape of the etcd v3
+/// JSON gateway: range, transactions on mod_revision, leases and watches.
+class key_value_service {
+public:
+    key_value_service(asio::io_context& context, const std::string& ip);
+
+    endpoint address() const { return server_.address(); }
+
+private:
+    struct stored {
+        std::string value;
+        std::int64_t create_revision = 0;
+        std::int64_t mod_revision = 0;
+        std::int64_t lease = 0;
+    };
+
+    task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
+    task<bool> watch(boost::beast::tcp_stream& stream, const boost::json::object& request);
+    std::optional<boost::json::object> answer(const std::string& target, const boost::json::object& request);
+    boost::json::object range(const boost::json::object& request) const;
+    std::optional<boost::json::object> transact(const boost::json::object& request);
+    bool put(const boost::json::object& request);
+    boost::json::object grant(const boost::json::object& request);
+    boost::json::object counts() const;
+    boost::json::object header() const;
+    void set_fault(const boost::json::object& order);
+    void expire_leases();
+
+    std::int64_t revision_ = 1;
+    std::map<std::string, stored> values_;
+    std::map<std::int64_t, time_point> leases_;
+    std::int64_t next_lease_ = 1;
+    bool outage_ = false;        ///< connections are closed unanswered
+    bool silence_ = false;       ///< nothing is answered
+    bool stale_watches_ = false; ///< watches stay open and tell nothing
+    std::chrono::milliseconds delay_{0};
+    std::int64_t answers_to_lose_ = 0; ///< writes that take effect and go unanswered
+    std::int64_t reads_ = 0;
+    std::int64_t writes_ = 0;
+    std::int64_t watches_ = 0;
+    std::int64_t open_watches_ = 0;
+    standin_server server_;
+};
+
+} // namespace citronwick::standin
+
+#endif
--- /dev/null
+++ b/tests/standin/standin_server.cpp
@@ -0,0 +1,102 @@
+#include "standin_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/serialize.hpp>
+#include <filesystem>
+#include <fstream>
+
+namespace citronwick::standin {
+
+standin_server::standin_server(asio::io_context& context, const std::string& ip, std::uint16_t port,
+                               handler handle)
+    : context_{context}, acceptor_{context, {asio::ip::make_address(ip), port}}, handle_{std::move(handle)} {
+    asio::co_spawn(context_, accept(), asio::detached);
+}
+
+endpoint standin_server::address() const {
+    return to_endpoint(acceptor_.local_endpoint());
+}
+
+task<void> standin_server::accept() {
+    while (acceptor_.is_open()) {
+        asio::ip::tcp::socket socket{context_};
+        auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
+        if (!error) {
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+task<void> standin_server::serve(asio::ip::tcp::socket socket) {
+    constexpr std::uint64_t body_limit = std::uint64_t{16} << 20U;
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    boost::beast::tcp_stream stream{std::move(socket)};
+    boost::beast::flat_buffer buffer;
+    while (true) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(body_limit);
+        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        if (error) {
+            co_return;
+        }
+        auto request = parser.release();
+        const bool keep_alive = request.keep_alive();
+        if (!co_await handle_(stream, std::move(request)) || !keep_alive) {
+            co_return;
+        }
+    }
+}
+
+task<bool> reply(boost::beast::tcp_stream& stream, http::status status, std::string body,
+                 std::string content_type, std::string load_report, std::string request_id) {
+    http_response response{status, 11};
+    response.set(http::field::content_type, content_type);
+    if (!load_report.empty()) {
+        response.set("endpoint-load-metrics", load_report);
+    }
+    if (!request_id.empty()) {
+        response.set("X-Request-Id", request_id);
+    }
+    response.body() = std::move(body);
+    response.prepare_payload();
+    auto [error, size] = co_await http::async_write(stream, response, use_tuple);
+    co_return !error;
+}
+
+task<bool> reply_json(boost::beast::tcp_stream& stream, boost::json::object body) {
+    auto text = boost::json::serialize(body);
+    co_return co_await reply(stream, http::status::ok, std::move(text));
+}
+
+task<void> sleep_for(std::chrono::microseconds time) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(use_tuple);
+}
+
+bool is_closed(boost::beast::tcp_stream& stream) {
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
+void write_port_file(const std::string& file, const std::vector<endpoint>& addresses) {
+    const std::string unfinished = file + ".new";
+    {
+        std::ofstream output{unfinished};
+        for (const endpoint& address : addresses) {
+            output << to_text(address) << "\n";
+        }
+    }
+    std::filesystem::rename(unfinished, file);
+}
+
+} // namespace citronwick::standin
