--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -55,8 +55,9 @@
     require(again.whole(12), "stream an answer", second.name, again.raw.error + " " + again.raw.body);
     const bool same = again.raw.header("Citronwick-Upstream") == asked.raw.header("Citronwick-Upstream");
     require(same && again.cached_tokens > 0, "return to the context", second.name, "the cache was not hit");
-    std::cout << "2. the chat returns through " << second.name << " to the same engine: " << again.cached_tokens
-              << " of " << again.prompt_tokens << " prompt tokens from its cache\n";
+    std::cout << "2. the chat returns through " << second.name
+              << " to the same engine: " << again.cached_tokens << " of " << again.prompt_tokens
+              << " prompt tokens from its cache\n";
     print_log_line(system, second, "chat=cup-17");
 }
 
@@ -73,8 +74,9 @@
     std::cout << "3. a booking runs once; its resend gets the recorded answer (Citronwick-Replayed: "
               << resent.header("Citronwick-Replayed") << ")\n";
     print_log_line(system, router, "event=claim");
-    const auto asked = http_call(router.callers(), {.target = "/services/shop-desk/bookings/cup-17-polish",
-                                                    .headers = {{"Authorization", "Bearer " + team_key("club")}}});
+    const auto asked =
+        http_call(router.callers(), {.target = "/services/shop-desk/bookings/cup-17-polish",
+                                     .headers = {{"Authorization", "Bearer " + team_key("club")}}});
     require(asked.status == 200, "ask for the status", router.name, asked.body);
     std::cout << "4. a status call: " << asked.body << "\n";
 }
--- a/packages/control/include/citronwick/control/fleet_channel.hpp
+++ b/packages/control/include/citronwick/control/fleet_channel.hpp
@@ -25,6 +25,8 @@
     /// @return the bound endpoint
     io_result<endpoint> open(const endpoint& listen);
 
+    void close();
+
     /// Sends a message to several routers; a lost datagram is not an error.
     /// @return bytes sent, with packet headers
     std::size_t send(const wire::gossip& message, const std::vector<endpoint>& targets);
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -82,14 +82,10 @@
           view_{std::make_shared<const fleet_view>()} {}
 
     io_result<endpoint> start() {
-        auto bound = channel_.open(settings_.fleet_listen);
+        auto bound = open_fleet_address();
         if (bound.has_error()) {
             return bound;
         }
-        auto listening = exchange_.open(*bound);
-        if (listening.has_error()) {
-            return listening.error();
-        }
         if (settings_.advertised_address.empty()) {
             settings_.advertised_address = to_text(*bound);
         }
@@ -145,6 +141,30 @@
     const control_meter& meter() const { return meter_; }
 
 private:
+    /// Binds UDP and TCP to one port. A free UDP port may be taken in TCP, so
+    /// another is tried where the settings leave the choice.
+    io_result<endpoint> open_fleet_address() {
+        constexpr int most_tries = 20;
+        io_result<endpoint> bound{
+            failure{"bind fleet address", to_text(settings_.fleet_listen), "no free port"}};
+        for (int attempt = 0; attempt < most_tries; ++attempt) {
+            bound = channel_.open(settings_.fleet_listen);
+            if (bound.has_error()) {
+                return bound;
+            }
+            const auto listening = exchange_.open(*bound);
+            if (listening.has_value()) {
+                return bound;
+            }
+            bound = listening.error();
+            if (settings_.fleet_listen.port != 0) {
+                return bound;
+            }
+            channel_.close();
+        }
+        return bound;
+    }
+
     wire::member_record self_record(std::uint64_t incarnation) const {
         return {.vm = settings_.vm,
                 .region = settings_.region,
--- a/packages/control/src/document_exchange.cpp
+++ b/packages/control/src/document_exchange.cpp
@@ -71,6 +71,8 @@
         acceptor_.listen(asio::socket_base::max_listen_connections, error);
     }
     if (error) {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
         return failure{"listen for documents", to_text(listen), error.message()};
     }
     return {};
--- a/packages/control/src/fleet_channel.cpp
+++ b/packages/control/src/fleet_channel.cpp
@@ -36,6 +36,11 @@
     return endpoint{listen.ip, socket_.local_endpoint().port()};
 }
 
+void fleet_channel::close() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
 std::size_t fleet_channel::send(const wire::gossip& message, const std::vector<endpoint>& targets) {
     ++from_.sequence;
     const std::string sealed = envelope_.seal(from_, message);
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -189,8 +189,10 @@
                                    {"check answer", engine.name, "it belongs to another request", true});
         }
         if (connection.status() == 503) {
-            co_await connection.read_all(policy_->idle_timeout);
-            co_return note_failure(engine, {"ask upstream", engine.name, "it refuses new work", false});
+            auto refusal = co_await connection.read_all(policy_->idle_timeout);
+            const std::string detail =
+                "it refuses new work " + (refusal.has_value() ? *refusal : std::string{});
+            co_return note_failure(engine, {"ask upstream", engine.name, detail, false});
         }
         const auto type = connection.header()[http::field::content_type];
         if (connection.status() == 200 && type.starts_with("text/event-stream")) {
@@ -281,7 +283,8 @@
             const bool cut = piece.has_error() || piece->empty() || events.pending() > event_limit;
             if (!cut) {
                 auto whole_events = events.push(*piece);
-                if (!co_await forward(std::move(whole_events), engine)) {
+                const bool taken = co_await forward(std::move(whole_events), engine);
+                if (!taken) {
                     source->close();
                     note_hang_up();
                     co_return attempt_end::answered;
@@ -317,7 +320,8 @@
         }
         if (!from_.answered()) {
             auto headers = answer_headers(engine);
-            if (!co_await from_.begin_stream(std::move(headers))) {
+            const bool begun = co_await from_.begin_stream(std::move(headers));
+            if (!begun) {
                 co_return false;
             }
         }
@@ -347,8 +351,9 @@
     }
 
     task<void> finish_stream(upstream_connection& source, const upstream_view& engine) {
-        co_await source.read_all(policy_->idle_timeout);
-        if (co_await from_.end_stream(outcome::complete)) {
+        auto rest = co_await source.read_all(policy_->idle_timeout);
+        const bool sent = co_await from_.end_stream(outcome::complete);
+        if (sent && rest.has_value()) {
             note_complete(engine);
         } else {
             note_hang_up();
@@ -363,7 +368,8 @@
         log_warn("stream_cut",
                  {{"request", from_.request_id()}, {"upstream", engine.name}, {"detail", why.detail}});
         std::string event = "event: error\ndata: " + to_json(why, from_.request_id()) + "\n\n";
-        if (co_await from_.write_events(std::move(event))) {
+        const bool written = co_await from_.write_events(std::move(event));
+        if (written) {
             co_await from_.end_stream(outcome::unknown);
         }
     }
--- a/tests/harness/chat.cpp
+++ b/tests/harness/chat.cpp
@@ -47,7 +47,7 @@
 } // namespace
 
 bool chat_reply::whole(std::int64_t tokens) const {
-    return raw.status == 200 && raw.error.empty() && done && !error_event &&
+    return raw.status == 200 && raw.error.empty() && as_asked && done && !error_event &&
            std::ranges::count(text, ' ') == tokens && raw.header("Citronwick-Outcome") == "complete";
 }
 
@@ -83,7 +83,9 @@
 }
 
 chat_reply chat(const endpoint& router, const chat_call& request) {
-    return read_chat(http_call(router, to_call(request)));
+    auto result = read_chat(http_call(router, to_call(request)));
+    result.as_asked = result.raw.header("Content-Type").starts_with("text/event-stream") == request.stream;
+    return result;
 }
 
 } // namespace citronwick::harness
--- a/tests/harness/chat.hpp
+++ b/tests/harness/chat.hpp
@@ -21,8 +21,9 @@
 /// Answer to a chat request, read as a caller reads it.
 struct chat_reply {
     reply raw;
-    std::string text;  ///< generated tokens
-    bool done = false; ///< the closing event arrived
+    std::string text;     ///< generated tokens
+    bool as_asked = true; ///< streamed if and only if the request asked for it
+    bool done = false;    ///< the closing event arrived
     bool error_event = false;
     double prompt_tokens = 0.0;
     double cached_tokens = 0.0;
--- a/tests/harness/http_call.cpp
+++ b/tests/harness/http_call.cpp
@@ -117,4 +117,21 @@
     context.run();
 }
 
+struct slow_caller::connection {
+    asio::io_context context{1};
+    asio::ip::tcp::socket socket{context};
+};
+
+slow_caller::slow_caller(const endpoint& peer, const call& request)
+    : connection_{std::make_unique<connection>()} {
+    constexpr int small_buffer = 4'096;
+    auto& socket = connection_->socket;
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size{small_buffer});
+    socket.connect(to_tcp(peer));
+    http::write(socket, to_request(peer, request));
+}
+
+slow_caller::~slow_caller() = default;
+
 } // namespace citronwick::harness
--- a/tests/harness/http_call.hpp
+++ b/tests/harness/http_call.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +42,19 @@
 /// answer and closes the connection.
 void call_and_hang_up(const endpoint& peer, const call& request, std::size_t bytes);
 
+/// A caller that sends a request and never reads the answer.
+class slow_caller {
+public:
+    slow_caller(const endpoint& peer, const call& request);
+    slow_caller(const slow_caller&) = delete;
+    slow_caller& operator=(const slow_caller&) = delete;
+    ~slow_caller();
+
+private:
+    struct connection;
+    std::unique_ptr<connection> connection_;
+};
+
 } // namespace citronwick::harness
 
 #endif
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -148,11 +148,11 @@
 
 task<bool> engine::complete(tcp_stream& stream, http_request request) {
     const auto body = parse_json_object(request.body()).value_or(json::object{});
-    generation work{.id = std::string{request["X-Request-Id"]},
-                    .prompt = prompt_of(body),
-                    .tokens =
-                        body.contains("max_tokens") ? integer_member(body, "max_tokens") : default_tokens,
-                    .stream = body.contains("stream") && body.at("stream") == json::value{true}};
+    generation work{
+        .id = std::string{request["X-Request-Id"]},
+        .prompt = prompt_of(body),
+        .tokens = body.contains("max_tokens") ? integer_member(body, "max_tokens") : default_tokens,
+        .stream = body.contains("stream") && body.at("stream").is_bool() && body.at("stream").as_bool()};
     if (!faults_.crash_on.empty() && work.prompt.find(faults_.crash_on) != std::string::npos) {
         std::_Exit(1);
     }
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -33,10 +33,22 @@
       control_{context, ip, 0, [this](tcp_stream& stream, http_request request) {
                    return control(stream, std::move(request));
                }} {
+    bind(ip);
     asio::co_spawn(context_, accept(), asio::detached);
     asio::co_spawn(context_, relay_datagrams(), asio::detached);
 }
 
+/// Binds both protocols to one port; a port may be free in one of them only.
+void fault_proxy::bind(const std::string& ip) {
+    const auto address = asio::ip::make_address(ip);
+    datagrams_.open(asio::ip::udp::v4());
+    boost::system::error_code error;
+    do {
+        acceptor_ = asio::ip::tcp::acceptor{context_, {address, 0}};
+        datagrams_.bind({address, acceptor_.local_endpoint().port()}, error);
+    } while (error);
+}
+
 endpoint fault_proxy::address() const {
     return to_endpoint(acceptor_.local_endpoint());
 }
--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -41,6 +41,7 @@
     };
 
     task<bool> control(boost::beast::tcp_stream& stream, http_request request);
+    void bind(const std::string& ip);
     task<void> accept();
     task<void> connect(std::shared_ptr<link> pair);
     task<void> pump(std::shared_ptr<link> pair, bool up);
