Prove at-most-once, whole answers, configuration and planned stops; bench the arms

Faults that they found, each with its test: - a second SIGTERM ended a draining router: a timer's wait reports EINTR; the drain now sleeps with std::this_thread.

--- /dev/null
+++ b/bench/citronbench/main.cpp
@@ -0,0 +1,122 @@
+#include "arm_figures.hpp"
+#include "chat_run.hpp"
+#include "citronwick/config/io_result_of.hpp"
+#include "experiment.hpp"
+#include "latency_run.hpp"
+
+#include <algorithm>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <spdlog/fmt/fmt.h>
+
+namespace {
+
+namespace bench = citronwick::bench;
+namespace harness = citronwick::harness;
+
+constexpr const char* usage = R"(citronbench: measures a fleet of real processes under load.
+
+Usage:
+  citronbench FILE [--only NAME] [--arm NAME] [--seed N] [--plot]
+  citronbench (-h | --help)
+
+Options:
+  --only NAME  Run the experiments of this name alone.
+  --arm NAME   Run the arms of this name alone.
+  --seed N     Seed in place of the one in the file.
+  --plot       Draw reuse against skew of the arms as a text chart.
+
+Prints one line of JSON for each arm, then a table.
+)";
+
+harness::fleet_options fleet_options_of(const bench::experiment& plan, const std::string& preset) {
+    const bool large = plan.routers > 12;
+    return {.routers = plan.routers,
+            .engines = plan.engines,
+            .service_workers = plan.kind == "chats" ? 3U : 0U,
+            .shared_engines = plan.shared_engines,
+            .engine_arguments = plan.engine_arguments,
+            .preset = preset,
+            .router_settings = large ? "[limits]\nthreads = 1\n" : "",
+            .log_level = "warn"};
+}
+
+bench::arm_figures run_arm(const bench::experiment& plan, const bench::arm_shape& arm) {
+    harness::fleet system{fleet_options_of(plan, arm.preset)};
+    if (!system.wait_ready(std::chrono::seconds{60})) {
+        throw std::runtime_error("the fleet did not become ready");
+    }
+    if (plan.kind == "latency") {
+        return bench::run_latency(plan, system);
+    }
+    if (plan.kind == "slopes") {
+        return bench::run_slopes(plan, system);
+    }
+    return bench::chat_run{plan, arm, system}.run();
+}
+
+/// Draws the arms by skew (across) and reuse (upwards).
+void draw(const std::vector<bench::arm_figures>& all) {
+    constexpr int width = 60;
+    constexpr int height = 12;
+    constexpr double widest_skew = 4.0;
+    std::vector<std::string> lines(height + 1, std::string(width + 1, ' '));
+    char mark = 'a';
+    for (const bench::arm_figures& each : all) {
+        const double across = std::clamp((each.skew.quantile(0.99) - 1.0) / (widest_skew - 1.0), 0.0, 1.0);
+        const auto row = static_cast<std::size_t>((1.0 - std::clamp(each.reuse(), 0.0, 1.0)) * height);
+        lines[row][static_cast<std::size_t>(across * width)] = mark;
+        std::cout << mark++ << " = " << each.experiment << " " << each.arm << "\n";
+    }
+    std::cout << "reuse 1.0\n";
+    for (const std::string& line : lines) {
+        std::cout << "      |" << line << "\n";
+    }
+    std::cout << "      +" << std::string(width, '-') << " skew p99 from 1 to " << widest_skew << "\n";
+}
+
+std::vector<bench::arm_figures> run_all(const std::vector<bench::experiment>& experiments,
+                                        const std::string& only_arm) {
+    std::vector<bench::arm_figures> all;
+    for (const bench::experiment& plan : experiments) {
+        for (const bench::arm_shape& arm : plan.arms) {
+            if (only_arm.empty() || arm.name == only_arm) {
+                all.push_back(run_arm(plan, arm));
+                std::cout << bench::to_json(all.back()) << std::endl;
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    auto options = docopt::docopt(usage, {argv + 1, argv + argc});
+    const std::string file = options["FILE"].asString();
+    auto experiments = citronwick::io_result_of<std::vector<bench::experiment>>(
+        [&] { return bench::read_experiments(file); });
+    if (experiments.has_error()) {
+        std::cerr << experiments.error().detail << "\n";
+        return 2;
+    }
+    if (options["--only"]) {
+        std::erase_if(*experiments,
+                      [&](const auto& each) { return each.name != options["--only"].asString(); });
+    }
+    for (bench::experiment& plan : *experiments) {
+        plan.seed = options["--seed"] ? static_cast<std::uint32_t>(options["--seed"].asLong()) : plan.seed;
+    }
+    try {
+        const auto all = run_all(*experiments, options["--arm"] ? options["--arm"].asString() : "");
+        std::cout << bench::table_heading() << "\n";
+        std::ranges::for_each(all, [](const auto& each) { std::cout << bench::to_row(each) << "\n"; });
+        if (options["--plot"].asBool()) {
+            draw(all);
+        }
+    } catch (const std::exception& error) {
+        std::cerr << "citronbench: " << error.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
--- a/packages/control/include/citronwick/control/claim_registry.hpp
+++ b/packages/control/include/citronwick/control/claim_registry.hpp
@@ -3,9 +3,11 @@
 
 #include "citronwick/core/time.hpp"
 #include "citronwick/platform/kv_client.hpp"
+#include "citronwick/wire/messages.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -45,9 +47,19 @@
 /// bucket. Whoever creates it sends the request; nobody else ever does.
 class claim_registry {
 public:
+    /// Asks another router what became of a request that it claimed.
+    using claimant_query = std::function<task<io_result<wire::claim_answer>>(endpoint, wire::claim_query)>;
+
     /// @param owner this router's name and incarnation
     /// @param lifetime for which a claim is remembered at least
-    claim_registry(kv_client& service, std::string prefix, std::string owner, std::chrono::seconds lifetime);
+    claim_registry(kv_client& service, std::string prefix, std::string owner, std::chrono::seconds lifetime,
+                   claimant_query ask_claimant);
+
+    /// Sets the fleet address at which other routers ask about this router's claims.
+    void set_address(std::string address) { address_ = std::move(address); }
+
+    /// Answers another router's question about a claim of this router.
+    wire::claim_answer answer(const wire::claim_query& query) const;
 
     /// Asks for the right to send a request.
     /// @param key of the operation, unique within the service
@@ -89,13 +101,16 @@
     task<claim_result> create(std::string name, std::string fingerprint, std::string attempt, time_point now);
     task<io_result<swap_outcome>> write_claim(std::string name, std::int64_t expected, std::string value,
                                               std::int64_t lease);
+    task<claim_result> judge_holder(kv_entry holder, std::string name, std::string fingerprint);
     claim_result granted(const std::string& name, std::int64_t mod_revision, time_point valid_until);
     std::string name_of(const std::string& service, const std::string& key) const;
 
     kv_client& service_;
     std::string prefix_;
     std::string owner_;
+    std::string address_;
     std::chrono::seconds lifetime_;
+    claimant_query ask_claimant_;
     std::map<std::string, local_claim> local_;
     std::optional<lease_bucket> lease_;
 };
--- a/packages/control/include/citronwick/control/document_exchange.hpp
+++ b/packages/control/include/citronwick/control/peer_exchange.hpp
@@ -1,5 +1,5 @@
-#ifndef CITRONWICK_CONTROL_DOCUMENT_EXCHANGE_HPP_INCLUDED
-#define CITRONWICK_CONTROL_DOCUMENT_EXCHANGE_HPP_INCLUDED
+#ifndef CITRONWICK_CONTROL_PEER_EXCHANGE_HPP_INCLUDED
+#define CITRONWICK_CONTROL_PEER_EXCHANGE_HPP_INCLUDED
 
 #include "citronwick/control/document_store.hpp"
 #include "citronwick/platform/task.hpp"
@@ -17,14 +17,16 @@
     std::string header;
 };
 
-/// Passes documents between routers over TCP: one sealed request and one
-/// sealed response a connection, each after its length in four bytes.
-class document_exchange {
+/// Questions between routers over TCP: documents, and what became of claimed
+/// requests. A connection carries one sealed request and one sealed response,
+/// each after its length in four bytes.
+class peer_exchange {
 public:
     using byte_counter = std::function<void(std::size_t)>;
+    using claim_answerer = std::function<wire::claim_answer(const wire::claim_query&)>;
 
-    document_exchange(asio::any_io_executor executor, const wire::envelope& envelope, wire::header from,
-                      document_store& store, byte_counter count);
+    peer_exchange(asio::any_io_executor executor, const wire::envelope& envelope, wire::header from,
+                  document_store& store, claim_answerer answer_claim, byte_counter count);
 
     /// Listens on the fleet address.
     io_result<void> open(const endpoint& listen);
@@ -35,16 +37,23 @@
     /// Fetches a document's header and the chunks that the store lacks.
     task<io_result<offered_document>> fetch(endpoint peer, wire::document_kind kind);
 
+    /// Asks a claimant what became of a request.
+    task<io_result<wire::claim_answer>> ask_claimant(endpoint peer, wire::claim_query query);
+
 private:
     task<void> serve_one(asio::ip::tcp::socket socket);
+    io_result<std::string> answer_sealed(const std::string& sealed, const std::string& peer) const;
     wire::document_response answer(const wire::document_request& request) const;
-    task<io_result<wire::document_response>> request(endpoint peer, wire::document_request request);
+
+    template <class Response, class Request>
+    task<io_result<Response>> request(endpoint peer, Request request);
 
     asio::any_io_executor executor_;
     asio::ip::tcp::acceptor acceptor_;
     const wire::envelope& envelope_;
     wire::header from_;
     document_store& store_;
+    claim_answerer answer_claim_;
     byte_counter count_;
 };
 
--- a/packages/control/src/claim_registry.cpp
+++ b/packages/control/src/claim_registry.cpp
@@ -17,6 +17,7 @@
 /// What a claim's key holds.
 struct claim_value {
     std::string owner;
+    std::string address; ///< fleet address of the owner
     std::string attempt; ///< unique to one try, settles lost answers
     std::string fingerprint;
     bool released = false; ///< the request reached no upstream
@@ -24,6 +25,7 @@
 
 std::string to_json(const claim_value& value) {
     return boost::json::serialize(boost::json::object{{"owner", value.owner},
+                                                      {"address", value.address},
                                                       {"attempt", value.attempt},
                                                       {"fingerprint", value.fingerprint},
                                                       {"state", value.released ? "released" : "claimed"}});
@@ -31,28 +33,69 @@
 
 claim_value parse_claim(const std::string& json) {
     const auto object = parse_json_object(json).value_or(boost::json::object{});
-    return {string_member(object, "owner"), string_member(object, "attempt"),
-            string_member(object, "fingerprint"), string_member(object, "state") == "released"};
+    return {string_member(object, "owner"), string_member(object, "address"),
+            string_member(object, "attempt"), string_member(object, "fingerprint"),
+            string_member(object, "state") == "released"};
 }
 
 claim_result refused(std::string detail) {
     return {.verdict = claim_verdict::refused, .detail = std::move(detail)};
 }
 
-/// Verdict for a resend that meets another router's claim.
-claim_result judge_holder(const kv_entry& holder, const std::string& fingerprint) {
-    const claim_value held = parse_claim(holder.value);
-    if (held.fingerprint != fingerprint) {
-        return {.verdict = claim_verdict::mismatch};
-    }
-    return {.verdict = claim_verdict::unknown, .detail = "claimed by " + held.owner};
+/// Largest answer that is passed on between routers, in bytes.
+constexpr std::size_t passed_on_limit = 60'000;
+
+claim_result unknown(std::string detail) {
+    return {.verdict = claim_verdict::unknown, .detail = std::move(detail)};
 }
 
 } // namespace
 
 claim_registry::claim_registry(kv_client& service, std::string prefix, std::string owner,
-                               std::chrono::seconds lifetime)
-    : service_{service}, prefix_{std::move(prefix)}, owner_{std::move(owner)}, lifetime_{lifetime} {}
+                               std::chrono::seconds lifetime, claimant_query ask_claimant)
+    : service_{service}, prefix_{std::move(prefix)}, owner_{std::move(owner)}, lifetime_{lifetime},
+      ask_claimant_{std::move(ask_claimant)} {}
+
+wire::claim_answer claim_registry::answer(const wire::claim_query& query) const {
+    const auto found = local_.find(query.claim);
+    if (found == local_.end() || found->second.fingerprint != query.fingerprint) {
+        return {};
+    }
+    const local_claim& held = found->second;
+    if (held.verdict == claim_verdict::in_progress) {
+        return {.state = wire::claim_state::in_progress};
+    }
+    if (held.verdict != claim_verdict::answered || held.answer->body.size() > passed_on_limit) {
+        return {};
+    }
+    return {wire::claim_state::answered, static_cast<std::uint16_t>(held.answer->status),
+            held.answer->content_type, held.answer->body};
+}
+
+/// Verdict for a request that meets another router's claim.
+task<claim_result> claim_registry::judge_holder(kv_entry holder, std::string name, std::string fingerprint) {
+    const claim_value held = parse_claim(holder.value);
+    if (held.fingerprint != fingerprint) {
+        co_return claim_result{.verdict = claim_verdict::mismatch};
+    }
+    const auto claimant = parse_endpoint(held.address);
+    if (!claimant || held.owner == owner_) {
+        co_return unknown("claimed by " + held.owner);
+    }
+    wire::claim_query query{std::move(name), std::move(fingerprint)};
+    auto told = co_await ask_claimant_(*claimant, std::move(query));
+    if (told.has_error()) {
+        co_return unknown("claimed by " + held.owner + ", which does not answer: " + to_text(told.error()));
+    }
+    if (told->state == wire::claim_state::in_progress) {
+        co_return claim_result{.verdict = claim_verdict::in_progress};
+    }
+    if (told->state == wire::claim_state::unknown) {
+        co_return unknown("claimed by " + held.owner);
+    }
+    auto answer = std::make_shared<const recorded_answer>(told->status, told->content_type, told->body);
+    co_return claim_result{.verdict = claim_verdict::answered, .answer = std::move(answer)};
+}
 
 std::string claim_registry::name_of(const std::string& service, const std::string& key) const {
     return prefix_ + "/claims/" + service + "/" + sha256_hex(key);
@@ -130,7 +173,7 @@
     if (lease.has_error()) {
         co_return refused(to_text(lease.error()));
     }
-    const std::string value = to_json(claim_value{owner_, attempt, fingerprint});
+    const std::string value = to_json(claim_value{owner_, address_, attempt, fingerprint});
     auto written = co_await write_claim(name, 0, value, lease->id);
     if (written.has_error()) {
         co_return refused(to_text(written.error()));
@@ -144,7 +187,7 @@
     const kv_entry holder = *written->current;
     const claim_value held = parse_claim(holder.value);
     if (!held.released || held.fingerprint != fingerprint) {
-        co_return judge_holder(holder, fingerprint);
+        co_return co_await judge_holder(holder, name, fingerprint);
     }
     auto taken_over = co_await write_claim(name, holder.mod_revision, value, lease->id);
     if (taken_over.has_error()) {
@@ -153,8 +196,10 @@
     if (taken_over->succeeded) {
         co_return granted(name, taken_over->revision, lease->expiry);
     }
-    co_return taken_over->current ? judge_holder(*taken_over->current, fingerprint)
-                                  : refused("the claim vanished while it was made");
+    if (!taken_over->current) {
+        co_return refused("the claim vanished while it was made");
+    }
+    co_return co_await judge_holder(*taken_over->current, name, fingerprint);
 }
 
 void claim_registry::record_answer(const std::string& service, const std::string& key,
@@ -181,7 +226,7 @@
         co_return;
     }
     const local_claim held = found->second;
-    const std::string value = to_json(claim_value{owner_, random_id(), held.fingerprint, true});
+    const std::string value = to_json(claim_value{owner_, address_, random_id(), held.fingerprint, true});
     const std::int64_t lease = lease_ ? lease_->id : 0;
     auto released = co_await service_.compare_and_swap(name, held.mod_revision, value, lease);
     if (released.has_error()) {
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -3,10 +3,10 @@
 #include "citronwick/config/config_store.hpp"
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/control/claim_registry.hpp"
-#include "citronwick/control/document_exchange.hpp"
 #include "citronwick/control/document_store.hpp"
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
+#include "citronwick/control/peer_exchange.hpp"
 #include "citronwick/control/prober.hpp"
 #include "citronwick/control/upstream_table.hpp"
 #include "citronwick/control/vm_list.hpp"
@@ -25,6 +25,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <pthread.h>
 #include <ranges>
 #include <set>
 #include <thread>
@@ -46,6 +47,7 @@
 constexpr std::size_t small_fleet = 8;
 constexpr double burst_seconds = 2.0;
 constexpr int mark_repeats = 3;
+constexpr const char* control_thread_name = "control";
 
 /// Duties that rendezvous hashing assigns to routers.
 const std::uint64_t watch_duty = hash64("platform watcher");
@@ -62,7 +64,11 @@
     state(control_settings settings, std::uint64_t incarnation)
         : settings_{std::move(settings)}, envelope_{settings_.fleet_key}, members_{self_record(incarnation)},
           upstreams_{settings_.region}, channel_{context_.get_executor(), envelope_, header(incarnation)},
-          exchange_{context_.get_executor(), envelope_, header(incarnation), documents_,
+          exchange_{context_.get_executor(),
+                    envelope_,
+                    header(incarnation),
+                    documents_,
+                    [this](const wire::claim_query& query) { return claims_.answer(query); },
                     counter(control_kind::documents)},
           prober_{
               context_.get_executor(),
@@ -76,7 +82,10 @@
                                             settings_.platform_timeout)},
           config_store_{*config_service_, settings_.key_prefix},
           claims_{*claim_service_, settings_.key_prefix, settings_.vm + "#" + std::to_string(incarnation),
-                  settings_.claim_lifetime},
+                  settings_.claim_lifetime,
+                  [this](endpoint claimant, wire::claim_query query) {
+                      return exchange_.ask_claimant(std::move(claimant), std::move(query));
+                  }},
           budget_{static_cast<double>(settings_.control_bytes_per_second),
                   burst_seconds * settings_.control_bytes_per_second, clock::now()},
           view_{std::make_shared<const fleet_view>()} {}
@@ -90,6 +99,7 @@
             settings_.advertised_address = to_text(*bound);
         }
         members_.set_address(settings_.advertised_address);
+        claims_.set_address(settings_.advertised_address);
         spawn(channel_.run(
             [this](const wire::header& from, const wire::gossip& message) { receive(from, message); }));
         spawn(exchange_.serve());
@@ -99,6 +109,7 @@
         spawn(vm_list_loop());
         spawn(view_loop());
         thread_ = std::jthread{[this] { context_.run(); }};
+        pthread_setname_np(thread_.native_handle(), control_thread_name);
         return bound;
     }
 
@@ -479,7 +490,8 @@
         bool reported = false;
         while (true) {
             if (is_watcher()) {
-                auto fetched = co_await vm_list_->fetch(documents_.generation(document_kind::vm_list));
+                const auto known = documents_.generation(document_kind::vm_list);
+                auto fetched = co_await vm_list_->fetch(known);
                 if (fetched.has_error() && !reported) {
                     log_failure("vm_list_not_read", fetched.error());
                 }
@@ -520,7 +532,8 @@
             });
             prober_.probe(targets);
             const bool nothing_known = targets.empty();
-            co_await sleep_for(nothing_known ? gossip_tick : duration{settings_.probe_interval});
+            const duration pause = nothing_known ? gossip_tick : duration{settings_.probe_interval};
+            co_await sleep_for(pause);
         }
     }
 
@@ -553,7 +566,7 @@
     upstream_table upstreams_;
     document_store documents_;
     fleet_channel channel_;
-    document_exchange exchange_;
+    peer_exchange exchange_;
     prober prober_;
     std::unique_ptr<kv_client> config_service_;
     std::unique_ptr<kv_client> claim_service_;
--- a/packages/control/src/document_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/control/document_exchange.hpp"
+#include "citronwick/control/peer_exchange.hpp"
 
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/platform/log.hpp"
@@ -31,7 +31,7 @@
     stream.expires_after(exchange_timeout);
     auto [error, written] = co_await asio::async_write(stream, buffers, use_tuple);
     if (error) {
-        co_return failure{"send document message", peer, error.message()};
+        co_return failure{"send to peer", peer, error.message()};
     }
     co_return io_result<void>{};
 }
@@ -42,26 +42,26 @@
     stream.expires_after(exchange_timeout);
     auto [head_error, head_size] = co_await asio::async_read(stream, head, use_tuple);
     if (head_error || length.value() > frame_limit) {
-        co_return failure{"read document message", peer,
-                          head_error ? head_error.message() : "message too long"};
+        co_return failure{"read from peer", peer, head_error ? head_error.message() : "message too long"};
     }
     std::string sealed(length.value(), '\0');
     const auto body = asio::buffer(sealed);
     auto [error, size] = co_await asio::async_read(stream, body, use_tuple);
     if (error) {
-        co_return failure{"read document message", peer, error.message()};
+        co_return failure{"read from peer", peer, error.message()};
     }
     co_return sealed;
 }
 
 } // namespace
 
-document_exchange::document_exchange(asio::any_io_executor executor, const wire::envelope& envelope,
-                                     wire::header from, document_store& store, byte_counter count)
+peer_exchange::peer_exchange(asio::any_io_executor executor, const wire::envelope& envelope,
+                             wire::header from, document_store& store, claim_answerer answer_claim,
+                             byte_counter count)
     : executor_{std::move(executor)}, acceptor_{executor_}, envelope_{envelope}, from_{from}, store_{store},
-      count_{std::move(count)} {}
+      answer_claim_{std::move(answer_claim)}, count_{std::move(count)} {}
 
-io_result<void> document_exchange::open(const endpoint& listen) {
+io_result<void> peer_exchange::open(const endpoint& listen) {
     boost::system::error_code error;
     const auto address = to_tcp(listen);
     acceptor_.open(address.protocol(), error);
@@ -73,12 +73,12 @@
     if (error) {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
-        return failure{"listen for documents", to_text(listen), error.message()};
+        return failure{"listen for peers", to_text(listen), error.message()};
     }
     return {};
 }
 
-task<void> document_exchange::serve() {
+task<void> peer_exchange::serve() {
     while (acceptor_.is_open()) {
         asio::ip::tcp::socket socket{executor_};
         auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
@@ -88,7 +88,7 @@
     }
 }
 
-task<void> document_exchange::serve_one(asio::ip::tcp::socket socket) {
+task<void> peer_exchange::serve_one(asio::ip::tcp::socket socket) {
     boost::system::error_code ignored;
     const std::string peer = to_text(to_endpoint(socket.remote_endpoint(ignored)));
     tcp_stream stream{std::move(socket)};
@@ -96,13 +96,12 @@
     if (sealed.has_error()) {
         co_return;
     }
-    auto opened = io_result_of<wire::opened<wire::document_request>>(
-        [&] { return envelope_.open<wire::document_request>(*sealed, peer); });
-    if (opened.has_error()) {
-        log_failure("document_request_refused", opened.error());
+    auto answered = answer_sealed(*sealed, peer);
+    if (answered.has_error()) {
+        log_failure("peer_request_refused", answered.error());
         co_return;
     }
-    std::string reply = envelope_.seal(from_, answer(opened->message));
+    std::string reply = std::move(*answered);
     count_(reply.size() + connection_header_bytes);
     auto sent = co_await write_frame(stream, std::move(reply), peer);
     if (sent.has_error()) {
@@ -110,7 +109,23 @@
     }
 }
 
-wire::document_response document_exchange::answer(const wire::document_request& request) const {
+/// Opens a request of either kind and seals its answer.
+io_result<std::string> peer_exchange::answer_sealed(const std::string& sealed,
+                                                    const std::string& peer) const {
+    const auto query = io_result_of<wire::opened<wire::claim_query>>(
+        [&] { return envelope_.open<wire::claim_query>(sealed, peer); });
+    if (query.has_value()) {
+        return envelope_.seal(from_, answer_claim_(query->message));
+    }
+    const auto request = io_result_of<wire::opened<wire::document_request>>(
+        [&] { return envelope_.open<wire::document_request>(sealed, peer); });
+    if (request.has_error()) {
+        return request.error();
+    }
+    return envelope_.seal(from_, answer(request->message));
+}
+
+wire::document_response peer_exchange::answer(const wire::document_request& request) const {
     wire::document_response response{.kind = request.kind};
     if (const document* const held = store_.current(request.kind)) {
         response.generation = held->generation;
@@ -124,15 +139,15 @@
     return response;
 }
 
-task<io_result<wire::document_response>> document_exchange::request(endpoint peer,
-                                                                    wire::document_request request) {
+template <class Response, class Request>
+task<io_result<Response>> peer_exchange::request(endpoint peer, Request request) {
     const std::string name = to_text(peer);
     const auto address = to_tcp(peer);
     tcp_stream stream{executor_};
     stream.expires_after(exchange_timeout);
     auto [error] = co_await stream.async_connect(address, use_tuple);
     if (error) {
-        co_return failure{"connect for documents", name, error.message()};
+        co_return failure{"connect to peer", name, error.message()};
     }
     std::string sealed = envelope_.seal(from_, request);
     count_(sealed.size() + connection_header_bytes);
@@ -144,17 +159,21 @@
     if (reply.has_error()) {
         co_return reply.error();
     }
-    auto opened = io_result_of<wire::opened<wire::document_response>>(
-        [&] { return envelope_.open<wire::document_response>(*reply, name); });
+    auto opened =
+        io_result_of<wire::opened<Response>>([&] { return envelope_.open<Response>(*reply, name); });
     if (opened.has_error()) {
         co_return opened.error();
     }
     co_return std::move(opened->message);
 }
 
-task<io_result<offered_document>> document_exchange::fetch(endpoint peer, wire::document_kind kind) {
+task<io_result<wire::claim_answer>> peer_exchange::ask_claimant(endpoint peer, wire::claim_query query) {
+    co_return co_await request<wire::claim_answer>(peer, std::move(query));
+}
+
+task<io_result<offered_document>> peer_exchange::fetch(endpoint peer, wire::document_kind kind) {
     wire::document_request head_request{kind, {}};
-    auto head = co_await request(peer, std::move(head_request));
+    auto head = co_await request<wire::document_response>(peer, std::move(head_request));
     if (head.has_error()) {
         co_return head.error();
     }
@@ -163,7 +182,7 @@
         const auto count = std::min(missing.size(), chunks_per_request);
         wire::document_request chunk_request{kind,
                                              {missing.begin(), missing.begin() + static_cast<long>(count)}};
-        auto chunks = co_await request(peer, std::move(chunk_request));
+        auto chunks = co_await request<wire::document_response>(peer, std::move(chunk_request));
         if (chunks.has_error()) {
             co_return chunks.error();
         }
--- a/packages/policy/include/citronwick/policy/load_bound.hpp
+++ b/packages/policy/include/citronwick/policy/load_bound.hpp
@@ -21,12 +21,15 @@
     double limit(const candidate& upstream) const;
 
 private:
-    double ramp(const candidate& upstream) const;
+    /// Capacity that counts: the weight, less while the upstream is new.
+    double share(const candidate& upstream) const;
 
-    const preset& policy_;
+    double skew_target_;
+    double concurrency_;
+    std::chrono::duration<double> slow_start_;
     time_point now_;
     double total_in_flight_ = 0.0;
-    double total_weight_ = 0.0;
+    double total_share_ = 0.0;
 };
 
 } // namespace citronwick
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -10,10 +10,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace citronwick {
 
@@ -69,12 +69,6 @@
     boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
 };
 
-void sleep_for(duration time) {
-    boost::asio::io_context context;
-    boost::asio::steady_timer timer{context, time};
-    timer.wait();
-}
-
 /// Ends the front without cutting a request, unless the drain limit is reached.
 void drain(const traffic_settings& settings, control_plane& control, front& callers,
            operator_server& operators) {
@@ -82,7 +76,7 @@
     operators.set_unready();
     control.leave();
     callers.announce_shutdown();
-    sleep_for(settings.balancer_lag);
+    std::this_thread::sleep_for(settings.balancer_lag);
     callers.stop_accepting();
     const auto started = clock::now();
     const bool limited = settings.drain_limit.count() > 0;
@@ -97,7 +91,7 @@
             callers.close_idle_connections();
             closed_idle = callers.requests_in_flight() == 0;
         }
-        sleep_for(drain_check_interval);
+        std::this_thread::sleep_for(drain_check_interval);
     }
     log_info("drain_ended", {{"requests_in_flight", std::to_string(callers.requests_in_flight())}});
 }
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -301,7 +301,8 @@
             events.discard_pending();
             resumed.reset();
             if (resumes_left-- > 0) {
-                resumed = co_await resume(engine, events.last_event_id());
+                const std::string last = events.last_event_id();
+                resumed = co_await resume(engine, last);
             }
             if (!resumed) {
                 co_await end_with_error(engine, error);
--- a/packages/traffic/src/front.cpp
+++ b/packages/traffic/src/front.cpp
@@ -186,7 +186,9 @@
             const request_count counted{requests_};
             header_error = co_await read_body(stream, buffer, parser);
             if (!header_error) {
-                co_return co_await dispatch(thread.thread, stream, parser.release());
+                auto request = parser.release();
+                const bool again = co_await dispatch(thread.thread, stream, std::move(request));
+                co_return again;
             }
         }
         if (deserves_answer(header_error)) {
--- a/packages/traffic/src/service_handler.cpp
+++ b/packages/traffic/src/service_handler.cpp
@@ -26,6 +26,7 @@
 constexpr const char* key_field = "Idempotency-Key";
 constexpr int most_attempts = 3;
 constexpr std::size_t key_limit = 256;
+constexpr time_point any_time = time_point::max();
 
 /// Header fields that are passed on to a plain service.
 constexpr std::array forwarded_fields{"Content-Type", "Accept", "Accept-Language", "If-Match",
@@ -157,14 +158,23 @@
         return {503, "upstreams-failed", to_text(error), outcome::not_run, 1s};
     }
 
+    /// What the caller is told where there is no answer.
+    static problem refusal_of(const boost::system::result<delivery, problem>& sent) {
+        if (sent.has_error()) {
+            return sent.error();
+        }
+        return failed_delivery(sent->error);
+    }
+
     task<void> run_repeatable() {
         thread_.retries.record_request(policy_->retry_share);
         failure last;
         bool may_have_run = false;
         for (int attempt = 0; attempt < most_attempts; ++attempt) {
-            auto sent = co_await deliver(clock::time_point::max());
+            auto sent = co_await deliver(any_time);
             if (sent.has_error()) {
-                co_await refuse(sent.error());
+                auto why = sent.error();
+                co_await refuse(std::move(why));
                 co_return;
             }
             if (sent->answer) {
@@ -180,7 +190,8 @@
             thread_.shared.counters.count_retry(admission_.service);
         }
         last.may_have_taken_effect = may_have_run;
-        co_await refuse(failed_delivery(last));
+        auto why = failed_delivery(last);
+        co_await refuse(std::move(why));
     }
 
     /// Sends a request that must not run twice. Another upstream is tried only
@@ -200,13 +211,15 @@
     }
 
     task<void> run_once() {
-        auto sent = co_await deliver_once(clock::time_point::max());
+        auto sent = co_await deliver_once(any_time);
         if (sent.has_error()) {
-            co_await refuse(sent.error());
+            auto why = sent.error();
+            co_await refuse(std::move(why));
         } else if (sent->answer) {
             co_await reply_from(*sent);
         } else {
-            co_await refuse(failed_delivery(sent->error));
+            auto why = failed_delivery(sent->error);
+            co_await refuse(std::move(why));
         }
     }
 
@@ -220,13 +233,15 @@
                            {"detail", claim.detail.empty() ? "-" : claim.detail}});
         const bool unclaimed = claim.verdict == claim_verdict::refused && target_->deduplicates;
         if (claim.verdict == claim_verdict::granted || unclaimed) {
-            co_await send_claimed(unclaimed ? clock::time_point::max() : claim.valid_until);
+            const auto not_after = unclaimed ? time_point::max() : claim.valid_until;
+            co_await send_claimed(not_after);
         } else if (claim.verdict == claim_verdict::answered) {
             header_fields headers;
             headers.emplace_back("Citronwick-Replayed", "yes");
             co_await reply(*claim.answer, std::move(headers));
         } else {
-            co_await refuse(explain(claim));
+            auto why = explain(claim);
+            co_await refuse(std::move(why));
         }
     }
 
@@ -251,7 +266,8 @@
         auto& control = thread_.shared.control;
         const auto executor = co_await asio::this_coro::executor;
         auto asking = control.claims().claim(admission_.service, claim_key_, fingerprint(), clock::now());
-        auto claim = co_await asio::co_spawn(control.executor(), std::move(asking), asio::use_awaitable);
+        const auto control_executor = control.executor();
+        auto claim = co_await asio::co_spawn(control_executor, std::move(asking), asio::use_awaitable);
         co_await asio::post(executor, asio::use_awaitable);
         co_return claim;
     }
@@ -261,14 +277,16 @@
         const bool certain = sent.has_error() || (!sent->answer && !sent->error.may_have_taken_effect);
         if (certain) {
             co_await release_claim();
-            co_await refuse(sent.has_error() ? sent.error() : failed_delivery(sent->error));
+            auto why = refusal_of(sent);
+            co_await refuse(std::move(why));
             co_return;
         }
         record(sent->answer);
         if (sent->answer) {
             co_await reply_from(*sent);
         } else {
-            co_await refuse(failed_delivery(sent->error));
+            auto why = failed_delivery(sent->error);
+            co_await refuse(std::move(why));
         }
     }
 
@@ -276,7 +294,8 @@
         auto& control = thread_.shared.control;
         const auto executor = co_await asio::this_coro::executor;
         auto releasing = control.claims().release(admission_.service, claim_key_);
-        co_await asio::co_spawn(control.executor(), std::move(releasing), asio::use_awaitable);
+        const auto control_executor = control.executor();
+        co_await asio::co_spawn(control_executor, std::move(releasing), asio::use_awaitable);
         co_await asio::post(executor, asio::use_awaitable);
     }
 
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -78,6 +78,23 @@
     std::vector<std::string> contents; ///< of the wanted chunks that the peer holds
 };
 
+/// What became of a claimed request, as its claimant knows it.
+enum class claim_state : std::uint8_t { unknown = 0, in_progress = 1, answered = 2 };
+
+/// Question to the claimant of a request that must run at most once.
+struct claim_query {
+    std::string claim;       ///< key of the claim in the key-value service
+    std::string fingerprint; ///< digest of the request
+};
+
+/// Answer to `claim_query`.
+struct claim_answer {
+    claim_state state = claim_state::unknown;
+    std::uint16_t status = 0;
+    std::string content_type;
+    std::string body; ///< at most 65,535 bytes
+};
+
 } // namespace citronwick::wire
 
 #endif
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -108,6 +108,17 @@
     serialize_lists(archive, response.header, response.contents);
 }
 
+template <class Archive>
+void serialize(Archive& archive, claim_query& query) {
+    serialize_lists(archive, query.claim, query.fingerprint);
+}
+
+template <class Archive>
+void serialize(Archive& archive, claim_answer& answer) {
+    archive(answer.state, answer.status);
+    serialize_lists(archive, answer.content_type, answer.body);
+}
+
 } // namespace citronwick::wire
 
 #endif
--- a/packages/wire/src/envelope.cpp
+++ b/packages/wire/src/envelope.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint8_t type_code<document_request> = 2;
 template <>
 constexpr std::uint8_t type_code<document_response> = 3;
+template <>
+constexpr std::uint8_t type_code<claim_query> = 4;
+template <>
+constexpr std::uint8_t type_code<claim_answer> = 5;
 
 std::string tag_of(const std::string& key, std::string_view body) {
     return hmac_sha256(key, body).substr(0, tag_bytes);
@@ -84,10 +88,14 @@
 }
 
 template std::string envelope::seal(const header&, const gossip&) const;
-template std::string envelope::seal(const header&, const document_request&) const;
-template std::string envelope::seal(const header&, const document_response&) const;
 template result<opened<gossip>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const document_request&) const;
 template result<opened<document_request>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const document_response&) const;
 template result<opened<document_response>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const claim_query&) const;
+template result<opened<claim_query>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const claim_answer&) const;
+template result<opened<claim_answer>> envelope::open(std::string_view, const std::string&) const;
 
 } // namespace citronwick::wire
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -116,7 +116,10 @@
     const auto domain = [this](std::size_t index) {
         return options_.failure_domains[index % options_.failure_domains.size()];
     };
-    for (std::size_t index = 0; index < options_.engines; ++index) {
+    if (options_.shared_engines) {
+        start_shared_engines();
+    }
+    for (std::size_t index = engines_.size(); index < options_.engines; ++index) {
         add_engine(domain(index));
     }
     for (std::size_t index = 0; index < options_.service_workers; ++index) {
@@ -171,6 +174,19 @@
     post_json(target.proxy->addresses.at(1), "/standin/target", body);
 }
 
+void fleet::start_shared_engines() {
+    auto arguments = options_.engine_arguments;
+    arguments.insert(arguments.end(), {"--count", std::to_string(options_.engines)});
+    shared_engines_ = start_standin("engine", "engines", arguments);
+    for (std::size_t index = 0; index < options_.engines; ++index) {
+        engines_.push_back(
+            {.name = "engine-" + std::to_string(index),
+             .failure_domain = options_.failure_domains[index % options_.failure_domains.size()],
+             .log = shared_engines_.log,
+             .addresses = {shared_engines_.addresses[index]}});
+    }
+}
+
 node& fleet::add_engine(const std::string& failure_domain) {
     const std::string name = "engine-" + std::to_string(started_);
     engines_.push_back(start_standin("engine", name, options_.engine_arguments));
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -19,7 +19,8 @@
     std::vector<std::string> failure_domains{"busan-a", "busan-b", "ulsan-c"};
     std::size_t engines = 10;
     std::size_t service_workers = 3;
-    bool proxies = false; ///< everything is reached through fault proxies
+    bool shared_engines = false; ///< all engines run in one stand-in process
+    bool proxies = false;        ///< everything is reached through fault proxies
     std::vector<std::string> engine_arguments{};
     std::string preset{};            ///< lines of the preset "ordinary"
     std::string service{};           ///< lines of the plain service
@@ -67,6 +68,7 @@
 
     std::deque<router_node>& routers() { return routers_; }
     std::deque<node>& engines() { return engines_; }
+    const std::string& directory() const { return directory_; }
     std::deque<node>& workers() { return workers_; }
     node& key_value() { return key_value_; }
     node& vm_list() { return vm_list_; }
@@ -102,6 +104,7 @@
     const std::string& usual_declaration() const { return declaration_; }
 
 private:
+    void start_shared_engines();
     node start_standin(const std::string& kind, const std::string& name, std::vector<std::string> arguments);
     void put_behind_proxy(node& target);
     void start_router(router_node& router);
@@ -115,6 +118,7 @@
     std::deque<router_node> routers_;
     std::deque<node> engines_;
     std::deque<node> workers_;
+    node shared_engines_;
     std::size_t started_ = 0;
 };
 
