--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -22,8 +22,6 @@
 constexpr duration recheck_interval = 25ms;
 /// Upstreams at their limit that a request asks for before it goes by the estimate.
 constexpr int most_denials = 3;
-/// Free slots from which on an upstream is taken without asking.
-constexpr double clear_room = 2.0;
 constexpr std::string_view full_reason = "all upstreams full";
 
 problem refusal(std::string_view reason, bool waited) {
@@ -70,8 +68,7 @@
 /// Asks the keeper of the upstream's count, unless this router keeps it or the
 /// policy sets no bound.
 task<bool> admission::confirm(const upstream_view& upstream, const placement_decision& decision) {
-    const bool has_room = decision.limit && estimated_in_flight(upstream) + clear_room <= *decision.limit;
-    if (!decision.limit || upstream.counted_here || has_room) {
+    if (!decision.limit || upstream.counted_here) {
         co_return true;
     }
     const auto traffic = co_await asio::this_coro::executor;
