Refuse requests that crash engines, after two crashes

Cause: a request that crashes each upstream that runs it was retried on three engines and again with each resend. All requests on a crashed engine become suspects; a suspect runs alone, on engines whose count its router keeps; two crashes refuse it on all routers for ten minutes.

--- a/packages/control/include/citronwick/control/control_plane.hpp
+++ b/packages/control/include/citronwick/control/control_plane.hpp
@@ -15,6 +15,7 @@
 namespace citronwick {
 
 class claim_registry;
+class suspect_registry;
 
 /// Word of the router that keeps an upstream's count.
 enum class slot_verdict : std::uint8_t {
@@ -66,6 +67,9 @@
     /// Claims on non-idempotent requests; to be used on the control thread only.
     claim_registry& claims();
 
+    /// Requests that were on crashed upstreams. Callable from any thread.
+    suspect_registry& suspects();
+
     const control_meter& meter() const;
 
 private:
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -8,6 +8,7 @@
 #include "citronwick/control/membership.hpp"
 #include "citronwick/control/peer_exchange.hpp"
 #include "citronwick/control/prober.hpp"
+#include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/control/upstream_table.hpp"
 #include "citronwick/control/vm_list.hpp"
 #include "citronwick/core/hash.hpp"
@@ -38,7 +39,7 @@
 using namespace std::chrono_literals;
 using wire::document_kind;
 
-constexpr duration gossip_tick = 100ms;
+constexpr duration gossip_tick = 50ms;
 constexpr duration heartbeat = 1s;
 /// Time for which a changed count waits for a message that can carry it.
 constexpr duration usage_interval = 300ms;
@@ -174,6 +175,7 @@
     std::shared_ptr<const fleet_view> view() const { return view_.load(); }
     asio::any_io_executor executor() { return context_.get_executor(); }
     claim_registry& claims() { return claims_; }
+    suspect_registry& suspects() { return suspects_; }
     const control_meter& meter() const { return meter_; }
 
 private:
@@ -259,6 +261,7 @@
         for (const wire::count_entry& count : message.counts) {
             upstreams_.record_count(count.upstream, count.in_flight, now);
         }
+        suspects_.merge(message.suspects, now);
         take_reports(message.reports, now);
         for (const wire::leaving_entry& mark : message.leaving) {
             if (upstreams_.mark_leaving(mark.upstream, mark.incarnation)) {
@@ -326,6 +329,8 @@
     }
 
     void gossip_if_due(time_point now) {
+        pending_suspects_ = suspects_.take_news();
+        urgent_ = urgent_ || !pending_suspects_.empty();
         const bool refresh = now - refreshed_at_ >= refresh_interval;
         const bool must = urgent_ || refresh || now - gossiped_at_ >= heartbeat;
         if (must || (introduce_ && budget_.take(0.0, now))) {
@@ -341,6 +346,7 @@
     void gossip_to_fleet(bool refresh, time_point now) {
         wire::gossip message;
         message.counts = upstreams_.kept_counts();
+        message.suspects = std::exchange(pending_suspects_, {});
         add_members(message, refresh);
         add_reports(message, now);
         add_marks(message, refresh);
@@ -407,7 +413,8 @@
     }
 
     void add_members(wire::gossip& message, bool refresh) {
-        if (refresh || introduce_ || urgent_) {
+        const bool is_large = members_.live(clock::now()).size() > small_fleet;
+        if (refresh || introduce_ || urgent_ || is_large) {
             message.members.push_back(members_.self());
             if (const auto other = members_.next_record_to_spread()) {
                 message.members.push_back(*other);
@@ -522,6 +529,15 @@
     void apply_vm_list(const std::vector<listed_vm>& vms) {
         const auto now = clock::now();
         upstreams_.apply_vm_list(vms, now);
+        for (const listed_vm& vm : vms) {
+            if (vm.is_entry) {
+                members_.merge({.vm = vm.name,
+                                .region = vm.region,
+                                .failure_domain = vm.failure_domain,
+                                .fleet_address = to_text(vm.address)},
+                               now);
+            }
+        }
         log_info("vm_list_applied", {{"vms", std::to_string(vms.size())}});
     }
 
@@ -638,6 +654,7 @@
             if (view_changed_ || now - viewed_at_ >= heartbeat) {
                 publish(now);
                 claims_.expire(now);
+                suspects_.expire(now);
             }
         }
     }
@@ -667,6 +684,8 @@
     std::unique_ptr<vm_list_client> vm_list_;
     config_store config_store_;
     claim_registry claims_;
+    suspect_registry suspects_;
+    std::vector<wire::suspect_entry> pending_suspects_;
     control_meter meter_;
     token_bucket budget_;
     std::shared_ptr<const configuration> config_;
@@ -736,6 +755,10 @@
     return state_->claims();
 }
 
+suspect_registry& control_plane::suspects() {
+    return state_->suspects();
+}
+
 const control_meter& control_plane::meter() const {
     return state_->meter();
 }
--- /dev/null
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -0,0 +1,47 @@
+#ifndef CITRONWICK_POLICY_SUSPECT_TABLE_HPP_INCLUDED
+#define CITRONWICK_POLICY_SUSPECT_TABLE_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace citronwick {
+
+/// Requests that were on upstreams when these crashed, by fingerprint.
+///
+/// All requests on a crashed upstream become suspects; one that was on two
+/// crashed upstreams is refused until it is forgotten.
+class suspect_table {
+public:
+    using fingerprint = std::uint64_t;
+
+    /// Crashes from which on a request is refused.
+    static constexpr std::uint8_t crash_limit = 2;
+
+    /// Notes that a request was on an upstream that crashed.
+    /// @return crashes of the request so far
+    std::uint8_t record_crash(fingerprint request, time_point now);
+
+    /// Takes in another router's count.
+    /// @return whether it is news
+    bool merge(fingerprint request, std::uint8_t crashes, time_point now);
+
+    /// Crashes of a request that is not forgotten yet.
+    std::uint8_t crashes(fingerprint request, time_point now) const;
+
+    /// Forgets requests whose last crash is long ago.
+    void expire(time_point now);
+
+private:
+    struct entry {
+        std::uint8_t crashes = 0;
+        time_point last;
+    };
+    std::map<fingerprint, entry> entries_;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/policy/tests/suspects.tests.cpp
@@ -0,0 +1,27 @@
+#include "citronwick/policy/suspect_table.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace citronwick;
+using namespace std::chrono_literals;
+
+TEST_CASE("a request is counted for each crash and forgotten after a while") {
+    const time_point start{1h};
+    suspect_table table;
+    CHECK(table.crashes(7, start) == 0);
+    CHECK(table.record_crash(7, start) == 1);
+    CHECK(table.record_crash(7, start + 1s) == suspect_table::crash_limit);
+    CHECK(table.crashes(8, start) == 0);
+    CHECK(table.crashes(7, start + 11min) == 0);
+    CHECK(table.record_crash(7, start + 11min) == 1);
+}
+
+TEST_CASE("another router's count is taken in if it is higher") {
+    const time_point start{1h};
+    suspect_table table;
+    CHECK(table.merge(7, 1, start));
+    CHECK_FALSE(table.merge(7, 1, start));
+    CHECK(table.record_crash(7, start) == 2);
+    CHECK_FALSE(table.merge(7, 1, start));
+    CHECK(table.crashes(7, start) == 2);
+}
--- a/packages/traffic/include/citronwick/traffic/admission.hpp
+++ b/packages/traffic/include/citronwick/traffic/admission.hpp
@@ -29,6 +29,7 @@
     placement_request placement;
     std::string_view policy;               ///< name of the placement policy
     std::vector<std::uint64_t> excluded{}; ///< upstreams that this request failed on
+    bool is_suspect = false; ///< was on a crashed upstream; keeps away from other routers' suspects
     std::string request_id;
     std::string chat; ///< for the log
 };
@@ -71,6 +72,8 @@
     };
 
     task<placement_attempt> place(const admission_request& request);
+    static std::vector<candidate> candidates_for(const admission_request& request,
+                                                 const std::vector<upstream_view>& upstreams);
     task<bool> confirm(const upstream_view& upstream, const placement_decision& decision);
     void log_decision(const admission_request& request, const std::vector<candidate>& candidates,
                       const placement_decision& decision);
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -65,6 +65,29 @@
               {"skipped", skipped.empty() ? "-" : skipped}});
 }
 
+/// Upstreams as this request may see them. A suspect uses the upstreams whose
+/// count this router keeps, if it can: no other router's suspects run there.
+std::vector<candidate> admission::candidates_for(const admission_request& request,
+                                                 const std::vector<upstream_view>& upstreams) {
+    std::vector<candidate> candidates(upstreams.size());
+    std::ranges::transform(upstreams, candidates.begin(), to_candidate);
+    for (candidate& each : candidates) {
+        if (std::ranges::find(request.excluded, each.hash) != request.excluded.end()) {
+            each.state = availability::excluded;
+        }
+    }
+    const auto is_kept = [&](const candidate& each) { return upstreams[&each - candidates.data()].counted_here; };
+    const bool has_own = std::ranges::any_of(candidates, [&](const candidate& each) {
+        return each.state == availability::ready && is_kept(each);
+    });
+    if (request.is_suspect && has_own) {
+        for (candidate& each : candidates) {
+            each.state = is_kept(each) ? each.state : availability::excluded;
+        }
+    }
+    return candidates;
+}
+
 /// Asks the keeper of the upstream's count, unless this router keeps it or the
 /// policy sets no bound.
 task<bool> admission::confirm(const upstream_view& upstream, const placement_decision& decision) {
@@ -88,13 +111,7 @@
     const auto& upstreams = found->second;
     const auto& policy = policies_.find(request.policy)->second;
     for (int denied = 0;; ++denied) {
-        std::vector<candidate> candidates(upstreams.size());
-        std::ranges::transform(upstreams, candidates.begin(), to_candidate);
-        for (candidate& each : candidates) {
-            if (std::ranges::find(request.excluded, each.hash) != request.excluded.end()) {
-                each.state = availability::excluded;
-            }
-        }
+        const auto candidates = candidates_for(request, upstreams);
         const auto decision = policy->place(request.placement, candidates, view->config->active, clock::now());
         if (!decision.index) {
             co_return placement_attempt{std::nullopt, decision.reason};
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/control/control_plane.hpp"
 #include "citronwick/control/load_report.hpp"
+#include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/platform/json_text.hpp"
 #include "citronwick/platform/log.hpp"
@@ -25,6 +26,7 @@
 constexpr const char* request_id_field = "X-Request-Id";
 constexpr int most_attempts = 3;
 constexpr int most_resumes = 2;
+constexpr std::chrono::milliseconds crash_check_timeout{200};
 constexpr std::size_t event_limit = std::size_t{1} << 20U;
 
 /// How one attempt on one engine ended.
@@ -45,7 +47,11 @@
             co_await refuse(std::move(*refusal));
             co_return;
         }
+        exclusive_turn::holder turn;
         for (int attempt = 0; attempt < most_attempts; ++attempt) {
+            if (admission_.is_suspect && !turn) {
+                turn = co_await thread_.shared.suspect_turn.take(policy_->queue_timeout);
+            }
             auto admitted = co_await thread_.shared.admitter.admit(admission_);
             if (admitted.has_error()) {
                 auto why = final_problem(admitted.error());
@@ -58,6 +64,9 @@
             }
             maybe_run_ = maybe_run_ || end == attempt_end::failed;
             admission_.excluded.push_back(admitted->upstream.hash);
+            if (is_convicted()) {
+                break;
+            }
             if (end == attempt_end::failed && !thread_.retries.take_retry()) {
                 break;
             }
@@ -98,10 +107,39 @@
                       .request_id = from_.request_id(),
                       .chat = chat_.chat};
         admission_.placement.context_at = context_holder();
+        fingerprint_ = hash64(request_.body(), hash64(customer->name));
+        admission_.is_suspect = thread_.shared.control.suspects().crashes(fingerprint_, clock::now()) > 0;
+        if (is_convicted()) {
+            return problem{422, "crashes-upstreams", "upstreams crashed each time that this request ran"};
+        }
         thread_.retries.record_request(policy_->retry_share);
         return std::nullopt;
     }
 
+    bool is_convicted() const {
+        const auto crashes = thread_.shared.control.suspects().crashes(fingerprint_, clock::now());
+        return crashes >= suspect_table::crash_limit;
+    }
+
+    /// Finds out whether an engine crashed under the request, and counts it.
+    task<void> check_for_crash(const upstream_view& engine) {
+        constexpr std::uint64_t health_page_limit = 65'536;
+        http_connection connection{co_await asio::this_coro::executor, engine.address, health_page_limit};
+        http_request question{http::verb::get, "/health", 11};
+        const auto asked_at = clock::now();
+        auto alive = co_await connection.exchange(std::move(question), crash_check_timeout);
+        const bool is_silent = clock::now() - asked_at >= crash_check_timeout;
+        if (alive.has_value() || is_silent) {
+            co_return; // a frozen engine has not crashed
+        }
+        const auto crashes = thread_.shared.control.suspects().record_crash(fingerprint_, clock::now());
+        thread_.shared.control.report_contact(engine.hash, false);
+        admission_.is_suspect = true;
+        log_warn("upstream_crashed", {{"request", from_.request_id()},
+                                      {"upstream", engine.name},
+                                      {"crashes", std::to_string(crashes)}});
+    }
+
     /// Engine that the caller's hint names, if it still runs as it did.
     std::optional<std::uint64_t> context_holder() const {
         const auto hint = parse_placement_hint(request_[hint_field]);
@@ -155,6 +193,9 @@
         auto connection = thread_.pool.take(engine.address, clock::now());
         const auto end = co_await exchange(*connection, engine);
         from_.on_hang_up(nullptr);
+        if (end == attempt_end::failed) {
+            co_await check_for_crash(engine);
+        }
         thread_.pool.give_back(std::move(connection), clock::now());
         thread_.shared.admitter.request_ended(admission_.service);
         co_return end;
@@ -305,6 +346,7 @@
                 resumed = co_await resume(engine, last);
             }
             if (!resumed) {
+                co_await check_for_crash(engine);
                 co_await end_with_error(engine, error);
                 co_return attempt_end::answered;
             }
@@ -394,6 +436,7 @@
     chat_request chat_;
     const preset* policy_ = nullptr;
     admission_request admission_;
+    std::uint64_t fingerprint_ = 0;
     failure last_error_;
     bool maybe_run_ = false;
 };
--- a/packages/traffic/src/front.cpp
+++ b/packages/traffic/src/front.cpp
@@ -64,7 +64,7 @@
 public:
     state(const traffic_settings& settings, control_plane& control, metrics& counters)
         : settings_{settings}, admission_{control, counters},
-          shared_{control, settings_, counters, admission_}, acceptor_{accept_context_} {}
+          shared_{control, settings_, counters, admission_, suspect_turn_}, acceptor_{accept_context_} {}
 
     io_result<endpoint> start() {
         boost::system::error_code error;
@@ -281,6 +281,7 @@
 
     const traffic_settings& settings_;
     admission admission_;
+    exclusive_turn suspect_turn_;
     traffic_context shared_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -71,10 +71,10 @@
     std::uint64_t generation = 0;
 };
 
-/// Verdict on a request that crashed upstreams.
-struct conviction_entry {
+/// Request that was on upstreams when these crashed.
+struct suspect_entry {
     std::uint64_t fingerprint = 0; ///< hash of team and body
-    std::uint32_t expires_in = 0;  ///< milliseconds
+    std::uint8_t crashes = 0;
 };
 
 /// One datagram of the fleet channel.
@@ -87,7 +87,7 @@
     std::vector<report_entry> reports;
     std::vector<leaving_entry> leaving;
     std::vector<document_version> documents;
-    std::vector<conviction_entry> convictions;
+    std::vector<suspect_entry> suspects;
 };
 
 /// Request for a document over TCP: its header, and chunks by their digests.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -86,8 +86,8 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, conviction_entry& entry) {
-    archive(entry.fingerprint, entry.expires_in);
+void serialize(Archive& archive, suspect_entry& entry) {
+    archive(entry.fingerprint, entry.crashes);
 }
 
 template <class Archive>
@@ -127,7 +127,7 @@
 void serialize(Archive& archive, gossip& message) {
     serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
                       message.slot_replies, message.reports, message.leaving, message.documents,
-                      message.convictions);
+                      message.suspects);
 }
 
 template <class Archive>
