--- a/bench/citronbench/experiment.cpp
+++ b/bench/citronbench/experiment.cpp
@@ -34,7 +34,10 @@
 arm_shape read_arm(const toml::table& table, problem_list& problems) {
     arm_shape arm;
     table_reader reader{table, "arm", problems};
-    reader.require("name", arm.name).read("preset", arm.preset).read("fleet", arm.fleet).read("echo_hints", arm.echo_hints);
+    reader.require("name", arm.name)
+        .read("preset", arm.preset)
+        .read("fleet", arm.fleet)
+        .read("echo_hints", arm.echo_hints);
     reader.finish();
     return arm;
 }
--- a/bench/citronbench/experiment.hpp
+++ b/bench/citronbench/experiment.hpp
@@ -35,7 +35,7 @@
 struct arm_shape {
     std::string name;
     std::string preset; ///< lines of the preset
-    std::string fleet; ///< lines of the routers' table [fleet]
+    std::string fleet;  ///< lines of the routers' table [fleet]
     bool echo_hints = true;
 };
 
--- a/packages/control/include/citronwick/control/control_settings.hpp
+++ b/packages/control/include/citronwick/control/control_settings.hpp
@@ -26,7 +26,7 @@
     std::chrono::milliseconds probe_interval{2'000};
     std::chrono::milliseconds vm_list_interval{2'000};
     std::chrono::milliseconds config_check_interval{10'000}; ///< reads beside the watch
-    std::chrono::seconds claim_lifetime{3'600};             ///< time for which a claim is remembered
+    std::chrono::seconds claim_lifetime{3'600};              ///< time for which a claim is remembered
 };
 
 } // namespace citronwick
--- /dev/null
+++ b/packages/control/include/citronwick/control/document_sync.hpp
@@ -0,0 +1,72 @@
+#ifndef CITRONWICK_CONTROL_DOCUMENT_SYNC_HPP_INCLUDED
+#define CITRONWICK_CONTROL_DOCUMENT_SYNC_HPP_INCLUDED
+
+#include "citronwick/config/config_store.hpp"
+#include "citronwick/config/configuration.hpp"
+#include "citronwick/control/control_settings.hpp"
+#include "citronwick/control/document_store.hpp"
+#include "citronwick/control/peer_exchange.hpp"
+#include "citronwick/control/vm_list.hpp"
+#include "citronwick/platform/kv_client.hpp"
+#include "citronwick/platform/vm_list_client.hpp"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+/// Keeps configuration and VM list up to date: from the platform where this
+/// router is one of its domain's watchers, from other routers in any case.
+///
+/// A document comes into force if it is newer than the one held and sound.
+class document_sync {
+public:
+    /// Whom the documents are handed to.
+    struct listener {
+        std::function<void(std::shared_ptr<const configuration>)> on_configuration;
+        std::function<void(const std::vector<listed_vm>&)> on_vm_list;
+        std::function<bool()> is_watcher; ///< whether this router asks the platform now
+    };
+
+    document_sync(asio::any_io_executor executor, const control_settings& settings, document_store& store,
+                  peer_exchange& peers, listener receiver);
+
+    /// Starts asking the platform.
+    void start();
+
+    /// Fetches a document from a router that holds a newer generation.
+    void pull_if_newer(const endpoint& peer, const wire::document_version& version);
+
+    /// Bytes of calls to the platform since the last call.
+    std::uint64_t take_key_value_bytes() { return config_service_->take_byte_count(); }
+    std::uint64_t take_vm_list_bytes() { return vm_list_->take_byte_count(); }
+
+private:
+    task<void> pull(endpoint peer, wire::document_kind kind);
+    task<void> follow_configuration();
+    task<void> follow_vm_list();
+    task<io_result<std::int64_t>> load_configuration();
+    void take_platform_list(const vm_list_document& list);
+    bool accept(wire::document_kind kind, std::uint64_t generation, std::string header,
+                const std::string& source);
+    bool adopt_configuration(const std::string& header, const std::string& text, const std::string& source);
+    bool adopt_vm_list(const std::string& text, const std::string& source);
+    std::string joined_chunks(const std::string& header) const;
+
+    asio::any_io_executor executor_;
+    const control_settings& settings_;
+    document_store& store_;
+    peer_exchange& peers_;
+    listener receiver_;
+    std::unique_ptr<kv_client> config_service_;
+    std::unique_ptr<vm_list_client> vm_list_;
+    config_store config_store_;
+    std::array<bool, 2> pulling_{};
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -89,7 +89,8 @@
 
 /// Router to which rendezvous hashing assigns a duty that one router has.
 /// @param others live routers that share the duty, without this one
-std::uint64_t assigned_router(std::uint64_t duty, std::uint64_t self, const std::vector<const member*>& others);
+std::uint64_t assigned_router(std::uint64_t duty, std::uint64_t self,
+                              const std::vector<const member*>& others);
 
 /// Whether this router is among the first `count` of the candidates for a duty
 /// that rendezvous hashing assigns.
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -1,9 +1,8 @@
 #include "citronwick/control/control_plane.hpp"
 
-#include "citronwick/config/config_store.hpp"
-#include "citronwick/config/io_result_of.hpp"
 #include "citronwick/control/claim_registry.hpp"
 #include "citronwick/control/document_store.hpp"
+#include "citronwick/control/document_sync.hpp"
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
 #include "citronwick/control/peer_exchange.hpp"
@@ -15,7 +14,6 @@
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/platform/etcd_gateway_client.hpp"
 #include "citronwick/platform/log.hpp"
-#include "citronwick/platform/vm_list_client.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 
 #include <algorithm>
@@ -24,8 +22,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 #include <limits>
 #include <pthread.h>
 #include <ranges>
@@ -80,13 +76,16 @@
               context_.get_executor(),
               [this](std::uint32_t upstream, const upstream_observation& seen) { observe(upstream, seen); },
               counter(control_kind::probes)},
-          config_service_{make_etcd_gateway_client(context_.get_executor(), settings_.key_value_servers,
-                                                   settings_.platform_timeout)},
+          sync_{context_.get_executor(),
+                settings_,
+                documents_,
+                exchange_,
+                {.on_configuration =
+                     [this](std::shared_ptr<const configuration> next) { adopt(std::move(next)); },
+                 .on_vm_list = [this](const std::vector<listed_vm>& vms) { apply_vm_list(vms); },
+                 .is_watcher = [this] { return is_watcher(); }}},
           claim_service_{make_etcd_gateway_client(context_.get_executor(), settings_.key_value_servers,
                                                   settings_.platform_timeout)},
-          vm_list_{make_http_vm_list_client(context_.get_executor(), settings_.vm_list_server,
-                                            settings_.platform_timeout)},
-          config_store_{*config_service_, settings_.key_prefix},
           claims_{*claim_service_, settings_.key_prefix, settings_.vm + "#" + std::to_string(incarnation),
                   settings_.claim_lifetime,
                   [this](endpoint claimant, wire::claim_query query) {
@@ -111,8 +110,7 @@
         spawn(exchange_.serve());
         spawn(gossip_loop());
         spawn(probe_loop());
-        spawn(config_loop());
-        spawn(vm_list_loop());
+        sync_.start();
         spawn(view_loop());
         thread_ = std::jthread{[this] { context_.run(); }};
         pthread_setname_np(thread_.native_handle(), control_thread_name);
@@ -187,7 +185,8 @@
     };
 
     static std::uint16_t clamped(std::uint32_t value) {
-        return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max()));
+        return static_cast<std::uint16_t>(
+            std::min<std::uint32_t>(value, std::numeric_limits<std::uint16_t>::max()));
     }
 
     /// Binds UDP and TCP to one port. A free UDP port may be taken in TCP, so
@@ -323,8 +322,8 @@
     }
 
     void count_platform_bytes() {
-        spend(control_kind::key_value, config_service_->take_byte_count());
-        spend(control_kind::vm_list, vm_list_->take_byte_count());
+        spend(control_kind::key_value, sync_.take_key_value_bytes());
+        spend(control_kind::vm_list, sync_.take_vm_list_bytes());
         spend(control_kind::claims, claims_.take_byte_count());
     }
 
@@ -454,76 +453,17 @@
     // Documents
 
     void pull_if_newer(std::uint64_t sender, const wire::document_version& version) {
-        const auto index = static_cast<std::size_t>(version.kind);
-        if (index >= pulling_.size() || pulling_.at(index) ||
-            version.generation <= documents_.generation(version.kind)) {
-            return;
-        }
         const auto peer = members_.address_of(sender);
         if (peer) {
-            pulling_.at(index) = true;
-            spawn(pull(*peer, version.kind));
-        }
-    }
-
-    task<void> pull(endpoint peer, document_kind kind) {
-        auto offered = co_await exchange_.fetch(peer, kind);
-        pulling_.at(static_cast<std::size_t>(kind)) = false;
-        if (offered.has_error()) {
-            log_failure("document_not_fetched", offered.error());
-            co_return;
-        }
-        accept(kind, offered->generation, std::move(offered->header), to_text(peer));
-    }
-
-    /// Puts a document in force if it is newer and sound.
-    void accept(document_kind kind, std::uint64_t generation, std::string header, const std::string& source) {
-        if (generation <= documents_.generation(kind)) {
-            return;
-        }
-        const std::string text = joined_chunks(header);
-        const bool sound = kind == document_kind::configuration ? adopt_configuration(header, text, source)
-                                                                : adopt_vm_list(text, source);
-        if (sound && documents_.accept(kind, generation, std::move(header))) {
-            urgent_ = true;
-            view_changed_ = true;
-        }
-    }
-
-    std::string joined_chunks(const std::string& header) const {
-        std::string text;
-        for (const std::string& digest : digests_of(header)) {
-            const std::string* const chunk = documents_.find_chunk(digest);
-            text += chunk == nullptr ? std::string{} : *chunk;
-        }
-        return text;
-    }
-
-    bool adopt_configuration(const std::string& header, const std::string& text, const std::string& source) {
-        auto made = io_result_of<configuration>([&]() -> result<configuration> {
-            BOOST_LEAF_AUTO(root, parse_configuration_root(header, source));
-            return make_configuration(std::move(root), text);
-        });
-        if (made.has_error()) {
-            log_failure("configuration_refused", made.error());
-            return false;
+            sync_.pull_if_newer(*peer, version);
         }
-        log_info("configuration_in_force", {{"generation", std::to_string(made->root.generation)},
-                                            {"preset", made->root.active_preset},
-                                            {"source", source}});
-        upstreams_.set_drained(made->root.drained);
-        config_ = std::make_shared<const configuration>(std::move(*made));
-        return true;
     }
 
-    bool adopt_vm_list(const std::string& text, const std::string& source) {
-        auto vms = io_result_of<std::vector<listed_vm>>([&] { return parse_vm_lines(text, source); });
-        if (vms.has_error()) {
-            log_failure("vm_list_refused", vms.error());
-            return false;
-        }
-        apply_vm_list(*vms);
-        return true;
+    void adopt(std::shared_ptr<const configuration> next) {
+        upstreams_.set_drained(next->root.drained);
+        config_ = std::move(next);
+        urgent_ = true;
+        view_changed_ = true;
     }
 
     void apply_vm_list(const std::vector<listed_vm>& vms) {
@@ -539,6 +479,8 @@
             }
         }
         log_info("vm_list_applied", {{"vms", std::to_string(vms.size())}});
+        urgent_ = true;
+        view_changed_ = true;
     }
 
     bool is_watcher() const {
@@ -546,91 +488,6 @@
                            watchers_per_domain);
     }
 
-    task<void> config_loop() {
-        while (true) {
-            if (!is_watcher()) {
-                co_await sleep_for(heartbeat);
-                continue;
-            }
-            auto revision = co_await load_configuration();
-            if (revision.has_error()) {
-                log_failure("configuration_not_read", revision.error());
-                co_await sleep_for(heartbeat);
-                continue;
-            }
-            auto changed = co_await config_service_->wait_for_change(config_store_.root_key(), *revision,
-                                                                     settings_.config_check_interval);
-            if (changed.has_error()) {
-                log_failure("watch_ended", changed.error());
-                co_await sleep_for(heartbeat);
-            }
-        }
-    }
-
-    /// Reads the root and the chunks that are missing.
-    /// @return the root's revision
-    task<io_result<std::int64_t>> load_configuration() {
-        auto entry = co_await config_service_->read(config_store_.root_key());
-        if (entry.has_error()) {
-            co_return entry.error();
-        }
-        if (!entry->has_value()) {
-            co_return std::int64_t{0};
-        }
-        const kv_entry root = **entry;
-        auto parsed = io_result_of<configuration_root>(
-            [&] { return parse_configuration_root(root.value, config_store_.root_key()); });
-        if (parsed.has_error()) {
-            co_return parsed.error();
-        }
-        if (parsed->generation > documents_.generation(document_kind::configuration)) {
-            for (const std::string& digest : documents_.missing(root.value)) {
-                auto chunk = co_await config_store_.read_chunk(digest);
-                if (chunk.has_error()) {
-                    co_return chunk.error();
-                }
-                documents_.add_chunk(std::move(*chunk));
-            }
-            accept(document_kind::configuration, parsed->generation, root.value, "key-value service");
-        }
-        co_return root.mod_revision;
-    }
-
-    task<void> vm_list_loop() {
-        bool reported = false;
-        while (true) {
-            if (is_watcher()) {
-                const auto known = documents_.generation(document_kind::vm_list);
-                auto fetched = co_await vm_list_->fetch(known);
-                if (fetched.has_error() && !reported) {
-                    log_failure("vm_list_not_read", fetched.error());
-                }
-                reported = fetched.has_error();
-                if (fetched.has_value() && fetched->has_value()) {
-                    take_platform_list(**fetched);
-                }
-            }
-            co_await sleep_for(settings_.vm_list_interval);
-        }
-    }
-
-    /// Cuts the platform's list into the chunks that routers pass on.
-    void take_platform_list(const vm_list_document& list) {
-        auto vms = io_result_of<std::vector<listed_vm>>(
-            [&] { return parse_platform_vm_list(list.json, "VM list"); });
-        if (vms.has_error()) {
-            log_failure("vm_list_refused", vms.error());
-            return;
-        }
-        boost::json::array digests;
-        for (std::string& chunk : split_chunks(to_lines(*vms))) {
-            digests.emplace_back(sha256_hex(chunk));
-            documents_.add_chunk(std::move(chunk));
-        }
-        std::string header = boost::json::serialize(boost::json::object{{"chunks", std::move(digests)}});
-        accept(document_kind::vm_list, list.version, std::move(header), "VM list");
-    }
-
     // Probes and views
 
     task<void> probe_loop() {
@@ -679,10 +536,8 @@
     fleet_channel channel_;
     peer_exchange exchange_;
     prober prober_;
-    std::unique_ptr<kv_client> config_service_;
+    document_sync sync_;
     std::unique_ptr<kv_client> claim_service_;
-    std::unique_ptr<vm_list_client> vm_list_;
-    config_store config_store_;
     claim_registry claims_;
     suspect_registry suspects_;
     std::vector<wire::suspect_entry> pending_suspects_;
@@ -696,7 +551,6 @@
     std::map<std::uint16_t, std::shared_ptr<pending_slot>> pending_slots_;
     std::uint16_t last_nonce_ = 0;
     std::array<std::uint64_t, 2> sent_generation_{};
-    std::array<bool, 2> pulling_{};
     time_point gossiped_at_;
     time_point usage_sent_at_;
     time_point refreshed_at_;
@@ -743,7 +597,8 @@
     state_->post([state = state_.get(), upstream, seen] { state->observe(short_hash(upstream), seen); });
 }
 
-boost::asio::awaitable<slot_verdict> control_plane::reserve_slot(std::uint64_t upstream, std::uint32_t limit) {
+boost::asio::awaitable<slot_verdict> control_plane::reserve_slot(std::uint64_t upstream,
+                                                                 std::uint32_t limit) {
     return state_->reserve_slot(short_hash(upstream), limit);
 }
 
--- /dev/null
+++ b/packages/control/src/document_sync.cpp
@@ -0,0 +1,201 @@
+#include "citronwick/control/document_sync.hpp"
+
+#include "citronwick/config/io_result_of.hpp"
+#include "citronwick/core/hash.hpp"
+#include "citronwick/core/time.hpp"
+#include "citronwick/platform/etcd_gateway_client.hpp"
+#include "citronwick/platform/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+using wire::document_kind;
+
+/// Pause before the platform is asked again, and between looks at the duty.
+constexpr duration retry_interval = 1s;
+constexpr const char* config_source = "key-value service";
+
+task<void> sleep_for(duration time) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(use_tuple);
+}
+
+} // namespace
+
+document_sync::document_sync(asio::any_io_executor executor, const control_settings& settings,
+                             document_store& store, peer_exchange& peers, listener receiver)
+    : executor_{std::move(executor)}, settings_{settings}, store_{store}, peers_{peers},
+      receiver_{std::move(receiver)}, config_service_{make_etcd_gateway_client(
+                                          executor_, settings.key_value_servers, settings.platform_timeout)},
+      vm_list_{make_http_vm_list_client(executor_, settings.vm_list_server, settings.platform_timeout)},
+      config_store_{*config_service_, settings.key_prefix} {}
+
+void document_sync::start() {
+    asio::co_spawn(executor_, follow_configuration(), asio::detached);
+    asio::co_spawn(executor_, follow_vm_list(), asio::detached);
+}
+
+void document_sync::pull_if_newer(const endpoint& peer, const wire::document_version& version) {
+    const auto index = static_cast<std::size_t>(version.kind);
+    const bool is_known = index < pulling_.size();
+    if (is_known && !pulling_.at(index) && version.generation > store_.generation(version.kind)) {
+        pulling_.at(index) = true;
+        asio::co_spawn(executor_, pull(peer, version.kind), asio::detached);
+    }
+}
+
+task<void> document_sync::pull(endpoint peer, document_kind kind) {
+    auto offered = co_await peers_.fetch(peer, kind);
+    pulling_.at(static_cast<std::size_t>(kind)) = false;
+    if (offered.has_error()) {
+        log_failure("document_not_fetched", offered.error());
+        co_return;
+    }
+    accept(kind, offered->generation, std::move(offered->header), to_text(peer));
+}
+
+/// Puts a document in force if it is newer and sound.
+bool document_sync::accept(document_kind kind, std::uint64_t generation, std::string header,
+                           const std::string& source) {
+    if (generation <= store_.generation(kind) || !store_.missing(header).empty()) {
+        return false;
+    }
+    const std::string text = joined_chunks(header);
+    const bool sound = kind == document_kind::configuration ? adopt_configuration(header, text, source)
+                                                            : adopt_vm_list(text, source);
+    return sound && store_.accept(kind, generation, std::move(header));
+}
+
+std::string document_sync::joined_chunks(const std::string& header) const {
+    std::string text;
+    for (const std::string& digest : digests_of(header)) {
+        const std::string* const chunk = store_.find_chunk(digest);
+        text += chunk == nullptr ? std::string{} : *chunk;
+    }
+    return text;
+}
+
+bool document_sync::adopt_configuration(const std::string& header, const std::string& text,
+                                        const std::string& source) {
+    auto made = io_result_of<configuration>([&]() -> result<configuration> {
+        BOOST_LEAF_AUTO(root, parse_configuration_root(header, source));
+        return make_configuration(std::move(root), text);
+    });
+    if (made.has_error()) {
+        log_failure("configuration_refused", made.error());
+        return false;
+    }
+    log_info("configuration_in_force", {{"generation", std::to_string(made->root.generation)},
+                                        {"preset", made->root.active_preset},
+                                        {"source", source}});
+    receiver_.on_configuration(std::make_shared<const configuration>(std::move(*made)));
+    return true;
+}
+
+bool document_sync::adopt_vm_list(const std::string& text, const std::string& source) {
+    auto vms = io_result_of<std::vector<listed_vm>>([&] { return parse_vm_lines(text, source); });
+    if (vms.has_error()) {
+        log_failure("vm_list_refused", vms.error());
+        return false;
+    }
+    receiver_.on_vm_list(*vms);
+    return true;
+}
+
+task<void> document_sync::follow_configuration() {
+    while (true) {
+        if (!receiver_.is_watcher()) {
+            co_await sleep_for(retry_interval);
+            continue;
+        }
+        auto revision = co_await load_configuration();
+        if (revision.has_error()) {
+            log_failure("configuration_not_read", revision.error());
+            co_await sleep_for(retry_interval);
+            continue;
+        }
+        auto changed = co_await config_service_->wait_for_change(config_store_.root_key(), *revision,
+                                                                 settings_.config_check_interval);
+        if (changed.has_error()) {
+            log_failure("watch_ended", changed.error());
+            co_await sleep_for(retry_interval);
+        }
+    }
+}
+
+/// Reads the root and the chunks that are missing.
+/// @return the root's revision
+task<io_result<std::int64_t>> document_sync::load_configuration() {
+    auto entry = co_await config_service_->read(config_store_.root_key());
+    if (entry.has_error()) {
+        co_return entry.error();
+    }
+    if (!entry->has_value()) {
+        co_return std::int64_t{0};
+    }
+    const kv_entry root = **entry;
+    auto parsed = io_result_of<configuration_root>(
+        [&] { return parse_configuration_root(root.value, config_store_.root_key()); });
+    if (parsed.has_error()) {
+        co_return parsed.error();
+    }
+    if (parsed->generation > store_.generation(document_kind::configuration)) {
+        for (const std::string& digest : store_.missing(root.value)) {
+            auto chunk = co_await config_store_.read_chunk(digest);
+            if (chunk.has_error()) {
+                co_return chunk.error();
+            }
+            store_.add_chunk(std::move(*chunk));
+        }
+        accept(document_kind::configuration, parsed->generation, root.value, config_source);
+        if (store_.generation(document_kind::configuration) < parsed->generation) {
+            co_return failure{"put configuration in force", config_source, "it is not sound or not complete"};
+        }
+    }
+    co_return root.mod_revision;
+}
+
+task<void> document_sync::follow_vm_list() {
+    bool reported = false;
+    while (true) {
+        if (receiver_.is_watcher()) {
+            const auto known = store_.generation(document_kind::vm_list);
+            auto fetched = co_await vm_list_->fetch(known);
+            if (fetched.has_error() && !reported) {
+                log_failure("vm_list_not_read", fetched.error());
+            }
+            reported = fetched.has_error();
+            if (fetched.has_value() && fetched->has_value()) {
+                take_platform_list(**fetched);
+            }
+        }
+        co_await sleep_for(settings_.vm_list_interval);
+    }
+}
+
+/// Cuts the platform's list into the chunks that routers pass on.
+void document_sync::take_platform_list(const vm_list_document& list) {
+    auto vms =
+        io_result_of<std::vector<listed_vm>>([&] { return parse_platform_vm_list(list.json, "VM list"); });
+    if (vms.has_error()) {
+        log_failure("vm_list_refused", vms.error());
+        return;
+    }
+    boost::json::array digests;
+    for (std::string& chunk : split_chunks(to_lines(*vms))) {
+        digests.emplace_back(sha256_hex(chunk));
+        store_.add_chunk(std::move(chunk));
+    }
+    std::string header = boost::json::serialize(boost::json::object{{"chunks", std::move(digests)}});
+    accept(document_kind::vm_list, list.version, std::move(header), "VM list");
+}
+
+} // namespace citronwick
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -148,7 +148,8 @@
     return next->second.record;
 }
 
-std::uint64_t assigned_router(std::uint64_t duty, std::uint64_t self, const std::vector<const member*>& others) {
+std::uint64_t assigned_router(std::uint64_t duty, std::uint64_t self,
+                              const std::vector<const member*>& others) {
     double best = rendezvous_score(duty, self);
     std::uint64_t chosen = self;
     for (const member* other : others) {
--- a/packages/control/src/upstream_table.cpp
+++ b/packages/control/src/upstream_table.cpp
@@ -156,7 +156,8 @@
     }
     entry& upstream = found->second;
     upstream.peer_usage[router] = 0;
-    const std::int32_t others = sum_of_peers(upstream) + upstream.usage->in_flight.load(std::memory_order_relaxed);
+    const std::int32_t others =
+        sum_of_peers(upstream) + upstream.usage->in_flight.load(std::memory_order_relaxed);
     reply.granted = others + request.in_flight <= request.limit;
     const int asked = reply.granted ? request.in_flight : request.in_flight - 1;
     upstream.peer_usage[router] = static_cast<std::uint16_t>(std::max(asked, 0));
@@ -198,7 +199,8 @@
         }
         const std::int32_t said = kept_here ? sum_of_peers(each) : 0;
         const bool reported = each.report && now - each.report->at < report_lifetime;
-        const auto seen = reported ? static_cast<std::int32_t>(each.report->in_flight) - each.own_at_report : 0;
+        const auto seen =
+            reported ? static_cast<std::int32_t>(each.report->in_flight) - each.own_at_report : 0;
         each.usage->elsewhere.store(std::max({said, seen, 0}), std::memory_order_relaxed);
     }
 }
@@ -223,7 +225,8 @@
 
 std::uint16_t upstream_table::own_in_flight(std::uint32_t upstream) const {
     const auto found = entries_.find(upstream);
-    const auto own = found == entries_.end() ? 0 : found->second.usage->in_flight.load(std::memory_order_relaxed);
+    const auto own =
+        found == entries_.end() ? 0 : found->second.usage->in_flight.load(std::memory_order_relaxed);
     return static_cast<std::uint16_t>(std::clamp(own, 0, 65'535));
 }
 
@@ -240,7 +243,8 @@
     std::vector<wire::count_entry> counts;
     for (const auto& [upstream, each] : entries_) {
         if (each.keeper == self_) {
-            counts.push_back({upstream, static_cast<std::uint16_t>(std::clamp(each.usage->total(), 0, 65'535))});
+            counts.push_back(
+                {upstream, static_cast<std::uint16_t>(std::clamp(each.usage->total(), 0, 65'535))});
         }
     }
     return counts;
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -28,7 +28,8 @@
 
 std::uint8_t suspect_table::crashes(fingerprint request, time_point now) const {
     const auto found = entries_.find(request);
-    return found == entries_.end() || now - found->second.last >= memory ? std::uint8_t{0} : found->second.crashes;
+    return found == entries_.end() || now - found->second.last >= memory ? std::uint8_t{0}
+                                                                         : found->second.crashes;
 }
 
 void suspect_table::expire(time_point now) {
--- a/packages/router/include/citronwick/router/router_settings.hpp
+++ b/packages/router/include/citronwick/router/router_settings.hpp
@@ -14,7 +14,7 @@
     control_settings control;
     traffic_settings traffic;
     std::string source_address; ///< local address of outbound connections, empty for any
-    std::string port_file; ///< bound ports are written here, empty for none
+    std::string port_file;      ///< bound ports are written here, empty for none
     std::string log_format = "key_value";
     std::string log_level = "info";
 };
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -76,7 +76,9 @@
             each.state = availability::excluded;
         }
     }
-    const auto is_kept = [&](const candidate& each) { return upstreams[&each - candidates.data()].counted_here; };
+    const auto is_kept = [&](const candidate& each) {
+        return upstreams[&each - candidates.data()].counted_here;
+    };
     const bool has_own = std::ranges::any_of(candidates, [&](const candidate& each) {
         return each.state == availability::ready && is_kept(each);
     });
@@ -112,7 +114,8 @@
     const auto& policy = policies_.find(request.policy)->second;
     for (int denied = 0;; ++denied) {
         const auto candidates = candidates_for(request, upstreams);
-        const auto decision = policy->place(request.placement, candidates, view->config->active, clock::now());
+        const auto decision =
+            policy->place(request.placement, candidates, view->config->active, clock::now());
         if (!decision.index) {
             co_return placement_attempt{std::nullopt, decision.reason};
         }
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -78,12 +78,9 @@
 
 json::object entry_vm(const router_node& router) {
     const endpoint address = router.proxy ? router.proxy->addresses.front() : router.addresses.at(2);
-    return {{"name", router.name},
-            {"role", "entry"},
-            {"region", "kr-south"},
-            {"failure_domain", router.failure_domain},
-            {"address", to_text(address)},
-            {"state", "live"}};
+    return {{"name", router.name},         {"role", "entry"},
+            {"region", "kr-south"},        {"failure_domain", router.failure_domain},
+            {"address", to_text(address)}, {"state", "live"}};
 }
 
 json::object post_json(const endpoint& peer, const std::string& target, const std::string& body) {
@@ -293,8 +290,9 @@
          << router.failure_domain << "\"\n"
          << (options_.proxies ? "source_address = \"" + domain_ip(router.failure_domain) + "\"\n" : "")
          << "\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
-         << "fleet = \"" << domain_ip(router.failure_domain) << ":0\"\nport_file = \"" << file(router.name + ".ports")
-         << "\"\n\n[fleet]\nkey = \"" << fleet_key << "\"\nseeds = [" << seeds << "]\n"
+         << "fleet = \"" << domain_ip(router.failure_domain) << ":0\"\nport_file = \""
+         << file(router.name + ".ports") << "\"\n\n[fleet]\nkey = \"" << fleet_key << "\"\nseeds = [" << seeds
+         << "]\n"
          << (router.proxy ? "advertise = \"" + to_text(router.proxy->addresses.front()) + "\"\n" : "")
          << options_.fleet_settings << "\n\n[platform]\nkey_value = [\"" << to_text(key_value_.address())
          << "\"]\nvm_list = \"" << to_text(vm_list_.address()) << "\"\n"
--- a/tests/integration/caller_contract.tests.cpp
+++ b/tests/integration/caller_contract.tests.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-TEST_CASE("bad input gets a clear refusal and never runs") {
+TEST_CASE("contract: bad input gets a clear refusal and never runs") {
     fleet system{{.routers = 1,
                   .engines = 1,
                   .service_workers = 1,
@@ -129,7 +129,7 @@
     CHECK(chat(router.callers(), {}).whole(4));
 }
 
-TEST_CASE("a refused request leaves the connection usable") {
+TEST_CASE("contract: a refused request leaves the connection usable") {
     fleet system{{.routers = 1, .engines = 1, .service_workers = 0}};
     REQUIRE(system.wait_ready());
     const std::string twice =
@@ -140,7 +140,7 @@
     CHECK(answers.find("HTTP/1.1 404", first + 1) != std::string::npos);
 }
 
-TEST_CASE("a caller that hangs up cancels the engine's work") {
+TEST_CASE("contract: a caller that hangs up cancels the engine's work") {
     fleet system{{.routers = 1, .engines = 1, .service_workers = 0}};
     REQUIRE(system.wait_ready());
     const auto& engine = system.engines().front();
@@ -156,7 +156,7 @@
     CHECK(running(engine) == 0);
 }
 
-TEST_CASE("a caller that stops reading is cut off and holds a bounded buffer") {
+TEST_CASE("contract: a caller that stops reading is cut off and holds a bounded buffer") {
     fleet system{{.routers = 1,
                   .engines = 1,
                   .service_workers = 0,
--- a/tests/integration/configuration.tests.cpp
+++ b/tests/integration/configuration.tests.cpp
@@ -153,7 +153,8 @@
     CHECK(wait_until([&] { return chat(system.routers()[0].callers(), {}).whole(4); }));
 }
 
-TEST_CASE("a declaration of 13,000 teams and 39 models is applied in seconds and comes into force") {
+TEST_CASE(
+    "contract: a declaration of 13,000 teams and 39 models is applied in seconds and comes into force") {
     std::string text;
     for (int model = 0; model < 39; ++model) {
         const std::string name = std::to_string(model);
--- a/tests/integration/crashing_requests.tests.cpp
+++ b/tests/integration/crashing_requests.tests.cpp
@@ -34,7 +34,8 @@
             for (int turn = 0; !stop; ++turn) {
                 const auto& router = system.routers()[static_cast<std::size_t>(turn) % 3];
                 const auto name = std::to_string(caller) + "-" + std::to_string(turn);
-                const auto answer = chat(router.callers(), {.chat = name, .prompt = name, .tokens = 20, .stream = false});
+                const auto answer =
+                    chat(router.callers(), {.chat = name, .prompt = name, .tokens = 20, .stream = false});
                 ++(answer.whole(20) ? answered : failed);
                 if (!answer.whole(20)) {
                     const std::scoped_lock lock{mutex};
@@ -58,8 +59,8 @@
     }
     stop = true;
     callers.clear();
-    const auto crashed =
-        std::ranges::count_if(system.engines(), [](const node& engine) { return !engine.process->is_running(); });
+    const auto crashed = std::ranges::count_if(
+        system.engines(), [](const node& engine) { return !engine.process->is_running(); });
     CAPTURE(first_failure);
     CHECK(crashed <= 2);
     CHECK(failed == 0);
--- a/tests/integration/load_bound.tests.cpp
+++ b/tests/integration/load_bound.tests.cpp
@@ -38,7 +38,8 @@
 
 private:
     void ask(const std::vector<endpoint>& routers, std::size_t index) {
-        const std::string name = index % 2 == 0 ? "hot-" + std::to_string(index % 4) : "own-" + std::to_string(index);
+        const std::string name =
+            index % 2 == 0 ? "hot-" + std::to_string(index % 4) : "own-" + std::to_string(index);
         for (std::size_t turn = index; !stop_; ++turn) {
             chat(routers[turn % routers.size()], {.chat = name, .tokens = 160});
         }
@@ -85,7 +86,9 @@
     REQUIRE(system.wait_ready());
     const hot_load load{system};
     std::this_thread::sleep_for(2s); // warm-up
-    SUBCASE("with load reports two seconds late") { CHECK(largest_multiple(system, 5s) <= skew_limit); }
+    SUBCASE("with load reports two seconds late") {
+        CHECK(largest_multiple(system, 5s) <= skew_limit);
+    }
     SUBCASE("when an engine joins") {
         system.add_engine("busan-a");
         system.publish_vms();
--- a/tests/integration/partitions.tests.cpp
+++ b/tests/integration/partitions.tests.cpp
@@ -37,7 +37,10 @@
 } // namespace
 
 TEST_CASE("proof: a failure domain cut off from the others and the platform serves from its own upstreams") {
-    fleet system{{.routers = 6, .engines = 3, .service_workers = 3, .proxies = true,
+    fleet system{{.routers = 6,
+                  .engines = 3,
+                  .service_workers = 3,
+                  .proxies = true,
                   .platform_settings = "timeout = \"400ms\""}};
     REQUIRE(system.wait_ready());
     auto& inside = system.routers()[2];  // ulsan-c
@@ -69,7 +72,9 @@
         CHECK(wait_until([&] { return chat(restarted.callers(), {.chat = "again"}).whole(4); }));
         CHECK(generation(system, restarted) == 1);
     }
-    SUBCASE("the key-value service fails too") { set_fault(system.key_value(), R"({"outage":1})"); }
+    SUBCASE("the key-value service fails too") {
+        set_fault(system.key_value(), R"({"outage":1})");
+    }
 
     system.heal();
     CHECK(system.wait_generation(2, 13s));
--- a/tests/integration/path.tests.cpp
+++ b/tests/integration/path.tests.cpp
@@ -10,7 +10,7 @@
 using namespace citronwick;
 using namespace citronwick::harness;
 
-TEST_CASE("a request goes from a caller through a router to an engine and back") {
+TEST_CASE("contract: a request goes from a caller through a router to an engine and back") {
     fleet system{{.routers = 2, .engines = 3, .service_workers = 1}};
     REQUIRE(system.wait_ready());
     const auto& first = system.routers()[0];
