Spread a new generation in several messages; assign keepers once a second

Cause: a generation was named once to three routers and then every 2 s, so it took 8.9 s to cross 48 routers and did not reach 96 within 20 s. It is now named in eight messages running. Reports of large fleets spread only when an upstream becomes reachable or unreachable. Each control tick also ranked every upstream over every router; that is now done once a second and when either set changes.

--- a/bench/citronbench/experiment.cpp
+++ b/bench/citronbench/experiment.cpp
@@ -52,6 +52,7 @@
         .read("duration", read.duration)
         .read("routers", read.routers)
         .read("engines", read.engines)
+        .read("teams", read.teams)
         .read("shared_engines", read.shared_engines)
         .read("engine_arguments", read.engine_arguments);
     read.load = read_load(reader.table("load"), problems);
--- a/bench/citronbench/experiment.hpp
+++ b/bench/citronbench/experiment.hpp
@@ -48,6 +48,7 @@
     std::chrono::milliseconds duration{20'000};
     std::uint32_t routers = 6;
     std::uint32_t engines = 10;
+    std::uint32_t teams = 0; ///< teams of the declaration, 0 for the usual ones
     bool shared_engines = false;
     std::vector<std::string> engine_arguments{};
     load_shape load;
--- a/bench/citronbench/main.cpp
+++ b/bench/citronbench/main.cpp
@@ -1,6 +1,7 @@
 #include "arm_figures.hpp"
 #include "chat_run.hpp"
 #include "citronwick/config/io_result_of.hpp"
+#include "citronwick/core/hash.hpp"
 #include "experiment.hpp"
 #include "latency_run.hpp"
 
@@ -29,6 +30,21 @@
 Prints one line of JSON for each arm, then a table.
 )";
 
+/// Declaration with many teams, empty for the usual one.
+std::string declaration_of(const bench::experiment& plan) {
+    if (plan.teams == 0) {
+        return {};
+    }
+    std::string text =
+        "[[service]]\nname = \"citron-bench\"\nkind = \"engine\"\nmodels = [\"repair-draft\"]\n\n";
+    for (std::uint32_t index = 0; index < plan.teams; ++index) {
+        const std::string name = fmt::format("team-{}", index);
+        text += fmt::format("[[team]]\nname = \"{}\"\nkey_sha256 = \"{}\"\n\n", name,
+                            citronwick::sha256_hex(harness::team_key(name)));
+    }
+    return text + "[preset.ordinary]\n[preset.peak]\n";
+}
+
 harness::fleet_options fleet_options_of(const bench::experiment& plan, const bench::arm_shape& arm) {
     const bool large = plan.routers > 12;
     return {.routers = plan.routers,
@@ -39,6 +55,7 @@
             .preset = arm.preset,
             .router_settings = large ? "[limits]\nthreads = 1\n" : "",
             .fleet_settings = arm.fleet,
+            .declaration = declaration_of(plan),
             .log_level = "warn"};
 }
 
--- a/packages/control/include/citronwick/control/document_sync.hpp
+++ b/packages/control/include/citronwick/control/document_sync.hpp
@@ -52,8 +52,9 @@
     void take_platform_list(const vm_list_document& list);
     bool accept(wire::document_kind kind, std::uint64_t generation, std::string header,
                 const std::string& source);
-    bool adopt_configuration(const std::string& header, const std::string& text, const std::string& source);
-    bool adopt_vm_list(const std::string& text, const std::string& source);
+    bool adopt_configuration(const std::string& header, const std::string& text,
+                             const std::string& source) const;
+    bool adopt_vm_list(const std::string& text, const std::string& source) const;
     std::string joined_chunks(const std::string& header) const;
 
     asio::any_io_executor executor_;
--- a/packages/control/include/citronwick/control/upstream_table.hpp
+++ b/packages/control/include/citronwick/control/upstream_table.hpp
@@ -42,6 +42,9 @@
     /// @return whether anything changed
     bool observe(std::uint32_t upstream, const upstream_observation& seen);
 
+    /// Whether the last observation reached the upstream; true while there is none.
+    bool is_reachable(std::uint32_t upstream) const;
+
     /// Notes the outcome of this router's own attempt to connect.
     void record_contact(std::uint32_t upstream, bool succeeded, time_point now);
 
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -37,6 +37,8 @@
 
 constexpr duration gossip_tick = 50ms;
 constexpr duration heartbeat = 1s;
+/// Between two looks at who keeps which count; silence is noticed more slowly.
+constexpr duration keeper_interval = 1s;
 /// Time for which a changed count waits for a message that can carry it.
 constexpr duration usage_interval = 300ms;
 constexpr duration refresh_interval = 2s;
@@ -49,6 +51,8 @@
 constexpr std::size_t small_fleet = 8;
 constexpr double burst_seconds = 2.0;
 constexpr int mark_repeats = 3;
+/// Messages that name a new generation: enough for 3^6 routers, and some to spare.
+constexpr int version_rounds = 8;
 constexpr const char* control_thread_name = "control";
 
 /// Duties that rendezvous hashing assigns to routers.
@@ -245,6 +249,7 @@
                                            {"failure_domain", record.failure_domain},
                                            {"leaving", record.leaving ? "yes" : "no"}});
                 introduce_ = true;
+                keepers_stale_ = true;
                 view_changed_ = true;
             }
         }
@@ -301,9 +306,12 @@
             const upstream_observation seen{.reachable = report.reachable,
                                             .in_flight = static_cast<double>(report.in_flight),
                                             .at = now - std::chrono::milliseconds{report.age}};
+            const bool was_reachable = upstreams_.is_reachable(report.upstream);
             const bool is_news = upstreams_.observe(report.upstream, seen);
-            if (is_news && members_.live(now).size() > small_fleet) {
+            const bool is_large = members_.live(now).size() > small_fleet;
+            if (is_news && is_large && was_reachable != seen.reachable) {
                 pending_reports_[report.upstream] = seen;
+                urgent_ = true;
             }
         }
     }
@@ -314,7 +322,9 @@
             const auto now = clock::now();
             upstreams_.forget_peers(members_.silent(now));
             upstreams_.forget_peers(members_.forget_silent(now));
-            assign_keepers(now);
+            if (keepers_stale_ || now - keepers_assigned_at_ >= keeper_interval) {
+                assign_keepers(now);
+            }
             upstreams_.refresh_estimates(members_.silent(now).empty(), now);
             count_platform_bytes();
             gossip_if_due(now);
@@ -331,7 +341,7 @@
         pending_suspects_ = suspects_.take_news();
         urgent_ = urgent_ || !pending_suspects_.empty();
         const bool refresh = now - refreshed_at_ >= refresh_interval;
-        const bool must = urgent_ || refresh || now - gossiped_at_ >= heartbeat;
+        const bool must = urgent_ || refresh || version_repeats_ > 0 || now - gossiped_at_ >= heartbeat;
         if (must || (introduce_ && budget_.take(0.0, now))) {
             gossip_to_fleet(refresh, now);
         }
@@ -391,6 +401,8 @@
 
     /// Gives each upstream's count to one of the live routers.
     void assign_keepers(time_point now) {
+        keepers_assigned_at_ = now;
+        keepers_stale_ = false;
         const auto region = members_.live_in_region(now);
         const auto keeper = [&](std::uint64_t upstream) {
             return assigned_router(upstream, members_.self_hash(), region);
@@ -439,15 +451,23 @@
         }
     }
 
+    /// Names the generations held: new ones in several messages running, so that
+    /// they cross a fleet that sends to a few routers at a time.
     void add_versions(wire::gossip& message, bool refresh) {
         for (const auto kind : {document_kind::configuration, document_kind::vm_list}) {
             const std::uint64_t generation = documents_.generation(kind);
-            auto& sent = sent_generation_.at(static_cast<std::size_t>(kind));
-            if (generation != 0 && (refresh || generation != sent)) {
+            if (generation != 0 && (refresh || version_repeats_ > 0)) {
                 message.documents.push_back({kind, generation});
-                sent = generation;
             }
         }
+        version_repeats_ = std::max(0, version_repeats_ - 1);
+    }
+
+    /// Spreads a document that has just come into force.
+    void spread_versions() {
+        const bool is_large = members_.live(clock::now()).size() > small_fleet;
+        version_repeats_ = is_large ? version_rounds : 1;
+        view_changed_ = true;
     }
 
     // Documents
@@ -462,8 +482,7 @@
     void adopt(std::shared_ptr<const configuration> next) {
         upstreams_.set_drained(next->root.drained);
         config_ = std::move(next);
-        urgent_ = true;
-        view_changed_ = true;
+        spread_versions();
     }
 
     void apply_vm_list(const std::vector<listed_vm>& vms) {
@@ -478,9 +497,9 @@
                                now);
             }
         }
+        keepers_stale_ = true;
         log_info("vm_list_applied", {{"vms", std::to_string(vms.size())}});
-        urgent_ = true;
-        view_changed_ = true;
+        spread_versions();
     }
 
     bool is_watcher() const {
@@ -550,9 +569,11 @@
     std::map<std::uint32_t, std::uint16_t> sent_usage_;
     std::map<std::uint16_t, std::shared_ptr<pending_slot>> pending_slots_;
     std::uint16_t last_nonce_ = 0;
-    std::array<std::uint64_t, 2> sent_generation_{};
+    int version_repeats_ = 0;
     time_point gossiped_at_;
     time_point usage_sent_at_;
+    time_point keepers_assigned_at_;
+    bool keepers_stale_ = true;
     time_point refreshed_at_;
     time_point viewed_at_;
     int marks_to_repeat_ = 0;
--- a/packages/control/src/document_sync.cpp
+++ b/packages/control/src/document_sync.cpp
@@ -84,7 +84,7 @@
 }
 
 bool document_sync::adopt_configuration(const std::string& header, const std::string& text,
-                                        const std::string& source) {
+                                        const std::string& source) const {
     auto made = io_result_of<configuration>([&]() -> result<configuration> {
         BOOST_LEAF_AUTO(root, parse_configuration_root(header, source));
         return make_configuration(std::move(root), text);
@@ -100,7 +100,7 @@
     return true;
 }
 
-bool document_sync::adopt_vm_list(const std::string& text, const std::string& source) {
+bool document_sync::adopt_vm_list(const std::string& text, const std::string& source) const {
     auto vms = io_result_of<std::vector<listed_vm>>([&] { return parse_vm_lines(text, source); });
     if (vms.has_error()) {
         log_failure("vm_list_refused", vms.error());
--- a/packages/control/src/peer_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -62,18 +62,9 @@
       answer_claim_{std::move(answer_claim)}, count_{std::move(count)} {}
 
 io_result<void> peer_exchange::open(const endpoint& listen) {
-    boost::system::error_code error;
-    const auto address = to_tcp(listen);
-    acceptor_.open(address.protocol(), error);
-    acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
-    acceptor_.bind(address, error);
-    if (!error) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
-        return failure{"listen for peers", to_text(listen), error.message()};
+    const auto bound = open_listener(acceptor_, listen, "listen for peers");
+    if (bound.has_error()) {
+        return bound.error();
     }
     return {};
 }
--- a/packages/control/src/upstream_table.cpp
+++ b/packages/control/src/upstream_table.cpp
@@ -75,6 +75,11 @@
     return true;
 }
 
+bool upstream_table::is_reachable(std::uint32_t upstream) const {
+    const auto found = entries_.find(upstream);
+    return found == entries_.end() || !found->second.report || found->second.report->reachable;
+}
+
 void upstream_table::record_contact(std::uint32_t upstream, bool succeeded, time_point now) {
     const auto found = entries_.find(upstream);
     if (found == entries_.end()) {
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -37,7 +37,7 @@
 
 exit_code report(const command_context& command, const failure& error) {
     command.errors << to_text(error) << "\n";
-    if (error.step == "check declaration" || error.step == "parse TOML" || error.step == "read file") {
+    if (error.step == "check declaration" || error.step == "parse TOML") {
         return exit_code::usage;
     }
     return error.detail.starts_with("lost a race") ? exit_code::lost : exit_code::failed;
@@ -66,16 +66,34 @@
     return {text.data(), size};
 }
 
-exit_code check(const command_context& command) {
-    const auto text = read_file(command.options.file);
+/// A declaration's file with what it declares.
+struct checked_file {
+    std::string text;
+    declaration declared;
+};
+
+/// Reads and checks the declaration; faults are printed.
+/// @return nothing where there are any
+std::optional<checked_file> read_declaration(const command_context& command) {
+    auto text = read_file(command.options.file);
     if (text.has_error()) {
-        return report(command, text.error());
+        command.errors << to_text(text.error()) << "\n";
+        return std::nullopt;
     }
-    const auto parsed = parse(*text, command.options.file);
+    auto parsed = parse(*text, command.options.file);
     if (parsed.has_error()) {
         command.errors << parsed.error().detail << "\n";
+        return std::nullopt;
+    }
+    return checked_file{std::move(*text), std::move(*parsed)};
+}
+
+exit_code check(const command_context& command) {
+    const auto checked = read_declaration(command);
+    if (!checked) {
         return exit_code::usage;
     }
+    const declaration* const parsed = &checked->declared;
     command.out << fmt::format("{}: ok ({} services, {} teams, {} presets)\n", command.options.file,
                                parsed->services().size(), parsed->teams().size(), parsed->presets().size());
     return exit_code::ok;
@@ -122,13 +140,8 @@
 }
 
 exit_code apply(const command_context& command) {
-    const auto text = read_file(command.options.file);
-    if (text.has_error()) {
-        return report(command, text.error());
-    }
-    const auto declared = parse(*text, command.options.file);
-    if (declared.has_error()) {
-        command.errors << declared.error().detail << "\n";
+    const auto checked = read_declaration(command);
+    if (!checked) {
         return exit_code::usage;
     }
     store_session session{command.options};
@@ -137,10 +150,10 @@
         return report(command, base.error());
     }
     auto change = change_by(command.options);
-    change.text = *text;
-    change.active_preset = chosen_preset(command.options, *base, *declared);
+    change.text = checked->text;
+    change.active_preset = chosen_preset(command.options, *base, checked->declared);
     change.drained = *base ? (*base)->value.root.drained : std::vector<std::string>{};
-    if (declared->find_preset(change.active_preset) == nullptr) {
+    if (checked->declared.find_preset(change.active_preset) == nullptr) {
         command.errors << "preset \"" << change.active_preset << "\" is not declared in "
                        << command.options.file << "\n";
         return exit_code::usage;
@@ -149,13 +162,8 @@
 }
 
 exit_code plan(const command_context& command) {
-    const auto text = read_file(command.options.file);
-    if (text.has_error()) {
-        return report(command, text.error());
-    }
-    const auto declared = parse(*text, command.options.file);
-    if (declared.has_error()) {
-        command.errors << declared.error().detail << "\n";
+    const auto checked = read_declaration(command);
+    if (!checked) {
         return exit_code::usage;
     }
     store_session session{command.options};
@@ -163,7 +171,7 @@
     if (base.has_error()) {
         return report(command, base.error());
     }
-    const auto changes = diff_declarations(*base ? (*base)->value.text : "", *text);
+    const auto changes = diff_declarations(*base ? (*base)->value.text : "", checked->text);
     for (const std::string& line : changes) {
         command.out << line << "\n";
     }
--- a/packages/platform/include/citronwick/platform/task.hpp
+++ b/packages/platform/include/citronwick/platform/task.hpp
@@ -27,6 +27,12 @@
 /// Endpoint of a TCP address.
 endpoint to_endpoint(const asio::ip::tcp::endpoint& value);
 
+/// Binds an acceptor and listens; it stays closed on failure.
+/// @param step named in the failure
+/// @return the bound endpoint
+io_result<endpoint> open_listener(asio::ip::tcp::acceptor& acceptor, const endpoint& listen,
+                                  const char* step);
+
 /// Sets the local address of all outbound TCP connections of this process; to
 /// be called before the first one. Without it the system chooses.
 void set_outbound_address(const std::string& ip);
--- a/packages/platform/src/task.cpp
+++ b/packages/platform/src/task.cpp
@@ -9,6 +9,24 @@
 
 } // namespace
 
+io_result<endpoint> open_listener(asio::ip::tcp::acceptor& acceptor, const endpoint& listen,
+                                  const char* step) {
+    boost::system::error_code error;
+    const auto address = to_tcp(listen);
+    acceptor.open(address.protocol(), error);
+    acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    acceptor.bind(address, error);
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        return failure{step, to_text(listen), error.message()};
+    }
+    return to_endpoint(acceptor.local_endpoint());
+}
+
 void set_outbound_address(const std::string& ip) {
     outbound_address = ip;
 }
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -342,7 +342,7 @@
             events.discard_pending();
             resumed.reset();
             if (resumes_left-- > 0) {
-                const std::string last = events.last_event_id();
+                const std::string& last = events.last_event_id();
                 resumed = co_await resume(engine, last);
             }
             if (!resumed) {
--- a/packages/traffic/src/front.cpp
+++ b/packages/traffic/src/front.cpp
@@ -67,23 +67,16 @@
           shared_{control, settings_, counters, admission_, suspect_turn_}, acceptor_{accept_context_} {}
 
     io_result<endpoint> start() {
-        boost::system::error_code error;
-        const auto address = to_tcp(settings_.callers);
-        acceptor_.open(address.protocol(), error);
-        acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
-        acceptor_.bind(address, error);
-        if (!error) {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
-            return failure{"listen for callers", to_text(settings_.callers), error.message()};
+        const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
+        if (bound.has_error()) {
+            return bound;
         }
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(shared_));
         }
         asio::co_spawn(accept_context_, accept(), asio::detached);
         accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
-        return to_endpoint(acceptor_.local_endpoint());
+        return bound;
     }
 
     void announce_shutdown() { leaving_ = true; }
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -62,20 +62,13 @@
     ~state() { context_.stop(); }
 
     io_result<endpoint> start() {
-        boost::system::error_code error;
-        const auto address = to_tcp(listen_);
-        acceptor_.open(address.protocol(), error);
-        acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
-        acceptor_.bind(address, error);
-        if (!error) {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
-            return failure{"listen for operators", to_text(listen_), error.message()};
+        const auto bound = open_listener(acceptor_, listen_, "listen for operators");
+        if (bound.has_error()) {
+            return bound;
         }
         asio::co_spawn(context_, accept(), asio::detached);
         thread_ = std::jthread{[this] { context_.run(); }};
-        return to_endpoint(acceptor_.local_endpoint());
+        return bound;
     }
 
     void set_unready() { ready_ = false; }
--- a/tests/integration/configuration.tests.cpp
+++ b/tests/integration/configuration.tests.cpp
@@ -158,12 +158,13 @@
     std::string text;
     for (int model = 0; model < 39; ++model) {
         const std::string name = std::to_string(model);
-        text += "[[service]]\nname = \"pool-" + name + "\"\nkind = \"engine\"\nmodels = [\"model-" + name +
-                "\"]\n\n";
+        text.append("[[service]]\nname = \"pool-").append(name);
+        text.append("\"\nkind = \"engine\"\nmodels = [\"model-").append(name).append("\"]\n\n");
     }
     for (int team = 0; team < 13'000; ++team) {
         const std::string name = "team-" + std::to_string(team);
-        text += "[[team]]\nname = \"" + name + "\"\nkey_sha256 = \"" + sha256_hex(team_key(name)) + "\"\n\n";
+        text.append("[[team]]\nname = \"").append(name);
+        text.append("\"\nkey_sha256 = \"").append(sha256_hex(team_key(name))).append("\"\n\n");
     }
     text += "[preset.ordinary]\n[preset.peak]\n";
     fleet system{{.routers = 2, .engines = 0, .service_workers = 0, .declaration = text}};
--- a/tests/integration/planned_stops.tests.cpp
+++ b/tests/integration/planned_stops.tests.cpp
@@ -221,7 +221,6 @@
     steady_load bookings{system, 3, true};
     for (std::size_t turn = 0; turn < 6; ++turn) {
         auto& oldest = system.routers()[turn];
-        const std::string domain = oldest.failure_domain;
         oldest.process->signal(SIGTERM);
         CHECK(oldest.process->wait(20s) == 0);
         const std::scoped_lock lock{steady_load::fleet_mutex()};
