--- a/bench/citronbench/chat_run.cpp
+++ b/bench/citronbench/chat_run.cpp
@@ -1,7 +1,7 @@
 #include "chat_run.hpp"
 
 #include "chat.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "router_usage.hpp"
 
 #include <algorithm>
--- a/bench/citronbench/chat_run.hpp
+++ b/bench/citronbench/chat_run.hpp
@@ -3,7 +3,7 @@
 
 #include "arm_figures.hpp"
 #include "chat_population.hpp"
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 #include "experiment.hpp"
 #include "fleet.hpp"
 
--- a/bench/citronbench/latency_run.cpp
+++ b/bench/citronbench/latency_run.cpp
@@ -1,7 +1,7 @@
 #include "latency_run.hpp"
 
 #include "chat.hpp"
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 #include "router_usage.hpp"
 #include "waiting.hpp"
 
--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -4,7 +4,7 @@
 
 #include "chat.hpp"
 #include "citronwick/core/failure.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "fleet.hpp"
 #include "waiting.hpp"
 
--- a/packages/config/include/citronwick/config/config_store.hpp
+++ b/packages/config/include/citronwick/config/config_store.hpp
@@ -2,7 +2,7 @@
 #define CITRONWICK_CONFIG_CONFIG_STORE_HPP_INCLUDED
 
 #include "citronwick/config/configuration.hpp"
-#include "citronwick/platform/kv_client.hpp"
+#include "citronwick/io/kv_client.hpp"
 
 #include <optional>
 #include <string>
--- /dev/null
+++ b/packages/config/include/citronwick/config/routing_configuration.hpp
@@ -0,0 +1,81 @@
+#ifndef CITRONWICK_CONFIG_ROUTING_CONFIGURATION_HPP_INCLUDED
+#define CITRONWICK_CONFIG_ROUTING_CONFIGURATION_HPP_INCLUDED
+
+#include "citronwick/policy/route_table.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace citronwick {
+
+/// What a model engine can do.
+struct engine_profile {
+    std::uint32_t slots = 1;        ///< requests that run at once
+    std::uint32_t cache_tokens = 0; ///< memory that running and cached prompts share
+};
+
+/// Service that routes lead to.
+struct routed_service {
+    std::string name;
+    std::uint32_t connection_limit = 64;     ///< connections that one upstream accepts from all callers
+    std::optional<engine_profile> engine{}; ///< none for a plain service
+};
+
+/// Team that sends requests on routes, with the keys that prove it.
+struct routed_team {
+    std::string name;
+    std::vector<std::string> keys;
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+};
+
+/// What a caller may send, and how long it may take or stay idle.
+struct caller_limits {
+    std::uint32_t header_bytes = 16'384;
+    std::uint32_t body_bytes = 4'194'304;
+    std::chrono::milliseconds header_timeout{3'000};
+    std::chrono::milliseconds idle_timeout{15'000};
+};
+
+/// All that operators declare of a routing fleet.
+struct routing_declaration {
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<routed_service> services;
+    std::vector<routed_team> teams;
+    caller_limits limits;
+};
+
+/// A version of the declaration that is ready to decide with.
+class routing_configuration {
+public:
+    /// @param revision of the store at which this version was written
+    routing_configuration(routing_declaration declared, std::int64_t revision);
+
+    std::uint64_t version() const { return declared_.version; }
+    std::int64_t revision() const { return revision_; }
+    const caller_limits& limits() const { return declared_.limits; }
+    const route_table& routes() const { return routes_; }
+    const std::vector<routed_service>& services() const { return declared_.services; }
+    std::size_t team_count() const { return declared_.teams.size(); }
+
+    /// @return null where the service is not declared
+    const routed_service* find_service(std::string_view name) const;
+
+    /// @return null where no team holds the key
+    const routed_team* find_team(const std::string& key) const;
+
+private:
+    routing_declaration declared_;
+    std::int64_t revision_;
+    route_table routes_;
+    std::unordered_map<std::string, std::size_t> team_by_key_;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/control/include/citronwick/control/claim_registry.hpp
+++ b/packages/control/include/citronwick/control/claim_registry.hpp
@@ -2,7 +2,7 @@
 #define CITRONWICK_CONTROL_CLAIM_REGISTRY_HPP_INCLUDED
 
 #include "citronwick/core/time.hpp"
-#include "citronwick/platform/kv_client.hpp"
+#include "citronwick/io/kv_client.hpp"
 #include "citronwick/wire/messages.hpp"
 
 #include <chrono>
--- a/packages/control/include/citronwick/control/document_sync.hpp
+++ b/packages/control/include/citronwick/control/document_sync.hpp
@@ -7,8 +7,8 @@
 #include "citronwick/control/document_store.hpp"
 #include "citronwick/control/peer_exchange.hpp"
 #include "citronwick/control/vm_list.hpp"
-#include "citronwick/platform/kv_client.hpp"
-#include "citronwick/platform/vm_list_client.hpp"
+#include "citronwick/io/kv_client.hpp"
+#include "citronwick/io/vm_list_client.hpp"
 
 #include <array>
 #include <functional>
--- a/packages/control/include/citronwick/control/fleet_channel.hpp
+++ b/packages/control/include/citronwick/control/fleet_channel.hpp
@@ -1,7 +1,7 @@
 #ifndef CITRONWICK_CONTROL_FLEET_CHANNEL_HPP_INCLUDED
 #define CITRONWICK_CONTROL_FLEET_CHANNEL_HPP_INCLUDED
 
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 #include "citronwick/wire/envelope.hpp"
 #include "citronwick/wire/replay_filter.hpp"
 
@@ -21,6 +21,9 @@
     /// @param from sender's hash and incarnation; its sequence is counted here
     fleet_channel(const asio::any_io_executor& executor, const wire::envelope& envelope, wire::header from);
 
+    /// Sets the incarnation of this router where it was not known from the start.
+    void set_incarnation(std::uint64_t incarnation) { from_.incarnation = incarnation; }
+
     /// Binds the socket.
     /// @return the bound endpoint
     io_result<endpoint> open(const endpoint& listen);
--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -40,6 +40,9 @@
     /// Sets the address at which other routers reach this one.
     void set_address(std::string address) { self_.fleet_address = std::move(address); }
 
+    /// Sets the incarnation of this router where it was not known from the start.
+    void set_incarnation(std::uint64_t incarnation) { self_.incarnation = incarnation; }
+
     /// Fleet address of a known router.
     std::optional<endpoint> address_of(std::uint64_t router) const;
 
--- a/packages/control/include/citronwick/control/peer_exchange.hpp
+++ b/packages/control/include/citronwick/control/peer_exchange.hpp
@@ -2,7 +2,7 @@
 #define CITRONWICK_CONTROL_PEER_EXCHANGE_HPP_INCLUDED
 
 #include "citronwick/control/document_store.hpp"
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 #include "citronwick/wire/envelope.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/packages/control/include/citronwick/control/prober.hpp
+++ b/packages/control/include/citronwick/control/prober.hpp
@@ -2,7 +2,7 @@
 #define CITRONWICK_CONTROL_PROBER_HPP_INCLUDED
 
 #include "citronwick/control/upstream_table.hpp"
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 
 #include <functional>
 #include <map>
--- a/packages/control/src/claim_registry.cpp
+++ b/packages/control/src/claim_registry.cpp
@@ -1,8 +1,8 @@
 #include "citronwick/control/claim_registry.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/json_text.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/json_text.hpp"
+#include "citronwick/io/log.hpp"
 
 #include <boost/json/serialize.hpp>
 
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -12,8 +12,8 @@
 #include "citronwick/control/vm_list.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/core/snapshot.hpp"
-#include "citronwick/platform/etcd_gateway_client.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/etcd_gateway_client.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 
 #include <algorithm>
--- a/packages/control/src/document_store.cpp
+++ b/packages/control/src/document_store.cpp
@@ -1,7 +1,7 @@
 #include "citronwick/control/document_store.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
 #include <set>
--- a/packages/control/src/document_sync.cpp
+++ b/packages/control/src/document_sync.cpp
@@ -3,8 +3,8 @@
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/core/time.hpp"
-#include "citronwick/platform/etcd_gateway_client.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/etcd_gateway_client.hpp"
+#include "citronwick/io/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/control/src/fleet_channel.cpp
+++ b/packages/control/src/fleet_channel.cpp
@@ -1,7 +1,7 @@
 #include "citronwick/control/fleet_channel.hpp"
 
 #include "citronwick/config/io_result_of.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 
 namespace citronwick {
 
--- a/packages/control/src/load_report.cpp
+++ b/packages/control/src/load_report.cpp
@@ -1,6 +1,6 @@
 #include "citronwick/control/load_report.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 namespace citronwick {
 
--- a/packages/control/src/peer_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -1,7 +1,7 @@
 #include "citronwick/control/peer_exchange.hpp"
 
 #include "citronwick/config/io_result_of.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/control/src/vm_list.cpp
+++ b/packages/control/src/vm_list.cpp
@@ -1,6 +1,6 @@
 #include "citronwick/control/vm_list.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
--- a/packages/core/src/time.cpp
+++ b/packages/core/src/time.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <ctime>
 #include <utility>
 
 namespace citronwick {
@@ -16,6 +17,13 @@
 
 } // namespace
 
+boot_time boot_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto since_boot = std::chrono::seconds{now.tv_sec} + std::chrono::nanoseconds{now.tv_nsec};
+    return boot_time{since_boot.count()};
+}
+
 std::optional<std::chrono::milliseconds> parse_duration(std::string_view text) {
     std::int64_t count = 0;
     const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), count);
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -4,7 +4,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/core/registry.hpp"
 #include "citronwick/ctl/declaration_diff.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "citronwick/policy/load_bound.hpp"
 #include "citronwick/policy/placement.hpp"
 #include "citronwick/policy/rendezvous_ranking.hpp"
--- a/packages/ctl/src/router_pages.cpp
+++ b/packages/ctl/src/router_pages.cpp
@@ -1,7 +1,7 @@
 #include "router_pages.hpp"
 
-#include "citronwick/platform/http_connection.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/http_connection.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/ctl/src/store_session.hpp
+++ b/packages/ctl/src/store_session.hpp
@@ -4,7 +4,7 @@
 #include "citronwick/config/config_store.hpp"
 #include "citronwick/core/failure.hpp"
 #include "citronwick/ctl/command_options.hpp"
-#include "citronwick/platform/etcd_gateway_client.hpp"
+#include "citronwick/io/etcd_gateway_client.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -0,0 +1,102 @@
+#ifndef CITRONWICK_FLEET_ROUTER_PEERS_HPP_INCLUDED
+#define CITRONWICK_FLEET_ROUTER_PEERS_HPP_INCLUDED
+
+#include "citronwick/control/fleet_channel.hpp"
+#include "citronwick/control/membership.hpp"
+#include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/policy/token_bucket.hpp"
+#include "citronwick/wire/envelope.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace citronwick {
+
+class routing_memory;
+class suspect_registry;
+struct routing_settings;
+
+/// What the exchange with other routers needs from this one, and tells it.
+struct peer_host {
+    std::function<std::int64_t()> revision;                 ///< followed in the store
+    std::function<std::optional<duration>()> key_age;       ///< of the newest confirmation
+    std::function<const std::map<std::uint32_t, std::shared_ptr<upstream_work>>&()> works;
+    std::function<void(std::int64_t revision)> on_position; ///< of a peer
+    std::function<void(boot_time asked_at, duration age, std::int64_t revision)> on_answer;
+};
+
+/// Exchange with the other routers: who lives, what each has in flight, how
+/// fresh the configuration is, and what requests have shown of upstreams.
+class router_peers {
+public:
+    router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
+                 routing_memory& memory, suspect_registry& suspects, peer_host host);
+
+    /// Binds the channel.
+    io_result<endpoint> open(const endpoint& listen);
+
+    /// Receives until the channel is closed.
+    task<void> receive();
+
+    /// Sets the key that all routers of the fleet share.
+    void set_key(const std::string& key);
+    bool has_key() const { return has_key_; }
+
+    /// Sets this router's incarnation; nothing is sent before.
+    void set_incarnation(std::uint64_t incarnation);
+
+    /// Takes in a router's entry from the store.
+    void learn(const wire::member_record& record, time_point now);
+
+    /// Sends what is due.
+    void tick(time_point now);
+
+    void leave(time_point now);
+
+    /// Whether this router is among those that watch the store for their failure domain.
+    bool is_on_duty(time_point now) const;
+
+    /// Routers heard lately, this one included.
+    std::size_t live_routers(time_point now) const;
+
+    std::uint64_t sent_bytes() const { return sent_bytes_; }
+
+private:
+    struct peer_work {
+        std::int32_t in_flight = 0;
+        std::int32_t backlog = 0;
+    };
+    using work_table = std::map<std::uint32_t, peer_work>;
+
+    void take(const wire::header& from, const wire::gossip& message);
+    void take_work(std::uint64_t sender, const std::vector<wire::work_entry>& entries);
+    void answer_questions(const wire::gossip& message, const endpoint& to);
+    void publish_work();
+    bool own_work_changed();
+    wire::gossip status_message(time_point now);
+    void send(const wire::gossip& message, const endpoint& to, time_point now);
+
+    const routing_settings& settings_;
+    routing_memory& memory_;
+    suspect_registry& suspects_;
+    peer_host host_;
+    wire::envelope envelope_;
+    membership members_;
+    fleet_channel channel_;
+    token_bucket budget_;
+    bool has_key_ = false;
+    bool is_registered_ = false;
+    bool is_leaving_ = false;
+    std::map<std::uint64_t, work_table> work_by_peer_;
+    std::map<std::uint32_t, peer_work> told_; ///< own work as the others know it
+    std::int64_t told_revision_ = 0;
+    time_point told_at_;
+    std::uint64_t sent_bytes_ = 0;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/routing_memory.hpp
@@ -0,0 +1,62 @@
+#ifndef CITRONWICK_FLEET_ROUTING_MEMORY_HPP_INCLUDED
+#define CITRONWICK_FLEET_ROUTING_MEMORY_HPP_INCLUDED
+
+#include "citronwick/policy/prefix_directory.hpp"
+#include "citronwick/policy/upstream_health.hpp"
+#include "citronwick/wire/messages.hpp"
+
+#include <cstdint>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace citronwick {
+
+/// Name of an upstream or prefix in messages between routers.
+constexpr std::uint32_t short_hash(std::uint64_t hash) {
+    return static_cast<std::uint32_t>(hash);
+}
+
+/// What routers have learnt about upstreams from the requests that they sent:
+/// who answers well and who holds which beginnings of prompts. Shared by the
+/// traffic threads; the control thread exchanges it with other routers.
+class routing_memory {
+public:
+    routing_memory();
+
+    void record_unreachable(std::uint64_t upstream, time_point now);
+    void record_answer(std::uint64_t upstream, bool good, time_point now);
+
+    /// Notes that an upstream was sent a prompt.
+    void record_prompt(const std::vector<shared_prefix>& prefixes, std::uint64_t upstream, time_point now);
+
+    /// What is known of one upstream for a request.
+    struct opinion {
+        std::uint32_t cached_tokens = 0;
+        bool is_reachable = true;
+        bool is_outlier = false;
+    };
+
+    /// @param upstreams all of the service
+    std::vector<opinion> opinions(const std::vector<std::uint64_t>& upstreams,
+                                  const std::vector<shared_prefix>& prefixes, time_point now) const;
+
+    /// Adds what other routers should know to a message.
+    void add_news(wire::gossip& message);
+
+    /// Takes in what another router says.
+    void merge(const wire::gossip& message, time_point now);
+
+    /// Forgets what was not used for long, and upstreams that have gone.
+    void expire(const std::set<std::uint64_t>& upstreams, time_point now);
+
+private:
+    mutable std::mutex mutex_;
+    upstream_health health_;
+    prefix_directory prefixes_;
+    std::vector<wire::prefix_entry> new_prefixes_;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -0,0 +1,70 @@
+#ifndef CITRONWICK_FLEET_ROUTING_PLANE_HPP_INCLUDED
+#define CITRONWICK_FLEET_ROUTING_PLANE_HPP_INCLUDED
+
+#include "citronwick/core/endpoint.hpp"
+#include "citronwick/core/failure.hpp"
+#include "citronwick/core/time.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace citronwick {
+
+class platform_adapter;
+class routing_memory;
+class suspect_registry;
+struct routing_settings;
+struct routing_view;
+
+/// The control thread of a router whose fleet is declared in the platform's store.
+///
+/// It alone writes the configuration, the upstreams and the members, and
+/// publishes immutable views of them. All functions are safe to call from any
+/// thread.
+class routing_plane {
+public:
+    routing_plane(routing_settings settings, const platform_adapter& adapter);
+    routing_plane(const routing_plane&) = delete;
+    routing_plane& operator=(const routing_plane&) = delete;
+    ~routing_plane();
+
+    /// Binds the fleet channel and starts the thread.
+    /// @return the bound endpoint
+    io_result<endpoint> start();
+
+    /// Tells the other routers that this one is leaving.
+    void leave();
+
+    void stop();
+
+    std::shared_ptr<const routing_view> view() const;
+    const routing_settings& settings() const;
+
+    /// Whether team keys were confirmed recently enough to serve their holders.
+    bool keys_are_fresh(boot_time now) const;
+
+    /// Age of the newest confirmation, none before the first one.
+    std::optional<duration> key_age(boot_time now) const;
+
+    routing_memory& memory();
+    suspect_registry& suspects();
+
+    /// Notes that the connection of a request broke while an upstream had it.
+    /// @param request fingerprint
+    void report_broken(std::uint64_t request, std::uint64_t upstream);
+
+    /// Notes that an upstream's address belongs to another one now.
+    void report_misdirected(std::uint64_t upstream);
+
+    /// Bytes sent to other routers.
+    std::uint64_t gossip_bytes() const;
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/routing_settings.hpp
@@ -0,0 +1,32 @@
+#ifndef CITRONWICK_FLEET_ROUTING_SETTINGS_HPP_INCLUDED
+#define CITRONWICK_FLEET_ROUTING_SETTINGS_HPP_INCLUDED
+
+#include "citronwick/core/endpoint.hpp"
+#include "citronwick/policy/engine_placement.hpp"
+#include "citronwick/policy/retry_window.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace citronwick {
+
+/// Settings of a router whose fleet is declared in the platform's store.
+struct routing_settings {
+    std::string vm;
+    std::string region;
+    std::string failure_domain;
+    std::string platform;  ///< name of the platform adapter
+    endpoint fleet_listen; ///< UDP; port 0 takes a free one
+    endpoint store;        ///< the platform's store
+    std::uint32_t control_bytes_per_second = 3'000;
+    std::chrono::milliseconds store_timeout{1'000}; ///< of one call
+    std::chrono::milliseconds key_lifetime{5'000};  ///< bound on serving keys that were taken away
+    std::chrono::milliseconds lapse_grace{2'000};   ///< for entries that lapsed while the store was away
+    retry_limits retries;
+    placement_limits placement;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -0,0 +1,48 @@
+#ifndef CITRONWICK_FLEET_ROUTING_VIEW_HPP_INCLUDED
+#define CITRONWICK_FLEET_ROUTING_VIEW_HPP_INCLUDED
+
+#include "citronwick/config/routing_configuration.hpp"
+#include "citronwick/core/time.hpp"
+#include "citronwick/fleet/upstream_entry.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+/// Work on one upstream: this router's, counted by the traffic threads, and
+/// that of the other routers as they last told it.
+struct upstream_work {
+    std::atomic<std::int32_t> in_flight{0};
+    std::atomic<std::int32_t> backlog{0}; ///< prompt tokens sent and not yet answered
+    std::atomic<std::int32_t> elsewhere_in_flight{0};
+    std::atomic<std::int32_t> elsewhere_backlog{0};
+    std::atomic<std::int32_t> connections{0}; ///< open ones of this router
+};
+
+/// An upstream that may take requests.
+struct routed_upstream {
+    upstream_entry entry;
+    std::uint64_t hash = 0; ///< of identifier and incarnation
+    std::shared_ptr<upstream_work> work;
+};
+
+/// What traffic threads decide on; immutable.
+struct routing_view {
+    std::shared_ptr<const routing_configuration> config; ///< null before the first one
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
+    std::size_t live_routers = 1;                                               ///< this one included
+    std::int64_t revision = 0; ///< of the store, up to which all changes are in this view
+};
+
+/// Hash that names an upstream's incarnation.
+std::uint64_t upstream_hash(const upstream_entry& entry);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -0,0 +1,73 @@
+#ifndef CITRONWICK_FLEET_STORE_FOLLOWER_HPP_INCLUDED
+#define CITRONWICK_FLEET_STORE_FOLLOWER_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+#include "citronwick/io/watched_kv_client.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <optional>
+
+namespace citronwick {
+
+/// What a follower tells of the store.
+struct store_listener {
+    /// A complete listing. Entries may have lapsed where the store was away lately.
+    std::function<void(const kv_listing&, bool may_have_lapsed)> on_listing;
+    std::function<void(const kv_changes&, bool may_have_lapsed)> on_changes;
+    /// Everything up to the last listing or change was in force at that moment.
+    std::function<void(boot_time asked_at)> on_confirmed;
+};
+
+/// Keeps up with all keys of the platform's store.
+///
+/// A router on duty keeps a watch waiting. The others read when a peer tells of
+/// a change, or when nothing has confirmed what they hold for a while.
+class store_follower {
+public:
+    store_follower(const asio::any_io_executor& executor, watched_kv_client& store, store_listener listener);
+
+    /// Follows the store until the executor ends.
+    task<void> run();
+
+    /// Whether this router keeps a watch waiting.
+    void set_on_duty(bool on_duty);
+
+    /// Notes that a peer knows of changes up to a revision.
+    void hear_of(std::int64_t revision);
+
+    /// Asks for a confirmation, as none has come for too long.
+    void ask_for_confirmation();
+
+    /// Revision up to which all changes have been passed on.
+    std::int64_t revision() const { return revision_; }
+
+    /// Whether the last call was answered.
+    bool is_connected() const { return !outage_since_; }
+
+private:
+    task<bool> list();
+    task<bool> watch(std::chrono::milliseconds wait);
+    task<void> wait_for_work();
+    task<void> back_off();
+    void note_success();
+    void note_failure(const failure& error);
+    bool may_have_lapsed(time_point now) const;
+    bool has_work() const;
+
+    watched_kv_client& store_;
+    store_listener listener_;
+    asio::steady_timer wake_;
+    std::int64_t revision_ = 0;
+    std::int64_t heard_revision_ = 0;
+    bool is_listed_ = false;
+    bool on_duty_ = true;
+    bool confirmation_wanted_ = false;
+    std::optional<time_point> outage_since_;
+    std::optional<time_point> regained_at_;
+    int failures_in_row_ = 0;
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -0,0 +1,152 @@
+#include "fleet_registration.hpp"
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/io/json_text.hpp"
+#include "citronwick/io/log.hpp"
+
+#include <boost/json/serialize.hpp>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view router_folder = "routers/";
+constexpr std::string_view key_name = "fleet-key";
+constexpr std::chrono::seconds lease_time = 60s;
+constexpr std::chrono::milliseconds renew_interval = 20s;
+constexpr std::chrono::milliseconds listing_check = 20ms;
+constexpr std::chrono::milliseconds retry_pause = 300ms;
+
+} // namespace
+
+fleet_registration::fleet_registration(const asio::any_io_executor& executor, watched_kv_client& store,
+                                       std::string prefix, wire::member_record self,
+                                       registration_listener listener)
+    : store_{store}, prefix_{std::move(prefix)}, self_{std::move(self)}, start_id_{random_id()},
+      listener_{std::move(listener)}, timer_{executor} {}
+
+std::string fleet_registration::entry_text() const {
+    return boost::json::serialize(boost::json::object{{"vm", self_.vm},
+                                                      {"region", self_.region},
+                                                      {"failure_domain", self_.failure_domain},
+                                                      {"fleet_address", self_.fleet_address},
+                                                      {"start", start_id_}});
+}
+
+void fleet_registration::set_listed() {
+    is_listed_ = true;
+}
+
+void fleet_registration::take(const kv_change& change) {
+    if (!change.key.starts_with(prefix_)) {
+        return;
+    }
+    const std::string key = change.key.substr(prefix_.size());
+    revisions_[key] = change.value ? change.revision : 0;
+    if (key == key_name && change.value) {
+        has_fleet_key_ = true;
+        listener_.on_fleet_key(*change.value);
+    } else if (key.starts_with(router_folder)) {
+        take_router(key, change);
+    }
+}
+
+void fleet_registration::take_router(const std::string& key, const kv_change& change) {
+    const bool is_self = key.substr(router_folder.size()) == self_.vm;
+    const auto entry = change.value ? parse_json_object(*change.value) : std::nullopt;
+    if (is_self) {
+        const bool is_own = entry && string_member(*entry, "start") == start_id_;
+        if (is_own && !entry_is_own_) {
+            listener_.on_registered(static_cast<std::uint64_t>(change.revision));
+        }
+        entry_is_own_ = is_own;
+    } else if (entry) {
+        listener_.on_router({.vm = string_member(*entry, "vm"),
+                             .region = string_member(*entry, "region"),
+                             .failure_domain = string_member(*entry, "failure_domain"),
+                             .fleet_address = string_member(*entry, "fleet_address"),
+                             .incarnation = static_cast<std::uint64_t>(change.revision)});
+    }
+}
+
+bool fleet_registration::is_registered() const {
+    return entry_is_own_ && has_fleet_key_;
+}
+
+task<void> fleet_registration::pause(std::chrono::milliseconds time) {
+    timer_.expires_after(time);
+    co_await timer_.async_wait(use_tuple);
+}
+
+task<void> fleet_registration::run() {
+    while (!is_listed_) {
+        co_await pause(listing_check);
+    }
+    while (true) {
+        bool succeeded = true;
+        if (!has_fleet_key_) {
+            succeeded = co_await create_fleet_key();
+        }
+        if (succeeded && !entry_is_own_) {
+            succeeded = co_await create_entry();
+        } else if (succeeded) {
+            succeeded = co_await renew();
+        }
+        const bool settled = succeeded && is_registered();
+        co_await pause(settled ? renew_interval : retry_pause);
+    }
+}
+
+/// Creates the key unless another router has; its value arrives with the changes.
+task<bool> fleet_registration::create_fleet_key() {
+    auto created = co_await store_.compare_and_swap(prefix_ + std::string{key_name}, 0, random_id(), 0);
+    if (created.has_error()) {
+        log_failure("fleet_key_not_created", created.error());
+        co_return false;
+    }
+    if (created->current && !has_fleet_key_) {
+        take({prefix_ + std::string{key_name}, created->current->value, created->current->mod_revision});
+    }
+    co_return true;
+}
+
+task<bool> fleet_registration::create_entry() {
+    auto lease = co_await store_.grant_lease(lease_time);
+    if (lease.has_error()) {
+        log_failure("router_not_registered", lease.error());
+        co_return false;
+    }
+    lease_ = lease->id;
+    const std::string key = std::string{router_folder} + self_.vm;
+    auto written = co_await store_.compare_and_swap(prefix_ + key, revisions_[key], entry_text(), lease_);
+    if (written.has_error()) {
+        log_failure("router_not_registered", written.error());
+        co_return false;
+    }
+    if (written->succeeded) {
+        log_info("router_registered", {{"router", self_.vm}, {"incarnation", std::to_string(written->revision)}});
+        take({prefix_ + key, entry_text(), written->revision});
+    } else if (written->current) {
+        take({prefix_ + key, written->current->value, written->current->mod_revision});
+    } else {
+        revisions_[key] = 0;
+    }
+    co_return written->succeeded;
+}
+
+task<bool> fleet_registration::renew() {
+    auto renewed = co_await store_.renew_lease(lease_);
+    if (renewed.has_error()) {
+        log_failure("lease_not_renewed", renewed.error());
+        co_return false;
+    }
+    if (!*renewed) {
+        log_warn("lease_ended", {{"lease", std::to_string(lease_)}});
+        entry_is_own_ = false;
+    }
+    co_return *renewed;
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/fleet/src/router_peers.cpp
@@ -0,0 +1,218 @@
+#include "citronwick/fleet/router_peers.hpp"
+
+#include "citronwick/control/suspect_registry.hpp"
+#include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/routing_memory.hpp"
+#include "citronwick/fleet/routing_settings.hpp"
+#include "citronwick/io/log.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <ranges>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Routers of each failure domain that keep a watch on the store.
+constexpr std::size_t watchers_per_domain = 1;
+/// Longest time between two status messages.
+constexpr duration heartbeat = 500ms;
+/// Shortest time between two status messages that tell of changed work.
+constexpr duration work_interval = 150ms;
+constexpr double burst_seconds = 2.0;
+/// Only confirmations this fresh are passed on; others help nobody.
+constexpr duration useful_age = 2500ms;
+
+const std::uint64_t watch_duty = hash64("store watcher");
+
+template <class Number>
+Number clamped(std::int64_t value) {
+    return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
+}
+
+wire::member_record self_record(const routing_settings& settings) {
+    return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
+}
+
+} // namespace
+
+router_peers::router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
+                           routing_memory& memory, suspect_registry& suspects, peer_host host)
+    : settings_{settings}, memory_{memory}, suspects_{suspects}, host_{std::move(host)},
+      envelope_{random_id()}, members_{self_record(settings)},
+      channel_{executor, envelope_, {hash64(settings.vm), 0, 0}},
+      budget_{static_cast<double>(settings.control_bytes_per_second),
+              burst_seconds * settings.control_bytes_per_second, clock::now()} {}
+
+io_result<endpoint> router_peers::open(const endpoint& listen) {
+    return channel_.open(listen);
+}
+
+task<void> router_peers::receive() {
+    return channel_.run(
+        [this](const wire::header& from, const wire::gossip& message) { take(from, message); });
+}
+
+void router_peers::set_key(const std::string& key) {
+    envelope_ = wire::envelope{key};
+    has_key_ = true;
+}
+
+void router_peers::set_incarnation(std::uint64_t incarnation) {
+    channel_.set_incarnation(incarnation);
+    members_.set_incarnation(incarnation);
+    is_registered_ = true;
+}
+
+void router_peers::learn(const wire::member_record& record, time_point now) {
+    if (members_.merge(record, now)) {
+        log_info("router_learnt", {{"router", record.vm},
+                                   {"failure_domain", record.failure_domain},
+                                   {"incarnation", std::to_string(record.incarnation)},
+                                   {"leaving", record.leaving ? "yes" : "no"}});
+    }
+}
+
+bool router_peers::is_on_duty(time_point now) const {
+    return is_assigned(watch_duty, members_.self_hash(), members_.live_in_domain(now), watchers_per_domain);
+}
+
+std::size_t router_peers::live_routers(time_point now) const {
+    return members_.live(now).size() + 1;
+}
+
+void router_peers::take(const wire::header& from, const wire::gossip& message) {
+    const auto now = clock::now();
+    std::ranges::for_each(message.members,
+                          [&](const wire::member_record& record) { learn(record, now); });
+    const auto address = members_.address_of(from.sender);
+    if (!members_.heard_from(from, now) || !address) {
+        return;
+    }
+    if (!message.positions.empty()) {
+        take_work(from.sender, message.work);
+        host_.on_position(message.positions.front().revision);
+    }
+    memory_.merge(message, now);
+    suspects_.merge(message.suspects, now);
+    for (const wire::freshness_answer& answer : message.answers) {
+        host_.on_answer(boot_time{answer.asked_at}, std::chrono::milliseconds{answer.age}, answer.revision);
+    }
+    answer_questions(message, *address);
+}
+
+void router_peers::answer_questions(const wire::gossip& message, const endpoint& to) {
+    const auto age = host_.key_age();
+    if (message.questions.empty() || !age || *age > useful_age) {
+        return;
+    }
+    // Rounded up, so that an answer never looks fresher than it is.
+    const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age);
+    wire::gossip answer;
+    std::ranges::transform(message.questions, std::back_inserter(answer.answers),
+                           [&](const wire::freshness_question& question) {
+                               return wire::freshness_answer{
+                                   question.asked_at, clamped<std::uint32_t>(whole.count()), host_.revision()};
+                           });
+    send(answer, to, clock::now());
+}
+
+void router_peers::take_work(std::uint64_t sender, const std::vector<wire::work_entry>& entries) {
+    work_table table;
+    for (const wire::work_entry& entry : entries) {
+        table[entry.upstream] = {entry.in_flight,
+                                 static_cast<std::int32_t>(entry.backlog * wire::backlog_unit)};
+    }
+    work_by_peer_[sender] = std::move(table);
+    publish_work();
+}
+
+void router_peers::publish_work() {
+    for (const auto& [upstream, work] : host_.works()) {
+        peer_work sum;
+        for (const work_table& table : work_by_peer_ | std::views::values) {
+            if (const auto found = table.find(upstream); found != table.end()) {
+                sum.in_flight += found->second.in_flight;
+                sum.backlog += found->second.backlog;
+            }
+        }
+        work->elsewhere_in_flight.store(sum.in_flight, std::memory_order_relaxed);
+        work->elsewhere_backlog.store(sum.backlog, std::memory_order_relaxed);
+    }
+}
+
+bool router_peers::own_work_changed() {
+    return std::ranges::any_of(host_.works(), [this](const auto& entry) {
+        const auto told = told_.find(entry.first);
+        const peer_work before = told == told_.end() ? peer_work{} : told->second;
+        return entry.second->in_flight.load(std::memory_order_relaxed) != before.in_flight;
+    });
+}
+
+wire::gossip router_peers::status_message(time_point now) {
+    wire::gossip message;
+    told_.clear();
+    for (const auto& [upstream, work] : host_.works()) {
+        const auto in_flight = work->in_flight.load(std::memory_order_relaxed);
+        const auto backlog = work->backlog.load(std::memory_order_relaxed);
+        if (in_flight > 0) {
+            told_[upstream] = {in_flight, backlog};
+            message.work.push_back({upstream, clamped<std::uint16_t>(in_flight),
+                                    clamped<std::uint16_t>(backlog / wire::backlog_unit)});
+        }
+    }
+    told_revision_ = host_.revision();
+    told_at_ = now;
+    message.positions.push_back({told_revision_});
+    message.suspects = suspects_.take_news();
+    memory_.add_news(message);
+    if (is_leaving_) {
+        message.members.push_back(members_.self());
+    }
+    return message;
+}
+
+void router_peers::tick(time_point now) {
+    for (const std::uint64_t silent : members_.silent(now)) {
+        if (work_by_peer_.erase(silent) > 0) {
+            log_warn("router_silent", {{"router_hash", std::to_string(silent)}});
+            publish_work();
+        }
+    }
+    members_.forget_silent(now);
+    if (!has_key_ || !is_registered_) {
+        return;
+    }
+    const bool is_due = now - told_at_ >= heartbeat || host_.revision() != told_revision_;
+    const bool work_is_due =
+        now - told_at_ >= work_interval && own_work_changed() && budget_.take(0.0, now);
+    if (!is_due && !work_is_due) {
+        return;
+    }
+    wire::gossip message = status_message(now);
+    const auto age = host_.key_age();
+    constexpr duration ask_from = 800ms;
+    if (!age || *age > ask_from) {
+        message.questions.push_back({static_cast<std::int64_t>(boot_now())});
+    }
+    for (const member* other : members_.choose_targets(now)) {
+        send(message, other->address, now);
+    }
+}
+
+void router_peers::leave(time_point now) {
+    members_.leave();
+    is_leaving_ = true;
+    told_at_ = now - heartbeat;
+}
+
+void router_peers::send(const wire::gossip& message, const endpoint& to, time_point now) {
+    const std::size_t bytes = channel_.send(message, to);
+    sent_bytes_ += bytes;
+    budget_.charge(static_cast<double>(bytes), now);
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/fleet/src/routing_plane.cpp
@@ -0,0 +1,412 @@
+#include "citronwick/fleet/routing_plane.hpp"
+
+#include "citronwick/control/suspect_registry.hpp"
+#include "citronwick/core/snapshot.hpp"
+#include "citronwick/fleet/crash_watch.hpp"
+#include "citronwick/fleet/platform_adapter.hpp"
+#include "citronwick/fleet/router_peers.hpp"
+#include "citronwick/fleet/routing_memory.hpp"
+#include "citronwick/fleet/routing_settings.hpp"
+#include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/fleet/store_follower.hpp"
+#include "citronwick/fleet/upstream_directory.hpp"
+#include "citronwick/io/log.hpp"
+#include "citronwick/policy/key_freshness.hpp"
+#include "fleet_registration.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <pthread.h>
+#include <set>
+#include <thread>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_interval = 50ms;
+constexpr duration expiry_interval = 1s;
+/// Age from which a router asks the store itself for a confirmation.
+constexpr duration own_question_age = 2700ms;
+/// Taken off the bound on keys: the store may answer a watch without the
+/// changes of the last second when it is about to drop its history.
+constexpr duration key_margin = 1200ms;
+/// Time within which the end of an incarnation explains a broken connection.
+constexpr duration crash_patience = 6s;
+constexpr const char* control_thread_name = "control";
+
+std::string to_milliseconds(duration value) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+} // namespace
+
+class routing_plane::state {
+public:
+    state(routing_settings settings, const platform_adapter& adapter)
+        : settings_{std::move(settings)}, adapter_{adapter}, layout_{adapter.layout()},
+          store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout)},
+          follower_{context_.get_executor(), *store_, store_events()},
+          peers_{context_.get_executor(), settings_, memory_, suspects_, peer_events()},
+          directory_{settings_.lapse_grace}, freshness_{settings_.key_lifetime - key_margin},
+          view_{std::make_shared<const routing_view>()} {}
+
+    io_result<endpoint> start() {
+        const auto bound = peers_.open(settings_.fleet_listen);
+        if (bound.has_error()) {
+            return bound;
+        }
+        registration_.emplace(context_.get_executor(), *store_, layout_.own_prefix,
+                              wire::member_record{.vm = settings_.vm,
+                                                  .region = settings_.region,
+                                                  .failure_domain = settings_.failure_domain,
+                                                  .fleet_address = to_text(*bound)},
+                              registration_events());
+        spawn(peers_.receive());
+        spawn(follower_.run());
+        spawn(registration_->run());
+        spawn(tick_loop());
+        thread_ = std::jthread{[this] { context_.run(); }};
+        pthread_setname_np(thread_.native_handle(), control_thread_name);
+        return bound;
+    }
+
+    void stop() {
+        context_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    void leave() {
+        asio::post(context_, [this] { peers_.leave(clock::now()); });
+    }
+
+    std::shared_ptr<const routing_view> view() const { return view_.load(); }
+    const routing_settings& settings() const { return settings_; }
+    routing_memory& memory() { return memory_; }
+    suspect_registry& suspects() { return suspects_; }
+    std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
+
+    std::optional<duration> key_age(boot_time now) const {
+        const auto confirmed_at = boot_time{confirmed_at_.load(std::memory_order_acquire)};
+        return confirmed_at == boot_time{} ? std::nullopt : std::optional{now - confirmed_at};
+    }
+
+    bool keys_are_fresh(boot_time now) const {
+        const auto age = key_age(now);
+        return age && *age < freshness_.limit();
+    }
+
+    void report_broken(std::uint64_t request, std::uint64_t upstream) {
+        asio::post(context_, [=, this] { crashes_.record_break(request, upstream, clock::now()); });
+    }
+
+    void report_misdirected(std::uint64_t upstream) {
+        asio::post(context_, [=, this] { memory_.record_unreachable(upstream, clock::now()); });
+    }
+
+private:
+    void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
+
+    store_listener store_events() {
+        return {.on_listing = [this](const kv_listing& listing,
+                                     bool may_have_lapsed) { take_listing(listing, may_have_lapsed); },
+                .on_changes = [this](const kv_changes& seen,
+                                     bool may_have_lapsed) { take_changes(seen, may_have_lapsed); },
+                .on_confirmed =
+                    [this](boot_time asked_at) {
+                        freshness_.confirm(asked_at);
+                        publish_freshness();
+                    }};
+    }
+
+    peer_host peer_events() {
+        return {.revision = [this] { return follower_.revision(); },
+                .key_age = [this] { return freshness_.age(boot_now()); },
+                .works = [this]() -> const auto& { return works_; },
+                .on_position = [this](std::int64_t revision) { follower_.hear_of(revision); },
+                .on_answer =
+                    [this](boot_time asked_at, duration age, std::int64_t revision) {
+                        if (freshness_.confirm_by_peer(asked_at, age, revision, follower_.revision())) {
+                            publish_freshness();
+                        }
+                    }};
+    }
+
+    registration_listener registration_events() {
+        return {.on_router = [this](const wire::member_record& record) { peers_.learn(record, clock::now()); },
+                .on_fleet_key = [this](const std::string& key) { peers_.set_key(key); },
+                .on_registered = [this](std::uint64_t incarnation) { peers_.set_incarnation(incarnation); }};
+    }
+
+    void publish_freshness() {
+        const auto confirmed = freshness_.confirmed_at();
+        const auto now = boot_now();
+        if (!keys_are_fresh(now)) {
+            log_info("keys_confirmed", {{"revision", std::to_string(follower_.revision())},
+                                        {"age_ms", to_milliseconds(now - *confirmed)}});
+        }
+        confirmed_at_.store(static_cast<std::int64_t>(*confirmed), std::memory_order_release);
+        expired_is_logged_ = false;
+    }
+
+    // Store
+
+    void take_listing(const kv_listing& listing, bool may_have_lapsed) {
+        const auto now = clock::now();
+        std::set<std::string> listed;
+        for (const kv_item& item : listing.items) {
+            if (item.key.starts_with(layout_.upstream_prefix)) {
+                listed.insert(item.key.substr(layout_.upstream_prefix.size()));
+            }
+            take_change({item.key, item.value, item.revision}, may_have_lapsed, now);
+        }
+        for (const ended_upstream& ended :
+             directory_.retain(listed, listing.revision, may_have_lapsed, now)) {
+            note_end(ended, now);
+        }
+        registration_->set_listed();
+        log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
+                                  {"revision", std::to_string(listing.revision)},
+                                  {"may_have_lapsed", may_have_lapsed ? "yes" : "no"}});
+        publish(now);
+    }
+
+    void take_changes(const kv_changes& seen, bool may_have_lapsed) {
+        const auto now = clock::now();
+        for (const kv_change& change : seen.changes) {
+            take_change(change, may_have_lapsed, now);
+        }
+        publish(now);
+    }
+
+    void take_change(const kv_change& change, bool may_have_lapsed, time_point now) {
+        if (change.key == layout_.configuration_key) {
+            take_configuration(change);
+        } else if (change.key.starts_with(layout_.upstream_prefix)) {
+            take_upstream(change, may_have_lapsed, now);
+        } else {
+            registration_->take(change);
+        }
+    }
+
+    /// A configuration that cannot be read leaves the last good one in force.
+    void take_configuration(const kv_change& change) {
+        if (!change.value || (config_ && change.revision <= config_->revision())) {
+            return;
+        }
+        auto declared = adapter_.decode_configuration(*change.value);
+        if (declared.has_error()) {
+            log_failure("configuration_refused", declared.error());
+            return;
+        }
+        if (config_ && declared->version < config_->version()) {
+            log_warn("configuration_refused", {{"reason", "older version"},
+                                               {"version", std::to_string(declared->version)},
+                                               {"in_force", std::to_string(config_->version())}});
+            return;
+        }
+        config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.revision);
+        log_info("configuration_in_force",
+                 {{"version", std::to_string(config_->version())},
+                  {"revision", std::to_string(change.revision)},
+                  {"routes", std::to_string(config_->routes().routes().size())},
+                  {"teams", std::to_string(config_->team_count())}});
+    }
+
+    void take_upstream(const kv_change& change, bool may_have_lapsed, time_point now) {
+        const std::string id = change.key.substr(layout_.upstream_prefix.size());
+        if (!change.value) {
+            const auto ended =
+                directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
+            log_info("upstream_entry_removed", {{"upstream", id},
+                                                {"revision", std::to_string(change.revision)},
+                                                {"doubted", may_have_lapsed ? "yes" : "no"}});
+            note_end(ended, now);
+            return;
+        }
+        const auto entry = adapter_.decode_upstream(id, *change.value);
+        if (entry.has_error()) {
+            log_failure("upstream_entry_refused", entry.error());
+            note_end(directory_.remove(id, change.revision, false, "entry unreadable", now), now);
+            return;
+        }
+        note_end(directory_.put(*entry, change.revision, now), now);
+        log_info("upstream_learnt", {{"upstream", entry->id},
+                                     {"service", entry->service},
+                                     {"address", to_text(entry->address)},
+                                     {"failure_domain", entry->failure_domain},
+                                     {"incarnation", std::to_string(entry->incarnation)},
+                                     {"leaving", entry->leaving ? "yes" : "no"},
+                                     {"revision", std::to_string(change.revision)}});
+    }
+
+    void note_end(const std::optional<ended_upstream>& ended, time_point now) {
+        if (ended) {
+            note_end(*ended, now);
+        }
+    }
+
+    /// An incarnation that ends unannounced makes suspects of the requests that
+    /// broke on it.
+    void note_end(const ended_upstream& ended, time_point now) {
+        log_info("upstream_ended", {{"upstream", ended.entry.id},
+                                    {"service", ended.entry.service},
+                                    {"reason", std::string{ended.reason}},
+                                    {"announced", ended.entry.leaving ? "yes" : "no"}});
+        const auto suspects = crashes_.upstream_ended(upstream_hash(ended.entry), now);
+        if (ended.entry.leaving) {
+            return;
+        }
+        for (const std::uint64_t request : suspects) {
+            const auto crashes = suspects_.record_crash(request, now);
+            log_warn("request_suspected", {{"fingerprint", std::to_string(request)},
+                                           {"upstream", ended.entry.id},
+                                           {"crashes", std::to_string(crashes)}});
+        }
+    }
+
+    void publish(time_point now) {
+        auto next = std::make_shared<routing_view>();
+        next->config = config_;
+        next->upstreams = directory_.usable();
+        next->live_routers = peers_.live_routers(now);
+        next->revision = follower_.revision();
+        works_.clear();
+        for (const auto& [service, upstreams] : next->upstreams) {
+            for (const routed_upstream& each : upstreams) {
+                works_[short_hash(each.hash)] = each.work;
+            }
+        }
+        view_.store(std::move(next));
+    }
+
+    // Clockwork
+
+    task<void> tick_loop() {
+        asio::steady_timer timer{context_};
+        while (true) {
+            timer.expires_after(tick_interval);
+            co_await timer.async_wait(use_tuple);
+            tick(clock::now());
+        }
+    }
+
+    void tick(time_point now) {
+        const auto ended = directory_.expire(now);
+        for (const ended_upstream& each : ended) {
+            note_end(each, now);
+        }
+        const bool fleet_changed = peers_.live_routers(now) != view_.load()->live_routers;
+        if (!ended.empty() || fleet_changed) {
+            publish(now);
+        }
+        follower_.set_on_duty(peers_.is_on_duty(now));
+        check_freshness();
+        peers_.tick(now);
+        gossip_bytes_.store(peers_.sent_bytes(), std::memory_order_relaxed);
+        if (now - expired_at_ >= expiry_interval) {
+            expired_at_ = now;
+            memory_.expire(directory_.hashes(), now);
+            suspects_.expire(now);
+        }
+    }
+
+    void check_freshness() {
+        const auto now = boot_now();
+        const auto age = freshness_.age(now);
+        if (!age || *age > own_question_age) {
+            follower_.ask_for_confirmation();
+        }
+        if (age && !freshness_.is_fresh(now) && !expired_is_logged_) {
+            expired_is_logged_ = true;
+            log_warn("keys_not_confirmed", {{"age_ms", to_milliseconds(*age)},
+                                            {"limit_ms", to_milliseconds(freshness_.limit())},
+                                            {"revision", std::to_string(follower_.revision())}});
+        }
+    }
+
+    routing_settings settings_;
+    const platform_adapter& adapter_;
+    store_layout layout_;
+    asio::io_context context_{1};
+    routing_memory memory_;
+    suspect_registry suspects_;
+    std::unique_ptr<watched_kv_client> store_;
+    store_follower follower_;
+    router_peers peers_;
+    std::optional<fleet_registration> registration_;
+    upstream_directory directory_;
+    key_freshness freshness_;
+    crash_watch crashes_{crash_patience};
+    std::shared_ptr<const routing_configuration> config_;
+    std::map<std::uint32_t, std::shared_ptr<upstream_work>> works_;
+    time_point expired_at_;
+    bool expired_is_logged_ = false;
+    std::atomic<std::int64_t> confirmed_at_{0}; ///< nanoseconds of `boot_time`, 0 for never
+    std::atomic<std::uint64_t> gossip_bytes_{0};
+    snapshot<routing_view> view_;
+    std::jthread thread_;
+};
+
+routing_plane::routing_plane(routing_settings settings, const platform_adapter& adapter)
+    : state_{std::make_unique<state>(std::move(settings), adapter)} {}
+
+routing_plane::~routing_plane() {
+    stop();
+}
+
+io_result<endpoint> routing_plane::start() {
+    return state_->start();
+}
+
+void routing_plane::leave() {
+    state_->leave();
+}
+
+void routing_plane::stop() {
+    state_->stop();
+}
+
+std::shared_ptr<const routing_view> routing_plane::view() const {
+    return state_->view();
+}
+
+const routing_settings& routing_plane::settings() const {
+    return state_->settings();
+}
+
+bool routing_plane::keys_are_fresh(boot_time now) const {
+    return state_->keys_are_fresh(now);
+}
+
+std::optional<duration> routing_plane::key_age(boot_time now) const {
+    return state_->key_age(now);
+}
+
+routing_memory& routing_plane::memory() {
+    return state_->memory();
+}
+
+suspect_registry& routing_plane::suspects() {
+    return state_->suspects();
+}
+
+void routing_plane::report_broken(std::uint64_t request, std::uint64_t upstream) {
+    state_->report_broken(request, upstream);
+}
+
+void routing_plane::report_misdirected(std::uint64_t upstream) {
+    state_->report_misdirected(upstream);
+}
+
+std::uint64_t routing_plane::gossip_bytes() const {
+    return state_->gossip_bytes();
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/fleet/src/store_follower.cpp
@@ -0,0 +1,167 @@
+#include "citronwick/fleet/store_follower.hpp"
+
+#include "citronwick/io/log.hpp"
+
+#include <algorithm>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time for which the store may hold a watch. Each answer confirms the keys, so
+/// it is well below the time for which a confirmation lasts.
+constexpr std::chrono::milliseconds watch_wait = 1400ms;
+/// A read of what has changed does not wait.
+constexpr std::chrono::milliseconds no_wait = 1ms;
+constexpr duration first_back_off = 50ms;
+constexpr int most_doublings = 3;
+/// Time after the store's return within which removals may be lapses.
+constexpr duration lapse_window = 1500ms;
+/// An outage shorter than this lets no lease lapse.
+constexpr duration shortest_lapse = 1s;
+/// Longest sleep without work; work wakes the follower earlier.
+constexpr duration idle_sleep = 10s;
+
+} // namespace
+
+store_follower::store_follower(const asio::any_io_executor& executor, watched_kv_client& store,
+                               store_listener listener)
+    : store_{store}, listener_{std::move(listener)}, wake_{executor} {}
+
+void store_follower::set_on_duty(bool on_duty) {
+    if (on_duty && !on_duty_) {
+        wake_.cancel();
+    }
+    on_duty_ = on_duty;
+}
+
+void store_follower::hear_of(std::int64_t revision) {
+    if (revision > std::max(revision_, heard_revision_)) {
+        heard_revision_ = revision;
+        wake_.cancel();
+    }
+}
+
+void store_follower::ask_for_confirmation() {
+    if (!confirmation_wanted_) {
+        confirmation_wanted_ = true;
+        wake_.cancel();
+    }
+}
+
+bool store_follower::has_work() const {
+    return on_duty_ || !is_listed_ || confirmation_wanted_ || heard_revision_ > revision_;
+}
+
+task<void> store_follower::wait_for_work() {
+    while (!has_work()) {
+        wake_.expires_after(idle_sleep);
+        co_await wake_.async_wait(use_tuple);
+    }
+}
+
+task<void> store_follower::back_off() {
+    const auto pause = first_back_off * (1 << std::min(failures_in_row_ - 1, most_doublings));
+    asio::steady_timer timer{wake_.get_executor(), pause};
+    co_await timer.async_wait(use_tuple);
+}
+
+task<void> store_follower::run() {
+    while (true) {
+        co_await wait_for_work();
+        bool succeeded = false;
+        if (is_listed_) {
+            const bool waits = on_duty_ && !confirmation_wanted_ && heard_revision_ <= revision_;
+            succeeded = co_await watch(waits ? watch_wait : no_wait);
+        } else {
+            succeeded = co_await list();
+        }
+        if (!succeeded) {
+            co_await back_off();
+        }
+    }
+}
+
+bool store_follower::may_have_lapsed(time_point now) const {
+    return regained_at_ && now - *regained_at_ < lapse_window;
+}
+
+void store_follower::note_success() {
+    const auto now = clock::now();
+    if (outage_since_) {
+        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(now - *outage_since_);
+        log_info("store_regained", {{"away_ms", std::to_string(away.count())},
+                                    {"failures", std::to_string(failures_in_row_)}});
+        if (now - *outage_since_ >= shortest_lapse) {
+            regained_at_ = now;
+        }
+        outage_since_.reset();
+    }
+    failures_in_row_ = 0;
+}
+
+void store_follower::note_failure(const failure& error) {
+    if (!outage_since_) {
+        outage_since_ = clock::now();
+        log_warn("store_lost",
+                 {{"step", error.step}, {"peer", error.peer}, {"detail", error.detail},
+                  {"revision", std::to_string(revision_)}});
+    }
+    ++failures_in_row_;
+}
+
+task<bool> store_follower::list() {
+    const auto asked_at = boot_now();
+    auto listing = co_await store_.list("");
+    if (listing.has_error()) {
+        note_failure(listing.error());
+        co_return false;
+    }
+    note_success();
+    if (listing->revision < revision_) {
+        log_warn("store_answer_refused", {{"reason", "older than what was seen before"},
+                                          {"revision", std::to_string(listing->revision)},
+                                          {"known", std::to_string(revision_)}});
+        co_return false;
+    }
+    is_listed_ = true;
+    confirmation_wanted_ = false;
+    revision_ = listing->revision;
+    listener_.on_listing(*listing, may_have_lapsed(clock::now()));
+    listener_.on_confirmed(asked_at);
+    co_return true;
+}
+
+task<bool> store_follower::watch(std::chrono::milliseconds wait) {
+    const auto asked_at = boot_now();
+    auto seen = co_await store_.wait_for_changes("", revision_, wait);
+    if (seen.has_error()) {
+        note_failure(seen.error());
+        co_return false;
+    }
+    note_success();
+    // Every change has an event here; a revision without one means that some
+    // were not delivered.
+    const bool has_gap = seen->changes.empty() && seen->revision > revision_;
+    if (seen->history_lost || has_gap) {
+        log_warn("store_history_lost", {{"revision", std::to_string(revision_)},
+                                        {"store_revision", std::to_string(seen->revision)}});
+        is_listed_ = false;
+        co_return true;
+    }
+    if (seen->revision < revision_) {
+        co_return false;
+    }
+    confirmation_wanted_ = false;
+    revision_ = seen->revision;
+    heard_revision_ = std::max(heard_revision_, revision_);
+    if (!seen->changes.empty()) {
+        listener_.on_changes(*seen, may_have_lapsed(clock::now()));
+    }
+    listener_.on_confirmed(asked_at);
+    co_return true;
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -0,0 +1,117 @@
+#include "citronwick/fleet/upstream_directory.hpp"
+
+#include "citronwick/core/hash.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace citronwick {
+
+std::uint64_t upstream_hash(const upstream_entry& entry) {
+    return hash64(entry.id, entry.incarnation);
+}
+
+std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, std::int64_t revision,
+                                                      time_point /*now*/) {
+    const auto removal = removed_at_.find(entry.id);
+    if (removal != removed_at_.end() && removal->second >= revision) {
+        return std::nullopt;
+    }
+    const auto found = entries_.find(entry.id);
+    if (found == entries_.end()) {
+        entries_[entry.id] = {{entry, upstream_hash(entry), std::make_shared<upstream_work>()}, revision};
+        return std::nullopt;
+    }
+    known& old = found->second;
+    if (revision < old.revision) {
+        return std::nullopt;
+    }
+    old.revision = revision;
+    old.lapsed_at.reset();
+    if (old.upstream.entry.incarnation == entry.incarnation) {
+        const bool was_leaving = old.upstream.entry.leaving;
+        old.upstream.entry = entry;
+        old.upstream.entry.leaving = was_leaving || entry.leaving;
+        return std::nullopt;
+    }
+    ended_upstream ended{old.upstream.entry, "replaced by a new incarnation"};
+    old.upstream = {entry, upstream_hash(entry), std::make_shared<upstream_work>()};
+    return ended;
+}
+
+std::optional<ended_upstream> upstream_directory::remove(const std::string& id, std::int64_t revision,
+                                                         bool may_have_lapsed, std::string_view reason,
+                                                         time_point now) {
+    auto& removal = removed_at_[id];
+    removal = std::max(removal, revision);
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || found->second.revision > revision) {
+        return std::nullopt;
+    }
+    if (may_have_lapsed) {
+        if (!found->second.lapsed_at) {
+            found->second.lapsed_at = now;
+        }
+        return std::nullopt;
+    }
+    ended_upstream ended{found->second.upstream.entry, reason};
+    entries_.erase(found);
+    return ended;
+}
+
+std::vector<ended_upstream> upstream_directory::retain(const std::set<std::string>& ids,
+                                                       std::int64_t revision, bool may_have_lapsed,
+                                                       time_point now) {
+    std::vector<std::string> missing;
+    for (const auto& id : entries_ | std::views::keys) {
+        if (!ids.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    std::vector<ended_upstream> ended;
+    for (const std::string& id : missing) {
+        if (auto one = remove(id, revision, may_have_lapsed, "not listed", now)) {
+            ended.push_back(std::move(*one));
+        }
+    }
+    return ended;
+}
+
+std::vector<ended_upstream> upstream_directory::expire(time_point now) {
+    std::vector<ended_upstream> ended;
+    std::erase_if(entries_, [&](const auto& entry) {
+        const bool over = entry.second.lapsed_at && now - *entry.second.lapsed_at >= grace_;
+        if (over) {
+            ended.push_back({entry.second.upstream.entry, "lapsed and not back"});
+        }
+        return over;
+    });
+    return ended;
+}
+
+std::map<std::string, std::vector<routed_upstream>, std::less<>> upstream_directory::usable() const {
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> found;
+    for (const known& each : entries_ | std::views::values) {
+        if (!each.upstream.entry.leaving) {
+            found[each.upstream.entry.service].push_back(each.upstream);
+        }
+    }
+    return found;
+}
+
+std::shared_ptr<upstream_work> upstream_directory::work_of(std::uint64_t hash) const {
+    const auto values = entries_ | std::views::values;
+    const auto found =
+        std::ranges::find_if(values, [hash](const known& each) { return each.upstream.hash == hash; });
+    return found == values.end() ? nullptr : (*found).upstream.work;
+}
+
+std::set<std::uint64_t> upstream_directory::hashes() const {
+    std::set<std::uint64_t> found;
+    std::ranges::transform(entries_ | std::views::values, std::inserter(found, found.end()),
+                           [](const known& each) { return each.upstream.hash; });
+    return found;
+}
+
+} // namespace citronwick
--- a/packages/platform/include/citronwick/platform/etcd_gateway_client.hpp
+++ b/packages/io/include/citronwick/io/etcd_gateway_client.hpp
@@ -1,8 +1,8 @@
-#ifndef CITRONWICK_PLATFORM_ETCD_GATEWAY_CLIENT_HPP_INCLUDED
-#define CITRONWICK_PLATFORM_ETCD_GATEWAY_CLIENT_HPP_INCLUDED
+#ifndef CITRONWICK_IO_ETCD_GATEWAY_CLIENT_HPP_INCLUDED
+#define CITRONWICK_IO_ETCD_GATEWAY_CLIENT_HPP_INCLUDED
 
 #include "citronwick/core/endpoint.hpp"
-#include "citronwick/platform/kv_client.hpp"
+#include "citronwick/io/kv_client.hpp"
 
 #include <chrono>
 #include <memory>
--- a/packages/platform/include/citronwick/platform/http_connection.hpp
+++ b/packages/io/include/citronwick/io/http_connection.hpp
@@ -1,7 +1,7 @@
-#ifndef CITRONWICK_PLATFORM_HTTP_CONNECTION_HPP_INCLUDED
-#define CITRONWICK_PLATFORM_HTTP_CONNECTION_HPP_INCLUDED
+#ifndef CITRONWICK_IO_HTTP_CONNECTION_HPP_INCLUDED
+#define CITRONWICK_IO_HTTP_CONNECTION_HPP_INCLUDED
 
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/packages/platform/include/citronwick/platform/kv_client.hpp
+++ b/packages/io/include/citronwick/io/kv_client.hpp
@@ -1,7 +1,7 @@
-#ifndef CITRONWICK_PLATFORM_KV_CLIENT_HPP_INCLUDED
-#define CITRONWICK_PLATFORM_KV_CLIENT_HPP_INCLUDED
+#ifndef CITRONWICK_IO_KV_CLIENT_HPP_INCLUDED
+#define CITRONWICK_IO_KV_CLIENT_HPP_INCLUDED
 
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/packages/platform/include/citronwick/platform/log.hpp
+++ b/packages/io/include/citronwick/io/log.hpp
@@ -1,5 +1,5 @@
-#ifndef CITRONWICK_PLATFORM_LOG_HPP_INCLUDED
-#define CITRONWICK_PLATFORM_LOG_HPP_INCLUDED
+#ifndef CITRONWICK_IO_LOG_HPP_INCLUDED
+#define CITRONWICK_IO_LOG_HPP_INCLUDED
 
 #include "citronwick/core/failure.hpp"
 
@@ -16,10 +16,14 @@
 /// One named value of a log line.
 using log_field = std::pair<std::string_view, std::string>;
 
-/// Prepares the log: asynchronous output to standard error.
+/// Prepares the log: asynchronous output to standard output. Lines that do
+/// not fit the buffer are dropped and counted; nobody waits for the log.
 /// @param level "debug", "info", "warn" or "error"
 void open_log(log_format format, const std::string& level);
 
+/// Changes the least level that is written.
+void set_log_level(const std::string& level);
+
 /// Writes out what is buffered and ends the log's thread.
 void close_log();
 
--- a/packages/platform/include/citronwick/platform/task.hpp
+++ b/packages/io/include/citronwick/io/task.hpp
@@ -1,5 +1,5 @@
-#ifndef CITRONWICK_PLATFORM_TASK_HPP_INCLUDED
-#define CITRONWICK_PLATFORM_TASK_HPP_INCLUDED
+#ifndef CITRONWICK_IO_TASK_HPP_INCLUDED
+#define CITRONWICK_IO_TASK_HPP_INCLUDED
 
 #include "citronwick/core/endpoint.hpp"
 #include "citronwick/core/failure.hpp"
--- a/packages/platform/src/etcd_gateway_client.cpp
+++ b/packages/io/src/etcd_gateway_client.cpp
@@ -1,8 +1,8 @@
-#include "citronwick/platform/etcd_gateway_client.hpp"
+#include "citronwick/io/etcd_gateway_client.hpp"
 
 #include "citronwick/core/time.hpp"
-#include "citronwick/platform/http_connection.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/http_connection.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/buffer_body.hpp>
--- a/packages/platform/src/http_connection.cpp
+++ b/packages/io/src/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
--- a/packages/platform/src/json_text.cpp
+++ b/packages/io/src/json_text.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
 #include <boost/json/array.hpp>
--- a/packages/platform/src/kv_client.cpp
+++ b/packages/io/src/kv_client.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/platform/kv_client.hpp"
+#include "citronwick/io/kv_client.hpp"
 
 namespace citronwick {
 
--- a/packages/platform/src/log.cpp
+++ b/packages/io/src/log.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -49,7 +49,7 @@
 void open_log(log_format format, const std::string& level) {
     chosen_format = format;
     spdlog::init_thread_pool(queued_lines, 1);
-    auto logger = spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>("citronwick");
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("citronwick");
     logger->set_level(spdlog::level::from_str(level));
     logger->set_pattern(format == log_format::json
                             ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","line":%v})"
@@ -58,6 +58,10 @@
     spdlog::flush_every(std::chrono::seconds{1});
 }
 
+void set_log_level(const std::string& level) {
+    spdlog::default_logger()->set_level(spdlog::level::from_str(level));
+}
+
 void close_log() {
     spdlog::shutdown();
 }
--- a/packages/platform/src/task.cpp
+++ b/packages/io/src/task.cpp
@@ -1,4 +1,4 @@
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 
 namespace citronwick {
 
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/io/src/vm_list_client.cpp
@@ -1,7 +1,7 @@
-#include "citronwick/platform/vm_list_client.hpp"
+#include "citronwick/io/vm_list_client.hpp"
 
-#include "citronwick/platform/http_connection.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/http_connection.hpp"
+#include "citronwick/io/json_text.hpp"
 
 namespace citronwick {
 
--- /dev/null
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -0,0 +1,59 @@
+#ifndef CITRONWICK_POLICY_ENGINE_PLACEMENT_HPP_INCLUDED
+#define CITRONWICK_POLICY_ENGINE_PLACEMENT_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace citronwick {
+
+/// One upstream as the placement of a routed request sees it.
+struct routed_candidate {
+    std::uint64_t hash = 0; ///< of identifier and incarnation
+    double in_flight = 0.0; ///< requests from all routers
+    double slots = 1.0;     ///< requests that run at once
+    double backlog = 0.0;   ///< prompt tokens that wait to be read
+    double missing = 0.0;   ///< prompt tokens of this request that are not cached there
+    bool usable = true;     ///< neither leaving, unreachable, ejected nor tried before
+    bool is_near = false;   ///< in this router's failure domain
+};
+
+/// Figures that the placement of routed requests is steered by.
+struct placement_limits {
+    double load_multiple = 2.0;      ///< bound on requests relative to the mean of the service
+    double load_slack = 3.0;         ///< requests above that bound that are always allowed
+    double prefill_tokens_per_ms = 30.0; ///< reading speed assumed where none is known
+};
+
+/// Outcome of a placement.
+struct routed_decision {
+    std::optional<std::size_t> index; ///< into the candidates
+    std::string_view reason;
+    double expected_wait_ms = 0.0; ///< estimated time until the first token or the answer begins
+};
+
+/// Chooses the engine with the least estimated time to the first token.
+///
+/// The estimate is the prompt tokens that wait on the engine and those of the
+/// request that its cache lacks, at the engine's reading speed, and the
+/// slowdown by the requests that run there. Engines at the load bound are
+/// passed over. Ties go to the order of rendezvous hashing by `affinity`, so
+/// that routers choose alike without messages.
+routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
+                                const placement_limits& limits);
+
+/// Chooses the plain upstream with the least load per slot; among equals one
+/// of this failure domain, then by rendezvous hashing of `request`.
+routed_decision place_on_worker(std::uint64_t request, std::span<const routed_candidate> workers,
+                                const placement_limits& limits);
+
+/// Requests that one upstream may hold under the load bound.
+double load_limit(std::span<const routed_candidate> upstreams, const placement_limits& limits);
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/policy/src/key_freshness.cpp
@@ -0,0 +1,32 @@
+#include "citronwick/policy/key_freshness.hpp"
+
+#include <algorithm>
+
+namespace citronwick {
+
+void key_freshness::confirm(boot_time asked_at) {
+    confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, asked_at) : asked_at;
+}
+
+bool key_freshness::confirm_by_peer(boot_time asked_at, duration age, std::int64_t revision,
+                                    std::int64_t own_revision) {
+    if (age < duration::zero() || revision > own_revision) {
+        return false;
+    }
+    confirm(asked_at - age);
+    return true;
+}
+
+std::optional<duration> key_freshness::age(boot_time now) const {
+    if (!confirmed_at_) {
+        return std::nullopt;
+    }
+    return now - *confirmed_at_;
+}
+
+bool key_freshness::is_fresh(boot_time now) const {
+    const auto current = age(now);
+    return current && *current < limit_;
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/policy/src/prefix_directory.cpp
@@ -0,0 +1,51 @@
+#include "citronwick/policy/prefix_directory.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace citronwick {
+
+bool prefix_directory::record(std::uint64_t prefix, std::uint64_t upstream, time_point now) {
+    auto& known = holders_[prefix];
+    const auto found = std::ranges::find(known, upstream, &holder::upstream);
+    if (found == known.end()) {
+        known.push_back({upstream, now});
+        return true;
+    }
+    const bool was_forgotten = now - found->used_at >= memory_;
+    found->used_at = now;
+    return was_forgotten;
+}
+
+bool prefix_directory::holds(std::uint64_t prefix, std::uint64_t upstream, time_point now) const {
+    const auto known = holders_.find(prefix);
+    return known != holders_.end() && std::ranges::any_of(known->second, [&](const holder& each) {
+               return each.upstream == upstream && now - each.used_at < memory_;
+           });
+}
+
+std::uint32_t prefix_directory::cached_tokens(const std::vector<shared_prefix>& prefixes,
+                                              std::uint64_t upstream, time_point now) const {
+    const auto longest = std::find_if(prefixes.rbegin(), prefixes.rend(), [&](const shared_prefix& each) {
+        return holds(each.key, upstream, now);
+    });
+    return longest == prefixes.rend() ? 0 : longest->tokens;
+}
+
+std::size_t prefix_directory::holders(std::uint64_t prefix, time_point now) const {
+    const auto known = holders_.find(prefix);
+    if (known == holders_.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::ranges::count_if(
+        known->second, [&](const holder& each) { return now - each.used_at < memory_; }));
+}
+
+void prefix_directory::expire(time_point now) {
+    for (auto& known : holders_ | std::views::values) {
+        std::erase_if(known, [&](const holder& each) { return now - each.used_at >= memory_; });
+    }
+    std::erase_if(holders_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/policy/src/retry_window.cpp
@@ -0,0 +1,31 @@
+#include "citronwick/policy/retry_window.hpp"
+
+#include <algorithm>
+
+namespace citronwick {
+
+void retry_window::expire(const retry_limits& limits, time_point now) {
+    const auto is_old = [&](time_point at) { return now - at >= limits.window; };
+    const auto drop_old = [&](std::deque<time_point>& times) {
+        times.erase(times.begin(), std::ranges::find_if_not(times, is_old));
+    };
+    drop_old(requests_);
+    drop_old(retries_);
+}
+
+void retry_window::record_request(time_point now) {
+    requests_.push_back(now);
+}
+
+bool retry_window::take_retry(const retry_limits& limits, std::size_t routers, time_point now) {
+    expire(limits, now);
+    const double allowed = limits.share * static_cast<double>(requests_.size()) +
+                           limits.extra / static_cast<double>(std::max<std::size_t>(routers, 1));
+    if (static_cast<double>(retries_.size()) + 1.0 > allowed) {
+        return false;
+    }
+    retries_.push_back(now);
+    return true;
+}
+
+} // namespace citronwick
--- a/packages/router/src/main.cpp
+++ b/packages/router/src/main.cpp
@@ -1,5 +1,5 @@
 #include "citronwick/config/io_result_of.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/router/router.hpp"
 #include "citronwick/router/router_settings.hpp"
 
@@ -27,11 +27,28 @@
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 
-int run(const citronwick::router_settings& settings) {
+citronwick::io_result<citronwick::router_settings> read_settings(const std::string& file) {
+    return citronwick::io_result_of<citronwick::router_settings>(
+        [&] { return citronwick::read_router_settings(file); });
+}
+
+/// Puts the log level of a changed settings file in force. Everything else in
+/// it names addresses and limits of a process's whole life.
+void reload_settings(const std::string& file) {
+    const auto changed = read_settings(file);
+    if (changed.has_error()) {
+        citronwick::log_failure("settings_not_reloaded", changed.error());
+        return;
+    }
+    citronwick::set_log_level(changed->log_level);
+    citronwick::log_info("settings_reloaded", {{"file", file}, {"log_level", changed->log_level}});
+}
+
+int run(const citronwick::router_settings& settings, const std::string& file) {
     const bool json = settings.log_format == "json";
     citronwick::open_log(json ? citronwick::log_format::json : citronwick::log_format::key_value,
                          settings.log_level);
-    const auto ended = citronwick::run_router(settings);
+    const auto ended = citronwick::run_router(settings, [&file] { reload_settings(file); });
     if (ended.has_error()) {
         citronwick::log_failure("router_not_started", ended.error());
     }
@@ -56,8 +73,7 @@
         return exit_usage;
     }
     const std::string file = arguments.at("--config").asString();
-    const auto settings = citronwick::io_result_of<citronwick::router_settings>(
-        [&] { return citronwick::read_router_settings(file); });
+    const auto settings = read_settings(file);
     if (settings.has_error()) {
         std::cerr << settings.error().detail << "\n";
         return exit_usage;
@@ -66,5 +82,5 @@
         std::cout << file << ": ok\n";
         return 0;
     }
-    return run(*settings);
+    return run(*settings, file);
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -1,19 +1,20 @@
 #include "citronwick/router/router.hpp"
 
-#include "citronwick/control/control_plane.hpp"
 #include "citronwick/core/time.hpp"
-#include "citronwick/platform/log.hpp"
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/log.hpp"
+#include "citronwick/io/task.hpp"
 #include "citronwick/router/router_settings.hpp"
 #include "citronwick/traffic/front.hpp"
-#include "citronwick/traffic/metrics.hpp"
 #include "citronwick/traffic/operator_server.hpp"
+#include "product_interface.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <optional>
 #include <thread>
 
 namespace citronwick {
@@ -49,42 +50,62 @@
     std::filesystem::rename(unfinished, file);
 }
 
-/// Number that grows with each start. A VM keeps nothing, so the time of day
-/// is all that orders its starts; nothing else depends on it.
-std::uint64_t incarnation_at_start() {
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
-}
-
-/// Waits for the first SIGTERM or SIGINT; later ones change nothing.
+/// Waits for the first SIGTERM or SIGINT; later ones change nothing. Calls
+/// `reload` at each SIGHUP until then.
 class stop_signal {
 public:
-    stop_signal() {
-        signals_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
+    explicit stop_signal(std::function<void()> reload) : reload_{std::move(reload)} {
+        stops_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
+        wait_for_reload();
     }
     void wait() { context_.run(); }
 
 private:
+    void wait_for_reload() {
+        reloads_.async_wait([this](const boost::system::error_code& error, int) {
+            if (!error) {
+                reload_();
+                wait_for_reload();
+            }
+        });
+    }
+
+    std::function<void()> reload_;
     boost::asio::io_context context_;
-    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+    boost::asio::signal_set stops_{context_, SIGTERM, SIGINT};
+    boost::asio::signal_set reloads_{context_, SIGHUP};
 };
 
+/// Time from which requests that are still in flight are cut, none for never.
+std::optional<time_point> drain_end(const traffic_settings& settings, time_point signalled_at,
+                                    time_point closed_at) {
+    // Left for the processes to end before the VM is taken away.
+    constexpr duration exit_margin = 300ms;
+    if (settings.drain_limit.count() > 0) {
+        return closed_at + settings.drain_limit;
+    }
+    if (settings.grace.count() > 0) {
+        return signalled_at + settings.grace - exit_margin;
+    }
+    return std::nullopt;
+}
+
 /// Ends the front without cutting a request, unless the drain limit is reached.
-void drain(const traffic_settings& settings, control_plane& control, front& callers,
+void drain(const traffic_settings& settings, product_interface& product, front& callers,
            operator_server& operators) {
+    const auto signalled_at = clock::now();
     log_info("drain_started", {{"requests_in_flight", std::to_string(callers.requests_in_flight())}});
     operators.set_unready();
-    control.leave();
+    product.leave();
     callers.announce_shutdown();
     std::this_thread::sleep_for(settings.balancer_lag);
     callers.stop_accepting();
     const auto started = clock::now();
-    const bool limited = settings.drain_limit.count() > 0;
+    const auto end = drain_end(settings, signalled_at, started);
     bool closed_idle = false;
     while (callers.open_connections() > 0) {
         const auto now = clock::now();
-        if (limited && now - started >= settings.drain_limit) {
+        if (end && now >= *end) {
             log_warn("drain_limit_reached", {{"requests_cut", std::to_string(callers.requests_in_flight())}});
             break;
         }
@@ -99,15 +120,14 @@
 
 } // namespace
 
-io_result<void> run_router(const router_settings& settings) {
-    stop_signal stop;
+io_result<void> run_router(const router_settings& settings, std::function<void()> reload) {
+    stop_signal stop{std::move(reload)};
     set_outbound_address(settings.source_address);
-    metrics counters;
-    control_plane control{settings.control, incarnation_at_start()};
-    front callers{settings.traffic, control, counters};
-    operator_server operators{settings.traffic.operators, control, counters, callers};
-    bound_endpoints bound;
-    const auto fleet = control.start();
+    const bool has_routes = !settings.routing.platform.empty();
+    const auto product = has_routes ? make_route_interface(settings) : make_chat_interface(settings);
+    front callers{settings.traffic, product->servers()};
+    operator_server operators{settings.traffic.operators, product->pages(), callers};
+    const auto fleet = product->start();
     if (fleet.has_error()) {
         return fleet.error();
     }
@@ -119,7 +139,7 @@
     if (operators_bound.has_error()) {
         return operators_bound.error();
     }
-    bound = {*front_bound, *operators_bound, *fleet};
+    const bound_endpoints bound{*front_bound, *operators_bound, *fleet};
     write_port_file(settings.port_file, bound);
     log_info("router_started", {{"vm", settings.control.vm},
                                 {"failure_domain", settings.control.failure_domain},
@@ -127,9 +147,10 @@
                                 {"operators", to_text(bound.operators)},
                                 {"fleet", to_text(bound.fleet)}});
     stop.wait();
-    drain(settings.traffic, control, callers, operators);
+    drain(settings.traffic, *product, callers, operators);
     callers.stop();
-    control.stop();
+    product->stop();
+    log_info("router_stopped", {{"vm", settings.control.vm}});
     return {};
 }
 
--- a/packages/router/src/router_settings.cpp
+++ b/packages/router/src/router_settings.cpp
@@ -1,6 +1,8 @@
 #include "citronwick/router/router_settings.hpp"
 
 #include "citronwick/config/table_reader.hpp"
+#include "citronwick/core/registry.hpp"
+#include "citronwick/fleet/platform_adapter.hpp"
 
 #include <algorithm>
 #include <array>
@@ -41,6 +43,11 @@
     return line;
 }
 
+/// Whether the table of the platform names an adapter.
+bool uses_adapter(const toml::table& document) {
+    return document["platform"]["adapter"].is_string();
+}
+
 void read_fleet(const toml::table& table, router_settings& settings, problem_list& problems) {
     std::string key_file;
     table_reader reader{table, "fleet", problems};
@@ -54,12 +61,41 @@
     if (!key_file.empty()) {
         settings.control.fleet_key = read_first_line(key_file);
     }
-    if (settings.control.fleet_key.size() < least_key_bytes) {
+    if (!settings.keys_come_from_store && settings.control.fleet_key.size() < least_key_bytes) {
         reader.reject("key", "expected at least 16 characters, here or in the first line of key_file");
     }
 }
 
+/// Settings of a fleet whose declaration an adapter reads from the platform's store.
+void read_routing(const toml::table& table, router_settings& settings, problem_list& problems) {
+    routing_settings& routing = settings.routing;
+    table_reader reader{table, "platform", problems};
+    reader.require("adapter", routing.platform)
+        .require("store", routing.store)
+        .read("store_timeout", routing.store_timeout)
+        .read("key_lifetime", routing.key_lifetime)
+        .read("lapse_grace", routing.lapse_grace)
+        .read("retry_share", routing.retries.share)
+        .read("retry_extra", routing.retries.extra)
+        .read("retry_window", routing.retries.window)
+        .read("load_multiple", routing.placement.load_multiple);
+    reader.finish();
+    const auto known = registry<platform_adapter>::instance().names();
+    if (std::ranges::find(known, routing.platform) == known.end()) {
+        reader.reject("adapter", "expected one of " + std::to_string(known.size()) + " known adapters");
+    }
+    routing.vm = settings.control.vm;
+    routing.region = settings.control.region;
+    routing.failure_domain = settings.control.failure_domain;
+    routing.fleet_listen = settings.control.fleet_listen;
+    routing.control_bytes_per_second = settings.control.control_bytes_per_second;
+}
+
 void read_platform(const toml::table& table, router_settings& settings, problem_list& problems) {
+    if (table.contains("adapter")) {
+        read_routing(table, settings, problems);
+        return;
+    }
     std::chrono::milliseconds claim_lifetime = settings.control.claim_lifetime;
     table_reader reader{table, "platform", problems};
     reader.require("key_value", settings.control.key_value_servers)
@@ -100,7 +136,8 @@
 void read_shutdown(const toml::table& table, router_settings& settings, problem_list& problems) {
     table_reader reader{table, "shutdown", problems};
     reader.read("balancer_lag", settings.traffic.balancer_lag)
-        .read("drain_limit", settings.traffic.drain_limit);
+        .read("drain_limit", settings.traffic.drain_limit)
+        .read("grace", settings.traffic.grace);
     reader.finish();
 }
 
@@ -146,6 +183,7 @@
     problem_list problems{file};
     table_reader reader{document, "", problems};
     router_settings settings;
+    settings.keys_come_from_store = uses_adapter(document);
     for (const section& each : sections) {
         each.read(reader.table(each.name), settings, problems);
     }
--- a/packages/traffic/include/citronwick/traffic/admission.hpp
+++ b/packages/traffic/include/citronwick/traffic/admission.hpp
@@ -3,7 +3,7 @@
 
 #include "citronwick/control/fleet_view.hpp"
 #include "citronwick/control/upstream_usage.hpp"
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 #include "citronwick/policy/fair_queue.hpp"
 #include "citronwick/policy/placement.hpp"
 #include "citronwick/traffic/problem.hpp"
--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -1,7 +1,8 @@
 #ifndef CITRONWICK_TRAFFIC_CALLER_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_CALLER_HPP_INCLUDED
 
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/core/time.hpp"
+#include "citronwick/io/http_connection.hpp"
 #include "citronwick/traffic/problem.hpp"
 
 #include <functional>
@@ -32,14 +33,20 @@
 class caller {
 public:
     /// @param keep_alive whether the connection may serve another request
+    /// @param arrived when the request's header had been read
     caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
-           std::chrono::milliseconds write_timeout);
+           std::chrono::milliseconds write_timeout, time_point arrived);
     caller(const caller&) = delete;
     caller& operator=(const caller&) = delete;
     ~caller();
 
     const std::string& request_id() const { return request_id_; }
 
+    /// Uses the caller's own identifier of the request.
+    void set_request_id(std::string id) { request_id_ = std::move(id); }
+
+    time_point arrived() const { return arrived_; }
+
     /// Whether the connection can serve another request.
     bool keep_alive() const { return keep_alive_; }
 
@@ -59,6 +66,14 @@
     /// Ends the stream; the outcome follows as a trailer.
     task<bool> end_stream(outcome result);
 
+    /// Passes an upstream's whole answer on, with its status, fields and body.
+    task<bool> relay(http_response answer);
+
+    /// Passes the start of an upstream's answer on; pieces of its body follow
+    /// with `write_events` and its end with `end_relay`.
+    task<bool> begin_relay(http_response head);
+    task<bool> end_relay();
+
     /// Calls a function once if the caller hangs up while a request is served.
     void on_hang_up(std::function<void()> function);
     bool hung_up() const { return watch_->hung_up; }
@@ -73,6 +88,7 @@
 
     template <class Message>
     task<bool> write(Message& message);
+    task<bool> write_header(const http::fields& fields, unsigned status);
     void watch();
     bool finish(const boost::system::error_code& error);
 
@@ -81,6 +97,7 @@
     bool keep_alive_;
     bool answered_ = false;
     std::chrono::milliseconds write_timeout_;
+    time_point arrived_;
     std::shared_ptr<hang_up_watch> watch_;
 };
 
--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -17,18 +17,23 @@
     connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit);
 
     /// A quiet pooled connection, or a new one that is not connected yet.
-    std::unique_ptr<upstream_connection> take(const endpoint& peer, time_point now);
+    /// @param most_idle time for which the connection may have been idle
+    std::unique_ptr<upstream_connection> take(const endpoint& peer, time_point now,
+                                              duration most_idle = duration::max());
 
     /// A connection that has carried no request, for requests that must not be repeated.
     std::unique_ptr<upstream_connection> take_new(const endpoint& peer) const;
 
     /// Keeps a connection for reuse if its last response ended cleanly.
-    void give_back(std::unique_ptr<upstream_connection> connection, time_point now);
+    /// @param idle_timeout after which the other end closes an idle connection
+    void give_back(std::unique_ptr<upstream_connection> connection, time_point now,
+                   duration idle_timeout = duration::max());
 
 private:
     struct idle_connection {
         std::unique_ptr<upstream_connection> connection;
         time_point since;
+        duration idle_timeout;
     };
 
     asio::any_io_executor executor_;
--- a/packages/traffic/include/citronwick/traffic/exclusive_turn.hpp
+++ b/packages/traffic/include/citronwick/traffic/exclusive_turn.hpp
@@ -1,7 +1,7 @@
 #ifndef CITRONWICK_TRAFFIC_EXCLUSIVE_TURN_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_EXCLUSIVE_TURN_HPP_INCLUDED
 
-#include "citronwick/platform/task.hpp"
+#include "citronwick/io/task.hpp"
 
 #include <atomic>
 #include <chrono>
--- a/packages/traffic/include/citronwick/traffic/front.hpp
+++ b/packages/traffic/include/citronwick/traffic/front.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/core/endpoint.hpp"
 #include "citronwick/core/failure.hpp"
+#include "citronwick/traffic/request_server.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 
 #include <chrono>
@@ -11,13 +12,11 @@
 
 namespace citronwick {
 
-class control_plane;
-class metrics;
-
 /// The callers' front: listens, and serves requests on the traffic threads.
 class front {
 public:
-    front(const traffic_settings& settings, control_plane& control, metrics& counters);
+    /// @param make_server makes the server of each traffic thread
+    front(const traffic_settings& settings, request_server_factory make_server);
     front(const front&) = delete;
     front& operator=(const front&) = delete;
     ~front();
--- a/packages/traffic/include/citronwick/traffic/operator_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/operator_server.hpp
@@ -4,19 +4,29 @@
 #include "citronwick/core/endpoint.hpp"
 #include "citronwick/core/failure.hpp"
 
+#include <boost/json/object.hpp>
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace citronwick {
 
-class control_plane;
 class front;
-class metrics;
+
+/// What one interface of the product shows its operators. The functions are
+/// called on the operators' thread.
+struct operator_pages {
+    std::function<bool()> is_ready;
+    std::function<std::string()> metrics; ///< in the Prometheus text format
+    std::function<boost::json::object()> view;
+    std::string readiness_path = "/readyz"; ///< served beside /readyz
+};
 
 /// Read-only pages for operators and the balancer: /healthz, /readyz,
 /// /metrics and /debug/view.
 class operator_server {
 public:
-    operator_server(const endpoint& listen, control_plane& control, metrics& counters, front& callers);
+    operator_server(const endpoint& listen, operator_pages pages, front& callers);
     operator_server(const operator_server&) = delete;
     operator_server& operator=(const operator_server&) = delete;
     ~operator_server();
--- a/packages/traffic/include/citronwick/traffic/problem.hpp
+++ b/packages/traffic/include/citronwick/traffic/problem.hpp
@@ -24,7 +24,7 @@
     std::string_view type; ///< last part of the type URI, such as "queue-full"
     std::string detail;
     outcome result = outcome::not_run;
-    std::optional<std::chrono::seconds> retry_after{};
+    std::optional<std::chrono::milliseconds> retry_after{};
 };
 
 /// JSON of the problem.
--- a/packages/traffic/include/citronwick/traffic/service_handler.hpp
+++ b/packages/traffic/include/citronwick/traffic/service_handler.hpp
@@ -1,7 +1,7 @@
 #ifndef CITRONWICK_TRAFFIC_SERVICE_HANDLER_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_SERVICE_HANDLER_HPP_INCLUDED
 
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 
 namespace citronwick {
 
--- a/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
+++ b/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
@@ -24,6 +24,7 @@
         10'000};                                   ///< idle upstream connections are closed after it
     std::chrono::milliseconds balancer_lag{2'000}; ///< time for which a stopping router still accepts
     std::chrono::milliseconds drain_limit{0};      ///< requests are cut after it, 0 for never
+    std::chrono::milliseconds grace{0}; ///< from the signal until the VM is taken away, 0 for unlimited
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -2,7 +2,7 @@
 
 #include "citronwick/control/control_plane.hpp"
 #include "citronwick/core/registry.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/traffic/metrics.hpp"
 
 #include <algorithm>
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -12,12 +12,22 @@
 constexpr const char* request_field = "Citronwick-Request";
 constexpr const char* outcome_field = "Citronwick-Outcome";
 
+/// Seconds, with a fraction where they are not whole.
+std::string retry_after_text(std::chrono::milliseconds value) {
+    const auto whole = std::chrono::duration_cast<std::chrono::seconds>(value);
+    if (whole == value) {
+        return std::to_string(whole.count());
+    }
+    std::string fraction = std::to_string((value - whole).count());
+    return std::to_string(whole.count()) + "." + std::string(3 - fraction.size(), '0') + fraction;
+}
+
 } // namespace
 
 caller::caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
-               std::chrono::milliseconds write_timeout)
+               std::chrono::milliseconds write_timeout, time_point arrived)
     : stream_{stream}, request_id_{std::move(request_id)}, keep_alive_{keep_alive},
-      write_timeout_{write_timeout}, watch_{std::make_shared<hang_up_watch>()} {}
+      write_timeout_{write_timeout}, arrived_{arrived}, watch_{std::make_shared<hang_up_watch>()} {}
 
 caller::~caller() {
     watch_->notify = nullptr;
@@ -63,20 +73,16 @@
                          .body = to_json(why, request_id_),
                          .result = why.result};
     if (why.retry_after) {
-        refusal.headers.emplace_back("Retry-After", std::to_string(why.retry_after->count()));
+        refusal.headers.emplace_back("Retry-After", retry_after_text(*why.retry_after));
     }
     co_return co_await answer(std::move(refusal));
 }
 
-task<bool> caller::begin_stream(header_fields headers) {
+task<bool> caller::write_header(const http::fields& fields, unsigned status) {
     answered_ = true;
-    http::response<http::empty_body> response{http::status::ok, 11};
-    response.set(request_field, request_id_);
-    response.set(http::field::content_type, "text/event-stream");
-    response.set(http::field::cache_control, "no-cache");
-    response.set(http::field::trailer, outcome_field);
-    for (const auto& [name, value] : headers) {
-        response.set(name, value);
+    http::response<http::empty_body> response{http::int_to_status(status), 11};
+    for (const auto& field : fields) {
+        response.insert(field.name(), field.name_string(), field.value());
     }
     response.keep_alive(keep_alive_);
     response.chunked(true);
@@ -86,6 +92,37 @@
     co_return finish(error);
 }
 
+task<bool> caller::begin_stream(header_fields headers) {
+    http::fields fields;
+    fields.set(request_field, request_id_);
+    fields.set(http::field::content_type, "text/event-stream");
+    fields.set(http::field::cache_control, "no-cache");
+    fields.set(http::field::trailer, outcome_field);
+    for (const auto& [name, value] : headers) {
+        fields.set(name, value);
+    }
+    co_return co_await write_header(fields, static_cast<unsigned>(http::status::ok));
+}
+
+task<bool> caller::relay(http_response answer) {
+    answered_ = true;
+    answer.version(11);
+    answer.keep_alive(keep_alive_);
+    answer.prepare_payload();
+    co_return co_await write(answer);
+}
+
+task<bool> caller::begin_relay(http_response head) {
+    co_return co_await write_header(head, head.result_int());
+}
+
+task<bool> caller::end_relay() {
+    const auto last = http::make_chunk_last();
+    stream_.expires_after(write_timeout_);
+    auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
+    co_return finish(error);
+}
+
 task<bool> caller::write_events(std::string events) {
     const auto chunk = http::make_chunk(asio::buffer(events));
     stream_.expires_after(write_timeout_);
--- a/packages/traffic/src/chat_request.cpp
+++ b/packages/traffic/src/chat_request.cpp
@@ -1,6 +1,6 @@
 #include "citronwick/traffic/chat_request.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <array>
 #include <boost/json/array.hpp>
--- a/packages/traffic/src/front.cpp
+++ b/packages/traffic/src/front.cpp
@@ -1,11 +1,9 @@
 #include "citronwick/traffic/front.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/log.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
-#include "citronwick/traffic/chat_handler.hpp"
-#include "citronwick/traffic/service_handler.hpp"
-#include "citronwick/traffic/traffic_context.hpp"
+#include "citronwick/traffic/http_framing.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -16,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -25,17 +24,6 @@
 
 namespace beast = boost::beast;
 
-/// Handler of a path prefix.
-struct route {
-    std::string_view prefix;
-    task<void> (*serve)(thread_context&, caller&, const http_request&);
-};
-
-constexpr std::array routes{
-    route{"/v1/chat/completions", &serve_chat},
-    route{"/services/", &serve_service},
-};
-
 /// Refusal of a request that could not be read, by the parser's error.
 problem unreadable(const boost::system::error_code& error) {
     if (error == http::error::header_limit) {
@@ -62,9 +50,8 @@
 
 class front::state {
 public:
-    state(const traffic_settings& settings, control_plane& control, metrics& counters)
-        : settings_{settings}, admission_{control, counters},
-          shared_{control, settings_, counters, admission_, suspect_turn_}, acceptor_{accept_context_} {}
+    state(const traffic_settings& settings, request_server_factory make_server)
+        : settings_{settings}, make_server_{std::move(make_server)}, acceptor_{accept_context_} {}
 
     io_result<endpoint> start() {
         const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
@@ -72,7 +59,7 @@
             return bound;
         }
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
-            workers_.push_back(std::make_unique<worker>(shared_));
+            workers_.push_back(std::make_unique<worker>(make_server_));
         }
         asio::co_spawn(accept_context_, accept(), asio::detached);
         accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
@@ -115,13 +102,12 @@
 private:
     /// One traffic thread.
     struct worker {
-        explicit worker(traffic_context& shared)
-            : thread{shared, {context.get_executor(), shared.settings.pooled_connection_age}, {}},
-              runner{[this] { context.run(); }} {}
+        explicit worker(const request_server_factory& make_server)
+            : server{make_server(context.get_executor())}, runner{[this] { context.run(); }} {}
 
         asio::io_context context{1};
         asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
-        thread_context thread;
+        std::unique_ptr<request_server> server;
         std::set<beast::tcp_stream*> idle; ///< connections that wait for a request
         std::jthread runner;
     };
@@ -171,23 +157,34 @@
     /// Reads and serves one request.
     /// @return whether the connection may carry another
     task<bool> serve_request(worker& thread, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+        const request_limits limits = thread.server->limits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(settings_.header_bytes);
-        parser.body_limit(settings_.body_bytes);
-        auto header_error = co_await read_header(thread, stream, buffer, parser);
-        if (!header_error) {
+        parser.header_limit(limits.header_bytes);
+        parser.body_limit(limits.body_bytes);
+        auto read_error = co_await read_header(thread, stream, buffer, parser, limits);
+        const auto arrived = clock::now();
+        std::optional<problem> refusal;
+        if (!read_error) {
             const request_count counted{requests_};
-            header_error = co_await read_body(stream, buffer, parser);
-            if (!header_error) {
+            if (const auto fault = find_framing_fault(parser.get())) {
+                refusal = problem{400, "bad-request", std::string{*fault}};
+            } else {
+                read_error = co_await read_body(stream, buffer, parser, limits);
+            }
+            if (!refusal && !read_error) {
                 auto request = parser.release();
-                const bool again = co_await dispatch(thread.thread, stream, std::move(request));
+                const bool again = co_await dispatch(*thread.server, stream, std::move(request), arrived);
                 co_return again;
             }
         }
-        if (deserves_answer(header_error)) {
-            caller from{stream, random_id(), false, settings_.caller_write_timeout};
-            auto why = unreadable(header_error);
-            co_await from.refuse(std::move(why));
+        if (!refusal && deserves_answer(read_error)) {
+            refusal = unreadable(read_error);
+        }
+        if (refusal) {
+            log_info("request_unreadable", {{"status", std::to_string(refusal->status)},
+                                            {"detail", refusal->detail}});
+            caller from{stream, random_id(), false, settings_.caller_write_timeout, arrived};
+            co_await from.refuse(std::move(*refusal));
             co_await drain_input(stream);
         }
         co_return false;
@@ -195,28 +192,54 @@
 
     task<boost::system::error_code> read_header(worker& thread, beast::tcp_stream& stream,
                                                 beast::flat_buffer& buffer,
-                                                http::request_parser<http::string_body>& parser) {
-        constexpr std::size_t first_read_bytes = 4'096;
+                                                http::request_parser<http::string_body>& parser,
+                                                const request_limits& limits) {
         if (buffer.size() == 0) {
             thread.idle.insert(&stream);
-            stream.expires_after(settings_.caller_idle_timeout);
-            const auto space = buffer.prepare(first_read_bytes);
-            auto [error, size] = co_await stream.async_read_some(space, use_tuple);
-            buffer.commit(size);
+            auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
             thread.idle.erase(&stream);
             if (error) {
                 co_return error == beast::error::timeout ? boost::system::error_code{asio::error::eof}
                                                          : error;
             }
         }
-        stream.expires_after(settings_.caller_read_timeout);
+        constexpr std::string_view header_end = "\r\n\r\n";
+        const auto deadline = clock::now() + limits.read_timeout;
+        while (text_of(buffer).find(header_end) == std::string_view::npos) {
+            if (buffer.size() > limits.header_bytes) {
+                co_return http::make_error_code(http::error::header_limit);
+            }
+            auto error = co_await read_more(stream, buffer, deadline);
+            if (error) {
+                co_return error;
+            }
+        }
+        const auto text = text_of(buffer);
+        if (const auto fault = find_header_fault(text.substr(0, text.find(header_end) + header_end.size()))) {
+            co_return http::make_error_code(http::error::bad_field);
+        }
         auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
         co_return error;
     }
 
+    static std::string_view text_of(const beast::flat_buffer& buffer) {
+        return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+    }
+
+    static task<boost::system::error_code> read_more(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                                     time_point deadline) {
+        constexpr std::size_t read_bytes = 4'096;
+        stream.expires_at(deadline);
+        const auto space = buffer.prepare(read_bytes);
+        auto [error, size] = co_await stream.async_read_some(space, use_tuple);
+        buffer.commit(size);
+        co_return error;
+    }
+
     task<boost::system::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                              http::request_parser<http::string_body>& parser) {
-        stream.expires_after(settings_.caller_read_timeout);
+                                              http::request_parser<http::string_body>& parser,
+                                              const request_limits& limits) {
+        stream.expires_after(limits.read_timeout);
         if (parser.get()[http::field::expect] == "100-continue") {
             http::response<http::string_body> go_on{http::status::continue_, 11};
             auto [write_error, written] = co_await http::async_write(stream, go_on, use_tuple);
@@ -245,17 +268,13 @@
         }
     }
 
-    task<bool> dispatch(thread_context& thread, beast::tcp_stream& stream, http_request request) {
+    task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
+                        time_point arrived) {
         const bool keep_alive = request.keep_alive() && !leaving_;
-        caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout};
-        const std::string_view target = request.target();
-        const auto* const found = std::ranges::find_if(
-            routes, [target](const route& each) { return target.starts_with(each.prefix); });
-        if (found == routes.end()) {
-            problem why{404, "unknown-path", "nothing is served at this path"};
-            co_await from.refuse(std::move(why));
-        } else {
-            co_await found->serve(thread, from, request);
+        caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
+        co_await server.serve(from, std::move(request));
+        if (leaving_) {
+            from.close_after_answer();
         }
         co_return from.keep_alive() && from.answered();
     }
@@ -273,9 +292,7 @@
     };
 
     const traffic_settings& settings_;
-    admission admission_;
-    exclusive_turn suspect_turn_;
-    traffic_context shared_;
+    request_server_factory make_server_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::unique_ptr<worker>> workers_;
@@ -285,8 +302,8 @@
     std::jthread accept_thread_;
 };
 
-front::front(const traffic_settings& settings, control_plane& control, metrics& counters)
-    : state_{std::make_unique<state>(settings, control, counters)} {}
+front::front(const traffic_settings& settings, request_server_factory make_server)
+    : state_{std::make_unique<state>(settings, std::move(make_server))} {}
 
 front::~front() {
     stop();
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -1,10 +1,7 @@
 #include "citronwick/traffic/operator_server.hpp"
 
-#include "citronwick/control/control_plane.hpp"
-#include "citronwick/control/upstream_usage.hpp"
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 #include "citronwick/traffic/front.hpp"
-#include "citronwick/traffic/metrics.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <thread>
@@ -25,39 +21,12 @@
 
 constexpr std::chrono::seconds operator_timeout{10};
 
-json::object to_json(const upstream_view& upstream) {
-    const bool ready = upstream.state == availability::ready;
-    return {{"name", upstream.name},
-            {"failure_domain", upstream.failure_domain},
-            {"address", to_text(upstream.address)},
-            {"state", ready ? "ready" : std::string{to_text(upstream.state)}},
-            {"incarnation", upstream.incarnation},
-            {"own_in_flight", upstream.usage->in_flight.load(std::memory_order_relaxed)},
-            {"in_flight", estimated_in_flight(upstream)}};
-}
-
-json::object to_json(const fleet_view& view) {
-    json::object services;
-    for (const auto& [name, upstreams] : view.upstreams) {
-        json::array list;
-        for (const upstream_view& upstream : upstreams) {
-            list.push_back(to_json(upstream));
-        }
-        services[name] = std::move(list);
-    }
-    return {{"generation", view.config ? view.config->root.generation : 0},
-            {"preset", view.config ? view.config->root.active_preset : ""},
-            {"live_routers", view.live_routers},
-            {"services", std::move(services)}};
-}
-
 } // namespace
 
 class operator_server::state {
 public:
-    state(endpoint listen, control_plane& control, metrics& counters, front& callers)
-        : listen_{std::move(listen)}, control_{control}, counters_{counters}, callers_{callers},
-          acceptor_{context_} {}
+    state(endpoint listen, operator_pages pages, front& callers)
+        : listen_{std::move(listen)}, pages_{std::move(pages)}, callers_{callers}, acceptor_{context_} {}
 
     ~state() { context_.stop(); }
 
@@ -109,14 +78,14 @@
         response.set(http::field::content_type, "text/plain; charset=utf-8");
         if (target == "/healthz") {
             response.body() = "ok\n";
-        } else if (target == "/readyz") {
-            const bool ready = ready_ && control_.view()->config;
+        } else if (target == "/readyz" || target == pages_.readiness_path) {
+            const bool ready = ready_ && pages_.is_ready();
             response.result(ready ? http::status::ok : http::status::service_unavailable);
             response.body() = ready ? "ready\n" : "not ready\n";
         } else if (target == "/metrics") {
-            response.body() = counters_.page(control_);
+            response.body() = pages_.metrics();
         } else if (target == "/debug/view") {
-            json::object page = to_json(*control_.view());
+            json::object page = pages_.view();
             page["connections"] = callers_.open_connections();
             page["requests_in_flight"] = callers_.requests_in_flight();
             response.set(http::field::content_type, "application/json");
@@ -129,8 +98,7 @@
     }
 
     endpoint listen_;
-    control_plane& control_;
-    metrics& counters_;
+    operator_pages pages_;
     front& callers_;
     asio::io_context context_{1};
     asio::ip::tcp::acceptor acceptor_;
@@ -138,9 +106,8 @@
     std::jthread thread_;
 };
 
-operator_server::operator_server(const endpoint& listen, control_plane& control, metrics& counters,
-                                 front& callers)
-    : state_{std::make_unique<state>(listen, control, counters, callers)} {}
+operator_server::operator_server(const endpoint& listen, operator_pages pages, front& callers)
+    : state_{std::make_unique<state>(listen, std::move(pages), callers)} {}
 
 operator_server::~operator_server() = default;
 
--- /dev/null
+++ b/packages/traffic/src/route_context.hpp
@@ -0,0 +1,29 @@
+#ifndef CITRONWICK_TRAFFIC_ROUTE_CONTEXT_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_ROUTE_CONTEXT_HPP_INCLUDED
+
+#include "citronwick/policy/retry_window.hpp"
+#include "citronwick/traffic/connection_pool.hpp"
+
+#include <map>
+#include <string>
+
+namespace citronwick {
+
+class request_dialect;
+class route_metrics;
+class routing_plane;
+struct traffic_settings;
+
+/// What the requests of one traffic thread share.
+struct route_context {
+    const traffic_settings& settings;
+    routing_plane& plane;
+    const request_dialect& dialect;
+    route_metrics& counters;
+    connection_pool pool;
+    std::map<std::string, retry_window, std::less<>> retries; ///< by service
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/route_metrics.cpp
@@ -0,0 +1,112 @@
+#include "citronwick/traffic/route_metrics.hpp"
+
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/routing_view.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace citronwick {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+namespace {
+
+/// Upper bounds of the latency buckets in seconds.
+const Histogram::BucketBoundaries latency_bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
+                                                 0.8,   1.6,  3.2,   6.4,  15.0};
+
+double seconds(duration value) {
+    return std::chrono::duration<double>{value}.count();
+}
+
+} // namespace
+
+struct route_metrics::families {
+    prometheus::Registry registry;
+    Family<Counter>& requests = prometheus::BuildCounter()
+                                    .Name("citronwick_routed_requests_total")
+                                    .Help("Requests by service and result")
+                                    .Register(registry);
+    Family<Histogram>& request_time = prometheus::BuildHistogram()
+                                          .Name("citronwick_routed_request_seconds")
+                                          .Help("Time from a request's header to its last byte")
+                                          .Register(registry);
+    Family<Counter>& attempts = prometheus::BuildCounter()
+                                    .Name("citronwick_attempts_total")
+                                    .Help("Sendings to upstreams by service and outcome")
+                                    .Register(registry);
+    Family<Histogram>& attempt_time = prometheus::BuildHistogram()
+                                          .Name("citronwick_attempt_seconds")
+                                          .Help("Time from sending to the first byte of the answer")
+                                          .Register(registry);
+    Family<Counter>& connections = prometheus::BuildCounter()
+                                       .Name("citronwick_upstream_connections_total")
+                                       .Help("Connections opened to upstreams, by service")
+                                       .Register(registry);
+    Family<Gauge>& version = prometheus::BuildGauge()
+                                 .Name("citronwick_declaration_version")
+                                 .Help("Version of the declaration in force")
+                                 .Register(registry);
+    Family<Gauge>& revision = prometheus::BuildGauge()
+                                  .Name("citronwick_store_revision")
+                                  .Help("Revision up to which the store was followed")
+                                  .Register(registry);
+    Family<Gauge>& key_age = prometheus::BuildGauge()
+                                 .Name("citronwick_key_confirmation_age_seconds")
+                                 .Help("Time since the team keys were confirmed, -1 for never")
+                                 .Register(registry);
+    Family<Gauge>& live_routers = prometheus::BuildGauge()
+                                      .Name("citronwick_live_routers")
+                                      .Help("Routers that this one hears, itself included")
+                                      .Register(registry);
+    Family<Gauge>& upstreams = prometheus::BuildGauge()
+                                   .Name("citronwick_usable_upstreams")
+                                   .Help("Upstreams that take new work, by service")
+                                   .Register(registry);
+    Family<Gauge>& gossip_bytes = prometheus::BuildGauge()
+                                      .Name("citronwick_gossip_bytes")
+                                      .Help("Bytes sent to other routers since start")
+                                      .Register(registry);
+};
+
+route_metrics::route_metrics() : families_{std::make_unique<families>()} {}
+
+route_metrics::~route_metrics() = default;
+
+void route_metrics::count_request(std::string_view service, std::string_view result, duration took) {
+    families_->requests.Add({{"service", std::string{service}}, {"result", std::string{result}}}).Increment();
+    families_->request_time.Add({{"service", std::string{service}}}, latency_bounds).Observe(seconds(took));
+}
+
+void route_metrics::count_attempt(std::string_view service, std::string_view outcome, duration took) {
+    families_->attempts.Add({{"service", std::string{service}}, {"outcome", std::string{outcome}}})
+        .Increment();
+    families_->attempt_time.Add({{"service", std::string{service}}}, latency_bounds).Observe(seconds(took));
+}
+
+void route_metrics::count_connection(std::string_view service) {
+    families_->connections.Add({{"service", std::string{service}}}).Increment();
+}
+
+std::string route_metrics::page(const routing_plane& plane) {
+    const auto view = plane.view();
+    const auto age = plane.key_age(boot_now());
+    families_->version.Add({}).Set(view->config ? static_cast<double>(view->config->version()) : 0.0);
+    families_->revision.Add({}).Set(static_cast<double>(view->revision));
+    families_->key_age.Add({}).Set(age ? seconds(*age) : -1.0);
+    families_->live_routers.Add({}).Set(static_cast<double>(view->live_routers));
+    families_->gossip_bytes.Add({}).Set(static_cast<double>(plane.gossip_bytes()));
+    for (const auto& [service, upstreams] : view->upstreams) {
+        families_->upstreams.Add({{"service", service}}).Set(static_cast<double>(upstreams.size()));
+    }
+    return prometheus::TextSerializer{}.Serialize(families_->registry.Collect());
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/route_placer.cpp
@@ -0,0 +1,92 @@
+#include "route_placer.hpp"
+
+#include "citronwick/fleet/routing_memory.hpp"
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+#include <utility>
+
+namespace citronwick {
+
+namespace {
+
+/// Grounds on which upstreams are passed over; the later ones are dropped
+/// first where no upstream is left.
+struct strictness {
+    bool avoid_outliers;
+    bool avoid_unreachable;
+};
+
+constexpr std::array strictness_levels{strictness{true, true}, strictness{false, true},
+                                       strictness{false, false}};
+
+routed_candidate candidate_of(const routed_upstream& upstream, const routing_memory::opinion& known,
+                              const placement_question& question, std::string_view failure_domain) {
+    const upstream_work& work = *upstream.work;
+    const auto in_flight = work.in_flight.load(std::memory_order_relaxed) +
+                           work.elsewhere_in_flight.load(std::memory_order_relaxed);
+    const auto backlog = work.backlog.load(std::memory_order_relaxed) +
+                         work.elsewhere_backlog.load(std::memory_order_relaxed);
+    const auto cached = std::min(known.cached_tokens, question.prompt_tokens);
+    return {.hash = upstream.hash,
+            .in_flight = static_cast<double>(in_flight),
+            .slots = static_cast<double>(upstream.entry.slots),
+            .backlog = static_cast<double>(backlog),
+            .missing = static_cast<double>(question.prompt_tokens - cached),
+            .is_near = upstream.entry.failure_domain == failure_domain};
+}
+
+} // namespace
+
+std::optional<placed_request> place_request(const placement_question& question, const routing_view& view,
+                                            const routing_memory& memory, const placement_limits& limits,
+                                            std::string_view failure_domain, time_point now) {
+    const auto found = view.upstreams.find(question.service->name);
+    if (found == view.upstreams.end()) {
+        return std::nullopt;
+    }
+    const auto& upstreams = found->second;
+    std::vector<std::uint64_t> hashes;
+    std::ranges::transform(upstreams, std::back_inserter(hashes), &routed_upstream::hash);
+    const auto opinions = memory.opinions(hashes, question.prefixes, now);
+    std::vector<routed_candidate> candidates;
+    for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        candidates.push_back(candidate_of(upstreams[index], opinions[index], question, failure_domain));
+    }
+    const std::uint64_t affinity =
+        question.prefixes.empty() ? question.request : question.prefixes.back().key;
+    for (const strictness& level : strictness_levels) {
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            const bool was_tried = std::ranges::find(question.tried, hashes[index]) != question.tried.end();
+            candidates[index].usable = !was_tried &&
+                                       (!level.avoid_outliers || !opinions[index].is_outlier) &&
+                                       (!level.avoid_unreachable || opinions[index].is_reachable);
+        }
+        const auto decision = question.service->engine ? place_on_engine(affinity, candidates, limits)
+                                                       : place_on_worker(affinity, candidates, limits);
+        if (decision.index) {
+            const routed_candidate& chosen = candidates[*decision.index];
+            return placed_request{upstreams[*decision.index], static_cast<std::uint32_t>(chosen.missing),
+                                  chosen.in_flight, decision.expected_wait_ms, decision.reason};
+        }
+    }
+    return std::nullopt;
+}
+
+work_guard::work_guard(std::shared_ptr<upstream_work> work, std::uint32_t missing_tokens)
+    : work_{std::move(work)}, unread_{static_cast<std::int32_t>(missing_tokens)} {
+    work_->in_flight.fetch_add(1, std::memory_order_relaxed);
+    work_->backlog.fetch_add(unread_, std::memory_order_relaxed);
+}
+
+work_guard::~work_guard() {
+    prompt_was_read();
+    work_->in_flight.fetch_sub(1, std::memory_order_relaxed);
+}
+
+void work_guard::prompt_was_read() {
+    work_->backlog.fetch_sub(std::exchange(unread_, 0), std::memory_order_relaxed);
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/route_server.cpp
@@ -0,0 +1,86 @@
+#include "citronwick/traffic/route_server.hpp"
+
+#include "citronwick/fleet/platform_adapter.hpp"
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/traffic/route_metrics.hpp"
+#include "citronwick/traffic/traffic_settings.hpp"
+#include "route_context.hpp"
+#include "route_exchange.hpp"
+
+#include <boost/json/array.hpp>
+
+namespace citronwick {
+
+namespace {
+
+namespace json = boost::json;
+
+class route_server final : public request_server {
+public:
+    route_server(const traffic_settings& settings, routing_plane& plane, const platform_adapter& adapter,
+                 route_metrics& counters, const asio::any_io_executor& executor)
+        : thread_{settings, plane, adapter.dialect(), counters,
+                  connection_pool{executor, settings.pooled_connection_age}, {}} {}
+
+    request_limits limits() const override {
+        const auto view = thread_.plane.view();
+        const caller_limits declared = view->config ? view->config->limits() : caller_limits{};
+        return {declared.header_bytes, declared.body_bytes, declared.header_timeout, declared.idle_timeout};
+    }
+
+    task<void> serve(caller& from, http_request request) override {
+        route_exchange exchange{thread_, from, std::move(request)};
+        co_await exchange.run();
+    }
+
+private:
+    route_context thread_;
+};
+
+json::object to_json(const routed_upstream& upstream) {
+    return {{"id", upstream.entry.id},
+            {"address", to_text(upstream.entry.address)},
+            {"failure_domain", upstream.entry.failure_domain},
+            {"incarnation", upstream.entry.incarnation},
+            {"own_in_flight", upstream.work->in_flight.load(std::memory_order_relaxed)},
+            {"elsewhere_in_flight", upstream.work->elsewhere_in_flight.load(std::memory_order_relaxed)}};
+}
+
+json::object to_json(const routing_plane& plane) {
+    const auto view = plane.view();
+    const auto age = plane.key_age(boot_now());
+    json::object services;
+    for (const auto& [service, upstreams] : view->upstreams) {
+        json::array list;
+        for (const routed_upstream& each : upstreams) {
+            list.push_back(to_json(each));
+        }
+        services[service] = std::move(list);
+    }
+    return {{"version", view->config ? view->config->version() : 0},
+            {"revision", view->revision},
+            {"live_routers", view->live_routers},
+            {"key_age_ms",
+             age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1},
+            {"services", std::move(services)}};
+}
+
+} // namespace
+
+request_server_factory make_route_servers(const traffic_settings& settings, routing_plane& plane,
+                                          const platform_adapter& adapter, route_metrics& counters) {
+    return [&](const asio::any_io_executor& executor) -> std::unique_ptr<request_server> {
+        return std::make_unique<route_server>(settings, plane, adapter, counters, executor);
+    };
+}
+
+operator_pages make_route_pages(const routing_plane& plane, const platform_adapter& adapter,
+                                route_metrics& counters) {
+    return {.is_ready = [&plane] { return plane.view()->config != nullptr; },
+            .metrics = [&plane, &counters] { return counters.page(plane); },
+            .view = [&plane] { return to_json(plane); },
+            .readiness_path = std::string{adapter.readiness_page()}};
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -0,0 +1,68 @@
+#include "upstream_exchange.hpp"
+
+namespace citronwick {
+
+namespace {
+
+/// Answers to other requests that are skipped before the connection is given up.
+constexpr int most_foreign_answers = 2;
+constexpr std::uint64_t foreign_answer_limit = 1'048'576;
+
+std::chrono::milliseconds left_until(time_point deadline, time_point now) {
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(deadline - now),
+                    std::chrono::milliseconds{1});
+}
+
+constexpr unsigned misdirected = 421;
+constexpr unsigned first_success = 200;
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_error = 500;
+
+} // namespace
+
+task<exchange_result> upstream_exchange::run(http_request request, std::optional<std::uint64_t> answer_limit,
+                                             time_point deadline) {
+    connection_.start_send(std::move(request), left_until(deadline, clock::now()));
+    for (int foreign = 0; foreign <= most_foreign_answers; ++foreign) {
+        auto read = co_await connection_.read_header(answer_limit, left_until(deadline, clock::now()));
+        if (read.has_error()) {
+            co_return exchange_result{attempt_outcome::may_have_run, to_text(read.error()), true};
+        }
+        traits_ = dialect_.read_answer(connection_.header());
+        if (!is_foreign()) {
+            co_return classify();
+        }
+        is_spoilt_ = true;
+        auto skipped = co_await connection_.read_all(left_until(deadline, clock::now()));
+        if (skipped.has_error() || skipped->size() > foreign_answer_limit) {
+            break;
+        }
+    }
+    connection_.close();
+    co_return exchange_result{attempt_outcome::may_have_run, "only answers to other requests arrived"};
+}
+
+bool upstream_exchange::is_foreign() const {
+    const bool is_interim = connection_.status() < first_success;
+    const bool states_nothing_run = traits_.is_not_run || connection_.status() == misdirected;
+    const bool has_other_id = !traits_.attempt_id.empty() && traits_.attempt_id != attempt_id_;
+    return is_interim || has_other_id || (traits_.attempt_id.empty() && !states_nothing_run && traits_.is_signed);
+}
+
+exchange_result upstream_exchange::classify() const {
+    const unsigned status = connection_.status();
+    const std::string text = "status " + std::to_string(status);
+    if (traits_.is_not_run || status == misdirected) {
+        return {attempt_outcome::not_run, text};
+    }
+    if (status >= first_server_error) {
+        return {attempt_outcome::failed_run, text};
+    }
+    const bool is_success = status >= first_success && status < first_redirect;
+    if (is_success && (!traits_.is_signed || traits_.is_encoded)) {
+        return {attempt_outcome::may_have_run, text + " without proof or in another encoding"};
+    }
+    return {attempt_outcome::answered, text};
+}
+
+} // namespace citronwick
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -77,6 +77,47 @@
     std::uint8_t crashes = 0;
 };
 
+/// Work that the sender has on one upstream.
+struct work_entry {
+    std::uint32_t upstream = 0;
+    std::uint16_t in_flight = 0;
+    std::uint16_t backlog = 0; ///< prompt tokens not yet read, in units of `backlog_unit`
+};
+
+/// Prompt tokens that `work_entry::backlog` counts as one.
+constexpr std::uint32_t backlog_unit = 64;
+
+/// How far the sender has followed the platform's store. A message that holds
+/// one also holds all of the sender's work.
+struct store_position {
+    std::int64_t revision = 0;
+};
+
+/// Question how fresh the receiver's configuration is.
+struct freshness_question {
+    std::int64_t asked_at = 0; ///< on the asker's clock, repeated in the answer
+};
+
+/// Answer to `freshness_question`.
+struct freshness_answer {
+    std::int64_t asked_at = 0;
+    std::uint32_t age = 0; ///< milliseconds since the store confirmed the configuration
+    std::int64_t revision = 0;
+};
+
+/// Answers of one upstream that the sender saw since its last message.
+struct evidence_entry {
+    std::uint32_t upstream = 0;
+    std::uint8_t good = 0;
+    std::uint8_t bad = 0;
+};
+
+/// Beginning of a prompt that an upstream now holds.
+struct prefix_entry {
+    std::uint32_t prefix = 0;
+    std::uint32_t upstream = 0;
+};
+
 /// One datagram of the fleet channel.
 struct gossip {
     std::vector<member_record> members;
@@ -88,6 +129,12 @@
     std::vector<leaving_entry> leaving;
     std::vector<document_version> documents;
     std::vector<suspect_entry> suspects;
+    std::vector<work_entry> work;
+    std::vector<store_position> positions;
+    std::vector<freshness_question> questions;
+    std::vector<freshness_answer> answers;
+    std::vector<evidence_entry> evidence;
+    std::vector<prefix_entry> prefixes;
 };
 
 /// Request for a document over TCP: its header, and chunks by their digests.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -105,6 +105,36 @@
     archive(entry.upstream, entry.in_flight);
 }
 
+template <class Archive>
+void serialize(Archive& archive, work_entry& entry) {
+    archive(entry.upstream, entry.in_flight, entry.backlog);
+}
+
+template <class Archive>
+void serialize(Archive& archive, store_position& position) {
+    archive(position.revision);
+}
+
+template <class Archive>
+void serialize(Archive& archive, freshness_question& question) {
+    archive(question.asked_at);
+}
+
+template <class Archive>
+void serialize(Archive& archive, freshness_answer& answer) {
+    archive(answer.asked_at, answer.age, answer.revision);
+}
+
+template <class Archive>
+void serialize(Archive& archive, evidence_entry& entry) {
+    archive(entry.upstream, entry.good, entry.bad);
+}
+
+template <class Archive>
+void serialize(Archive& archive, prefix_entry& entry) {
+    archive(entry.prefix, entry.upstream);
+}
+
 /// Writes or reads the lists that are not empty, after a bit for each list.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
@@ -127,7 +157,8 @@
 void serialize(Archive& archive, gossip& message) {
     serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
                       message.slot_replies, message.reports, message.leaving, message.documents,
-                      message.suspects);
+                      message.suspects, message.work, message.positions, message.questions,
+                      message.answers, message.evidence, message.prefixes);
 }
 
 template <class Archive>
--- a/tests/harness/chat.cpp
+++ b/tests/harness/chat.cpp
@@ -1,6 +1,6 @@
 #include "chat.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "fleet.hpp"
 
 #include <algorithm>
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -1,7 +1,7 @@
 #include "fleet.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "waiting.hpp"
 
 #include <algorithm>
--- a/tests/harness/http_call.cpp
+++ b/tests/harness/http_call.cpp
@@ -1,6 +1,6 @@
 #include "http_call.hpp"
 
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/integration/at_most_once.tests.cpp
+++ b/tests/integration/at_most_once.tests.cpp
@@ -3,7 +3,7 @@
 #include "fleet.hpp"
 #include "waiting.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/tests/integration/configuration.tests.cpp
+++ b/tests/integration/configuration.tests.cpp
@@ -5,7 +5,7 @@
 #include "waiting.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <atomic>
 #include <csignal>
--- a/tests/integration/path.tests.cpp
+++ b/tests/integration/path.tests.cpp
@@ -2,7 +2,7 @@
 #include "fleet.hpp"
 #include "waiting.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -1,7 +1,7 @@
 #include "engine.hpp"
 
 #include "citronwick/core/hash.hpp"
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -1,6 +1,6 @@
 #include "fault_proxy.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
--- a/tests/standin/key_value_service.cpp
+++ b/tests/standin/key_value_service.cpp
@@ -1,6 +1,6 @@
 #include "key_value_service.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
--- a/tests/standin/plain_service.cpp
+++ b/tests/standin/plain_service.cpp
@@ -1,6 +1,6 @@
 #include "plain_service.hpp"
 
-#include "citronwick/platform/json_text.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <boost/json/serialize.hpp>
 
--- a/tests/standin/standin_server.hpp
+++ b/tests/standin/standin_server.hpp
@@ -1,7 +1,7 @@
 #ifndef CITRONWICK_TESTS_STANDIN_STANDIN_SERVER_HPP_INCLUDED
 #define CITRONWICK_TESTS_STANDIN_STANDIN_SERVER_HPP_INCLUDED
 
-#include "citronwick/platform/http_connection.hpp"
+#include "citronwick/io/http_connection.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
