--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -68,6 +68,7 @@
 
 void upstream_connection::start_send(http_request request, std::chrono::milliseconds timeout) {
     head_only_ = request.method() == http::verb::head;
+    request.prepare_payload();
     sending_ = std::make_shared<sending>(std::move(request), stream_);
     stream_->expires_after(timeout);
     http::async_write(*stream_, sending_->request,
