--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -39,7 +39,8 @@
 } // namespace
 
 route_exchange::route_exchange(route_context& thread, caller& from, http_request request)
-    : thread_{thread}, from_{from}, request_{std::move(request)}, view_{thread.plane.view()} {}
+    : thread_{thread}, from_{from}, request_{std::move(request)}, view_{thread.plane.view()},
+      config_{view_->config} {}
 
 std::chrono::milliseconds route_exchange::time_left(time_point now) const {
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now), 0ms);
@@ -66,14 +67,14 @@
     if (!traits_.attempt_id.empty()) {
         from_.set_request_id(traits_.attempt_id);
     }
-    if (!view_->config) {
+    if (!config_) {
         return problem{503, "no-configuration", "no configuration is known yet", outcome::not_run, 500ms};
     }
     const std::string_view target = request_.target();
     if (!is_plain_path(target)) {
         return problem{400, "bad-path", "the path is ambiguous"};
     }
-    route_ = view_->config->routes().find(request_[http::field::host], target);
+    route_ = config_->routes().find(request_[http::field::host], target);
     if (route_ == nullptr) {
         return problem{404, "unknown-route", "no route leads there"};
     }
@@ -82,7 +83,7 @@
     }
     question_.request = hash64(from_.request_id());
     const auto* const chosen = choose_service(*route_, question_.request);
-    service_ = chosen == nullptr ? nullptr : view_->config->find_service(chosen->service);
+    service_ = chosen == nullptr ? nullptr : config_->find_service(chosen->service);
     if (service_ == nullptr) {
         return problem{503, "unknown-service", "the route's service is not declared", outcome::not_run, 1s};
     }
@@ -101,8 +102,8 @@
 }
 
 std::optional<problem> route_exchange::identify_team() {
-    team_ = traits_.team_key.empty() ? nullptr : view_->config->find_team(traits_.team_key);
-    if (route_->anonymous || view_->config->team_count() == 0) {
+    team_ = traits_.team_key.empty() ? nullptr : config_->find_team(traits_.team_key);
+    if (route_->anonymous || config_->team_count() == 0) {
         return std::nullopt;
     }
     if (auto refusal = check_keys()) {
@@ -420,7 +421,7 @@
               {"detail", why.detail},
               {"took_ms", milliseconds_text(took)},
               {"key_age_ms", key_age ? milliseconds_text(*key_age) : "-"},
-              {"version", view_->config ? std::to_string(view_->config->version()) : "-"}});
+              {"version", config_ ? std::to_string(config_->version()) : "-"}});
     co_await from_.refuse(std::move(why));
 }
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -53,7 +53,8 @@
     route_context& thread_;
     caller& from_;
     http_request request_;
-    std::shared_ptr<const routing_view> view_;
+    std::shared_ptr<const routing_view> view_;            ///< newest, for each attempt
+    std::shared_ptr<const routing_configuration> config_; ///< in force when the request came
     request_traits traits_;
     const route* route_ = nullptr;
     const routed_service* service_ = nullptr;
