--- a/packages/config/include/citronwick/config/routing_configuration.hpp
+++ b/packages/config/include/citronwick/config/routing_configuration.hpp
@@ -22,7 +22,7 @@
 /// Service that routes lead to.
 struct routed_service {
     std::string name;
-    std::uint32_t connection_limit = 64;     ///< connections that one upstream accepts from all callers
+    std::uint32_t connection_limit = 64;    ///< connections that one upstream accepts from all callers
     std::optional<engine_profile> engine{}; ///< none for a plain service
 };
 
--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -64,6 +64,17 @@
     std::vector<const member*> live_in_domain(time_point now) const;
     std::vector<const member*> live_in_region(time_point now) const;
 
+    /// Failure domains none of whose routers is heard, with the moment at which
+    /// the last one was.
+    std::map<std::string, time_point> silent_domains(time_point now) const;
+
+    /// Live routers of this router's failure domain, and those that were learnt
+    /// of so lately that they need not have been heard yet.
+    std::vector<const member*> expected_in_domain(time_point now) const;
+
+    /// Other routers that are known, whether heard or not.
+    std::size_t known() const { return others_.size(); }
+
     /// Routers that the next message should go to, and notes that it does.
     std::vector<const member*> choose_targets(time_point now);
 
--- a/packages/control/include/citronwick/control/upstream_table.hpp
+++ b/packages/control/include/citronwick/control/upstream_table.hpp
@@ -32,6 +32,11 @@
 public:
     explicit upstream_table(std::string region);
 
+    /// Sets the failure domains whose routers went silent, and since when. Their
+    /// upstreams may be cut off with them and count as unreachable until they
+    /// were seen after that.
+    void set_silent_domains(std::map<std::string, time_point> domains);
+
     /// Replaces the set of upstreams. Counters of those that stay are kept.
     void apply_vm_list(const std::vector<listed_vm>& vms, time_point now);
 
@@ -123,6 +128,7 @@
         time_point counted_at;                             ///< last word of another keeper
     };
 
+    bool is_doubtful(const entry& upstream) const;
     availability state_of(const entry& upstream, time_point now) const;
     static std::int32_t sum_of_peers(const entry& upstream);
 
@@ -131,11 +137,9 @@
     std::map<std::uint32_t, entry> entries_;
     std::set<std::string> drained_;
     std::map<std::uint32_t, std::uint64_t> leaving_; ///< highest leaving incarnation
+    std::map<std::string, time_point> silent_domains_;
 };
 
-/// Short hash of an upstream's name, as gossip carries it.
-std::uint32_t short_hash(std::uint64_t hash);
-
 } // namespace citronwick
 
 #endif
--- a/packages/control/src/control_plane.cpp
+++ b/packages/control/src/control_plane.cpp
@@ -325,6 +325,7 @@
             if (keepers_stale_ || now - keepers_assigned_at_ >= keeper_interval) {
                 assign_keepers(now);
             }
+            upstreams_.set_silent_domains(members_.silent_domains(now));
             upstreams_.refresh_estimates(members_.silent(now).empty(), now);
             count_platform_bytes();
             gossip_if_due(now);
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -103,6 +103,33 @@
     return found;
 }
 
+std::map<std::string, time_point> membership::silent_domains(time_point now) const {
+    std::map<std::string, time_point> silent_since;
+    for (const member& other : others_ | std::views::values) {
+        if (other.heard_at) {
+            auto& last = silent_since[other.record.failure_domain];
+            last = std::max(last, *other.heard_at);
+        }
+    }
+    std::erase_if(silent_since, [&](const auto& each) {
+        return each.first == self_.failure_domain || now - each.second < silence_limit();
+    });
+    return silent_since;
+}
+
+std::vector<const member*> membership::expected_in_domain(time_point now) const {
+    std::vector<const member*> found;
+    for (const member& other : others_ | std::views::values) {
+        const bool is_new = !other.heard_at && now - other.learnt_at < silence_limit();
+        const bool is_here =
+            other.record.failure_domain == self_.failure_domain && other.record.region == self_.region;
+        if (is_here && !other.record.leaving && (is_new || is_live(other, now))) {
+            found.push_back(&other);
+        }
+    }
+    return found;
+}
+
 std::vector<const member*> membership::choose_targets(time_point now) {
     std::vector<const member*> chosen;
     const std::size_t most = others_.size() <= all_to_all_limit ? others_.size() : fanout;
--- a/packages/control/src/upstream_table.cpp
+++ b/packages/control/src/upstream_table.cpp
@@ -22,10 +22,6 @@
 
 } // namespace
 
-std::uint32_t short_hash(std::uint64_t hash) {
-    return static_cast<std::uint32_t>(hash);
-}
-
 upstream_table::upstream_table(std::string region) : region_{std::move(region)} {}
 
 void upstream_table::apply_vm_list(const std::vector<listed_vm>& vms, time_point now) {
@@ -182,6 +178,15 @@
     }
 }
 
+void upstream_table::set_silent_domains(std::map<std::string, time_point> domains) {
+    silent_domains_ = std::move(domains);
+}
+
+bool upstream_table::is_doubtful(const entry& upstream) const {
+    const auto silent = silent_domains_.find(upstream.vm.failure_domain);
+    return silent != silent_domains_.end() && (!upstream.report || upstream.report->at <= silent->second);
+}
+
 availability upstream_table::state_of(const entry& upstream, time_point now) const {
     const auto mark = leaving_.find(short_hash(upstream.hash));
     if (upstream.vm.leaving || drained_.contains(upstream.vm.name) ||
@@ -192,7 +197,7 @@
         return availability::unreachable;
     }
     const bool reported_down = upstream.report && !upstream.report->reachable;
-    return reported_down ? availability::unreachable : availability::ready;
+    return reported_down || is_doubtful(upstream) ? availability::unreachable : availability::ready;
 }
 
 void upstream_table::refresh_estimates(bool all_heard, time_point now) {
--- a/packages/core/include/citronwick/core/hash.hpp
+++ b/packages/core/include/citronwick/core/hash.hpp
@@ -13,6 +13,11 @@
 /// Mixes two 64-bit values into one.
 std::uint64_t hash_combine(std::uint64_t left, std::uint64_t right);
 
+/// Hash of a name as messages between routers carry it.
+constexpr std::uint32_t short_hash(std::uint64_t hash) {
+    return static_cast<std::uint32_t>(hash);
+}
+
 /// SHA-256 of a text as 64 lower-case hexadecimal digits.
 std::string sha256_hex(std::string_view text);
 
--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -22,11 +22,11 @@
 
 /// What the fleet tells the upstream about a request that it forwards.
 struct forward_note {
-    std::string upstream;                     ///< identifier that the receiver must have
-    std::string team;                         ///< empty for none
-    std::chrono::milliseconds time_left{0};   ///< after which the caller has gone
-    std::optional<std::uint32_t> priority{};  ///< 0 is the most urgent
-    std::string last_event_id;                ///< where the stream goes on, empty for its start
+    std::string upstream;                    ///< identifier that the receiver must have
+    std::string team;                        ///< empty for none
+    std::chrono::milliseconds time_left{0};  ///< after which the caller has gone
+    std::optional<std::uint32_t> priority{}; ///< 0 is the most urgent
+    std::string last_event_id;               ///< where the stream goes on, empty for its start
 };
 
 /// Load that an upstream reports with an answer.
@@ -38,10 +38,10 @@
 
 /// What an upstream's header fields say of its answer.
 struct answer_traits {
-    std::string attempt_id;       ///< of the request that it answers, empty where not told
-    bool is_signed = false;       ///< bears the upstream's proof that it ran the request
-    bool is_not_run = false;      ///< the upstream states that it did not run the request
-    bool is_encoded = false;      ///< the body is not in the form that was asked for
+    std::string attempt_id;  ///< of the request that it answers, empty where not told
+    bool is_signed = false;  ///< bears the upstream's proof that it ran the request
+    bool is_not_run = false; ///< the upstream states that it did not run the request
+    bool is_encoded = false; ///< the body is not in the form that was asked for
     std::optional<reported_load> load{};
     std::optional<std::chrono::milliseconds> idle_timeout{}; ///< of the connection
 };
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/io/watched_kv_client.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 #include "citronwick/wire/envelope.hpp"
 
@@ -21,10 +22,11 @@
 
 /// What the exchange with other routers needs from this one, and tells it.
 struct peer_host {
-    std::function<std::int64_t()> revision;                 ///< followed in the store
-    std::function<std::optional<duration>()> key_age;       ///< of the newest confirmation
+    std::function<std::int64_t()> revision;           ///< followed in the store
+    std::function<std::optional<duration>()> key_age; ///< of the newest confirmation
     std::function<const std::map<std::uint32_t, std::shared_ptr<upstream_work>>&()> works;
-    std::function<void(std::int64_t revision)> on_position; ///< of a peer
+    std::function<void(std::int64_t revision)> on_position;                   ///< of a peer
+    std::function<void(const kv_changes&, std::int64_t previous)> on_changes; ///< passed on by a peer
     std::function<void(boot_time asked_at, duration age, std::int64_t revision)> on_answer;
 };
 
@@ -54,14 +56,21 @@
     /// Sends what is due.
     void tick(time_point now);
 
+    /// Passes changes of the store on to the routers of this failure domain,
+    /// where this one watches the store for them.
+    void tell_of_changes(const kv_changes& seen, std::int64_t previous, time_point now);
+
     void leave(time_point now);
 
-    /// Whether this router is among those that watch the store for their failure domain.
+    /// Whether this router watches the store for its failure domain.
     bool is_on_duty(time_point now) const;
 
     /// Routers heard lately, this one included.
     std::size_t live_routers(time_point now) const;
 
+    /// Routers that are registered in the store, this one included.
+    std::size_t known_routers() const;
+
     std::uint64_t sent_bytes() const { return sent_bytes_; }
 
 private:
@@ -74,7 +83,11 @@
     void take(const wire::header& from, const wire::gossip& message);
     void take_work(std::uint64_t sender, const std::vector<wire::work_entry>& entries);
     void answer_questions(const wire::gossip& message, const endpoint& to);
-    void publish_work();
+    void replace_work(std::uint64_t peer, work_table table);
+    void publish_work(std::uint32_t upstream, const peer_work& sum) const;
+    void take_changes(const std::vector<wire::change_entry>& entries) const;
+    void ask_watcher(time_point now);
+    std::uint64_t watcher(time_point now) const;
     bool own_work_changed();
     wire::gossip status_message(time_point now);
     void send(const wire::gossip& message, const endpoint& to, time_point now);
@@ -91,9 +104,10 @@
     bool is_registered_ = false;
     bool is_leaving_ = false;
     std::map<std::uint64_t, work_table> work_by_peer_;
+    work_table elsewhere_;                    ///< sum over all peers
     std::map<std::uint32_t, peer_work> told_; ///< own work as the others know it
-    std::int64_t told_revision_ = 0;
     time_point told_at_;
+    time_point asked_at_;
     std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/fleet/include/citronwick/fleet/routing_memory.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_memory.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_FLEET_ROUTING_MEMORY_HPP_INCLUDED
 #define CITRONWICK_FLEET_ROUTING_MEMORY_HPP_INCLUDED
 
+#include "citronwick/core/hash.hpp"
 #include "citronwick/policy/prefix_directory.hpp"
 #include "citronwick/policy/upstream_health.hpp"
 #include "citronwick/wire/messages.hpp"
@@ -12,11 +13,6 @@
 
 namespace citronwick {
 
-/// Name of an upstream or prefix in messages between routers.
-constexpr std::uint32_t short_hash(std::uint64_t hash) {
-    return static_cast<std::uint32_t>(hash);
-}
-
 /// What routers have learnt about upstreams from the requests that they sent:
 /// who answers well and who holds which beginnings of prompts. Shared by the
 /// traffic threads; the control thread exchanges it with other routers.
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -34,10 +34,11 @@
 
 /// What traffic threads decide on; immutable.
 struct routing_view {
-    std::shared_ptr<const routing_configuration> config; ///< null before the first one
+    std::shared_ptr<const routing_configuration> config;                        ///< null before the first one
     std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
     std::size_t live_routers = 1;                                               ///< this one included
-    std::int64_t revision = 0; ///< of the store, up to which all changes are in this view
+    std::size_t known_routers = 1; ///< registered ones, this one included
+    std::int64_t revision = 0;     ///< of the store, up to which all changes are in this view
 };
 
 /// Hash that names an upstream's incarnation.
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -14,7 +14,8 @@
 struct store_listener {
     /// A complete listing. Entries may have lapsed where the store was away lately.
     std::function<void(const kv_listing&, bool may_have_lapsed)> on_listing;
-    std::function<void(const kv_changes&, bool may_have_lapsed)> on_changes;
+    /// @param previous revision up to which everything had been passed on before
+    std::function<void(const kv_changes&, std::int64_t previous, bool may_have_lapsed)> on_changes;
     /// Everything up to the last listing or change was in force at that moment.
     std::function<void(boot_time asked_at)> on_confirmed;
 };
@@ -33,6 +34,10 @@
     /// Whether this router keeps a watch waiting.
     void set_on_duty(bool on_duty);
 
+    /// Takes in changes that a peer passes on, where they follow on what is known.
+    /// @param previous revision of the change before the first one
+    void accept(const kv_changes& passed_on, std::int64_t previous);
+
     /// Notes that a peer knows of changes up to a revision.
     void hear_of(std::int64_t revision);
 
@@ -50,6 +55,7 @@
     task<bool> watch(std::chrono::milliseconds wait);
     task<void> wait_for_work();
     task<void> back_off();
+    task<void> pause(duration time);
     void note_success();
     void note_failure(const failure& error);
     bool may_have_lapsed(time_point now) const;
--- a/packages/fleet/src/fleet_registration.cpp
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -126,7 +126,8 @@
         co_return false;
     }
     if (written->succeeded) {
-        log_info("router_registered", {{"router", self_.vm}, {"incarnation", std::to_string(written->revision)}});
+        log_info("router_registered",
+                 {{"router", self_.vm}, {"incarnation", std::to_string(written->revision)}});
         take({prefix_ + key, entry_text(), written->revision});
     } else if (written->current) {
         take({prefix_ + key, written->current->value, written->current->mod_revision});
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -16,15 +16,19 @@
 
 using namespace std::chrono_literals;
 
-/// Routers of each failure domain that keep a watch on the store.
-constexpr std::size_t watchers_per_domain = 1;
 /// Longest time between two status messages.
 constexpr duration heartbeat = 500ms;
 /// Shortest time between two status messages that tell of changed work.
 constexpr duration work_interval = 150ms;
+/// Age of a confirmation from which the watcher is asked for a newer one.
+constexpr duration question_age = 800ms;
+/// Shortest time between two questions.
+constexpr duration question_interval = 400ms;
 constexpr double burst_seconds = 2.0;
 /// Only confirmations this fresh are passed on; others help nobody.
-constexpr duration useful_age = 2500ms;
+constexpr duration useful_age = 3000ms;
+/// Bytes of changes that are passed on; routers read larger ones themselves.
+constexpr std::size_t most_passed_on = 8'192;
 
 const std::uint64_t watch_duty = hash64("store watcher");
 
@@ -77,17 +81,24 @@
 }
 
 bool router_peers::is_on_duty(time_point now) const {
-    return is_assigned(watch_duty, members_.self_hash(), members_.live_in_domain(now), watchers_per_domain);
+    return watcher(now) == members_.self_hash();
+}
+
+std::uint64_t router_peers::watcher(time_point now) const {
+    return assigned_router(watch_duty, members_.self_hash(), members_.expected_in_domain(now));
 }
 
 std::size_t router_peers::live_routers(time_point now) const {
     return members_.live(now).size() + 1;
 }
 
+std::size_t router_peers::known_routers() const {
+    return members_.known() + 1;
+}
+
 void router_peers::take(const wire::header& from, const wire::gossip& message) {
     const auto now = clock::now();
-    std::ranges::for_each(message.members,
-                          [&](const wire::member_record& record) { learn(record, now); });
+    std::ranges::for_each(message.members, [&](const wire::member_record& record) { learn(record, now); });
     const auto address = members_.address_of(from.sender);
     if (!members_.heard_from(from, now) || !address) {
         return;
@@ -96,6 +107,10 @@
         take_work(from.sender, message.work);
         host_.on_position(message.positions.front().revision);
     }
+    take_changes(message.changes);
+    for (const wire::store_position& position : message.news) {
+        host_.on_position(position.revision);
+    }
     memory_.merge(message, now);
     suspects_.merge(message.suspects, now);
     for (const wire::freshness_answer& answer : message.answers) {
@@ -112,11 +127,11 @@
     // Rounded up, so that an answer never looks fresher than it is.
     const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age);
     wire::gossip answer;
-    std::ranges::transform(message.questions, std::back_inserter(answer.answers),
-                           [&](const wire::freshness_question& question) {
-                               return wire::freshness_answer{
-                                   question.asked_at, clamped<std::uint32_t>(whole.count()), host_.revision()};
-                           });
+    std::ranges::transform(
+        message.questions, std::back_inserter(answer.answers), [&](const wire::freshness_question& question) {
+            return wire::freshness_answer{question.asked_at, clamped<std::uint32_t>(whole.count()),
+                                          host_.revision()};
+        });
     send(answer, to, clock::now());
 }
 
@@ -126,21 +141,30 @@
         table[entry.upstream] = {entry.in_flight,
                                  static_cast<std::int32_t>(entry.backlog * wire::backlog_unit)};
     }
-    work_by_peer_[sender] = std::move(table);
-    publish_work();
+    replace_work(sender, std::move(table));
 }
 
-void router_peers::publish_work() {
-    for (const auto& [upstream, work] : host_.works()) {
-        peer_work sum;
-        for (const work_table& table : work_by_peer_ | std::views::values) {
-            if (const auto found = table.find(upstream); found != table.end()) {
-                sum.in_flight += found->second.in_flight;
-                sum.backlog += found->second.backlog;
-            }
+/// Replaces what a peer has on upstreams, and updates the sums that it is part of.
+void router_peers::replace_work(std::uint64_t peer, work_table table) {
+    const auto add = [this](const work_table& changed, std::int32_t sign) {
+        for (const auto& [upstream, work] : changed) {
+            peer_work& sum = elsewhere_[upstream];
+            sum.in_flight += sign * work.in_flight;
+            sum.backlog += sign * work.backlog;
+            publish_work(upstream, sum);
         }
-        work->elsewhere_in_flight.store(sum.in_flight, std::memory_order_relaxed);
-        work->elsewhere_backlog.store(sum.backlog, std::memory_order_relaxed);
+    };
+    work_table& known = work_by_peer_[peer];
+    add(known, -1);
+    add(table, 1);
+    known = std::move(table);
+}
+
+void router_peers::publish_work(std::uint32_t upstream, const peer_work& sum) const {
+    const auto& works = host_.works();
+    if (const auto found = works.find(upstream); found != works.end()) {
+        found->second->elsewhere_in_flight.store(sum.in_flight, std::memory_order_relaxed);
+        found->second->elsewhere_backlog.store(sum.backlog, std::memory_order_relaxed);
     }
 }
 
@@ -164,9 +188,8 @@
                                     clamped<std::uint16_t>(backlog / wire::backlog_unit)});
         }
     }
-    told_revision_ = host_.revision();
     told_at_ = now;
-    message.positions.push_back({told_revision_});
+    message.positions.push_back({host_.revision()});
     message.suspects = suspects_.take_news();
     memory_.add_news(message);
     if (is_leaving_) {
@@ -177,32 +200,72 @@
 
 void router_peers::tick(time_point now) {
     for (const std::uint64_t silent : members_.silent(now)) {
-        if (work_by_peer_.erase(silent) > 0) {
+        if (work_by_peer_.contains(silent)) {
             log_warn("router_silent", {{"router_hash", std::to_string(silent)}});
-            publish_work();
+            replace_work(silent, {});
+            work_by_peer_.erase(silent);
         }
     }
     members_.forget_silent(now);
     if (!has_key_ || !is_registered_) {
         return;
     }
-    const bool is_due = now - told_at_ >= heartbeat || host_.revision() != told_revision_;
-    const bool work_is_due =
-        now - told_at_ >= work_interval && own_work_changed() && budget_.take(0.0, now);
-    if (!is_due && !work_is_due) {
+    ask_watcher(now);
+    const bool is_due = now - told_at_ >= heartbeat;
+    const bool work_is_due = now - told_at_ >= work_interval && own_work_changed() && budget_.take(0.0, now);
+    if (is_due || work_is_due) {
+        const wire::gossip message = status_message(now);
+        for (const member* other : members_.choose_targets(now)) {
+            send(message, other->address, now);
+        }
+    }
+}
+
+void router_peers::tell_of_changes(const kv_changes& seen, std::int64_t previous, time_point now) {
+    if (!has_key_ || !is_registered_ || !is_on_duty(now)) {
         return;
     }
-    wire::gossip message = status_message(now);
-    const auto age = host_.key_age();
-    constexpr duration ask_from = 800ms;
-    if (!age || *age > ask_from) {
-        message.questions.push_back({static_cast<std::int64_t>(boot_now())});
+    wire::gossip message;
+    std::size_t bytes = 0;
+    for (const kv_change& change : seen.changes) {
+        message.changes.push_back(
+            {change.key, change.value.value_or(""), !change.value, previous, change.revision});
+        previous = change.revision;
+        bytes += change.key.size() + message.changes.back().value.size();
+    }
+    if (bytes > most_passed_on) {
+        message.changes.clear();
     }
-    for (const member* other : members_.choose_targets(now)) {
+    message.news.push_back({seen.revision});
+    for (const member* other : members_.expected_in_domain(now)) {
         send(message, other->address, now);
     }
 }
 
+void router_peers::take_changes(const std::vector<wire::change_entry>& entries) const {
+    if (entries.empty()) {
+        return;
+    }
+    kv_changes passed_on{.revision = entries.back().revision};
+    for (const wire::change_entry& entry : entries) {
+        passed_on.changes.push_back(
+            {entry.key, entry.is_removal ? std::nullopt : std::optional{entry.value}, entry.revision});
+    }
+    host_.on_changes(passed_on, entries.front().previous);
+}
+
+void router_peers::ask_watcher(time_point now) {
+    const auto age = host_.key_age();
+    const auto address = members_.address_of(watcher(now));
+    if (!address || now - asked_at_ < question_interval || (age && *age < question_age)) {
+        return;
+    }
+    asked_at_ = now;
+    wire::gossip message;
+    message.questions.push_back({static_cast<std::int64_t>(boot_now())});
+    send(message, *address, now);
+}
+
 void router_peers::leave(time_point now) {
     members_.leave();
     is_leaving_ = true;
--- a/packages/fleet/src/routing_memory.cpp
+++ b/packages/fleet/src/routing_memory.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t entries_per_message = 64;
 
 std::uint8_t clamped(std::uint32_t value) {
-    return static_cast<std::uint8_t>(std::min<std::uint32_t>(value, std::numeric_limits<std::uint8_t>::max()));
+    return static_cast<std::uint8_t>(
+        std::min<std::uint32_t>(value, std::numeric_limits<std::uint8_t>::max()));
 }
 
 } // namespace
@@ -54,19 +55,18 @@
     const auto outliers = health_.outliers(names, now);
     std::vector<opinion> found;
     std::ranges::transform(names, std::back_inserter(found), [&](std::uint64_t name) {
-        return opinion{prefixes_.cached_tokens(short_prefixes, name, now),
-                       !health_.is_unreachable(name, now), outliers.contains(name)};
+        return opinion{prefixes_.cached_tokens(short_prefixes, name, now), !health_.is_unreachable(name, now),
+                       outliers.contains(name)};
     });
     return found;
 }
 
 void routing_memory::add_news(wire::gossip& message) {
     const std::scoped_lock lock{mutex_};
-    std::ranges::transform(health_.take_evidence(), std::back_inserter(message.evidence),
-                           [](const health_evidence& seen) {
-                               return wire::evidence_entry{short_hash(seen.upstream), clamped(seen.good),
-                                                           clamped(seen.bad)};
-                           });
+    std::ranges::transform(
+        health_.take_evidence(), std::back_inserter(message.evidence), [](const health_evidence& seen) {
+            return wire::evidence_entry{short_hash(seen.upstream), clamped(seen.good), clamped(seen.bad)};
+        });
     const auto count = std::min(new_prefixes_.size(), entries_per_message);
     const auto end = new_prefixes_.begin() + static_cast<std::ptrdiff_t>(count);
     message.prefixes.assign(new_prefixes_.begin(), end);
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -31,7 +31,7 @@
 constexpr duration tick_interval = 50ms;
 constexpr duration expiry_interval = 1s;
 /// Age from which a router asks the store itself for a confirmation.
-constexpr duration own_question_age = 2700ms;
+constexpr duration own_question_age = 3200ms;
 /// Taken off the bound on keys: the store may answer a watch without the
 /// changes of the last second when it is about to drop its history.
 constexpr duration key_margin = 1200ms;
@@ -116,8 +116,8 @@
     store_listener store_events() {
         return {.on_listing = [this](const kv_listing& listing,
                                      bool may_have_lapsed) { take_listing(listing, may_have_lapsed); },
-                .on_changes = [this](const kv_changes& seen,
-                                     bool may_have_lapsed) { take_changes(seen, may_have_lapsed); },
+                .on_changes = [this](const kv_changes& seen, std::int64_t previous,
+                                     bool may_have_lapsed) { take_changes(seen, previous, may_have_lapsed); },
                 .on_confirmed =
                     [this](boot_time asked_at) {
                         freshness_.confirm(asked_at);
@@ -130,6 +130,8 @@
                 .key_age = [this] { return freshness_.age(boot_now()); },
                 .works = [this]() -> const auto& { return works_; },
                 .on_position = [this](std::int64_t revision) { follower_.hear_of(revision); },
+                .on_changes = [this](const kv_changes& passed_on,
+                                     std::int64_t previous) { follower_.accept(passed_on, previous); },
                 .on_answer =
                     [this](boot_time asked_at, duration age, std::int64_t revision) {
                         if (freshness_.confirm_by_peer(asked_at, age, revision, follower_.revision())) {
@@ -139,9 +141,10 @@
     }
 
     registration_listener registration_events() {
-        return {.on_router = [this](const wire::member_record& record) { peers_.learn(record, clock::now()); },
-                .on_fleet_key = [this](const std::string& key) { peers_.set_key(key); },
-                .on_registered = [this](std::uint64_t incarnation) { peers_.set_incarnation(incarnation); }};
+        return {
+            .on_router = [this](const wire::member_record& record) { peers_.learn(record, clock::now()); },
+            .on_fleet_key = [this](const std::string& key) { peers_.set_key(key); },
+            .on_registered = [this](std::uint64_t incarnation) { peers_.set_incarnation(incarnation); }};
     }
 
     void publish_freshness() {
@@ -177,8 +180,9 @@
         publish(now);
     }
 
-    void take_changes(const kv_changes& seen, bool may_have_lapsed) {
+    void take_changes(const kv_changes& seen, std::int64_t previous, bool may_have_lapsed) {
         const auto now = clock::now();
+        peers_.tell_of_changes(seen, previous, now);
         for (const kv_change& change : seen.changes) {
             take_change(change, may_have_lapsed, now);
         }
@@ -212,18 +216,16 @@
             return;
         }
         config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.revision);
-        log_info("configuration_in_force",
-                 {{"version", std::to_string(config_->version())},
-                  {"revision", std::to_string(change.revision)},
-                  {"routes", std::to_string(config_->routes().routes().size())},
-                  {"teams", std::to_string(config_->team_count())}});
+        log_info("configuration_in_force", {{"version", std::to_string(config_->version())},
+                                            {"revision", std::to_string(change.revision)},
+                                            {"routes", std::to_string(config_->routes().routes().size())},
+                                            {"teams", std::to_string(config_->team_count())}});
     }
 
     void take_upstream(const kv_change& change, bool may_have_lapsed, time_point now) {
         const std::string id = change.key.substr(layout_.upstream_prefix.size());
         if (!change.value) {
-            const auto ended =
-                directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
+            const auto ended = directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
             log_info("upstream_entry_removed", {{"upstream", id},
                                                 {"revision", std::to_string(change.revision)},
                                                 {"doubted", may_have_lapsed ? "yes" : "no"}});
@@ -276,6 +278,7 @@
         next->config = config_;
         next->upstreams = directory_.usable();
         next->live_routers = peers_.live_routers(now);
+        next->known_routers = peers_.known_routers();
         next->revision = follower_.revision();
         works_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
@@ -302,7 +305,9 @@
         for (const ended_upstream& each : ended) {
             note_end(each, now);
         }
-        const bool fleet_changed = peers_.live_routers(now) != view_.load()->live_routers;
+        const auto shown = view_.load();
+        const bool fleet_changed =
+            peers_.live_routers(now) != shown->live_routers || peers_.known_routers() != shown->known_routers;
         if (!ended.empty() || fleet_changed) {
             publish(now);
         }
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/io/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace citronwick {
 
@@ -12,9 +13,11 @@
 
 /// Time for which the store may hold a watch. Each answer confirms the keys, so
 /// it is well below the time for which a confirmation lasts.
-constexpr std::chrono::milliseconds watch_wait = 1400ms;
+constexpr std::chrono::milliseconds watch_wait = 1300ms;
 /// A read of what has changed does not wait.
 constexpr std::chrono::milliseconds no_wait = 1ms;
+/// After changes, so that those that come in quick succession share a call.
+constexpr duration change_pause = 60ms;
 constexpr duration first_back_off = 50ms;
 constexpr int most_doublings = 3;
 /// Time after the store's return within which removals may be lapses.
@@ -63,8 +66,11 @@
 }
 
 task<void> store_follower::back_off() {
-    const auto pause = first_back_off * (1 << std::min(failures_in_row_ - 1, most_doublings));
-    asio::steady_timer timer{wake_.get_executor(), pause};
+    return pause(first_back_off * (1 << std::min(failures_in_row_ - 1, most_doublings)));
+}
+
+task<void> store_follower::pause(duration time) {
+    asio::steady_timer timer{wake_.get_executor(), time};
     co_await timer.async_wait(use_tuple);
 }
 
@@ -92,8 +98,8 @@
     const auto now = clock::now();
     if (outage_since_) {
         const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(now - *outage_since_);
-        log_info("store_regained", {{"away_ms", std::to_string(away.count())},
-                                    {"failures", std::to_string(failures_in_row_)}});
+        log_info("store_regained",
+                 {{"away_ms", std::to_string(away.count())}, {"failures", std::to_string(failures_in_row_)}});
         if (now - *outage_since_ >= shortest_lapse) {
             regained_at_ = now;
         }
@@ -105,9 +111,10 @@
 void store_follower::note_failure(const failure& error) {
     if (!outage_since_) {
         outage_since_ = clock::now();
-        log_warn("store_lost",
-                 {{"step", error.step}, {"peer", error.peer}, {"detail", error.detail},
-                  {"revision", std::to_string(revision_)}});
+        log_warn("store_lost", {{"step", error.step},
+                                {"peer", error.peer},
+                                {"detail", error.detail},
+                                {"revision", std::to_string(revision_)}});
     }
     ++failures_in_row_;
 }
@@ -155,13 +162,25 @@
         co_return false;
     }
     confirmation_wanted_ = false;
-    revision_ = seen->revision;
+    const auto previous = std::exchange(revision_, seen->revision);
     heard_revision_ = std::max(heard_revision_, revision_);
     if (!seen->changes.empty()) {
-        listener_.on_changes(*seen, may_have_lapsed(clock::now()));
+        listener_.on_changes(*seen, previous, may_have_lapsed(clock::now()));
     }
     listener_.on_confirmed(asked_at);
+    if (!seen->changes.empty()) {
+        co_await pause(change_pause);
+    }
     co_return true;
 }
 
+void store_follower::accept(const kv_changes& passed_on, std::int64_t previous) {
+    if (!is_listed_ || previous > revision_ || passed_on.revision <= revision_) {
+        return;
+    }
+    const auto before = std::exchange(revision_, passed_on.revision);
+    heard_revision_ = std::max(heard_revision_, revision_);
+    listener_.on_changes(passed_on, before, may_have_lapsed(clock::now()));
+}
+
 } // namespace citronwick
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -24,8 +24,8 @@
 
 /// Figures that the placement of routed requests is steered by.
 struct placement_limits {
-    double load_multiple = 2.0;      ///< bound on requests relative to the mean of the service
-    double load_slack = 3.0;         ///< requests above that bound that are always allowed
+    double load_multiple = 2.0;          ///< bound on requests relative to the mean of the service
+    double load_slack = 3.0;             ///< requests above that bound that are always allowed
     double prefill_tokens_per_ms = 30.0; ///< reading speed assumed where none is known
 };
 
@@ -46,6 +46,11 @@
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
                                 const placement_limits& limits);
 
+/// The engine on which all routers expect a prompt's shared beginning where
+/// they know of no other: the first in the order of rendezvous hashing.
+/// @return index into the engines, none where there are none
+std::optional<std::size_t> home_engine(std::uint64_t affinity, std::span<const routed_candidate> engines);
+
 /// Chooses the plain upstream with the least load per slot; among equals one
 /// of this failure domain, then by rendezvous hashing of `request`.
 routed_decision place_on_worker(std::uint64_t request, std::span<const routed_candidate> workers,
--- a/packages/policy/include/citronwick/policy/retry_window.hpp
+++ b/packages/policy/include/citronwick/policy/retry_window.hpp
@@ -10,8 +10,8 @@
 
 /// Limits of the retries that a fleet may send to one service.
 struct retry_limits {
-    double share = 0.1;        ///< retries for each request within the window
-    double extra = 10.0;       ///< retries beyond the share, by all routers together
+    double share = 0.1;  ///< retries for each request within the window
+    double extra = 10.0; ///< retries beyond the share, by all routers together
     std::chrono::milliseconds window{10'000};
 };
 
--- a/packages/policy/src/attempt_policy.cpp
+++ b/packages/policy/src/attempt_policy.cpp
@@ -46,8 +46,8 @@
     const bool attempts_left = state.sent < state.attempts;
     const bool rejections_left = !was_rejected || state.rejections <= most_rejections;
     const bool answer_allows = !state.answer_begun || state.kind == request_kind::resumable_stream;
-    return allows_repetition(state) && attempts_left && rejections_left && answer_allows &&
-           state.time_left && state.caller_present;
+    return allows_repetition(state) && attempts_left && rejections_left && answer_allows && state.time_left &&
+           state.caller_present;
 }
 
 next_step choose_next_step(const attempt_state& state, bool retry_granted) {
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -53,6 +53,16 @@
     return limits.load_multiple * mean + limits.load_slack;
 }
 
+std::optional<std::size_t> home_engine(std::uint64_t affinity, std::span<const routed_candidate> engines) {
+    const auto home = std::ranges::max_element(engines, {}, [affinity](const routed_candidate& engine) {
+        return rendezvous_score(affinity, engine.hash);
+    });
+    if (home == engines.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(home - engines.begin());
+}
+
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
                                 const placement_limits& limits) {
     const double bound = load_limit(engines, limits);
--- a/packages/policy/src/prefix_directory.cpp
+++ b/packages/policy/src/prefix_directory.cpp
@@ -26,10 +26,10 @@
 
 std::uint32_t prefix_directory::cached_tokens(const std::vector<shared_prefix>& prefixes,
                                               std::uint64_t upstream, time_point now) const {
-    const auto longest = std::find_if(prefixes.rbegin(), prefixes.rend(), [&](const shared_prefix& each) {
-        return holds(each.key, upstream, now);
-    });
-    return longest == prefixes.rend() ? 0 : longest->tokens;
+    const auto longest_first = prefixes | std::views::reverse;
+    const auto longest = std::ranges::find_if(
+        longest_first, [&](const shared_prefix& each) { return holds(each.key, upstream, now); });
+    return longest == longest_first.end() ? 0 : longest->tokens;
 }
 
 std::size_t prefix_directory::holders(std::uint64_t prefix, time_point now) const {
--- a/packages/policy/src/upstream_health.cpp
+++ b/packages/policy/src/upstream_health.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 #include <ranges>
 
 namespace citronwick {
@@ -69,31 +68,29 @@
         std::uint64_t upstream = 0;
         double failures = 0.0;
     };
-    std::vector<share> suspects;
-    double good = 0.0;
-    double bad = 0.0;
-    std::vector<record> current;
+    std::vector<share> shares;
     for (const std::uint64_t upstream : service) {
         const auto found = records_.find(upstream);
         record of = found == records_.end() ? record{} : found->second;
         decay(of, now);
-        good += of.good;
-        bad += of.bad;
-        current.push_back(of);
-    }
-    for (std::size_t index = 0; index < service.size(); ++index) {
-        const record& of = current[index];
-        const double answers = of.good + of.bad;
-        const double others = good + bad - answers;
-        const double usual = others > 0.0 ? (bad - of.bad) / others : 0.0;
-        if (answers >= least_evidence && of.bad / answers > usual + outlier_excess) {
-            suspects.push_back({service[index], of.bad / answers});
+        if (of.good + of.bad >= least_evidence) {
+            shares.push_back({upstream, of.bad / (of.good + of.bad)});
         }
     }
-    std::ranges::sort(suspects, std::ranges::greater{}, &share::failures);
-    suspects.resize(std::min(suspects.size(), service.size() / outlier_share));
+    std::ranges::sort(shares, {}, &share::failures);
     std::set<std::uint64_t> found;
-    std::ranges::transform(suspects, std::inserter(found, found.end()), &share::upstream);
+    if (shares.size() < 2) {
+        return found;
+    }
+    // The better third tells what is usual, so that several outliers do not
+    // hide each other.
+    const double usual = shares[(shares.size() - 1) / 3].failures;
+    const auto most = std::min(service.size() / outlier_share, shares.size());
+    for (const share& each : shares | std::views::reverse | std::views::take(most)) {
+        if (each.failures > usual + outlier_excess) {
+            found.insert(each.upstream);
+        }
+    }
     return found;
 }
 
--- /dev/null
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -0,0 +1,143 @@
+#include "citronwick/core/hash.hpp"
+#include "citronwick/policy/engine_placement.hpp"
+#include "citronwick/policy/prefix_directory.hpp"
+#include "citronwick/policy/retry_window.hpp"
+#include "citronwick/policy/upstream_health.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <ranges>
+#include <set>
+#include <string>
+
+using namespace citronwick;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1h};
+const placement_limits limits;
+
+std::vector<routed_candidate> make_engines(std::size_t count) {
+    std::vector<routed_candidate> engines(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        engines[index] = {.hash = hash64("engine" + std::to_string(index)), .slots = 96, .missing = 8'000};
+    }
+    return engines;
+}
+
+} // namespace
+
+TEST_CASE("a prompt goes where its shared parts are cached") {
+    auto engines = make_engines(9);
+    engines[4].missing = 500;
+    for (const std::uint64_t affinity : std::views::iota(0U, 50U)) {
+        CHECK(place_on_engine(affinity, engines, limits).index == 4);
+    }
+}
+
+TEST_CASE("a busy holder gives way where reading anew is faster") {
+    auto engines = make_engines(9);
+    engines[4].missing = 500;
+    engines[4].backlog = 30'000;
+    CHECK(place_on_engine(1, engines, limits).index != 4);
+}
+
+TEST_CASE("routers that know nothing agree on the engine of a prompt and spread the prompts") {
+    const auto engines = make_engines(9);
+    std::set<std::size_t> used;
+    for (const std::uint64_t subject : std::views::iota(0U, 100U)) {
+        const auto affinity = hash64("subject" + std::to_string(subject));
+        const auto chosen = place_on_engine(affinity, engines, limits).index;
+        REQUIRE(chosen);
+        CHECK(chosen == home_engine(affinity, engines));
+        used.insert(*chosen);
+    }
+    CHECK(used.size() == engines.size());
+}
+
+TEST_CASE("no engine at the load bound is chosen, not even the only holder") {
+    auto engines = make_engines(4);
+    engines[2].missing = 0;
+    engines[2].in_flight = 20;
+    const double bound = load_limit(engines, limits);
+    CHECK(engines[2].in_flight + 1 > bound);
+    CHECK(place_on_engine(1, engines, limits).index != 2);
+}
+
+TEST_CASE("an unusable engine is never chosen") {
+    auto engines = make_engines(3);
+    std::ranges::for_each(engines, [](routed_candidate& each) { each.usable = false; });
+    CHECK_FALSE(place_on_engine(1, engines, limits).index);
+    engines[1].usable = true;
+    CHECK(place_on_engine(1, engines, limits).index == 1);
+}
+
+TEST_CASE("plain requests go to the least loaded worker, among equals to a near one") {
+    auto workers = make_engines(3);
+    std::ranges::for_each(workers, [](routed_candidate& each) { each.slots = 6; });
+    workers[1].is_near = true;
+    CHECK(place_on_worker(1, workers, limits).index == 1);
+    workers[1].in_flight = 1;
+    CHECK(place_on_worker(1, workers, limits).index != 1);
+}
+
+TEST_CASE("a prefix is forgotten after its lifetime") {
+    prefix_directory directory{60s};
+    const std::vector<shared_prefix> prefixes{{1, 2'500}, {2, 8'600}};
+    CHECK(directory.record(1, 7, start));
+    CHECK(directory.record(2, 7, start));
+    CHECK_FALSE(directory.record(2, 7, start + 30s));
+    CHECK(directory.cached_tokens(prefixes, 7, start + 59s) == 8'600);
+    CHECK(directory.cached_tokens(prefixes, 8, start) == 0);
+    CHECK(directory.cached_tokens(prefixes, 7, start + 61s) == 8'600);
+    CHECK_FALSE(directory.holds(1, 7, start + 61s));
+    directory.expire(start + 91s);
+    CHECK(directory.holders(2, start + 91s) == 0);
+}
+
+TEST_CASE("an upstream that fails far more than its service does is avoided, all alike are not") {
+    upstream_health health;
+    const std::vector<std::uint64_t> service{1, 2, 3};
+    for (int count = 0; count < 10; ++count) {
+        for (const std::uint64_t upstream : service) {
+            health.record_answer(upstream, count % 3 != 0, start);
+        }
+    }
+    CHECK(health.outliers(service, start).empty());
+    for (int count = 0; count < 20; ++count) {
+        health.record_answer(2, false, start);
+    }
+    CHECK(health.outliers(service, start) == std::set<std::uint64_t>{2});
+    for (int count = 0; count < 30; ++count) {
+        health.record_answer(3, false, start);
+    }
+    CHECK(health.outliers(service, start).size() == 1);
+    CHECK(health.outliers(service, start + 30s).empty());
+}
+
+TEST_CASE("an unreachable upstream is avoided for longer each time, until it answers") {
+    upstream_health health;
+    health.record_unreachable(1, start);
+    CHECK(health.is_unreachable(1, start + 400ms));
+    CHECK_FALSE(health.is_unreachable(1, start + 600ms));
+    health.record_unreachable(1, start + 1s);
+    CHECK(health.is_unreachable(1, start + 1900ms));
+    health.record_answer(1, true, start + 1950ms);
+    CHECK_FALSE(health.is_unreachable(1, start + 1950ms));
+}
+
+TEST_CASE("retries of a window stay within the share of its requests and the router's part of the extra") {
+    retry_window window;
+    const retry_limits budget{.share = 0.2, .extra = 12.0, .window = 10s};
+    for (int request = 0; request < 20; ++request) {
+        window.record_request(start);
+    }
+    int granted = 0;
+    while (window.take_retry(budget, 6, start + 1s)) {
+        ++granted;
+    }
+    CHECK(granted == 6);
+    CHECK_FALSE(window.take_retry(budget, 6, start + 9s));
+    CHECK(window.take_retry(budget, 6, start + 11s));
+}
--- a/packages/router/include/citronwick/router/router_settings.hpp
+++ b/packages/router/include/citronwick/router/router_settings.hpp
@@ -2,8 +2,8 @@
 #define CITRONWICK_ROUTER_ROUTER_SETTINGS_HPP_INCLUDED
 
 #include "citronwick/control/control_settings.hpp"
-#include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/core/failure.hpp"
+#include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 
 #include <string>
@@ -16,8 +16,8 @@
     routing_settings routing; ///< in use where `routing.platform` is set
     traffic_settings traffic;
     bool keys_come_from_store = false; ///< the fleet key is kept in the platform's store
-    std::string source_address; ///< local address of outbound connections, empty for any
-    std::string port_file;      ///< bound ports are written here, empty for none
+    std::string source_address;        ///< local address of outbound connections, empty for any
+    std::string port_file;             ///< bound ports are written here, empty for none
     std::string log_format = "key_value";
     std::string log_level = "info";
 };
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -129,8 +129,10 @@
         const auto asked_at = clock::now();
         auto alive = co_await connection.exchange(std::move(question), crash_check_timeout);
         const bool is_silent = clock::now() - asked_at >= crash_check_timeout;
-        if (alive.has_value() || is_silent) {
-            co_return; // a frozen engine has not crashed
+        // Only a refused connection shows that the engine's process has ended: a
+        // frozen one is silent, and a network may reset what it had accepted.
+        if (alive.has_value() || is_silent || alive.error().step != "connect") {
+            co_return;
         }
         const auto crashes = thread_.shared.control.suspects().record_crash(fingerprint_, clock::now());
         thread_.shared.control.report_contact(engine.hash, false);
--- a/packages/traffic/src/chat_server.cpp
+++ b/packages/traffic/src/chat_server.cpp
@@ -49,9 +49,8 @@
 
     task<void> serve(caller& from, http_request request) override {
         const std::string_view target = request.target();
-        const auto* const found = std::ranges::find_if(path_handlers, [target](const path_handler& each) {
-            return target.starts_with(each.prefix);
-        });
+        const auto* const found = std::ranges::find_if(
+            path_handlers, [target](const path_handler& each) { return target.starts_with(each.prefix); });
         if (found == path_handlers.end()) {
             problem why{404, "unknown-path", "nothing is served at this path"};
             co_await from.refuse(std::move(why));
--- a/packages/traffic/src/front.cpp
+++ b/packages/traffic/src/front.cpp
@@ -181,8 +181,8 @@
             refusal = unreadable(read_error);
         }
         if (refusal) {
-            log_info("request_unreadable", {{"status", std::to_string(refusal->status)},
-                                            {"detail", refusal->detail}});
+            log_info("request_unreadable",
+                     {{"status", std::to_string(refusal->status)}, {"detail", refusal->detail}});
             caller from{stream, random_id(), false, settings_.caller_write_timeout, arrived};
             co_await from.refuse(std::move(*refusal));
             co_await drain_input(stream);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -94,7 +94,8 @@
     state_.kind = route_->kind;
     state_.attempts = route_->attempts;
     const std::string method{request_.method_string()};
-    fingerprint_ = hash64(method + " " + std::string{target} + "\n" + traits_.team_key + "\n" + request_.body());
+    fingerprint_ =
+        hash64(method + " " + std::string{target} + "\n" + traits_.team_key + "\n" + request_.body());
     if (thread_.plane.suspects().crashes(fingerprint_, clock::now()) >= suspect_table::crash_limit) {
         return problem{422, "crashes-upstreams", "upstreams crashed each time that this request ran"};
     }
@@ -144,14 +145,15 @@
         step_ = state_.ran_before ? next_step::fail_as_unknown : next_step::refuse;
         co_return false;
     }
-    log_info("request_placed", {{"request", from_.request_id()},
-                                {"service", service_->name},
-                                {"upstream", placed_->upstream.entry.id},
-                                {"reason", std::string{placed_->reason}},
-                                {"in_flight", std::to_string(static_cast<int>(placed_->in_flight))},
-                                {"missing_tokens", std::to_string(placed_->missing_tokens)},
-                                {"expected_wait_ms", std::to_string(static_cast<int>(placed_->expected_wait_ms))},
-                                {"revision", std::to_string(view_->revision)}});
+    log_info("request_placed",
+             {{"request", from_.request_id()},
+              {"service", service_->name},
+              {"upstream", placed_->upstream.entry.id},
+              {"reason", std::string{placed_->reason}},
+              {"in_flight", std::to_string(static_cast<int>(placed_->in_flight))},
+              {"missing_tokens", std::to_string(placed_->missing_tokens)},
+              {"expected_wait_ms", std::to_string(static_cast<int>(placed_->expected_wait_ms))},
+              {"revision", std::to_string(view_->revision)}});
     question_.tried.push_back(placed_->upstream.hash);
     exchange_result result;
     {
@@ -206,8 +208,8 @@
                       .last_event_id = traits_.last_event_id};
     if (service_->engine) {
         const std::uint32_t team_rank = team_ == nullptr ? 0 : team_->priority;
-        note.priority = std::min(team_rank * route_ranks + std::min(route_->priority, route_ranks - 1),
-                                 lowest_priority);
+        note.priority =
+            std::min(team_rank * route_ranks + std::min(route_->priority, route_ranks - 1), lowest_priority);
     }
     if (!events_.last_event_id().empty()) {
         note.last_event_id = events_.last_event_id();
@@ -323,7 +325,7 @@
 
 bool route_exchange::take_retry() {
     const routing_settings& settings = thread_.plane.settings();
-    const std::size_t sharers = view_->live_routers * thread_.settings.threads;
+    const std::size_t sharers = view_->known_routers * thread_.settings.threads;
     return thread_.retries[service_->name].take_retry(settings.retries, sharers, clock::now());
 }
 
@@ -338,8 +340,8 @@
     state_.last = result.outcome;
     state_.time_left = time_left(now) > 0ms;
     state_.caller_present = !caller_left;
-    const bool has_run = result.outcome != attempt_outcome::not_sent &&
-                         result.outcome != attempt_outcome::not_run;
+    const bool has_run =
+        result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::not_run;
     state_.sent += has_run ? 1 : 0;
     state_.rejections += has_run ? 0 : 1;
     if (result.outcome != attempt_outcome::not_sent && !caller_left) {
@@ -410,18 +412,17 @@
     const std::string service = service_ == nullptr ? "-" : service_->name;
     thread_.counters.count_request(service, why.type, took);
     const auto key_age = thread_.plane.key_age(boot_now());
-    log_info("request_refused",
-             {{"request", from_.request_id()},
-              {"route", route_ == nullptr ? "-" : route_->name},
-              {"service", service},
-              {"team", team_ == nullptr ? "-" : team_->name},
-              {"status", std::to_string(why.status)},
-              {"type", std::string{why.type}},
-              {"outcome", std::string{to_text(why.result)}},
-              {"detail", why.detail},
-              {"took_ms", milliseconds_text(took)},
-              {"key_age_ms", key_age ? milliseconds_text(*key_age) : "-"},
-              {"version", config_ ? std::to_string(config_->version()) : "-"}});
+    log_info("request_refused", {{"request", from_.request_id()},
+                                 {"route", route_ == nullptr ? "-" : route_->name},
+                                 {"service", service},
+                                 {"team", team_ == nullptr ? "-" : team_->name},
+                                 {"status", std::to_string(why.status)},
+                                 {"type", std::string{why.type}},
+                                 {"outcome", std::string{to_text(why.result)}},
+                                 {"detail", why.detail},
+                                 {"took_ms", milliseconds_text(took)},
+                                 {"key_age_ms", key_age ? milliseconds_text(*key_age) : "-"},
+                                 {"version", config_ ? std::to_string(config_->version()) : "-"}});
     co_await from_.refuse(std::move(why));
 }
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -67,7 +67,8 @@
     next_step step_ = next_step::refuse;
     std::string last_detail_;
     std::optional<problem> late_refusal_; ///< found out between placing and sending
-    std::optional<http_response> kept_answer_; ///< a failure of an upstream, told if no other attempt does better
+    std::optional<http_response>
+        kept_answer_; ///< a failure of an upstream, told if no other attempt does better
     event_splitter events_;
     upstream_connection* open_connection_ = nullptr; ///< to close when the caller leaves
     bool is_new_connection_ = false;
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -19,8 +19,8 @@
 namespace {
 
 /// Upper bounds of the latency buckets in seconds.
-const Histogram::BucketBoundaries latency_bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4,
-                                                 0.8,   1.6,  3.2,   6.4,  15.0};
+const Histogram::BucketBoundaries latency_bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
+                                                 0.4,   0.8,  1.6,   3.2,  6.4, 15.0};
 
 double seconds(duration value) {
     return std::chrono::duration<double>{value}.count();
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -26,8 +26,8 @@
     const upstream_work& work = *upstream.work;
     const auto in_flight = work.in_flight.load(std::memory_order_relaxed) +
                            work.elsewhere_in_flight.load(std::memory_order_relaxed);
-    const auto backlog = work.backlog.load(std::memory_order_relaxed) +
-                         work.elsewhere_backlog.load(std::memory_order_relaxed);
+    const auto backlog =
+        work.backlog.load(std::memory_order_relaxed) + work.elsewhere_backlog.load(std::memory_order_relaxed);
     const auto cached = std::min(known.cached_tokens, question.prompt_tokens);
     return {.hash = upstream.hash,
             .in_flight = static_cast<double>(in_flight),
@@ -56,11 +56,14 @@
     }
     const std::uint64_t affinity =
         question.prefixes.empty() ? question.request : question.prefixes.back().key;
+    if (const auto home = home_engine(affinity, candidates); home && !question.prefixes.empty()) {
+        const std::uint32_t own = question.prompt_tokens - question.prefixes.back().tokens;
+        candidates[*home].missing = std::min(candidates[*home].missing, static_cast<double>(own));
+    }
     for (const strictness& level : strictness_levels) {
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             const bool was_tried = std::ranges::find(question.tried, hashes[index]) != question.tried.end();
-            candidates[index].usable = !was_tried &&
-                                       (!level.avoid_outliers || !opinions[index].is_outlier) &&
+            candidates[index].usable = !was_tried && (!level.avoid_outliers || !opinions[index].is_outlier) &&
                                        (!level.avoid_unreachable || opinions[index].is_reachable);
         }
         const auto decision = question.service->engine ? place_on_engine(affinity, candidates, limits)
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -20,8 +20,12 @@
 public:
     route_server(const traffic_settings& settings, routing_plane& plane, const platform_adapter& adapter,
                  route_metrics& counters, const asio::any_io_executor& executor)
-        : thread_{settings, plane, adapter.dialect(), counters,
-                  connection_pool{executor, settings.pooled_connection_age}, {}} {}
+        : thread_{settings,
+                  plane,
+                  adapter.dialect(),
+                  counters,
+                  connection_pool{executor, settings.pooled_connection_age},
+                  {}} {}
 
     request_limits limits() const override {
         const auto view = thread_.plane.view();
@@ -61,8 +65,7 @@
     return {{"version", view->config ? view->config->version() : 0},
             {"revision", view->revision},
             {"live_routers", view->live_routers},
-            {"key_age_ms",
-             age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1},
+            {"key_age_ms", age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1},
             {"services", std::move(services)}};
 }
 
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -23,8 +23,8 @@
     namespace level = boost::asio::detail::socket_option;
     boost::system::error_code ignored;
     socket.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
-    socket.set_option(
-        level::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{static_cast<int>(silence_limit.count())}, ignored);
+    socket.set_option(level::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{static_cast<int>(silence_limit.count())},
+                      ignored);
     socket.set_option(level::integer<IPPROTO_TCP, TCP_KEEPIDLE>{static_cast<int>(probe_after.count())},
                       ignored);
     socket.set_option(level::integer<IPPROTO_TCP, TCP_KEEPINTVL>{static_cast<int>(probe_interval.count())},
@@ -71,10 +71,9 @@
     request.prepare_payload();
     sending_ = std::make_shared<sending>(std::move(request), stream_);
     stream_->expires_after(timeout);
-    http::async_write(*stream_, sending_->request,
-                      [sent = sending_](const boost::system::error_code& error, std::size_t) {
-                          sent->is_done = !error;
-                      });
+    http::async_write(
+        *stream_, sending_->request,
+        [sent = sending_](const boost::system::error_code& error, std::size_t) { sent->is_done = !error; });
 }
 
 task<io_result<void>> upstream_connection::send(http_request request, std::chrono::milliseconds timeout) {
@@ -142,7 +141,8 @@
 }
 
 bool upstream_connection::reusable() const {
-    return open_ && is_sent() && parser_ && parser_->is_done() && parser_->keep_alive() && buffer_.size() == 0;
+    return open_ && is_sent() && parser_ && parser_->is_done() && parser_->keep_alive() &&
+           buffer_.size() == 0;
 }
 
 bool upstream_connection::is_quiet() {
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -46,7 +46,8 @@
     const bool is_interim = connection_.status() < first_success;
     const bool states_nothing_run = traits_.is_not_run || connection_.status() == misdirected;
     const bool has_other_id = !traits_.attempt_id.empty() && traits_.attempt_id != attempt_id_;
-    return is_interim || has_other_id || (traits_.attempt_id.empty() && !states_nothing_run && traits_.is_signed);
+    return is_interim || has_other_id ||
+           (traits_.attempt_id.empty() && !states_nothing_run && traits_.is_signed);
 }
 
 exchange_result upstream_exchange::classify() const {
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -14,7 +14,7 @@
 /// The start of an answer, or why there is none.
 struct exchange_result {
     attempt_outcome outcome = attempt_outcome::not_sent;
-    std::string detail;    ///< for the log
+    std::string detail;     ///< for the log
     bool is_broken = false; ///< the connection ended before the answer did
 };
 
@@ -24,8 +24,7 @@
 class upstream_exchange {
 public:
     /// @param attempt_id of the request; an answer that bears another one is not its answer
-    upstream_exchange(upstream_connection& connection, const request_dialect& dialect,
-                      std::string attempt_id)
+    upstream_exchange(upstream_connection& connection, const request_dialect& dialect, std::string attempt_id)
         : connection_{connection}, dialect_{dialect}, attempt_id_{std::move(attempt_id)} {}
 
     /// Sends the request and reads the header of its answer.
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -93,6 +93,15 @@
     std::int64_t revision = 0;
 };
 
+/// One change in the platform's store, as the router that watches it saw it.
+struct change_entry {
+    std::string key;
+    std::string value; ///< empty for a removal
+    bool is_removal = false;
+    std::int64_t previous = 0; ///< revision of the change before
+    std::int64_t revision = 0;
+};
+
 /// Question how fresh the receiver's configuration is.
 struct freshness_question {
     std::int64_t asked_at = 0; ///< on the asker's clock, repeated in the answer
@@ -131,6 +140,8 @@
     std::vector<suspect_entry> suspects;
     std::vector<work_entry> work;
     std::vector<store_position> positions;
+    std::vector<change_entry> changes;
+    std::vector<store_position> news; ///< like a position, without the sender's work
     std::vector<freshness_question> questions;
     std::vector<freshness_answer> answers;
     std::vector<evidence_entry> evidence;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -115,6 +115,12 @@
     archive(position.revision);
 }
 
+template <class Archive>
+void serialize(Archive& archive, change_entry& entry) {
+    serialize_lists(archive, entry.key, entry.value);
+    archive(entry.is_removal, entry.previous, entry.revision);
+}
+
 template <class Archive>
 void serialize(Archive& archive, freshness_question& question) {
     archive(question.asked_at);
@@ -138,10 +144,10 @@
 /// Writes or reads the lists that are not empty, after a bit for each list.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
-    std::uint16_t present = 0;
+    std::uint32_t present = 0;
     int bit = 0;
     if constexpr (Archive::is_saving::value) {
-        ((present = static_cast<std::uint16_t>(present | (lists.empty() ? 0U : 1U << bit)), ++bit), ...);
+        ((present = present | (lists.empty() ? 0U : 1U << bit), ++bit), ...);
     }
     archive(present);
     bit = 0;
@@ -157,8 +163,8 @@
 void serialize(Archive& archive, gossip& message) {
     serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
                       message.slot_replies, message.reports, message.leaving, message.documents,
-                      message.suspects, message.work, message.positions, message.questions,
-                      message.answers, message.evidence, message.prefixes);
+                      message.suspects, message.work, message.positions, message.questions, message.answers,
+                      message.evidence, message.prefixes, message.changes, message.news);
 }
 
 template <class Archive>
