Test routes against stand-ins of the platform's store and of its workers

The stand-ins lose, cut, garble and repeat answers, forget history, go silent and lapse entries; the tests check what callers and workers saw.

--- /dev/null
+++ b/tests/harness/node.cpp
@@ -0,0 +1,90 @@
+#include "node.hpp"
+
+#include "citronwick/io/json_text.hpp"
+#include "http_call.hpp"
+#include "waiting.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace citronwick::harness {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::seconds start_timeout{15};
+
+/// Reads the addresses in a port file, which are the last word of each line.
+std::vector<endpoint> read_port_file(const std::string& file) {
+    std::ifstream input{file};
+    std::vector<endpoint> addresses;
+    for (std::string line; std::getline(input, line);) {
+        const auto parsed = parse_endpoint(line.substr(line.rfind(' ') + 1));
+        if (parsed) {
+            addresses.push_back(*parsed);
+        }
+    }
+    return addresses;
+}
+
+} // namespace
+
+std::string make_directory() {
+    std::string name = (std::filesystem::temp_directory_path() / "citronwick-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary folder");
+    }
+    return name;
+}
+
+void await_addresses(node& target, const std::string& port_file) {
+    const bool bound = wait_until(
+        [&] { return std::filesystem::exists(port_file) || !target.process->is_running(); }, start_timeout);
+    target.addresses = read_port_file(port_file);
+    if (!bound || target.addresses.empty()) {
+        throw std::runtime_error(target.name + " did not start, see " + target.log);
+    }
+}
+
+json::object post_json(const endpoint& peer, const std::string& target, const std::string& body) {
+    const auto answer = http_call(peer, {.method = "POST", .target = target, .body = body});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+std::string binary(const std::string& name) {
+    const char* const folder = std::getenv("CITRONWICK_BINARIES");
+    return std::string{folder == nullptr ? "build/dev" : folder} + "/bin/" + name;
+}
+
+endpoint node::address() const {
+    return proxy ? proxy->addresses.front() : addresses.front();
+}
+
+void set_fault(const node& target, const std::string& json) {
+    post_json(target.addresses.front(), "/standin/fault", json);
+}
+
+void set_proxy_fault(const node& target, const std::string& json) {
+    post_json(target.proxy->addresses.at(1), "/standin/fault", json);
+}
+
+json::object stats(const node& target) {
+    const auto answer = http_call(target.addresses.front(), {.target = "/standin/stats"});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+std::vector<std::string> lines_with(const node& source, const std::string& text) {
+    std::ifstream input{source.log};
+    std::vector<std::string> found;
+    for (std::string line; std::getline(input, line);) {
+        if (line.find(text) != std::string::npos) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+} // namespace citronwick::harness
--- /dev/null
+++ b/tests/harness/routed_fleet.cpp
@@ -0,0 +1,174 @@
+#include "routed_fleet.hpp"
+
+#include "citronwick/io/json_text.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <numeric>
+
+namespace citronwick::harness {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr const char* domain = "busan-a";
+
+json::object make_route(const char* path, const char* kind, const char* service, int attempts) {
+    return {{"name", path},           {"host", "shop.example"},
+            {"prefix", path},         {"kind", kind},
+            {"service", service},     {"timeoutMs", 3'000},
+            {"targetLatencyMs", 100}, {"attempts", attempts},
+            {"priority", 1},          {"resumeStreams", std::string_view{path} == "/quote/stream/"}};
+}
+
+} // namespace
+
+routed_fleet::routed_fleet(routed_options options)
+    : options_{std::move(options)}, directory_{make_directory()} {
+    store_ = start_standin("store", "store", {});
+    for (std::size_t index = 0; index < options_.plain_workers; ++index) {
+        const std::string id = "desk-" + std::to_string(index);
+        plain_workers_.push_back(start_standin("worker", id, {"--id", id}));
+        register_worker(plain_workers_.back(), "desk");
+    }
+    for (std::size_t index = 0; index < options_.engines; ++index) {
+        const std::string id = "engine-" + std::to_string(index);
+        engines_.push_back(start_standin("worker", id, {"--id", id}));
+        register_worker(engines_.back(), "bench");
+    }
+    declare({"club-key"});
+    for (std::size_t index = 0; index < options_.routers; ++index) {
+        start_router();
+    }
+}
+
+routed_fleet::~routed_fleet() {
+    routers_.clear();
+    plain_workers_.clear();
+    engines_.clear();
+    store_ = {};
+    if (std::getenv("CITRONWICK_KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        std::filesystem::remove_all(directory_, ignored);
+    }
+}
+
+node routed_fleet::start_standin(const std::string& kind, const std::string& name,
+                                 std::vector<std::string> arguments) {
+    const std::string port_file = file(name + ".ports");
+    node started{.name = name, .failure_domain = domain, .log = file(name + ".log")};
+    std::vector<std::string> command{binary("standin"), kind, "--port-file", port_file};
+    std::ranges::move(arguments, std::back_inserter(command));
+    started.process = std::make_unique<child_process>(command, started.log);
+    await_addresses(started, port_file);
+    return started;
+}
+
+void routed_fleet::start_router() {
+    node router{.name = "entry-" + std::to_string(started_++), .failure_domain = domain};
+    router.log = file(router.name + ".log");
+    const std::string settings = file(router.name + ".toml");
+    const std::string port_file = file(router.name + ".ports");
+    std::ofstream{settings} << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
+                            << "failure_domain = \"" << domain << "\"\n\n[listen]\n"
+                            << "callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
+                            << "fleet = \"127.0.0.1:0\"\nport_file = \"" << port_file << "\"\n\n[platform]\n"
+                            << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
+                            << "store_timeout = \"500ms\"\nkey_lifetime = \"" << options_.key_lifetime.count()
+                            << "ms\"\n"
+                            << options_.platform_settings << "\n[shutdown]\nbalancer_lag = \"300ms\"\n";
+    router.process = std::make_unique<child_process>(
+        std::vector<std::string>{binary("citronwickd"), "--config", settings}, router.log);
+    await_addresses(router, port_file);
+    routers_.push_back(std::move(router));
+}
+
+void routed_fleet::put_key(const std::string& key, const std::string& value) {
+    http_call(store_.address(), {.method = "PUT", .target = "/standin/key?" + key, .body = value});
+}
+
+void routed_fleet::remove_key(const std::string& key) {
+    http_call(store_.address(), {.method = "DELETE", .target = "/standin/key?" + key});
+}
+
+void routed_fleet::declare(const std::vector<std::string>& keys) {
+    json::array held;
+    std::ranges::for_each(keys, [&held](const std::string& key) { held.emplace_back(key); });
+    const json::object declaration{
+        {"version", ++version_},
+        {"routes",
+         json::array{make_route("/read/", "safe", "desk", 2), make_route("/book/", "unsafe", "desk", 1),
+                     make_route("/quote/stream/", "streaming", "bench", 2),
+                     make_route("/guide/stream/", "streaming", "bench", 1)}},
+        {"services",
+         json::array{json::object{{"name", "desk"}, {"connectionLimit", 96}},
+                     json::object{{"name", "bench"},
+                                  {"connectionLimit", 96},
+                                  {"engine", json::object{{"slots", 8}, {"kvCacheTokens", 90'000}}}}}},
+        {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", 65'536}}},
+        {"tenants", json::array{json::object{{"name", "club"}, {"apiKeys", std::move(held)}}}}};
+    put_key("op/config", json::serialize(declaration));
+}
+
+void routed_fleet::register_worker(const node& worker, const std::string& service, const std::string& state,
+                                   std::int64_t incarnation) {
+    const json::object entry{{"service", service},   {"address", to_text(worker.address())},
+                             {"zone", domain},       {"version", "v1"},
+                             {"slots", 8},           {"state", state},
+                             {"coldRemainingMs", 0}, {"seq", 1},
+                             {"born", incarnation}};
+    put_key("servers/" + worker.name, json::serialize(entry));
+}
+
+void routed_fleet::remove_entry(const node& worker) {
+    remove_key("servers/" + worker.name);
+}
+
+json::object routed_fleet::view(const node& router) const {
+    const auto answer = http_call(router.addresses.at(1), {.target = "/debug/view"});
+    return parse_json_object(answer.body).value_or(json::object{});
+}
+
+bool routed_fleet::wait_ready(std::chrono::milliseconds timeout) {
+    const auto is_ready = [this](const node& router) {
+        const auto seen = view(router);
+        return integer_member(seen, "version") == version_ && integer_member(seen, "key_age_ms") >= 0 &&
+               integer_member(seen, "live_routers") == static_cast<std::int64_t>(routers_.size());
+    };
+    return wait_until([&] { return std::ranges::all_of(routers_, is_ready); }, timeout);
+}
+
+reply routed_fleet::ask(const node& router, const std::string& path, const std::string& attempt,
+                        std::vector<std::pair<std::string, std::string>> headers, const std::string& body) {
+    std::vector<std::pair<std::string, std::string>> all{{"Host", "shop.example"},
+                                                         {"X-Api-Key", "club-key"},
+                                                         {"Citronwick-Attempt-Id", attempt},
+                                                         {"Citronwick-Deadline-Ms", "2000"}};
+    std::ranges::move(headers, std::back_inserter(all));
+    const bool reads = path.starts_with("/read/");
+    return http_call(
+        router.address(),
+        {.method = reads ? "GET" : "POST", .target = path, .body = body, .headers = std::move(all)});
+}
+
+std::int64_t runs_of(const node& worker, const std::string& attempt) {
+    const auto page = parse_json_object(http_call(worker.address(), {.target = "/standin/runs"}).body);
+    const auto* const runs = page ? object_member(*page, "runs") : nullptr;
+    const auto* const run = runs == nullptr ? nullptr : object_member(*runs, attempt);
+    return run == nullptr ? 0 : integer_member(*run, "count");
+}
+
+std::int64_t runs_of(const std::deque<node>& workers, const std::string& attempt) {
+    return std::accumulate(
+        workers.begin(), workers.end(), std::int64_t{0},
+        [&](std::int64_t sum, const node& worker) { return sum + runs_of(worker, attempt); });
+}
+
+} // namespace citronwick::harness
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -1,7 +1,9 @@
 #include "engine.hpp"
 #include "fault_proxy.hpp"
 #include "key_value_service.hpp"
+#include "metadata_store.hpp"
 #include "plain_service.hpp"
+#include "routed_worker.hpp"
 #include "vm_list_service.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -22,6 +24,8 @@
   standin engine --port-file FILE [--ip IP] [--count N] [--cache-tokens N] [--prefill-us N]
                  [--decode-us N] [--slots N] [--report-lag-ms N]
   standin service --port-file FILE [--ip IP]
+  standin store --port-file FILE [--ip IP]
+  standin worker --port-file FILE [--ip IP] --id ID
   standin kv --port-file FILE [--ip IP]
   standin vmlist --port-file FILE [--ip IP]
   standin proxy --port-file FILE [--ip IP]
@@ -35,6 +39,7 @@
   --prefill-us N      Microseconds for one uncached prompt token [default: 50].
   --decode-us N       Microseconds for one token on an idle engine [default: 2000].
   --slots N           Requests that an engine runs at once [default: 16].
+  --id ID             Identifier of a worker.
   --report-lag-ms N   Age of the load that an engine reports [default: 250].
 )";
 
@@ -79,6 +84,10 @@
         start_engines(all, io, ip, options);
     } else if (options.at("service").asBool()) {
         add<standin::plain_service>(all, io, ip);
+    } else if (options.at("store").asBool()) {
+        add<standin::metadata_store>(all, io, ip);
+    } else if (options.at("worker").asBool()) {
+        add<standin::routed_worker>(all, io, ip, options.at("--id").asString());
     } else if (options.at("kv").asBool()) {
         add<standin::key_value_service>(all, io, ip);
     } else if (options.at("vmlist").asBool()) {
--- /dev/null
+++ b/tests/standin/routed_worker.cpp
@@ -0,0 +1,175 @@
+#include "routed_worker.hpp"
+
+#include "citronwick/io/json_text.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace citronwick::standin {
+
+namespace {
+
+namespace json = boost::json;
+using boost::beast::tcp_stream;
+using namespace std::chrono_literals;
+
+constexpr const char* attempt_field = "Citronwick-Attempt-Id";
+
+std::string event_text(std::int64_t id) {
+    return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+}
+
+} // namespace
+
+routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id)
+    : id_{std::move(id)}, server_{context, ip, 0, [this](tcp_stream& stream, http_request request) {
+                                      return handle(stream, std::move(request));
+                                  }} {}
+
+task<bool> routed_worker::handle(tcp_stream& stream, http_request request) {
+    const std::string_view target = request.target();
+    if (target == "/standin/fault") {
+        const auto order = parse_json_object(request.body()).value_or(json::object{});
+        mode_ = string_member(order, "mode");
+        const auto times = integer_member(order, "times");
+        faults_left_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
+        delay_ = std::chrono::milliseconds{integer_member(order, "delay_ms")};
+        cut_after_ = integer_member(order, "cut_after");
+        co_return co_await reply(stream, http::status::ok, "{}");
+    }
+    if (target == "/standin/runs") {
+        json::object page{{"runs", runs_}, {"unfinished", unfinished_}};
+        co_return co_await reply_json(stream, std::move(page));
+    }
+    if (request["Citronwick-Expect-Instance"] != id_) {
+        co_return co_await send(stream, request, http::status::misdirected_request, "");
+    }
+    co_return co_await run(stream, std::move(request));
+}
+
+void routed_worker::note_run(const http_request& request) {
+    const std::string attempt{request[attempt_field]};
+    const auto* const known = runs_.if_contains(attempt);
+    const std::int64_t count = known == nullptr ? 1 : integer_member(known->as_object(), "count") + 1;
+    json::array fields;
+    for (const auto& field : request) {
+        fields.emplace_back(std::string{field.name_string()} + ": " + std::string{field.value()});
+    }
+    runs_[attempt] = json::object{{"count", count},
+                                  {"method", std::string{request.method_string()}},
+                                  {"target", std::string{request.target()}},
+                                  {"body", request.body()},
+                                  {"fields", std::move(fields)}};
+}
+
+http::response_header<> routed_worker::head_for(const http_request& request) const {
+    http::response_header<> head;
+    head.version(11);
+    head.result(http::status::ok);
+    head.set(attempt_field, request[attempt_field]);
+    head.set("Citronwick-Server-Stamp", "stamp." + id_);
+    head.set("Citronwick-Server-Load", "1,0,8");
+    return head;
+}
+
+task<bool> routed_worker::send(tcp_stream& stream, const http_request& request, http::status status,
+                               std::string body) {
+    http_response response{head_for(request)};
+    response.result(status);
+    response.body() = std::move(body);
+    if (status == http::status::misdirected_request) {
+        response.erase("Citronwick-Server-Stamp");
+    }
+    response.prepare_payload();
+    auto [error, size] = co_await http::async_write(stream, response, use_tuple);
+    co_return !error;
+}
+
+task<bool> routed_worker::run(tcp_stream& stream, http_request request) {
+    std::string fault = mode_;
+    if (!fault.empty() && --faults_left_ < 0) {
+        fault.clear();
+    }
+    if (fault == "shed") {
+        http_response refusal{http::status::service_unavailable, 11};
+        refusal.set(attempt_field, request[attempt_field]);
+        refusal.set("Citronwick-Not-Run", "1");
+        refusal.prepare_payload();
+        auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
+        co_return !error;
+    }
+    note_run(request);
+    co_await sleep_for(delay_);
+    if (is_closed(stream)) {
+        ++unfinished_;
+        co_return false;
+    }
+    if (fault == "lose_answer") {
+        co_return false;
+    }
+    if (fault == "silent") {
+        co_await sleep_for(1h);
+    }
+    if (fault == "unmarked_503") {
+        co_return co_await send(stream, request, http::status::service_unavailable, "busy");
+    }
+    if (fault == "error") {
+        co_return co_await send(stream, request, http::status::internal_server_error, "failed");
+    }
+    if (fault == "truncate") {
+        const std::string half = "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: x\r\nCitronwick-Attempt-Id: " +
+                                 std::string{request[attempt_field]} + "\r\nContent-Length: 100\r\n\r\nhalf";
+        co_await asio::async_write(stream, asio::buffer(half), use_tuple);
+        co_return false;
+    }
+    if (fault == "garbage") {
+        const std::string garbage = "this is no answer\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(garbage), use_tuple);
+        co_return false;
+    }
+    if (request.target().find("/stream/") != std::string_view::npos) {
+        co_return co_await run_stream(stream, request);
+    }
+    const bool answered = co_await send(stream, request, http::status::ok, "done by " + id_);
+    if (answered && fault == "extra") {
+        co_return co_await send(stream, request, http::status::ok, "a second answer");
+    }
+    co_return answered;
+}
+
+task<bool> routed_worker::run_stream(tcp_stream& stream, const http_request& request) {
+    http::response<http::empty_body> response{head_for(request)};
+    response.set(http::field::content_type, "text/event-stream");
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer{response};
+    auto [head_error, head_size] = co_await http::async_write_header(stream, serializer, use_tuple);
+    const std::string last{request["Last-Event-Id"]};
+    std::int64_t sent = 0;
+    for (std::int64_t id = last.empty() ? 1 : std::stoll(last) + 1; id <= events_; ++id) {
+        co_await sleep_for(10ms);
+        if (cut_after_ > 0 && sent == cut_after_) {
+            // Stops in the middle of an event.
+            const std::string half = event_text(id).substr(0, 8);
+            const auto torn = http::make_chunk(asio::buffer(half));
+            co_await asio::async_write(stream, torn, use_tuple);
+            co_return false;
+        }
+        const std::string text = event_text(id);
+        const auto chunk = http::make_chunk(asio::buffer(text));
+        auto [error, size] = co_await asio::async_write(stream, chunk, use_tuple);
+        if (error) {
+            ++unfinished_;
+            co_return false;
+        }
+        ++sent;
+    }
+    const auto end = http::make_chunk_last();
+    auto [error, size] = co_await asio::async_write(stream, end, use_tuple);
+    co_return !error;
+}
+
+} // namespace citronwick::standin
