Keep prompts with their known holders before their home engine

Cause: routers disagreed on where a prompt's shared beginning is cached, so it was read again on several engines; a new engine drew prompts from engines that held them. Routers now expect a beginning on its home engine only where none is known to hold it, and tell backlogs of 2,000 tokens and more at once.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -78,6 +78,8 @@
         std::int32_t in_flight = 0;
         std::int32_t backlog = 0;
     };
+    /// How much this router's work differs from what the others were told.
+    enum class work_change : std::uint8_t { none, some, urgent };
     using work_table = std::map<std::uint32_t, peer_work>;
 
     void take(const wire::header& from, const wire::gossip& message);
@@ -88,7 +90,7 @@
     void take_changes(const std::vector<wire::change_entry>& entries) const;
     void ask_watcher(time_point now);
     std::uint64_t watcher(time_point now) const;
-    bool own_work_changed();
+    work_change own_work_change() const;
     wire::gossip status_message(time_point now);
     void send(const wire::gossip& message, const endpoint& to, time_point now);
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/io/log.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 #include <ranges>
 
@@ -20,6 +21,9 @@
 constexpr duration heartbeat = 500ms;
 /// Shortest time between two status messages that tell of changed work.
 constexpr duration work_interval = 150ms;
+/// Change of an upstream's backlog in prompt tokens that is told at once: it
+/// delays whatever else is sent there by a noticeable time.
+constexpr std::int32_t urgent_backlog = 2'000;
 /// Age of a confirmation from which the watcher is asked for a newer one.
 constexpr duration question_age = 800ms;
 /// Shortest time between two questions.
@@ -168,12 +172,20 @@
     }
 }
 
-bool router_peers::own_work_changed() {
-    return std::ranges::any_of(host_.works(), [this](const auto& entry) {
-        const auto told = told_.find(entry.first);
+router_peers::work_change router_peers::own_work_change() const {
+    auto change = work_change::none;
+    for (const auto& [upstream, work] : host_.works()) {
+        const auto told = told_.find(upstream);
         const peer_work before = told == told_.end() ? peer_work{} : told->second;
-        return entry.second->in_flight.load(std::memory_order_relaxed) != before.in_flight;
-    });
+        const auto backlog = work->backlog.load(std::memory_order_relaxed);
+        if (std::abs(backlog - before.backlog) >= urgent_backlog) {
+            return work_change::urgent;
+        }
+        if (work->in_flight.load(std::memory_order_relaxed) != before.in_flight) {
+            change = work_change::some;
+        }
+    }
+    return change;
 }
 
 wire::gossip router_peers::status_message(time_point now) {
@@ -212,7 +224,9 @@
     }
     ask_watcher(now);
     const bool is_due = now - told_at_ >= heartbeat;
-    const bool work_is_due = now - told_at_ >= work_interval && own_work_changed() && budget_.take(0.0, now);
+    const auto change = own_work_change();
+    const bool may_wait = change == work_change::some && now - told_at_ < work_interval;
+    const bool work_is_due = change != work_change::none && !may_wait && budget_.take(0.0, now);
     if (is_due || work_is_due) {
         const wire::gossip message = status_message(now);
         for (const member* other : members_.choose_targets(now)) {
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -37,6 +37,22 @@
             .is_near = upstream.entry.failure_domain == failure_domain};
 }
 
+/// Where no engine is known to hold the shared beginning of a prompt, all
+/// routers expect it on its home engine, so that they send it to the same one.
+void assume_home(const placement_question& question, std::uint64_t affinity,
+                 std::vector<routed_candidate>& candidates) {
+    if (question.prefixes.empty()) {
+        return;
+    }
+    const auto own_tokens = static_cast<double>(question.prompt_tokens - question.prefixes.back().tokens);
+    const bool has_holder = std::ranges::any_of(
+        candidates, [&](const routed_candidate& each) { return each.missing <= own_tokens; });
+    const auto home = home_engine(affinity, candidates);
+    if (!has_holder && home) {
+        candidates[*home].missing = own_tokens;
+    }
+}
+
 } // namespace
 
 std::optional<placed_request> place_request(const placement_question& question, const routing_view& view,
@@ -56,10 +72,7 @@
     }
     const std::uint64_t affinity =
         question.prefixes.empty() ? question.request : question.prefixes.back().key;
-    if (const auto home = home_engine(affinity, candidates); home && !question.prefixes.empty()) {
-        const std::uint32_t own = question.prompt_tokens - question.prefixes.back().tokens;
-        candidates[*home].missing = std::min(candidates[*home].missing, static_cast<double>(own));
-    }
+    assume_home(question, affinity, candidates);
     for (const strictness& level : strictness_levels) {
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             const bool was_tried = std::ranges::find(question.tried, hashes[index]) != question.tried.end();
