--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -25,8 +25,10 @@
     std::function<std::int64_t()> revision;           ///< followed in the store
     std::function<std::optional<duration>()> key_age; ///< of the newest confirmation
     std::function<const std::map<std::uint32_t, std::shared_ptr<upstream_work>>&()> works;
-    std::function<void(std::int64_t revision)> on_position;                   ///< of a peer
-    std::function<void(const kv_changes&, std::int64_t previous)> on_changes; ///< passed on by a peer
+    std::function<void(std::int64_t revision)> on_position; ///< of a peer
+    /// Changes that a peer passes on.
+    /// @return whether they were new
+    std::function<bool(const kv_changes&, std::int64_t previous)> on_changes;
     std::function<void(boot_time asked_at, duration age, std::int64_t revision)> on_answer;
 };
 
@@ -87,7 +89,8 @@
     void answer_questions(const wire::gossip& message, const endpoint& to);
     void replace_work(std::uint64_t peer, work_table table);
     void publish_work(std::uint32_t upstream, const peer_work& sum) const;
-    void take_changes(const std::vector<wire::change_entry>& entries) const;
+    void take_changes(const wire::gossip& message, time_point now);
+    void pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now);
     void ask_watcher(time_point now);
     std::uint64_t watcher(time_point now) const;
     work_change own_work_change() const;
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -36,7 +36,8 @@
 
     /// Takes in changes that a peer passes on, where they follow on what is known.
     /// @param previous revision of the change before the first one
-    void accept(const kv_changes& passed_on, std::int64_t previous);
+    /// @return whether they were new
+    bool accept(const kv_changes& passed_on, std::int64_t previous);
 
     /// Notes that a peer knows of changes up to a revision.
     void hear_of(std::int64_t revision);
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
+#include <numeric>
 #include <ranges>
 
 namespace citronwick {
@@ -32,7 +33,12 @@
 /// Only confirmations this fresh are passed on; others help nobody.
 constexpr duration useful_age = 3000ms;
 /// Bytes of changes that are passed on; routers read larger ones themselves.
-constexpr std::size_t most_passed_on = 8'192;
+/// They fit one datagram with its header.
+constexpr std::size_t most_passed_on = 48'000;
+/// Bytes of changes that the watcher sends to everybody itself.
+constexpr std::size_t most_sent_directly = 2'048;
+/// Routers to which each router passes larger changes on.
+constexpr std::size_t tree_width = 3;
 
 const std::uint64_t watch_duty = hash64("store watcher");
 
@@ -41,6 +47,13 @@
     return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
 }
 
+std::size_t size_of(const std::vector<wire::change_entry>& changes) {
+    return std::accumulate(changes.begin(), changes.end(), std::size_t{0},
+                           [](std::size_t sum, const wire::change_entry& each) {
+                               return sum + each.key.size() + each.value.size();
+                           });
+}
+
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 }
@@ -111,9 +124,9 @@
         take_work(from.sender, message.work);
         host_.on_position(message.positions.front().revision);
     }
-    take_changes(message.changes);
-    for (const wire::store_position& position : message.news) {
-        host_.on_position(position.revision);
+    take_changes(message, now);
+    for (const wire::news_entry& entry : message.news) {
+        host_.on_position(entry.revision);
     }
     memory_.merge(message, now);
     suspects_.merge(message.suspects, now);
@@ -240,32 +253,55 @@
         return;
     }
     wire::gossip message;
-    std::size_t bytes = 0;
     for (const kv_change& change : seen.changes) {
         message.changes.push_back(
             {change.key, change.value.value_or(""), !change.value, previous, change.revision});
         previous = change.revision;
-        bytes += change.key.size() + message.changes.back().value.size();
     }
-    if (bytes > most_passed_on) {
+    if (size_of(message.changes) > most_passed_on) {
         message.changes.clear();
     }
-    message.news.push_back({seen.revision});
-    for (const member* other : members_.expected_in_domain(now)) {
-        send(message, other->address, now);
+    message.news.push_back({seen.revision, members_.self_hash()});
+    pass_on(message, members_.self_hash(), now);
+}
+
+/// Sends small changes from the watcher to everybody, large ones down a tree
+/// whose root is the watcher, so that no link carries them more than a few times.
+void router_peers::pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now) {
+    const auto others = members_.expected_in_domain(now);
+    if (size_of(message.changes) <= most_sent_directly) {
+        if (watcher == members_.self_hash()) {
+            std::ranges::for_each(others, [&](const member* other) { send(message, other->address, now); });
+        }
+        return;
+    }
+    std::vector<std::uint64_t> order{members_.self_hash()};
+    std::ranges::transform(others, std::back_inserter(order), &member::hash);
+    std::ranges::sort(order);
+    const auto root = std::ranges::find(order, watcher);
+    std::ranges::rotate(order, root == order.end() ? order.begin() : root);
+    const auto self =
+        static_cast<std::size_t>(std::ranges::find(order, members_.self_hash()) - order.begin());
+    for (const std::uint64_t child :
+         order | std::views::drop(tree_width * self + 1) | std::views::take(tree_width)) {
+        if (const auto address = members_.address_of(child)) {
+            send(message, *address, now);
+        }
     }
 }
 
-void router_peers::take_changes(const std::vector<wire::change_entry>& entries) const {
-    if (entries.empty()) {
+void router_peers::take_changes(const wire::gossip& message, time_point now) {
+    if (message.changes.empty()) {
         return;
     }
-    kv_changes passed_on{.revision = entries.back().revision};
-    for (const wire::change_entry& entry : entries) {
+    kv_changes passed_on{.revision = message.changes.back().revision};
+    for (const wire::change_entry& entry : message.changes) {
         passed_on.changes.push_back(
             {entry.key, entry.is_removal ? std::nullopt : std::optional{entry.value}, entry.revision});
     }
-    host_.on_changes(passed_on, entries.front().previous);
+    if (host_.on_changes(passed_on, message.changes.front().previous) && !message.news.empty()) {
+        pass_on(message, message.news.front().watcher, now);
+    }
 }
 
 void router_peers::ask_watcher(time_point now) {
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -131,7 +131,7 @@
                 .works = [this]() -> const auto& { return works_; },
                 .on_position = [this](std::int64_t revision) { follower_.hear_of(revision); },
                 .on_changes = [this](const kv_changes& passed_on,
-                                     std::int64_t previous) { follower_.accept(passed_on, previous); },
+                                     std::int64_t previous) { return follower_.accept(passed_on, previous); },
                 .on_answer =
                     [this](boot_time asked_at, duration age, std::int64_t revision) {
                         if (freshness_.confirm_by_peer(asked_at, age, revision, follower_.revision())) {
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -19,7 +19,9 @@
 /// After changes, so that those that come in quick succession share a call.
 constexpr duration change_pause = 60ms;
 constexpr duration first_back_off = 50ms;
-constexpr int most_doublings = 3;
+constexpr int most_doublings_on_duty = 3;
+/// Routers that do not watch hear from the watcher when the store is back.
+constexpr int most_doublings_off_duty = 6;
 /// Time after the store's return within which removals may be lapses.
 constexpr duration lapse_window = 1500ms;
 /// An outage shorter than this lets no lease lapse.
@@ -66,7 +68,8 @@
 }
 
 task<void> store_follower::back_off() {
-    return pause(first_back_off * (1 << std::min(failures_in_row_ - 1, most_doublings)));
+    const int doublings = on_duty_ ? most_doublings_on_duty : most_doublings_off_duty;
+    return pause(first_back_off * (1 << std::clamp(failures_in_row_ - 1, 0, doublings)));
 }
 
 task<void> store_follower::pause(duration time) {
@@ -174,13 +177,14 @@
     co_return true;
 }
 
-void store_follower::accept(const kv_changes& passed_on, std::int64_t previous) {
+bool store_follower::accept(const kv_changes& passed_on, std::int64_t previous) {
     if (!is_listed_ || previous > revision_ || passed_on.revision <= revision_) {
-        return;
+        return false;
     }
     const auto before = std::exchange(revision_, passed_on.revision);
     heard_revision_ = std::max(heard_revision_, revision_);
     listener_.on_changes(passed_on, before, may_have_lapsed(clock::now()));
+    return true;
 }
 
 } // namespace citronwick
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -102,6 +102,12 @@
     std::int64_t revision = 0;
 };
 
+/// How far a router that watches the store has followed it.
+struct news_entry {
+    std::int64_t revision = 0;
+    std::uint64_t watcher = 0; ///< hash of that router's name
+};
+
 /// Question how fresh the receiver's configuration is.
 struct freshness_question {
     std::int64_t asked_at = 0; ///< on the asker's clock, repeated in the answer
@@ -141,7 +147,7 @@
     std::vector<work_entry> work;
     std::vector<store_position> positions;
     std::vector<change_entry> changes;
-    std::vector<store_position> news; ///< like a position, without the sender's work
+    std::vector<news_entry> news;
     std::vector<freshness_question> questions;
     std::vector<freshness_answer> answers;
     std::vector<evidence_entry> evidence;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -115,6 +115,11 @@
     archive(position.revision);
 }
 
+template <class Archive>
+void serialize(Archive& archive, news_entry& entry) {
+    archive(entry.revision, entry.watcher);
+}
+
 template <class Archive>
 void serialize(Archive& archive, change_entry& entry) {
     serialize_lists(archive, entry.key, entry.value);
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -103,13 +103,9 @@
 }
 
 node fleet::start_standin(const std::string& kind, const std::string& name,
-                          std::vector<std::string> arguments) {
-    const std::string port_file = file(name + "." + std::to_string(started_++) + ".ports");
-    node started{.name = name, .log = file(name + ".log")};
-    std::vector<std::string> command{binary("standin"), kind, "--port-file", port_file};
-    std::ranges::copy(arguments, std::back_inserter(command));
-    started.process = std::make_unique<child_process>(command, started.log);
-    await_addresses(started, port_file);
+                          const std::vector<std::string>& arguments) {
+    ++started_;
+    node started = start_standin_in(directory_, kind, name, arguments);
     const bool is_proxy = kind == "proxy";
     if (options_.proxies && !is_proxy) {
         put_behind_proxy(started);
@@ -121,8 +117,7 @@
     if (!target.proxy) {
         target.proxy = std::make_unique<node>(start_standin("proxy", target.name + "-proxy", {}));
     }
-    const std::string body = "{\"target\":\"" + to_text(target.addresses.back()) + "\"}";
-    post_json(target.proxy->addresses.at(1), "/standin/target", body);
+    set_proxy_target(*target.proxy, target);
 }
 
 void fleet::start_shared_engines() {
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -97,7 +97,8 @@
 
 private:
     void start_shared_engines();
-    node start_standin(const std::string& kind, const std::string& name, std::vector<std::string> arguments);
+    node start_standin(const std::string& kind, const std::string& name,
+                       const std::vector<std::string>& arguments);
     void put_behind_proxy(node& target);
     void start_router(router_node& router);
     std::string domain_ip(const std::string& failure_domain) const;
--- a/tests/harness/node.cpp
+++ b/tests/harness/node.cpp
@@ -4,9 +4,11 @@
 #include "http_call.hpp"
 #include "waiting.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace citronwick::harness {
@@ -76,6 +78,23 @@
     return parse_json_object(answer.body).value_or(json::object{});
 }
 
+node start_standin_in(const std::string& directory, const std::string& kind, const std::string& name,
+                      const std::vector<std::string>& arguments) {
+    const std::string port_file = directory + "/" + name + ".ports";
+    node started{.name = name, .log = directory + "/" + name + ".log"};
+    std::filesystem::remove(port_file);
+    std::vector<std::string> command{binary("standin"), kind, "--port-file", port_file};
+    std::ranges::copy(arguments, std::back_inserter(command));
+    started.process = std::make_unique<child_process>(command, started.log);
+    await_addresses(started, port_file);
+    return started;
+}
+
+void set_proxy_target(const node& proxy, const node& target) {
+    const std::string body = "{\"target\":\"" + to_text(target.addresses.back()) + "\"}";
+    post_json(proxy.addresses.at(1), "/standin/target", body);
+}
+
 std::vector<std::string> lines_with(const node& source, const std::string& text) {
     std::ifstream input{source.log};
     std::vector<std::string> found;
--- a/tests/harness/node.hpp
+++ b/tests/harness/node.hpp
@@ -35,6 +35,14 @@
 /// @return the answer, empty where it is no JSON object
 boost::json::object post_json(const endpoint& peer, const std::string& target, const std::string& body);
 
+/// Starts a stand-in in a folder.
+/// @param arguments of the stand-in's command
+node start_standin_in(const std::string& directory, const std::string& kind, const std::string& name,
+                      const std::vector<std::string>& arguments);
+
+/// Makes a proxy forward to a node's address.
+void set_proxy_target(const node& proxy, const node& target);
+
 /// Lines of a process's log that hold a text.
 std::vector<std::string> lines_with(const node& source, const std::string& text);
 
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -61,21 +61,31 @@
 }
 
 node routed_fleet::start_standin(const std::string& kind, const std::string& name,
-                                 std::vector<std::string> arguments) {
-    const std::string port_file = file(name + ".ports");
-    node started{.name = name, .failure_domain = domain, .log = file(name + ".log")};
-    std::vector<std::string> command{binary("standin"), kind, "--port-file", port_file};
-    std::ranges::move(arguments, std::back_inserter(command));
-    started.process = std::make_unique<child_process>(command, started.log);
-    await_addresses(started, port_file);
+                                 const std::vector<std::string>& arguments) {
+    node started = start_standin_in(directory_, kind, name, arguments);
+    started.failure_domain = domain;
+    if (options_.proxies) {
+        started.proxy = std::make_unique<node>(start_standin_in(directory_, "proxy", name + "-proxy", {}));
+        set_proxy_target(*started.proxy, started);
+    }
     return started;
 }
 
 void routed_fleet::start_router() {
     node router{.name = "entry-" + std::to_string(started_++), .failure_domain = domain};
     router.log = file(router.name + ".log");
+    launch(router);
+    routers_.push_back(std::move(router));
+}
+
+void routed_fleet::restart_router(node& router) {
+    launch(router);
+}
+
+void routed_fleet::launch(node& router) const {
     const std::string settings = file(router.name + ".toml");
     const std::string port_file = file(router.name + ".ports");
+    std::filesystem::remove(port_file);
     std::ofstream{settings} << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
                             << "failure_domain = \"" << domain << "\"\n\n[listen]\n"
                             << "callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
@@ -87,15 +97,14 @@
     router.process = std::make_unique<child_process>(
         std::vector<std::string>{binary("citronwickd"), "--config", settings}, router.log);
     await_addresses(router, port_file);
-    routers_.push_back(std::move(router));
 }
 
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
-    http_call(store_.address(), {.method = "PUT", .target = "/standin/key?" + key, .body = value});
+    http_call(store_.addresses.front(), {.method = "PUT", .target = "/standin/key?" + key, .body = value});
 }
 
 void routed_fleet::remove_key(const std::string& key) {
-    http_call(store_.address(), {.method = "DELETE", .target = "/standin/key?" + key});
+    http_call(store_.addresses.front(), {.method = "DELETE", .target = "/standin/key?" + key});
 }
 
 void routed_fleet::declare(const std::vector<std::string>& keys) {
@@ -159,7 +168,8 @@
 }
 
 std::int64_t runs_of(const node& worker, const std::string& attempt) {
-    const auto page = parse_json_object(http_call(worker.address(), {.target = "/standin/runs"}).body);
+    const auto page =
+        parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body);
     const auto* const runs = page ? object_member(*page, "runs") : nullptr;
     const auto* const run = runs == nullptr ? nullptr : object_member(*runs, attempt);
     return run == nullptr ? 0 : integer_member(*run, "count");
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -19,6 +19,7 @@
     std::size_t plain_workers = 2;
     std::size_t engines = 2;
     std::chrono::milliseconds key_lifetime{4'000};
+    bool proxies = false;            ///< store and workers are reached through fault proxies
     std::string platform_settings{}; ///< lines of the table [platform]
 };
 
@@ -59,10 +60,15 @@
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds{10});
 
     void start_router();
+
+    /// Starts a router again that has ended.
+    void restart_router(node& router);
     boost::json::object view(const node& router) const;
 
 private:
-    node start_standin(const std::string& kind, const std::string& name, std::vector<std::string> arguments);
+    node start_standin(const std::string& kind, const std::string& name,
+                       const std::vector<std::string>& arguments);
+    void launch(node& router) const;
     std::string file(const std::string& name) const { return directory_ + "/" + name; }
 
     routed_options options_;
