Count a crash once, and absolve requests that were served

A crash now has a name that all routers share, a request that an upstream has served is absolved, and routes refuse after three crashes. Ruled out: the workers' faults (no 422 comes from them).

--- a/packages/control/include/citronwick/control/suspect_registry.hpp
+++ b/packages/control/include/citronwick/control/suspect_registry.hpp
@@ -14,7 +14,12 @@
 public:
     /// Notes a crash; other routers are told.
     /// @return crashes of the request so far
-    std::uint8_t record_crash(std::uint64_t request, time_point now);
+    /// @param crash names the crash, the same for all routers that saw it; not 0
+    std::uint8_t record_crash(std::uint64_t request, std::uint32_t crash, time_point now);
+
+    /// Notes that an upstream has served the request; other routers are told
+    /// where it was a suspect.
+    void absolve(std::uint64_t request, time_point now);
 
     std::uint8_t crashes(std::uint64_t request, time_point now) const;
 
--- a/packages/control/src/suspect_registry.cpp
+++ b/packages/control/src/suspect_registry.cpp
@@ -4,11 +4,24 @@
 
 namespace citronwick {
 
-std::uint8_t suspect_registry::record_crash(std::uint64_t request, time_point now) {
+namespace {
+
+/// Stands for a crash in what tells that a request was served.
+constexpr std::uint32_t no_crash = 0;
+
+} // namespace
+
+std::uint8_t suspect_registry::record_crash(std::uint64_t request, std::uint32_t crash, time_point now) {
     const std::scoped_lock lock{mutex_};
-    const auto crashes = table_.record_crash(request, now);
-    news_.push_back({request, crashes});
-    return crashes;
+    news_.push_back({request, crash});
+    return table_.record_crash(request, crash, now);
+}
+
+void suspect_registry::absolve(std::uint64_t request, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    if (table_.absolve(request, now)) {
+        news_.push_back({request, no_crash});
+    }
 }
 
 std::uint8_t suspect_registry::crashes(std::uint64_t request, time_point now) const {
@@ -19,7 +32,9 @@
 void suspect_registry::merge(const std::vector<wire::suspect_entry>& entries, time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const wire::suspect_entry& entry : entries) {
-        if (table_.merge(entry.fingerprint, entry.crashes, now)) {
+        const bool is_news = entry.crash == no_crash ? table_.absolve(entry.fingerprint, now)
+                                                     : table_.merge(entry.fingerprint, entry.crash, now);
+        if (is_news) {
             news_.push_back(entry);
         }
     }
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -60,13 +60,14 @@
     void note_success();
     void note_failure(const failure& error);
     bool may_have_lapsed(time_point now) const;
-    bool has_work() const;
+    duration time_to_work(time_point now) const;
 
     watched_kv_client& store_;
     store_listener listener_;
     asio::steady_timer wake_;
     std::int64_t revision_ = 0;
     std::int64_t heard_revision_ = 0;
+    time_point heard_at_;
     bool is_listed_ = false;
     bool on_duty_ = true;
     bool confirmation_wanted_ = false;
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -261,12 +261,13 @@
                                     {"service", ended.entry.service},
                                     {"reason", std::string{ended.reason}},
                                     {"announced", ended.entry.leaving ? "yes" : "no"}});
-        const auto suspects = crashes_.upstream_ended(upstream_hash(ended.entry), now);
+        const auto upstream = upstream_hash(ended.entry);
+        const auto suspects = crashes_.upstream_ended(upstream, now);
         if (ended.entry.leaving) {
             return;
         }
         for (const std::uint64_t request : suspects) {
-            const auto crashes = suspects_.record_crash(request, now);
+            const auto crashes = suspects_.record_crash(request, short_hash(upstream), now);
             log_warn("request_suspected", {{"fingerprint", std::to_string(request)},
                                            {"upstream", ended.entry.id},
                                            {"crashes", std::to_string(crashes)}});
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds no_wait = 1ms;
 /// After changes, so that those that come in quick succession share a call.
 constexpr duration change_pause = 60ms;
+/// Between news of a change and reading it: most changes are passed on by then,
+/// and those that follow in quick succession share a call.
+constexpr duration news_pause = 300ms;
 constexpr duration first_back_off = 50ms;
 constexpr int most_doublings_on_duty = 3;
 /// Routers that do not watch hear from the watcher when the store is back.
@@ -45,6 +48,7 @@
 void store_follower::hear_of(std::int64_t revision) {
     if (revision > std::max(revision_, heard_revision_)) {
         heard_revision_ = revision;
+        heard_at_ = clock::now();
         wake_.cancel();
     }
 }
@@ -56,14 +60,23 @@
     }
 }
 
-bool store_follower::has_work() const {
-    return on_duty_ || !is_listed_ || confirmation_wanted_ || heard_revision_ > revision_;
+/// Time until there is something to do; none is left where it is due.
+duration store_follower::time_to_work(time_point now) const {
+    if (on_duty_ || !is_listed_ || confirmation_wanted_) {
+        return duration::zero();
+    }
+    if (heard_revision_ > revision_) {
+        return std::max(heard_at_ + news_pause - now, duration::zero());
+    }
+    return idle_sleep;
 }
 
 task<void> store_follower::wait_for_work() {
-    while (!has_work()) {
-        wake_.expires_after(idle_sleep);
+    auto pause = time_to_work(clock::now());
+    while (pause > duration::zero()) {
+        wake_.expires_after(pause);
         co_await wake_.async_wait(use_tuple);
+        pause = time_to_work(clock::now());
     }
 }
 
--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace citronwick {
 
@@ -20,13 +21,22 @@
     /// Crashes from which on a request is refused.
     static constexpr std::uint8_t crash_limit = 2;
 
-    /// Notes that a request was on an upstream that crashed.
+    /// Names one crash, the same for all routers that saw it; not 0.
+    using crash_id = std::uint32_t;
+
+    /// Notes that a request was on an upstream that crashed. Several routers may
+    /// note one crash, and it counts once.
     /// @return crashes of the request so far
-    std::uint8_t record_crash(fingerprint request, time_point now);
+    std::uint8_t record_crash(fingerprint request, crash_id crash, time_point now);
 
-    /// Takes in another router's count.
+    /// Takes in a crash that another router saw.
     /// @return whether it is news
-    bool merge(fingerprint request, std::uint8_t crashes, time_point now);
+    bool merge(fingerprint request, crash_id crash, time_point now);
+
+    /// Notes that an upstream has served the request: whatever crashed before,
+    /// it was not the request.
+    /// @return whether the request was a suspect
+    bool absolve(fingerprint request, time_point now);
 
     /// Crashes of a request that is not forgotten yet.
     std::uint8_t crashes(fingerprint request, time_point now) const;
@@ -36,7 +46,8 @@
 
 private:
     struct entry {
-        std::uint8_t crashes = 0;
+        std::set<crash_id> crashes;
+        bool is_absolved = false;
         time_point last;
     };
     std::map<fingerprint, entry> entries_;
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -11,25 +11,38 @@
 
 } // namespace
 
-std::uint8_t suspect_table::record_crash(fingerprint request, time_point now) {
+std::uint8_t suspect_table::record_crash(fingerprint request, crash_id crash, time_point now) {
+    merge(request, crash, now);
+    return crashes(request, now);
+}
+
+bool suspect_table::merge(fingerprint request, crash_id crash, time_point now) {
     entry& known = entries_[request];
-    known.crashes = static_cast<std::uint8_t>(crashes(request, now) + 1);
-    known.last = now;
-    return known.crashes;
+    if (now - known.last >= memory) {
+        known = {};
+    }
+    const bool is_news = known.crashes.insert(crash).second;
+    if (is_news) {
+        known.last = now;
+    }
+    return is_news;
 }
 
-bool suspect_table::merge(fingerprint request, std::uint8_t crashes, time_point now) {
-    if (crashes <= this->crashes(request, now)) {
+bool suspect_table::absolve(fingerprint request, time_point now) {
+    const auto found = entries_.find(request);
+    if (found == entries_.end() || found->second.is_absolved) {
         return false;
     }
-    entries_[request] = {crashes, now};
+    found->second.is_absolved = true;
+    found->second.last = now;
     return true;
 }
 
 std::uint8_t suspect_table::crashes(fingerprint request, time_point now) const {
     const auto found = entries_.find(request);
-    return found == entries_.end() || now - found->second.last >= memory ? std::uint8_t{0}
-                                                                         : found->second.crashes;
+    const bool is_suspect =
+        found != entries_.end() && !found->second.is_absolved && now - found->second.last < memory;
+    return is_suspect ? static_cast<std::uint8_t>(found->second.crashes.size()) : std::uint8_t{0};
 }
 
 void suspect_table::expire(time_point now) {
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -117,6 +117,7 @@
     }
 
     bool is_convicted() const {
+        const auto crash_id = short_hash(hash64(random_id()));
         const auto crashes = thread_.shared.control.suspects().crashes(fingerprint_, clock::now());
         return crashes >= suspect_table::crash_limit;
     }
@@ -134,7 +135,9 @@
         if (alive.has_value() || is_silent || alive.error().step != "connect") {
             co_return;
         }
-        const auto crashes = thread_.shared.control.suspects().record_crash(fingerprint_, clock::now());
+        const auto crash_id = short_hash(hash64(random_id()));
+        const auto crashes =
+            thread_.shared.control.suspects().record_crash(fingerprint_, crash_id, clock::now());
         thread_.shared.control.report_contact(engine.hash, false);
         admission_.is_suspect = true;
         log_warn("upstream_crashed", {{"request", from_.request_id()},
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -29,6 +29,9 @@
 /// Connections that were idle for longer carry no request that runs at most once.
 constexpr duration fresh_connection_age = 4s;
 constexpr std::uint32_t lowest_priority = 9;
+/// Crashes after which a request is refused. One more than for chats: a
+/// connection may break for other reasons just before an upstream ends.
+constexpr std::uint8_t most_crashes = suspect_table::crash_limit + 1;
 /// Ranks of routes within one rank of teams.
 constexpr std::uint32_t route_ranks = 3;
 
@@ -96,7 +99,7 @@
     const std::string method{request_.method_string()};
     fingerprint_ =
         hash64(method + " " + std::string{target} + "\n" + traits_.team_key + "\n" + request_.body());
-    if (thread_.plane.suspects().crashes(fingerprint_, clock::now()) >= suspect_table::crash_limit) {
+    if (thread_.plane.suspects().crashes(fingerprint_, clock::now()) >= most_crashes) {
         return problem{422, "crashes-upstreams", "upstreams crashed each time that this request ran"};
     }
     return std::nullopt;
@@ -347,6 +350,9 @@
     if (result.outcome != attempt_outcome::not_sent && !caller_left) {
         thread_.plane.memory().record_answer(upstream, result.outcome == attempt_outcome::answered, now);
     }
+    if (result.outcome == attempt_outcome::answered) {
+        thread_.plane.suspects().absolve(fingerprint_, now);
+    }
     if (result.is_broken && !caller_left) {
         thread_.plane.report_broken(fingerprint_, upstream);
     }
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -71,10 +71,10 @@
     std::uint64_t generation = 0;
 };
 
-/// Request that was on upstreams when these crashed.
+/// Request that was on an upstream when it crashed.
 struct suspect_entry {
     std::uint64_t fingerprint = 0; ///< hash of team and body
-    std::uint8_t crashes = 0;
+    std::uint32_t crash = 0;       ///< names the crash; 0 tells that the request was served
 };
 
 /// Work that the sender has on one upstream.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -87,7 +87,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, suspect_entry& entry) {
-    archive(entry.fingerprint, entry.crashes);
+    archive(entry.fingerprint, entry.crash);
 }
 
 template <class Archive>
