Confirm the keys by the store's revision; follow news beside the watch

Routers on duty now ask for the store's revision every 0.7 s, which also holds where a watch hears nothing.

--- /dev/null
+++ b/packages/control/src/control_plane_state.cpp
@@ -0,0 +1,301 @@
+#include "control_plane_state.hpp"
+
+namespace citronwick {
+
+using wire::document_kind;
+
+namespace {
+
+task<void> sleep_for(duration time) {
+    asio::steady_timer timer{co_await asio::this_coro::executor, time};
+    co_await timer.async_wait(use_tuple);
+}
+
+} // namespace
+
+io_result<endpoint> control_plane::state::open_fleet_address() {
+    constexpr int most_tries = 20;
+    io_result<endpoint> bound{failure{"bind fleet address", to_text(settings_.fleet_listen), "no free port"}};
+    for (int attempt = 0; attempt < most_tries; ++attempt) {
+        bound = channel_.open(settings_.fleet_listen);
+        if (bound.has_error()) {
+            return bound;
+        }
+        const auto listening = exchange_.open(*bound);
+        if (listening.has_value()) {
+            return bound;
+        }
+        bound = listening.error();
+        if (settings_.fleet_listen.port != 0) {
+            return bound;
+        }
+        channel_.close();
+    }
+    return bound;
+}
+
+void control_plane::state::receive(const wire::header& from, const wire::gossip& message) {
+    const auto now = clock::now();
+    for (const wire::member_record& record : message.members) {
+        if (members_.merge(record, now)) {
+            log_info("member_learnt", {{"vm", record.vm},
+                                       {"failure_domain", record.failure_domain},
+                                       {"leaving", record.leaving ? "yes" : "no"}});
+            introduce_ = true;
+            keepers_stale_ = true;
+            view_changed_ = true;
+        }
+    }
+    if (!members_.heard_from(from, now)) {
+        introduce_ = true;
+        return;
+    }
+    upstreams_.record_peer_usage(from.sender, message.usage);
+    answer_slot_requests(from.sender, message.slot_requests);
+    for (const wire::slot_reply& reply : message.slot_replies) {
+        take_slot_reply(reply, now);
+    }
+    for (const wire::count_entry& count : message.counts) {
+        upstreams_.record_count(count.upstream, count.in_flight, now);
+    }
+    suspects_.merge(message.suspects, now);
+    take_reports(message.reports, now);
+    for (const wire::leaving_entry& mark : message.leaving) {
+        if (upstreams_.mark_leaving(mark.upstream, mark.incarnation)) {
+            marks_to_repeat_ = control_timing::mark_repeats;
+        }
+    }
+    for (const wire::document_version& version : message.documents) {
+        pull_if_newer(from.sender, version);
+    }
+    view_changed_ = true;
+}
+
+void control_plane::state::answer_slot_requests(std::uint64_t asker,
+                                                const std::vector<wire::slot_request>& requests) {
+    const auto address = members_.address_of(asker);
+    if (requests.empty() || !address) {
+        return;
+    }
+    wire::gossip answer;
+    for (const wire::slot_request& request : requests) {
+        answer.slot_replies.push_back(upstreams_.decide_slot(asker, request));
+    }
+    add_usage(answer, asker, false);
+    spend(control_kind::gossip, channel_.send(answer, *address));
+}
+
+void control_plane::state::take_slot_reply(const wire::slot_reply& reply, time_point now) {
+    const auto waiting = pending_slots_.find(reply.nonce);
+    if (waiting == pending_slots_.end()) {
+        return;
+    }
+    upstreams_.record_elsewhere(reply.upstream, reply.in_flight, now);
+    waiting->second->verdict = reply.granted ? slot_verdict::granted : slot_verdict::denied;
+    waiting->second->timer.cancel();
+}
+
+void control_plane::state::take_reports(const std::vector<wire::report_entry>& reports, time_point now) {
+    for (const wire::report_entry& report : reports) {
+        const upstream_observation seen{.reachable = report.reachable,
+                                        .in_flight = static_cast<double>(report.in_flight),
+                                        .at = now - std::chrono::milliseconds{report.age}};
+        const bool was_reachable = upstreams_.is_reachable(report.upstream);
+        const bool is_news = upstreams_.observe(report.upstream, seen);
+        const bool is_large = members_.live(now).size() > control_timing::small_fleet;
+        if (is_news && is_large && was_reachable != seen.reachable) {
+            pending_reports_[report.upstream] = seen;
+            urgent_ = true;
+        }
+    }
+}
+
+task<void> control_plane::state::gossip_loop() {
+    while (true) {
+        co_await sleep_for(control_timing::gossip_tick);
+        const auto now = clock::now();
+        upstreams_.forget_peers(members_.silent(now));
+        upstreams_.forget_peers(members_.forget_silent(now));
+        if (keepers_stale_ || now - keepers_assigned_at_ >= control_timing::keeper_interval) {
+            assign_keepers(now);
+        }
+        upstreams_.set_silent_domains(members_.silent_domains(now));
+        upstreams_.refresh_estimates(members_.silent(now).empty(), now);
+        count_platform_bytes();
+        gossip_if_due(now);
+    }
+}
+
+void control_plane::state::gossip_if_due(time_point now) {
+    pending_suspects_ = suspects_.take_news();
+    urgent_ = urgent_ || !pending_suspects_.empty();
+    const bool refresh = now - refreshed_at_ >= control_timing::refresh_interval;
+    const bool must =
+        urgent_ || refresh || version_repeats_ > 0 || now - gossiped_at_ >= control_timing::heartbeat;
+    if (must || (introduce_ && budget_.take(0.0, now))) {
+        gossip_to_fleet(refresh, now);
+    }
+    const bool usage_is_due =
+        now - usage_sent_at_ >= control_timing::usage_interval && budget_.take(0.0, now);
+    if (refresh || usage_is_due) {
+        send_usage(refresh);
+        usage_sent_at_ = now;
+    }
+}
+
+void control_plane::state::gossip_to_fleet(bool refresh, time_point now) {
+    wire::gossip message;
+    message.counts = upstreams_.kept_counts();
+    message.suspects = std::exchange(pending_suspects_, {});
+    add_members(message, refresh);
+    add_reports(message, now);
+    add_marks(message, refresh);
+    add_versions(message, refresh);
+    std::vector<endpoint> targets;
+    for (const member* other : members_.choose_targets(now)) {
+        targets.push_back(other->address);
+    }
+    if (introduce_ || refresh || targets.empty()) {
+        add_unheard_seeds(targets, now);
+    }
+    for (const endpoint& target : targets) {
+        spend(control_kind::gossip, channel_.send(message, target));
+    }
+    gossiped_at_ = now;
+    refreshed_at_ = refresh ? now : refreshed_at_;
+    urgent_ = false;
+    introduce_ = false;
+}
+
+void control_plane::state::add_usage(wire::gossip& message, std::uint64_t keeper, bool refresh) {
+    for (const wire::usage_entry& entry : upstreams_.own_usage()) {
+        auto& sent = sent_usage_[entry.upstream];
+        const bool changed = sent != entry.in_flight || (refresh && entry.in_flight > 0);
+        if (changed && upstreams_.keeper(entry.upstream) == keeper) {
+            message.usage.push_back(entry);
+            sent = entry.in_flight;
+        }
+    }
+}
+
+void control_plane::state::send_usage(bool refresh) {
+    for (const member* other : members_.live_in_region(clock::now())) {
+        wire::gossip message;
+        add_usage(message, other->hash, refresh);
+        if (!message.usage.empty()) {
+            spend(control_kind::gossip, channel_.send(message, other->address));
+        }
+    }
+}
+
+void control_plane::state::assign_keepers(time_point now) {
+    keepers_assigned_at_ = now;
+    keepers_stale_ = false;
+    const auto region = members_.live_in_region(now);
+    const auto keeper = [&](std::uint64_t upstream) {
+        return assigned_router(upstream, members_.self_hash(), region);
+    };
+    for (const std::uint32_t upstream : upstreams_.assign_keepers(keeper, members_.self_hash())) {
+        sent_usage_.erase(upstream);
+    }
+}
+
+void control_plane::state::add_unheard_seeds(std::vector<endpoint>& targets, time_point now) {
+    std::set<endpoint> heard;
+    for (const member* other : members_.live(now)) {
+        heard.insert(other->address);
+    }
+    std::ranges::copy_if(settings_.seeds, std::back_inserter(targets), [&](const endpoint& seed) {
+        return to_text(seed) != settings_.advertised_address && !heard.contains(seed) &&
+               std::ranges::find(targets, seed) == targets.end();
+    });
+}
+
+void control_plane::state::add_members(wire::gossip& message, bool refresh) {
+    const bool is_large = members_.live(clock::now()).size() > control_timing::small_fleet;
+    if (refresh || introduce_ || urgent_ || is_large) {
+        message.members.push_back(members_.self());
+        if (const auto other = members_.next_record_to_spread()) {
+            message.members.push_back(*other);
+        }
+    }
+}
+
+void control_plane::state::add_reports(wire::gossip& message, time_point now) {
+    while (!pending_reports_.empty() && message.reports.size() < control_timing::reports_per_message) {
+        const auto [upstream, seen] = *pending_reports_.begin();
+        pending_reports_.erase(pending_reports_.begin());
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - seen.at).count();
+        message.reports.push_back(
+            {upstream, static_cast<std::uint16_t>(std::clamp(seen.in_flight, 0.0, 65'535.0)),
+             static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, 65'535)), seen.reachable});
+    }
+}
+
+void control_plane::state::add_versions(wire::gossip& message, bool refresh) {
+    for (const auto kind : {document_kind::configuration, document_kind::vm_list}) {
+        const std::uint64_t generation = documents_.generation(kind);
+        if (generation != 0 && (refresh || version_repeats_ > 0)) {
+            message.documents.push_back({kind, generation});
+        }
+    }
+    version_repeats_ = std::max(0, version_repeats_ - 1);
+}
+
+void control_plane::state::apply_vm_list(const std::vector<listed_vm>& vms) {
+    const auto now = clock::now();
+    upstreams_.apply_vm_list(vms, now);
+    for (const listed_vm& vm : vms) {
+        if (vm.is_entry) {
+            members_.merge({.vm = vm.name,
+                            .region = vm.region,
+                            .failure_domain = vm.failure_domain,
+                            .fleet_address = to_text(vm.address)},
+                           now);
+        }
+    }
+    keepers_stale_ = true;
+    log_info("vm_list_applied", {{"vms", std::to_string(vms.size())}});
+    spread_versions();
+}
+
+task<void> control_plane::state::probe_loop() {
+    while (true) {
+        const auto region = members_.live_in_region(clock::now());
+        auto targets = upstreams_.probe_targets();
+        std::erase_if(targets, [&](const upstream_table::target& target) {
+            return !is_assigned(target.hash, members_.self_hash(), region,
+                                control_timing::probers_per_upstream);
+        });
+        prober_.probe(targets);
+        const bool nothing_known = targets.empty();
+        const duration pause =
+            nothing_known ? control_timing::gossip_tick : duration{settings_.probe_interval};
+        co_await sleep_for(pause);
+    }
+}
+
+task<void> control_plane::state::view_loop() {
+    while (true) {
+        co_await sleep_for(control_timing::view_interval);
+        const auto now = clock::now();
+        if (view_changed_ || now - viewed_at_ >= control_timing::heartbeat) {
+            publish(now);
+            claims_.expire(now);
+            suspects_.expire(now);
+        }
+    }
+}
+
+void control_plane::state::publish(time_point now) {
+    const auto live = members_.live(now).size();
+    auto next = std::make_shared<fleet_view>();
+    next->config = config_;
+    next->upstreams = upstreams_.view(now);
+    next->live_routers = live + 1;
+    view_.store(std::move(next));
+    view_changed_ = false;
+    viewed_at_ = now;
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/control/src/control_timing.hpp
@@ -0,0 +1,41 @@
+#ifndef CITRONWICK_CONTROL_CONTROL_TIMING_HPP_INCLUDED
+#define CITRONWICK_CONTROL_CONTROL_TIMING_HPP_INCLUDED
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/core/time.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/// Intervals and limits of the control thread.
+namespace citronwick::control_timing {
+
+using namespace std::chrono_literals;
+
+inline constexpr duration gossip_tick = 50ms;
+inline constexpr duration heartbeat = 1s;
+/// Between two looks at who keeps which count; silence is noticed more slowly.
+inline constexpr duration keeper_interval = 1s;
+/// Time for which a changed count waits for a message that can carry it.
+inline constexpr duration usage_interval = 300ms;
+inline constexpr duration refresh_interval = 2s;
+/// Longest wait for the keeper of an upstream's count.
+inline constexpr duration slot_timeout = 10ms;
+inline constexpr duration view_interval = 20ms;
+inline constexpr std::size_t watchers_per_domain = 2;
+inline constexpr std::size_t probers_per_upstream = 1;
+inline constexpr std::size_t reports_per_message = 100;
+inline constexpr std::size_t small_fleet = 8;
+inline constexpr double burst_seconds = 2.0;
+inline constexpr int mark_repeats = 3;
+/// Messages that name a new generation: enough for 3^6 routers, and some to spare.
+inline constexpr int version_rounds = 8;
+inline constexpr const char* control_thread_name = "control";
+
+/// Duties that rendezvous hashing assigns to routers.
+inline const std::uint64_t watch_duty = hash64("platform watcher");
+
+} // namespace citronwick::control_timing
+
+#endif
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -22,8 +22,10 @@
 
 /// Keeps up with all keys of the platform's store.
 ///
-/// A router on duty keeps a watch waiting. The others read when a peer tells of
-/// a change, or when nothing has confirmed what they hold for a while.
+/// A router on duty keeps a watch waiting, and asks at short intervals whether
+/// the store's revision is the one that it has followed: a watch that hears
+/// nothing proves nothing. The others read when a peer tells of a change, or
+/// when nothing has confirmed what they hold for a while.
 class store_follower {
 public:
     store_follower(const asio::any_io_executor& executor, watched_kv_client& store, store_listener listener);
@@ -31,6 +33,9 @@
     /// Follows the store until the executor ends.
     task<void> run();
 
+    /// Confirms what is followed until the executor ends.
+    task<void> run_confirmations();
+
     /// Whether this router keeps a watch waiting.
     void set_on_duty(bool on_duty);
 
@@ -55,6 +60,8 @@
     task<bool> list();
     task<bool> watch(std::chrono::milliseconds wait);
     task<void> wait_for_work();
+    task<bool> confirm();
+    bool must_list_again() const;
     task<void> back_off();
     task<void> pause(duration time);
     void note_success();
--- /dev/null
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -0,0 +1,139 @@
+#include "declared_fleet.hpp"
+
+#include "citronwick/control/suspect_registry.hpp"
+#include "citronwick/core/hash.hpp"
+#include "citronwick/io/log.hpp"
+
+#include <set>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time within which the end of an incarnation explains a broken connection.
+constexpr duration crash_patience = 6s;
+
+} // namespace
+
+declared_fleet::declared_fleet(const platform_adapter& adapter, suspect_registry& suspects, duration grace)
+    : adapter_{adapter}, suspects_{suspects}, layout_{adapter.layout()}, directory_{grace},
+      crashes_{crash_patience} {}
+
+bool declared_fleet::take(const kv_change& change, bool may_have_lapsed, time_point now) {
+    if (change.key == layout_.configuration_key) {
+        take_configuration(change);
+        return true;
+    }
+    if (change.key.starts_with(layout_.upstream_prefix)) {
+        take_upstream(change, may_have_lapsed, now);
+        return true;
+    }
+    return false;
+}
+
+void declared_fleet::retain_listed(const kv_listing& listing, bool may_have_lapsed, time_point now) {
+    std::set<std::string> listed;
+    for (const kv_item& item : listing.items) {
+        if (item.key.starts_with(layout_.upstream_prefix)) {
+            listed.insert(item.key.substr(layout_.upstream_prefix.size()));
+        }
+    }
+    for (const ended_upstream& ended : directory_.retain(listed, listing.revision, may_have_lapsed, now)) {
+        note_end(ended, now);
+    }
+}
+
+bool declared_fleet::expire(time_point now) {
+    const auto ended = directory_.expire(now);
+    for (const ended_upstream& each : ended) {
+        note_end(each, now);
+    }
+    return !ended.empty();
+}
+
+void declared_fleet::record_break(std::uint64_t request, std::uint64_t upstream, time_point now) {
+    crashes_.record_break(request, upstream, now);
+}
+
+std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::usable() const {
+    return directory_.usable();
+}
+
+/// A configuration that cannot be read leaves the last good one in force.
+void declared_fleet::take_configuration(const kv_change& change) {
+    if (!change.value || (config_ && change.revision <= config_->revision())) {
+        return;
+    }
+    auto declared = adapter_.decode_configuration(*change.value);
+    if (declared.has_error()) {
+        log_failure("configuration_refused", declared.error());
+        return;
+    }
+    if (config_ && declared->version < config_->version()) {
+        log_warn("configuration_refused", {{"reason", "older version"},
+                                           {"version", std::to_string(declared->version)},
+                                           {"in_force", std::to_string(config_->version())}});
+        return;
+    }
+    config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.revision);
+    log_info("configuration_in_force", {{"version", std::to_string(config_->version())},
+                                        {"revision", std::to_string(change.revision)},
+                                        {"routes", std::to_string(config_->routes().routes().size())},
+                                        {"teams", std::to_string(config_->team_count())}});
+}
+
+void declared_fleet::take_upstream(const kv_change& change, bool may_have_lapsed, time_point now) {
+    const std::string id = change.key.substr(layout_.upstream_prefix.size());
+    if (!change.value) {
+        const auto ended = directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
+        log_info("upstream_entry_removed", {{"upstream", id},
+                                            {"revision", std::to_string(change.revision)},
+                                            {"doubted", may_have_lapsed ? "yes" : "no"}});
+        note_end(ended, now);
+        return;
+    }
+    const auto entry = adapter_.decode_upstream(id, *change.value);
+    if (entry.has_error()) {
+        log_failure("upstream_entry_refused", entry.error());
+        note_end(directory_.remove(id, change.revision, false, "entry unreadable", now), now);
+        return;
+    }
+    note_end(directory_.put(*entry, change.revision, now), now);
+    log_info("upstream_learnt", {{"upstream", entry->id},
+                                 {"service", entry->service},
+                                 {"address", to_text(entry->address)},
+                                 {"failure_domain", entry->failure_domain},
+                                 {"incarnation", std::to_string(entry->incarnation)},
+                                 {"leaving", entry->leaving ? "yes" : "no"},
+                                 {"revision", std::to_string(change.revision)}});
+}
+
+void declared_fleet::note_end(const std::optional<ended_upstream>& ended, time_point now) {
+    if (ended) {
+        note_end(*ended, now);
+    }
+}
+
+/// An incarnation that ends unannounced makes suspects of the requests that
+/// broke on it.
+void declared_fleet::note_end(const ended_upstream& ended, time_point now) {
+    log_info("upstream_ended", {{"upstream", ended.entry.id},
+                                {"service", ended.entry.service},
+                                {"reason", std::string{ended.reason}},
+                                {"announced", ended.entry.leaving ? "yes" : "no"}});
+    const auto upstream = upstream_hash(ended.entry);
+    const auto suspects = crashes_.upstream_ended(upstream, now);
+    if (ended.entry.leaving) {
+        return;
+    }
+    for (const std::uint64_t request : suspects) {
+        const auto crashes = suspects_.record_crash(request, short_hash(upstream), now);
+        log_warn("request_suspected", {{"fingerprint", std::to_string(request)},
+                                       {"upstream", ended.entry.id},
+                                       {"crashes", std::to_string(crashes)}});
+    }
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -0,0 +1,62 @@
+#ifndef CITRONWICK_FLEET_DECLARED_FLEET_HPP_INCLUDED
+#define CITRONWICK_FLEET_DECLARED_FLEET_HPP_INCLUDED
+
+#include "citronwick/fleet/crash_watch.hpp"
+#include "citronwick/fleet/platform_adapter.hpp"
+#include "citronwick/fleet/upstream_directory.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace citronwick {
+
+class suspect_registry;
+
+/// The configuration and the upstreams as the platform's store declares them.
+/// Owned by the control thread; each change of belief is logged.
+class declared_fleet {
+public:
+    /// @param grace for entries that lapsed while the store was away
+    declared_fleet(const platform_adapter& adapter, suspect_registry& suspects, duration grace);
+
+    /// Takes in a change of a key.
+    /// @param may_have_lapsed whether the store was away lately
+    /// @return false where the key is neither a configuration nor an upstream
+    bool take(const kv_change& change, bool may_have_lapsed, time_point now);
+
+    /// Removes the upstreams that a complete listing lacks.
+    void retain_listed(const kv_listing& listing, bool may_have_lapsed, time_point now);
+
+    /// Removes the upstreams whose grace is over.
+    /// @return whether there were any
+    bool expire(time_point now);
+
+    /// Notes that a request's connection broke while an upstream had it.
+    void record_break(std::uint64_t request, std::uint64_t upstream, time_point now);
+
+    /// Null before the first configuration.
+    std::shared_ptr<const routing_configuration> config() const { return config_; }
+
+    /// Upstreams that take new work, by service.
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> usable() const;
+
+    /// Hashes of all known incarnations.
+    std::set<std::uint64_t> hashes() const { return directory_.hashes(); }
+
+private:
+    void take_configuration(const kv_change& change);
+    void take_upstream(const kv_change& change, bool may_have_lapsed, time_point now);
+    void note_end(const std::optional<ended_upstream>& ended, time_point now);
+    void note_end(const ended_upstream& ended, time_point now);
+
+    const platform_adapter& adapter_;
+    suspect_registry& suspects_;
+    store_layout layout_;
+    upstream_directory directory_;
+    crash_watch crashes_;
+    std::shared_ptr<const routing_configuration> config_;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -2,16 +2,15 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/snapshot.hpp"
-#include "citronwick/fleet/crash_watch.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/router_peers.hpp"
 #include "citronwick/fleet/routing_memory.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_follower.hpp"
-#include "citronwick/fleet/upstream_directory.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/key_freshness.hpp"
+#include "declared_fleet.hpp"
 #include "fleet_registration.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,7 +18,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <pthread.h>
-#include <set>
 #include <thread>
 
 namespace citronwick {
@@ -32,11 +30,8 @@
 constexpr duration expiry_interval = 1s;
 /// Age from which a router asks the store itself for a confirmation.
 constexpr duration own_question_age = 3200ms;
-/// Taken off the bound on keys: the store may answer a watch without the
-/// changes of the last second when it is about to drop its history.
-constexpr duration key_margin = 1200ms;
-/// Time within which the end of an incarnation explains a broken connection.
-constexpr duration crash_patience = 6s;
+/// Taken off the bound on keys, for the way of a request to its upstream.
+constexpr duration key_margin = 200ms;
 constexpr const char* control_thread_name = "control";
 
 std::string to_milliseconds(duration value) {
@@ -48,12 +43,12 @@
 class routing_plane::state {
 public:
     state(routing_settings settings, const platform_adapter& adapter)
-        : settings_{std::move(settings)}, adapter_{adapter}, layout_{adapter.layout()},
+        : settings_{std::move(settings)}, layout_{adapter.layout()},
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout)},
           follower_{context_.get_executor(), *store_, store_events()},
           peers_{context_.get_executor(), settings_, memory_, suspects_, peer_events()},
-          directory_{settings_.lapse_grace}, freshness_{settings_.key_lifetime - key_margin},
-          view_{std::make_shared<const routing_view>()} {}
+          declared_{adapter, suspects_, settings_.lapse_grace},
+          freshness_{settings_.key_lifetime - key_margin}, view_{std::make_shared<const routing_view>()} {}
 
     io_result<endpoint> start() {
         const auto bound = peers_.open(settings_.fleet_listen);
@@ -68,6 +63,7 @@
                               registration_events());
         spawn(peers_.receive());
         spawn(follower_.run());
+        spawn(follower_.run_confirmations());
         spawn(registration_->run());
         spawn(tick_loop());
         thread_ = std::jthread{[this] { context_.run(); }};
@@ -103,7 +99,7 @@
     }
 
     void report_broken(std::uint64_t request, std::uint64_t upstream) {
-        asio::post(context_, [=, this] { crashes_.record_break(request, upstream, clock::now()); });
+        asio::post(context_, [=, this] { declared_.record_break(request, upstream, clock::now()); });
     }
 
     void report_misdirected(std::uint64_t upstream) {
@@ -162,17 +158,10 @@
 
     void take_listing(const kv_listing& listing, bool may_have_lapsed) {
         const auto now = clock::now();
-        std::set<std::string> listed;
         for (const kv_item& item : listing.items) {
-            if (item.key.starts_with(layout_.upstream_prefix)) {
-                listed.insert(item.key.substr(layout_.upstream_prefix.size()));
-            }
             take_change({item.key, item.value, item.revision}, may_have_lapsed, now);
         }
-        for (const ended_upstream& ended :
-             directory_.retain(listed, listing.revision, may_have_lapsed, now)) {
-            note_end(ended, now);
-        }
+        declared_.retain_listed(listing, may_have_lapsed, now);
         registration_->set_listed();
         log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
                                   {"revision", std::to_string(listing.revision)},
@@ -190,94 +179,15 @@
     }
 
     void take_change(const kv_change& change, bool may_have_lapsed, time_point now) {
-        if (change.key == layout_.configuration_key) {
-            take_configuration(change);
-        } else if (change.key.starts_with(layout_.upstream_prefix)) {
-            take_upstream(change, may_have_lapsed, now);
-        } else {
+        if (!declared_.take(change, may_have_lapsed, now)) {
             registration_->take(change);
         }
     }
 
-    /// A configuration that cannot be read leaves the last good one in force.
-    void take_configuration(const kv_change& change) {
-        if (!change.value || (config_ && change.revision <= config_->revision())) {
-            return;
-        }
-        auto declared = adapter_.decode_configuration(*change.value);
-        if (declared.has_error()) {
-            log_failure("configuration_refused", declared.error());
-            return;
-        }
-        if (config_ && declared->version < config_->version()) {
-            log_warn("configuration_refused", {{"reason", "older version"},
-                                               {"version", std::to_string(declared->version)},
-                                               {"in_force", std::to_string(config_->version())}});
-            return;
-        }
-        config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.revision);
-        log_info("configuration_in_force", {{"version", std::to_string(config_->version())},
-                                            {"revision", std::to_string(change.revision)},
-                                            {"routes", std::to_string(config_->routes().routes().size())},
-                                            {"teams", std::to_string(config_->team_count())}});
-    }
-
-    void take_upstream(const kv_change& change, bool may_have_lapsed, time_point now) {
-        const std::string id = change.key.substr(layout_.upstream_prefix.size());
-        if (!change.value) {
-            const auto ended = directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
-            log_info("upstream_entry_removed", {{"upstream", id},
-                                                {"revision", std::to_string(change.revision)},
-                                                {"doubted", may_have_lapsed ? "yes" : "no"}});
-            note_end(ended, now);
-            return;
-        }
-        const auto entry = adapter_.decode_upstream(id, *change.value);
-        if (entry.has_error()) {
-            log_failure("upstream_entry_refused", entry.error());
-            note_end(directory_.remove(id, change.revision, false, "entry unreadable", now), now);
-            return;
-        }
-        note_end(directory_.put(*entry, change.revision, now), now);
-        log_info("upstream_learnt", {{"upstream", entry->id},
-                                     {"service", entry->service},
-                                     {"address", to_text(entry->address)},
-                                     {"failure_domain", entry->failure_domain},
-                                     {"incarnation", std::to_string(entry->incarnation)},
-                                     {"leaving", entry->leaving ? "yes" : "no"},
-                                     {"revision", std::to_string(change.revision)}});
-    }
-
-    void note_end(const std::optional<ended_upstream>& ended, time_point now) {
-        if (ended) {
-            note_end(*ended, now);
-        }
-    }
-
-    /// An incarnation that ends unannounced makes suspects of the requests that
-    /// broke on it.
-    void note_end(const ended_upstream& ended, time_point now) {
-        log_info("upstream_ended", {{"upstream", ended.entry.id},
-                                    {"service", ended.entry.service},
-                                    {"reason", std::string{ended.reason}},
-                                    {"announced", ended.entry.leaving ? "yes" : "no"}});
-        const auto upstream = upstream_hash(ended.entry);
-        const auto suspects = crashes_.upstream_ended(upstream, now);
-        if (ended.entry.leaving) {
-            return;
-        }
-        for (const std::uint64_t request : suspects) {
-            const auto crashes = suspects_.record_crash(request, short_hash(upstream), now);
-            log_warn("request_suspected", {{"fingerprint", std::to_string(request)},
-                                           {"upstream", ended.entry.id},
-                                           {"crashes", std::to_string(crashes)}});
-        }
-    }
-
     void publish(time_point now) {
         auto next = std::make_shared<routing_view>();
-        next->config = config_;
-        next->upstreams = directory_.usable();
+        next->config = declared_.config();
+        next->upstreams = declared_.usable();
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
         next->revision = follower_.revision();
@@ -302,14 +212,11 @@
     }
 
     void tick(time_point now) {
-        const auto ended = directory_.expire(now);
-        for (const ended_upstream& each : ended) {
-            note_end(each, now);
-        }
+        const bool upstreams_changed = declared_.expire(now);
         const auto shown = view_.load();
         const bool fleet_changed =
             peers_.live_routers(now) != shown->live_routers || peers_.known_routers() != shown->known_routers;
-        if (!ended.empty() || fleet_changed) {
+        if (upstreams_changed || fleet_changed) {
             publish(now);
         }
         follower_.set_on_duty(peers_.is_on_duty(now));
@@ -318,7 +225,7 @@
         gossip_bytes_.store(peers_.sent_bytes(), std::memory_order_relaxed);
         if (now - expired_at_ >= expiry_interval) {
             expired_at_ = now;
-            memory_.expire(directory_.hashes(), now);
+            memory_.expire(declared_.hashes(), now);
             suspects_.expire(now);
         }
     }
@@ -338,7 +245,6 @@
     }
 
     routing_settings settings_;
-    const platform_adapter& adapter_;
     store_layout layout_;
     asio::io_context context_{1};
     routing_memory memory_;
@@ -347,10 +253,8 @@
     store_follower follower_;
     router_peers peers_;
     std::optional<fleet_registration> registration_;
-    upstream_directory directory_;
+    declared_fleet declared_;
     key_freshness freshness_;
-    crash_watch crashes_{crash_patience};
-    std::shared_ptr<const routing_configuration> config_;
     std::map<std::uint32_t, std::shared_ptr<upstream_work>> works_;
     time_point expired_at_;
     bool expired_is_logged_ = false;
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -11,13 +11,16 @@
 
 using namespace std::chrono_literals;
 
-/// Time for which the store may hold a watch. Each answer confirms the keys, so
-/// it is well below the time for which a confirmation lasts.
-constexpr std::chrono::milliseconds watch_wait = 1300ms;
+/// Time for which the store may hold a watch.
+constexpr std::chrono::milliseconds watch_wait = 5s;
+/// Between two questions for the store's revision.
+constexpr duration confirm_interval = 700ms;
 /// A read of what has changed does not wait.
 constexpr std::chrono::milliseconds no_wait = 1ms;
 /// After changes, so that those that come in quick succession share a call.
 constexpr duration change_pause = 60ms;
+/// Between two looks at whether a confirmation is wanted.
+constexpr duration confirm_check = 100ms;
 /// Between news of a change and reading it: most changes are passed on by then,
 /// and those that follow in quick succession share a call.
 constexpr duration news_pause = 300ms;
@@ -54,15 +57,12 @@
 }
 
 void store_follower::ask_for_confirmation() {
-    if (!confirmation_wanted_) {
-        confirmation_wanted_ = true;
-        wake_.cancel();
-    }
+    confirmation_wanted_ = true;
 }
 
 /// Time until there is something to do; none is left where it is due.
 duration store_follower::time_to_work(time_point now) const {
-    if (on_duty_ || !is_listed_ || confirmation_wanted_) {
+    if (on_duty_ || !is_listed_) {
         return duration::zero();
     }
     if (heard_revision_ > revision_) {
@@ -95,7 +95,7 @@
         co_await wait_for_work();
         bool succeeded = false;
         if (is_listed_) {
-            const bool waits = on_duty_ && !confirmation_wanted_ && heard_revision_ <= revision_;
+            const bool waits = on_duty_ && heard_revision_ <= revision_;
             succeeded = co_await watch(waits ? watch_wait : no_wait);
         } else {
             succeeded = co_await list();
@@ -106,6 +106,56 @@
     }
 }
 
+task<void> store_follower::run_confirmations() {
+    asio::steady_timer timer{wake_.get_executor()};
+    while (true) {
+        // A watch may wait on a connection that has gone silent, so news is
+        // followed up here as well.
+        const bool has_old_news = heard_revision_ > revision_ && clock::now() - heard_at_ >= news_pause;
+        const bool is_due = is_listed_ && (on_duty_ || confirmation_wanted_ || has_old_news);
+        bool succeeded = true;
+        if (must_list_again()) {
+            succeeded = co_await list();
+        } else if (is_due) {
+            succeeded = co_await confirm();
+        }
+        if (!succeeded) {
+            co_await back_off();
+            continue;
+        }
+        timer.expires_after(on_duty_ ? confirm_interval : confirm_check);
+        co_await timer.async_wait(use_tuple);
+    }
+}
+
+/// Whether a listing that history loss made necessary has failed.
+bool store_follower::must_list_again() const {
+    return !is_listed_ && revision_ > 0;
+}
+
+/// Asks for the store's revision. Where it has changes that were not passed on,
+/// they are read before anything counts as confirmed.
+task<bool> store_follower::confirm() {
+    const auto asked_at = boot_now();
+    auto revision = co_await store_.current_revision();
+    if (revision.has_error()) {
+        note_failure(revision.error());
+        co_return false;
+    }
+    note_success();
+    if (is_listed_ && *revision > revision_) {
+        const bool followed = co_await watch(no_wait);
+        if (!followed) {
+            co_return false;
+        }
+    }
+    if (is_listed_ && *revision <= revision_) {
+        confirmation_wanted_ = false;
+        listener_.on_confirmed(asked_at);
+    }
+    co_return true;
+}
+
 bool store_follower::may_have_lapsed(time_point now) const {
     return regained_at_ && now - *regained_at_ < lapse_window;
 }
@@ -158,8 +208,8 @@
 }
 
 task<bool> store_follower::watch(std::chrono::milliseconds wait) {
-    const auto asked_at = boot_now();
-    auto seen = co_await store_.wait_for_changes("", revision_, wait);
+    const auto after = revision_;
+    auto seen = co_await store_.wait_for_changes("", after, wait);
     if (seen.has_error()) {
         note_failure(seen.error());
         co_return false;
@@ -168,25 +218,20 @@
     // Every change has an event here; a revision without one means that some
     // were not delivered.
     const bool has_gap = seen->changes.empty() && seen->revision > revision_;
-    if (seen->history_lost || has_gap) {
+    const bool was_overtaken = revision_ != after;
+    if ((seen->history_lost || has_gap) && !was_overtaken) {
         log_warn("store_history_lost", {{"revision", std::to_string(revision_)},
                                         {"store_revision", std::to_string(seen->revision)}});
         is_listed_ = false;
-        co_return true;
+        co_return co_await list();
     }
-    if (seen->revision < revision_) {
-        co_return false;
+    if (seen->revision <= revision_) {
+        co_return true;
     }
-    confirmation_wanted_ = false;
     const auto previous = std::exchange(revision_, seen->revision);
     heard_revision_ = std::max(heard_revision_, revision_);
-    if (!seen->changes.empty()) {
-        listener_.on_changes(*seen, previous, may_have_lapsed(clock::now()));
-    }
-    listener_.on_confirmed(asked_at);
-    if (!seen->changes.empty()) {
-        co_await pause(change_pause);
-    }
+    listener_.on_changes(*seen, previous, may_have_lapsed(clock::now()));
+    co_await pause(change_pause);
     co_return true;
 }
 
--- a/packages/io/include/citronwick/io/watched_kv_client.hpp
+++ b/packages/io/include/citronwick/io/watched_kv_client.hpp
@@ -40,8 +40,10 @@
 public:
     virtual task<io_result<kv_listing>> list(std::string prefix) = 0;
 
-    /// Waits for changes below a prefix. An answer confirms the keys as of the
-    /// moment at which the call was sent, also without changes.
+    /// Newest revision of the store; never older than when the call was sent.
+    virtual task<io_result<std::int64_t>> current_revision() = 0;
+
+    /// Waits for changes below a prefix.
     /// @param wait longest time for which the service may hold the call
     virtual task<io_result<kv_changes>> wait_for_changes(std::string prefix, std::int64_t after,
                                                          std::chrono::milliseconds wait) = 0;
--- a/tests/integration/routes.tests.cpp
+++ b/tests/integration/routes.tests.cpp
@@ -214,6 +214,14 @@
         set_fault(system.store(), R"({"forget_history":1})");
         CHECK(wait_until([&] { return system.ask(router, "/read/1", "old").status == 401; }, 3s));
     }
+    SUBCASE("watches hear nothing and the store's history is gone") {
+        set_fault(system.store(), R"({"deaf":1})");
+        system.declare({"new-key"});
+        set_fault(system.store(), R"({"deaf":1,"forget_history":1})");
+        CHECK(wait_until([&] { return system.ask(router, "/read/1", "old").status == 401; }, 2s));
+        CHECK(
+            wait_until([&] { return system.ask(system.routers()[1], "/read/1", "old").status == 401; }, 2s));
+    }
     for (const char* const mode : {"silent", "busy", "reset"}) {
         SUBCASE(mode) {
             set_fault(system.store(), std::string{"{\"mode\":\""} + mode + "\"}");
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -206,7 +206,7 @@
     constexpr std::chrono::milliseconds look = 5ms;
     const auto after = number(parameter(target, "after"));
     const auto deadline = clock::now() + std::chrono::milliseconds{number(parameter(target, "waitMs"))};
-    while (after == revision_ && clock::now() < deadline && mode_ == "up") {
+    while ((after == revision_ || is_deaf_) && clock::now() < deadline && mode_ == "up") {
         co_await sleep_for(look);
         expire_leases();
     }
@@ -234,6 +234,7 @@
         mode_ = mode.empty() ? "up" : mode;
         answers_to_lose_ = integer_member(order, "lose_answers");
         delay_ = std::chrono::milliseconds{integer_member(order, "delay_ms")};
+        is_deaf_ = integer_member(order, "deaf") != 0;
         if (integer_member(order, "forget_history") != 0) {
             forgotten_revision_ = revision_;
             history_.clear();
--- a/tests/standin/metadata_store.hpp
+++ b/tests/standin/metadata_store.hpp
@@ -53,6 +53,7 @@
     std::deque<event> history_;
     std::map<std::int64_t, time_point> leases_;
     std::string mode_ = "up"; ///< up, busy, reset, silent
+    bool is_deaf_ = false;    ///< waiting watches hear of no change
     std::int64_t answers_to_lose_ = 0;
     std::chrono::milliseconds delay_{0};
     std::int64_t calls_ = 0;
