Drop what no code calls, and explain the steps of a routed request

Cause: read as a newcomer, a parameter, a member and a function were unused, and the order of a request's steps stood nowhere. Ruled out: a change of behaviour (the integration tests of routes pass, 316 checks).

--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -54,9 +54,6 @@
     /// @param request fingerprint
     void report_broken(std::uint64_t request, std::uint64_t upstream);
 
-    /// Notes that an upstream's address belongs to another one now.
-    void report_misdirected(std::uint64_t upstream);
-
     /// Bytes sent to other routers.
     std::uint64_t gossip_bytes() const;
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -102,10 +102,6 @@
         asio::post(context_, [=, this] { declared_.record_break(request, upstream, clock::now()); });
     }
 
-    void report_misdirected(std::uint64_t upstream) {
-        asio::post(context_, [=, this] { memory_.record_unreachable(upstream, clock::now()); });
-    }
-
 private:
     void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
 
@@ -311,10 +307,6 @@
     state_->report_broken(request, upstream);
 }
 
-void routing_plane::report_misdirected(std::uint64_t upstream) {
-    state_->report_misdirected(upstream);
-}
-
 std::uint64_t routing_plane::gossip_bytes() const {
     return state_->gossip_bytes();
 }
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -39,7 +39,7 @@
     work.prompt_was_read();
     if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::failed_run) {
         const auto outcome_before = result.outcome;
-        result = co_await deliver(connection, exchange);
+        result = co_await deliver(connection);
         if (result.outcome == attempt_outcome::answered) {
             result.outcome = outcome_before;
         }
@@ -61,8 +61,7 @@
     return head;
 }
 
-task<exchange_result> route_exchange::deliver(upstream_connection& connection,
-                                              upstream_exchange& /*exchange*/) {
+task<exchange_result> route_exchange::deliver(upstream_connection& connection) {
     constexpr unsigned ok = 200;
     const bool is_events = is_stream(route_->kind) && connection.status() == ok;
     if (is_events) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -20,6 +20,12 @@
 struct route_context;
 
 /// One routed request on its way to an upstream and back.
+///
+/// `prepare` finds route, team and service or a refusal. Then attempts follow
+/// each other: place, send, deliver what came back, and `settle` what it showed
+/// and whether another upstream is tried. `finish` tells the caller the end
+/// unless a stream's events have gone out already. Sending and delivering stand
+/// in route_delivery.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& thread, caller& from, http_request request);
@@ -33,7 +39,7 @@
     task<void> run_attempts();
     task<bool> run_attempt();
     task<exchange_result> send(upstream_connection& connection, work_guard& work);
-    task<exchange_result> deliver(upstream_connection& connection, upstream_exchange& exchange);
+    task<exchange_result> deliver(upstream_connection& connection);
     task<exchange_result> deliver_whole(upstream_connection& connection);
     task<exchange_result> deliver_events(upstream_connection& connection);
     task<bool> forward_events(upstream_connection& connection, std::string events);
@@ -71,7 +77,6 @@
         kept_answer_; ///< a failure of an upstream, told if no other attempt does better
     event_splitter events_;
     upstream_connection* open_connection_ = nullptr; ///< to close when the caller leaves
-    bool is_new_connection_ = false;
 };
 
 } // namespace citronwick
