Pass large declarations on compressed, and catch up by listing after an outage

Cause: on narrow links (10 Mbit/s) a read of the changes since an outage holds every declaration written meanwhile, half a megabyte each with 1,700 routes. It took longer than the call's timeout, was given up and asked for again from the start, so a router stayed on an old declaration as long as the storm lasted. Declarations over 48 kB were not passed on between routers at all, so that each of 77 read them from the store.

Now: a timeout is the longest time without progress; after an outage of 1 s and more the store is listed, which holds one value a key; values that a later one replaces are left out of a batch; changes travel compressed.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -8,6 +8,7 @@
 find_package(spdlog REQUIRED)
 find_package(Threads REQUIRED)
 find_package(tomlplusplus REQUIRED)
+find_package(ZLIB REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 include(doctest)
 
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -89,7 +89,7 @@
     void answer_questions(const wire::gossip& message, const endpoint& to);
     void replace_work(std::uint64_t peer, work_table table);
     void publish_work(std::uint32_t upstream, const peer_work& sum) const;
-    void take_changes(const wire::gossip& message, time_point now);
+    void take_changes(const wire::gossip& message, const endpoint& from, time_point now);
     void pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now);
     void ask_watcher(time_point now);
     std::uint64_t watcher(time_point now) const;
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -76,6 +76,8 @@
     std::int64_t heard_revision_ = 0;
     time_point heard_at_;
     bool is_listed_ = false;
+    /// After an outage a listing is shorter than the history since.
+    bool is_far_behind_ = false;
     bool on_duty_ = true;
     bool confirmation_wanted_ = false;
     std::optional<time_point> outage_since_;
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -1,15 +1,16 @@
 #include "citronwick/fleet/router_peers.hpp"
 
+#include "citronwick/config/io_result_of.hpp"
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/fleet/routing_memory.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/wire/change_pack.hpp"
 
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
-#include <numeric>
 #include <ranges>
 
 namespace citronwick {
@@ -32,10 +33,10 @@
 constexpr double burst_seconds = 2.0;
 /// Only confirmations this fresh are passed on; others help nobody.
 constexpr duration useful_age = 3000ms;
-/// Bytes of changes that are passed on; routers read larger ones themselves.
-/// They fit one datagram with its header.
+/// Packed bytes of changes that are passed on; routers read larger ones
+/// themselves. They fit one datagram with its header.
 constexpr std::size_t most_passed_on = 48'000;
-/// Bytes of changes that the watcher sends to everybody itself.
+/// Packed bytes of changes that the watcher sends to everybody itself.
 constexpr std::size_t most_sent_directly = 2'048;
 /// Routers to which each router passes larger changes on.
 constexpr std::size_t tree_width = 3;
@@ -47,13 +48,6 @@
     return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
 }
 
-std::size_t size_of(const std::vector<wire::change_entry>& changes) {
-    return std::accumulate(changes.begin(), changes.end(), std::size_t{0},
-                           [](std::size_t sum, const wire::change_entry& each) {
-                               return sum + each.key.size() + each.value.size();
-                           });
-}
-
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 }
@@ -124,7 +118,7 @@
         take_work(from.sender, message.work);
         host_.on_position(message.positions.front().revision);
     }
-    take_changes(message, now);
+    take_changes(message, *address, now);
     for (const wire::news_entry& entry : message.news) {
         host_.on_position(entry.revision);
     }
@@ -252,13 +246,16 @@
     if (!has_key_ || !is_registered_ || !is_on_duty(now)) {
         return;
     }
-    wire::gossip message;
+    std::vector<wire::change_entry> changes;
     for (const kv_change& change : seen.changes) {
-        message.changes.push_back(
-            {change.key, change.value.value_or(""), !change.value, previous, change.revision});
+        changes.push_back({change.key, change.value.value_or(""), !change.value, previous, change.revision});
         previous = change.revision;
     }
-    if (size_of(message.changes) > most_passed_on) {
+    wire::gossip message;
+    message.changes = wire::pack_changes(changes);
+    if (message.changes.size() > most_passed_on) {
+        log_info("changes_not_passed_on", {{"packed_bytes", std::to_string(message.changes.size())},
+                                           {"revision", std::to_string(seen.revision)}});
         message.changes.clear();
     }
     message.news.push_back({seen.revision, members_.self_hash()});
@@ -269,7 +266,7 @@
 /// whose root is the watcher, so that no link carries them more than a few times.
 void router_peers::pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now) {
     const auto others = members_.expected_in_domain(now);
-    if (size_of(message.changes) <= most_sent_directly) {
+    if (message.changes.size() <= most_sent_directly) {
         if (watcher == members_.self_hash()) {
             std::ranges::for_each(others, [&](const member* other) { send(message, other->address, now); });
         }
@@ -290,16 +287,27 @@
     }
 }
 
-void router_peers::take_changes(const wire::gossip& message, time_point now) {
+void router_peers::take_changes(const wire::gossip& message, const endpoint& from, time_point now) {
     if (message.changes.empty()) {
         return;
     }
-    kv_changes passed_on{.revision = message.changes.back().revision};
-    for (const wire::change_entry& entry : message.changes) {
-        passed_on.changes.push_back(
-            {entry.key, entry.is_removal ? std::nullopt : std::optional{entry.value}, entry.revision});
+    auto entries = io_result_of<std::vector<wire::change_entry>>(
+        [&] { return wire::unpack_changes(message.changes, to_text(from)); });
+    if (entries.has_error()) {
+        log_failure("fleet_message_refused", entries.error());
+        return;
+    }
+    if (entries->empty()) {
+        return;
+    }
+    kv_changes passed_on{.revision = entries->back().revision};
+    const auto previous = entries->front().previous;
+    for (wire::change_entry& entry : *entries) {
+        passed_on.changes.push_back({std::move(entry.key),
+                                     entry.is_removal ? std::nullopt : std::optional{std::move(entry.value)},
+                                     entry.revision});
     }
-    if (host_.on_changes(passed_on, message.changes.front().previous) && !message.news.empty()) {
+    if (host_.on_changes(passed_on, previous) && !message.news.empty()) {
         pass_on(message, message.news.front().watcher, now);
     }
 }
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/fleet/store_follower.hpp"
 
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/superseded_changes.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -94,7 +95,7 @@
     while (true) {
         co_await wait_for_work();
         bool succeeded = false;
-        if (is_listed_) {
+        if (is_listed_ && !is_far_behind_) {
             const bool waits = on_duty_ && heard_revision_ <= revision_;
             succeeded = co_await watch(waits ? watch_wait : no_wait);
         } else {
@@ -144,12 +145,13 @@
     }
     note_success();
     if (is_listed_ && *revision > revision_) {
-        const bool followed = co_await watch(no_wait);
+        const bool followed = is_far_behind_ ? co_await list() : co_await watch(no_wait);
         if (!followed) {
             co_return false;
         }
     }
     if (is_listed_ && *revision <= revision_) {
+        is_far_behind_ = false;
         confirmation_wanted_ = false;
         listener_.on_confirmed(asked_at);
     }
@@ -168,6 +170,7 @@
                  {{"away_ms", std::to_string(away.count())}, {"failures", std::to_string(failures_in_row_)}});
         if (now - *outage_since_ >= shortest_lapse) {
             regained_at_ = now;
+            is_far_behind_ = is_listed_;
         }
         outage_since_.reset();
     }
@@ -200,6 +203,7 @@
         co_return false;
     }
     is_listed_ = true;
+    is_far_behind_ = false;
     confirmation_wanted_ = false;
     revision_ = listing->revision;
     listener_.on_listing(*listing, may_have_lapsed(clock::now()));
@@ -230,6 +234,7 @@
     if (seen->revision <= revision_) {
         co_return true;
     }
+    drop_superseded(*seen);
     const auto previous = std::exchange(revision_, seen->revision);
     heard_revision_ = std::max(heard_revision_, revision_);
     listener_.on_changes(*seen, previous, may_have_lapsed(clock::now()));
@@ -241,6 +246,7 @@
     if (!is_listed_ || previous > revision_ || passed_on.revision <= revision_) {
         return false;
     }
+    is_far_behind_ = false;
     const auto before = std::exchange(revision_, passed_on.revision);
     heard_revision_ = std::max(heard_revision_, revision_);
     listener_.on_changes(passed_on, before, may_have_lapsed(clock::now()));
--- a/packages/io/include/citronwick/io/http_connection.hpp
+++ b/packages/io/include/citronwick/io/http_connection.hpp
@@ -35,6 +35,8 @@
     task<io_result<void>> connect(std::chrono::milliseconds timeout);
 
     /// Sends a request and reads its whole response, connecting first if needed.
+    /// A long response may take longer on a slow link than the timeout.
+    /// @param timeout longest time without progress
     task<io_result<http_response>> exchange(http_request request, std::chrono::milliseconds timeout);
 
     /// Sends a request; the response is read piecewise from `stream()`.
--- a/packages/io/src/http_connection.cpp
+++ b/packages/io/src/http_connection.cpp
@@ -75,12 +75,14 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(body_limit_);
-    stream_.expires_after(timeout);
-    auto [error, read] = co_await http::async_read(stream_, buffer_, parser, use_tuple);
-    count_.received += read + packet_header_bytes;
     count_.sent += packet_header_bytes;
-    if (error) {
-        co_return failed("read response", error.message(), true);
+    while (!parser.is_done()) {
+        stream_.expires_after(timeout);
+        auto [error, read] = co_await http::async_read_some(stream_, buffer_, parser, use_tuple);
+        count_.received += read + packet_header_bytes;
+        if (error) {
+            co_return failed("read response", error.message(), true);
+        }
     }
     stream_.expires_never();
     if (!parser.get().keep_alive()) {
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -146,7 +146,7 @@
     std::vector<suspect_entry> suspects;
     std::vector<work_entry> work;
     std::vector<store_position> positions;
-    std::vector<change_entry> changes;
+    std::string changes; ///< of the store, as `pack_changes` writes them
     std::vector<news_entry> news;
     std::vector<freshness_question> questions;
     std::vector<freshness_answer> answers;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cereal/cereal.hpp>
+#include <cereal/types/string.hpp>
 #include <limits>
 
 /// cereal functions of the fleet's messages.
@@ -122,8 +123,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, change_entry& entry) {
-    serialize_lists(archive, entry.key, entry.value);
-    archive(entry.is_removal, entry.previous, entry.revision);
+    // Values may be longer than what a compact length can tell.
+    archive(entry.key, entry.value, entry.is_removal, entry.previous, entry.revision);
 }
 
 template <class Archive>
--- /dev/null
+++ b/packages/wire/tests/change_pack.tests.cpp
@@ -0,0 +1,53 @@
+#include "citronwick/wire/change_pack.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace citronwick;
+
+namespace {
+
+bool unpacks(std::string_view packed) {
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(wire::unpack_changes(packed, "peer"));
+            return true;
+        },
+        [](const failure& error) {
+            CHECK(error.peer == "peer");
+            return false;
+        },
+        [] { return false; });
+}
+
+} // namespace
+
+TEST_CASE("packed changes unpack to the same, and a repetitive value takes few bytes") {
+    std::string declaration;
+    for (int index = 0; index < 1'400; ++index) {
+        declaration += R"({"name":"r-)" + std::to_string(index * 7'919) + R"(","host":"a.example","kind":"safe"},)";
+    }
+    const auto packed =
+        wire::pack_changes({{"declaration", declaration, false, 6, 7}, {"worker", "", true, 7, 9}});
+    CHECK(packed.size() < declaration.size() / 4);
+    const auto changes = wire::unpack_changes(packed, "peer");
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 2);
+    CHECK(changes->at(0).value == declaration);
+    CHECK(changes->at(0).previous == 6);
+    CHECK(changes->at(1).is_removal);
+    CHECK(changes->at(1).revision == 9);
+}
+
+TEST_CASE("changes that are torn or no changes at all are refused") {
+    const auto packed = wire::pack_changes({{"key", "value", false, 6, 7}});
+    CHECK(rc::check("any truncation is refused", [&] {
+        const auto length = *rc::gen::inRange<std::size_t>(0, packed.size());
+        RC_ASSERT(!unpacks(std::string_view{packed}.substr(0, length)));
+    }));
+    CHECK(rc::check("random bytes are refused", [&] {
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        RC_ASSERT(!unpacks(bytes));
+    }));
+}
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -296,14 +296,10 @@
 
 command_result fleet::ctl(std::vector<std::string> arguments, bool with_platform) {
     const std::string log = file("ctl." + std::to_string(started_++) + ".log");
-    arguments.insert(arguments.begin(), binary("citronctl"));
     if (with_platform) {
         arguments.insert(arguments.end(), {"--kv", to_text(key_value_.address())});
     }
-    child_process command{arguments, log};
-    const auto exit = command.wait(std::chrono::seconds{30});
-    std::ifstream input{log};
-    return {exit.value_or(-1), std::string{std::istreambuf_iterator<char>{input}, {}}};
+    return run_citronctl(std::move(arguments), log);
 }
 
 std::vector<std::string> fleet::log_lines(const node& source, const std::string& text) const {
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -38,12 +38,6 @@
     const endpoint& operators() const { return addresses.at(1); }
 };
 
-/// Outcome of a command.
-struct command_result {
-    int exit = -1;
-    std::string output;
-};
-
 /// Routers, upstreams and platform as real processes on this machine.
 class fleet {
 public:
--- a/tests/harness/node.cpp
+++ b/tests/harness/node.cpp
@@ -65,6 +65,14 @@
     return proxy ? proxy->addresses.front() : addresses.front();
 }
 
+command_result run_citronctl(std::vector<std::string> arguments, const std::string& log) {
+    arguments.insert(arguments.begin(), binary("citronctl"));
+    child_process command{arguments, log};
+    const auto exit = command.wait(std::chrono::seconds{30});
+    std::ifstream input{log};
+    return {exit.value_or(-1), std::string{std::istreambuf_iterator<char>{input}, {}}};
+}
+
 void set_fault(const node& target, const std::string& json) {
     post_json(target.addresses.front(), "/standin/fault", json);
 }
--- a/tests/harness/node.hpp
+++ b/tests/harness/node.hpp
@@ -46,6 +46,16 @@
 /// Lines of a process's log that hold a text.
 std::vector<std::string> lines_with(const node& source, const std::string& text);
 
+/// Outcome of a command.
+struct command_result {
+    int exit = -1;
+    std::string output;
+};
+
+/// Runs citronctl to its end.
+/// @param log file that takes its output
+command_result run_citronctl(std::vector<std::string> arguments, const std::string& log);
+
 /// Sets the faults of a stand-in, replacing those in force.
 void set_fault(const node& target, const std::string& json);
 
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -93,7 +93,8 @@
                             << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
                             << "store_timeout = \"500ms\"\nkey_lifetime = \"" << options_.key_lifetime.count()
                             << "ms\"\n"
-                            << options_.platform_settings << "\n[shutdown]\nbalancer_lag = \"300ms\"\n";
+                            << options_.platform_settings << "\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nformat = \""
+                            << options_.log_format << "\"\n";
     router.process = std::make_unique<child_process>(
         std::vector<std::string>{binary("citronwickd"), "--config", settings}, router.log);
     await_addresses(router, port_file);
@@ -107,15 +108,19 @@
     http_call(store_.addresses.front(), {.method = "DELETE", .target = "/standin/key?" + key});
 }
 
-void routed_fleet::declare(const std::vector<std::string>& keys) {
+void routed_fleet::declare(const std::vector<std::string>& keys, std::size_t more_routes) {
     json::array held;
     std::ranges::for_each(keys, [&held](const std::string& key) { held.emplace_back(key); });
+    json::array routes{make_route("/read/", "safe", "desk", 2), make_route("/book/", "unsafe", "desk", 1),
+                       make_route("/quote/stream/", "streaming", "bench", 2),
+                       make_route("/guide/stream/", "streaming", "bench", 1)};
+    for (std::size_t index = 0; index < more_routes; ++index) {
+        const std::string path = "/more-" + std::to_string(index) + "/";
+        routes.push_back(make_route(path.c_str(), "safe", "desk", 2));
+    }
     const json::object declaration{
         {"version", ++version_},
-        {"routes",
-         json::array{make_route("/read/", "safe", "desk", 2), make_route("/book/", "unsafe", "desk", 1),
-                     make_route("/quote/stream/", "streaming", "bench", 2),
-                     make_route("/guide/stream/", "streaming", "bench", 1)}},
+        {"routes", std::move(routes)},
         {"services",
          json::array{json::object{{"name", "desk"}, {"connectionLimit", 96}},
                      json::object{{"name", "bench"},
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -21,6 +21,7 @@
     std::chrono::milliseconds key_lifetime{4'000};
     bool proxies = false;            ///< store and workers are reached through fault proxies
     std::string platform_settings{}; ///< lines of the table [platform]
+    std::string log_format = "key_value";
 };
 
 /// Routers, workers and the platform's store as real processes on this machine.
@@ -45,7 +46,8 @@
               std::vector<std::pair<std::string, std::string>> headers = {}, const std::string& body = {});
 
     /// Writes the declaration with the given keys of the team.
-    void declare(const std::vector<std::string>& keys);
+    /// @param more_routes besides the four that are always there
+    void declare(const std::vector<std::string>& keys, std::size_t more_routes = 0);
 
     /// Writes a worker's entry.
     void register_worker(const node& worker, const std::string& service, const std::string& state = "ready",
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
+#include <boost/asio/write.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <ranges>
@@ -50,7 +51,7 @@
         co_return false;
     }
     if (mode_ == "busy") {
-        co_return co_await reply(stream, http::status::service_unavailable, "{}");
+        co_return co_await send(stream, http::status::service_unavailable, "{}");
     }
     co_await sleep_for(delay_);
     if (target.starts_with("/v1/kv-watch")) {
@@ -63,7 +64,31 @@
         co_return false;
     }
     auto text = json::serialize(body);
-    co_return co_await reply(stream, status, std::move(text));
+    co_return co_await send(stream, status, std::move(text));
+}
+
+/// Sends an answer, at the pace of a link that all answers share.
+task<bool> metadata_store::send(tcp_stream& stream, http::status status, std::string text) {
+    constexpr std::size_t piece = 8'192;
+    bytes_sent_ += static_cast<std::int64_t>(text.size());
+    if (bytes_per_second_ == 0) {
+        co_return co_await reply(stream, status, std::move(text));
+    }
+    const std::string whole = "HTTP/1.1 " + std::to_string(static_cast<unsigned>(status)) +
+                              " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    for (std::size_t at = 0; at < whole.size(); at += piece) {
+        const std::string part = whole.substr(at, piece);
+        const auto time = std::chrono::microseconds{static_cast<std::int64_t>(part.size()) * 1'000'000 /
+                                                    bytes_per_second_};
+        link_is_free_at_ = std::max(link_is_free_at_, clock::now()) + time;
+        const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(link_is_free_at_ - clock::now());
+        co_await sleep_for(wait);
+        auto [error, size] = co_await asio::async_write(stream, asio::buffer(part), use_tuple);
+        if (error) {
+            co_return false;
+        }
+    }
+    co_return true;
 }
 
 json::object metadata_store::answer(const http_request& request, http::status& status) {
@@ -214,14 +239,14 @@
         co_return false;
     }
     if (after < forgotten_revision_) {
-        co_return co_await reply(stream, http::status::gone, "{}");
+        co_return co_await send(stream, http::status::gone, "{}");
     }
     auto events = events_after(parameter(target, "prefix"), after);
     if (is_deaf_ && clock::now() >= deadline) {
         events["events"] = json::array{};
     }
     auto text = json::serialize(events);
-    co_return co_await reply(stream, http::status::ok, std::move(text));
+    co_return co_await send(stream, http::status::ok, std::move(text));
 }
 
 /// The operator's and the test's side.
@@ -238,13 +263,14 @@
         mode_ = mode.empty() ? "up" : mode;
         answers_to_lose_ = integer_member(order, "lose_answers");
         delay_ = std::chrono::milliseconds{integer_member(order, "delay_ms")};
+        bytes_per_second_ = integer_member(order, "bytes_per_second");
         is_deaf_ = integer_member(order, "deaf") != 0;
         if (integer_member(order, "forget_history") != 0) {
             forgotten_revision_ = revision_;
             history_.clear();
         }
     }
-    json::object status{{"revision", revision_}, {"calls", calls_}};
+    json::object status{{"revision", revision_}, {"calls", calls_}, {"bytes_sent", bytes_sent_}};
     co_return co_await reply_json(stream, std::move(status));
 }
 
--- a/tests/standin/metadata_store.hpp
+++ b/tests/standin/metadata_store.hpp
@@ -36,6 +36,7 @@
 
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> operate(boost::beast::tcp_stream& stream, http_request request);
+    task<bool> send(boost::beast::tcp_stream& stream, http::status status, std::string text);
     task<bool> watch(boost::beast::tcp_stream& stream, std::string target);
     boost::json::object answer(const http_request& request, http::status& status);
     boost::json::object read_key(const std::string& key, http::status& status) const;
@@ -57,6 +58,9 @@
     std::int64_t answers_to_lose_ = 0;
     std::chrono::milliseconds delay_{0};
     std::int64_t calls_ = 0;
+    std::int64_t bytes_sent_ = 0;
+    std::int64_t bytes_per_second_ = 0; ///< of the store's link, 0 for no bound
+    time_point link_is_free_at_;
     standin_server server_;
 };
 
