--- a/packages/ctl/include/citronwick/ctl/command_options.hpp
+++ b/packages/ctl/include/citronwick/ctl/command_options.hpp
@@ -24,6 +24,8 @@
     std::string chat;
     std::string team;
     std::string model;
+    std::string request;           ///< identifier that the caller sent with it
+    std::vector<std::string> logs; ///< files of routers, in JSON
     bool json = false;
     std::chrono::milliseconds timeout{3'000};
 };
--- /dev/null
+++ b/packages/ctl/src/command_context.cpp
@@ -0,0 +1,28 @@
+#include "command_context.hpp"
+
+#include "store_session.hpp"
+
+#include <ostream>
+
+namespace citronwick {
+
+exit_code report(const command_context& command, const failure& error) {
+    command.errors << to_text(error) << "\n";
+    if (error.step == "check declaration" || error.step == "parse TOML") {
+        return exit_code::usage;
+    }
+    return error.detail.starts_with("lost a race") ? exit_code::lost : exit_code::failed;
+}
+
+io_result<stored_configuration> load_in_force(store_session& session) {
+    auto base = session.run(session.store().load());
+    if (base.has_error()) {
+        return base.error();
+    }
+    if (!base->has_value()) {
+        return failure{"read configuration", "key-value service", "none has been applied yet"};
+    }
+    return std::move(**base);
+}
+
+} // namespace citronwick
--- /dev/null
+++ b/packages/ctl/src/command_context.hpp
@@ -0,0 +1,30 @@
+#ifndef CITRONWICK_CTL_SRC_COMMAND_CONTEXT_HPP_INCLUDED
+#define CITRONWICK_CTL_SRC_COMMAND_CONTEXT_HPP_INCLUDED
+
+#include "citronwick/config/config_store.hpp"
+#include "citronwick/core/failure.hpp"
+#include "citronwick/ctl/command_options.hpp"
+
+#include <iosfwd>
+
+namespace citronwick {
+
+class store_session;
+
+/// What every command works on.
+struct command_context {
+    const command_options& options;
+    std::ostream& out;
+    std::ostream& errors;
+};
+
+/// Prints an error.
+/// @return the exit code that stands for it
+exit_code report(const command_context& command, const failure& error);
+
+/// Loads the configuration in force; a failure where there is none.
+io_result<stored_configuration> load_in_force(store_session& session);
+
+} // namespace citronwick
+
+#endif
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -23,6 +23,7 @@
   citronctl undrain NAME --kv ADDRESSES [--prefix PREFIX] [--base N] [--writer NAME] [--reason TEXT]
   citronctl status --routers ADDRESSES [--json]
   citronctl explain --chat ID --team NAME --model NAME --kv ADDRESSES --routers ADDRESSES [--prefix PREFIX]
+  citronctl explain --request ID [--json] LOG...
   citronctl hash-key
   citronctl (-h | --help)
 
@@ -35,7 +36,8 @@
   history      List the changes, the newest first.
   drain        Give an upstream no new work; undrain takes it back.
   status       Show routers and upstreams.
-  explain      Show why a chat would go where it goes.
+  explain      Show why a chat would go where it goes, or what became of a
+               request, from the routers' log files in JSON.
   hash-key     Read a team's key from standard input and print its digest.
 
 Options:
@@ -49,6 +51,7 @@
   --chat ID            Chat to explain.
   --team NAME          Team that the chat belongs to.
   --model NAME         Model that the chat uses.
+  --request ID         Identifier of the request, as the caller sent it.
   --json               Print JSON.
 
 Exit codes: 0 done, 1 something did not answer, 2 bad usage or a faulty
@@ -84,6 +87,9 @@
     if (given.at("preset").asBool()) {
         return given.at("use").asBool() ? "preset use" : "preset list";
     }
+    if (given.at("--request").isString()) {
+        return "explain request";
+    }
     const auto* const found =
         std::ranges::find_if(single, [&](const char* name) { return given.at(name).asBool(); });
     return *found;
@@ -99,6 +105,8 @@
                                         .chat = text_of(given, "--chat"),
                                         .team = text_of(given, "--team"),
                                         .model = text_of(given, "--model"),
+                                        .request = text_of(given, "--request"),
+                                        .logs = given.at("LOG").asStringList(),
                                         .json = given.at("--json").asBool()};
     if (!parse_addresses(text_of(given, "--kv"), options.key_value) ||
         !parse_addresses(text_of(given, "--routers"), options.routers)) {
--- a/packages/io/src/log.cpp
+++ b/packages/io/src/log.cpp
@@ -36,12 +36,37 @@
     return boost::json::serialize(object);
 }
 
+void put(spdlog::level::level_enum level, std::string_view event, std::initializer_list<log_field> fields) {
+    const bool json = chosen_format.load(std::memory_order_relaxed) == log_format::json;
+    spdlog::log(level, spdlog::string_view_t{json ? as_json(event, fields) : as_key_value(event, fields)});
+}
+
+std::atomic<std::size_t> written_lines{0};
+std::atomic<std::size_t> reported_drops{0};
+
+/// Reports lines that found the buffer full, once the buffer has room again.
+void report_drops() {
+    // Asking the buffer takes its lock, so not every line does.
+    constexpr std::size_t lines_between_looks = 64;
+    if (written_lines.fetch_add(1, std::memory_order_relaxed) % lines_between_looks != 0) {
+        return;
+    }
+    const auto pool = spdlog::thread_pool();
+    const std::size_t dropped = pool == nullptr ? 0 : pool->overrun_counter();
+    if (dropped == reported_drops || pool->queue_size() > queued_lines / 2) {
+        return;
+    }
+    const std::size_t newly = dropped - reported_drops.exchange(dropped);
+    put(spdlog::level::warn, "log_lines_dropped",
+        {{"lines", std::to_string(newly)}, {"since_start", std::to_string(dropped)}});
+}
+
 void write(spdlog::level::level_enum level, std::string_view event, std::initializer_list<log_field> fields) {
     if (!spdlog::should_log(level)) {
         return;
     }
-    const bool json = chosen_format.load(std::memory_order_relaxed) == log_format::json;
-    spdlog::log(level, spdlog::string_view_t{json ? as_json(event, fields) : as_key_value(event, fields)});
+    report_drops();
+    put(level, event, fields);
 }
 
 } // namespace
