--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -11,6 +11,7 @@
 
 namespace citronwick {
 
+struct kv_call_counts;
 class platform_adapter;
 class routing_memory;
 class suspect_registry;
@@ -54,6 +55,9 @@
     /// @param request fingerprint
     void report_broken(std::uint64_t request, std::uint64_t upstream);
 
+    /// Calls of the platform's store since start.
+    const kv_call_counts& store_calls() const;
+
     /// Bytes sent to other routers.
     std::uint64_t gossip_bytes() const;
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -8,6 +8,7 @@
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_follower.hpp"
+#include "citronwick/io/counted_kv_client.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/key_freshness.hpp"
 #include "declared_fleet.hpp"
@@ -28,6 +29,8 @@
 
 constexpr duration tick_interval = 50ms;
 constexpr duration expiry_interval = 1s;
+/// Between two log lines that tell how many calls the store was asked.
+constexpr duration calls_interval = 10s;
 /// Age from which a router asks the store itself for a confirmation.
 constexpr duration own_question_age = 3200ms;
 /// Taken off the bound on keys, for the way of a request to its upstream.
@@ -44,8 +47,9 @@
 public:
     state(routing_settings settings, const platform_adapter& adapter)
         : settings_{std::move(settings)}, layout_{adapter.layout()},
-          store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout)},
-          follower_{context_.get_executor(), *store_, store_events()},
+          store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
+                 store_calls_},
+          follower_{context_.get_executor(), store_, store_events()},
           peers_{context_.get_executor(), settings_, memory_, suspects_, peer_events()},
           declared_{adapter, suspects_, settings_.lapse_grace},
           freshness_{settings_.key_lifetime - key_margin}, view_{std::make_shared<const routing_view>()} {}
@@ -55,7 +59,7 @@
         if (bound.has_error()) {
             return bound;
         }
-        registration_.emplace(context_.get_executor(), *store_, layout_.own_prefix,
+        registration_.emplace(context_.get_executor(), store_, layout_.own_prefix,
                               wire::member_record{.vm = settings_.vm,
                                                   .region = settings_.region,
                                                   .failure_domain = settings_.failure_domain,
@@ -87,6 +91,7 @@
     routing_memory& memory() { return memory_; }
     suspect_registry& suspects() { return suspects_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
+    const kv_call_counts& store_calls() const { return store_calls_; }
 
     std::optional<duration> key_age(boot_time now) const {
         const auto confirmed_at = boot_time{confirmed_at_.load(std::memory_order_acquire)};
@@ -219,6 +224,10 @@
         check_freshness();
         peers_.tick(now);
         gossip_bytes_.store(peers_.sent_bytes(), std::memory_order_relaxed);
+        if (now - calls_told_at_ >= calls_interval) {
+            calls_told_at_ = now;
+            log_calls();
+        }
         if (now - expired_at_ >= expiry_interval) {
             expired_at_ = now;
             memory_.expire(declared_.hashes(), now);
@@ -226,6 +235,19 @@
         }
     }
 
+    /// Answered calls of the store since the start.
+    void log_calls() const {
+        const auto answered = [this](kv_call kind) {
+            return std::to_string(store_calls_.by_kind.at(static_cast<std::size_t>(kind)).answered);
+        };
+        log_info("store_calls", {{"write", answered(kv_call::write)},
+                                 {"renewal", answered(kv_call::renewal)},
+                                 {"listing", answered(kv_call::listing)},
+                                 {"revision", answered(kv_call::revision)},
+                                 {"watch", answered(kv_call::watch)},
+                                 {"on_duty", peers_.is_on_duty(clock::now()) ? "yes" : "no"}});
+    }
+
     void check_freshness() {
         const auto now = boot_now();
         const auto age = freshness_.age(now);
@@ -245,7 +267,8 @@
     asio::io_context context_{1};
     routing_memory memory_;
     suspect_registry suspects_;
-    std::unique_ptr<watched_kv_client> store_;
+    kv_call_counts store_calls_;
+    counted_kv_client store_;
     store_follower follower_;
     router_peers peers_;
     std::optional<fleet_registration> registration_;
@@ -253,6 +276,7 @@
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_work>> works_;
     time_point expired_at_;
+    time_point calls_told_at_;
     bool expired_is_logged_ = false;
     std::atomic<std::int64_t> confirmed_at_{0}; ///< nanoseconds of `boot_time`, 0 for never
     std::atomic<std::uint64_t> gossip_bytes_{0};
@@ -307,6 +331,10 @@
     state_->report_broken(request, upstream);
 }
 
+const kv_call_counts& routing_plane::store_calls() const {
+    return state_->store_calls();
+}
+
 std::uint64_t routing_plane::gossip_bytes() const {
     return state_->gossip_bytes();
 }
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/io/counted_kv_client.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -70,6 +71,10 @@
                                    .Name("citronwick_usable_upstreams")
                                    .Help("Upstreams that take new work, by service")
                                    .Register(registry);
+    Family<Gauge>& store_calls = prometheus::BuildGauge()
+                                     .Name("citronwick_store_calls")
+                                     .Help("Calls of the platform's store since start, by kind and result")
+                                     .Register(registry);
     Family<Gauge>& gossip_bytes = prometheus::BuildGauge()
                                       .Name("citronwick_gossip_bytes")
                                       .Help("Bytes sent to other routers since start")
@@ -103,6 +108,15 @@
     families_->key_age.Add({}).Set(age ? seconds(*age) : -1.0);
     families_->live_routers.Add({}).Set(static_cast<double>(view->live_routers));
     families_->gossip_bytes.Add({}).Set(static_cast<double>(plane.gossip_bytes()));
+    const kv_call_counts& calls = plane.store_calls();
+    for (std::size_t kind = 0; kind < kv_call_names.size(); ++kind) {
+        const std::string name{kv_call_names.at(kind)};
+        const auto& outcomes = calls.by_kind.at(kind);
+        families_->store_calls.Add({{"kind", name}, {"result", "answered"}})
+            .Set(static_cast<double>(outcomes.answered));
+        families_->store_calls.Add({{"kind", name}, {"result", "failed"}})
+            .Set(static_cast<double>(outcomes.failed));
+    }
     for (const auto& [service, upstreams] : view->upstreams) {
         families_->upstreams.Add({{"service", service}}).Set(static_cast<double>(upstreams.size()));
     }
