Leave a holder of a prompt only where the wait there would be felt

A backlog of 3,000 tokens there, often an old count, outweighed reading 2,000 tokens anew, though the target is 600 ms.

--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -27,6 +27,7 @@
     double load_multiple = 2.0;          ///< bound on requests relative to the mean of the service
     double load_slack = 3.0;             ///< requests above that bound that are always allowed
     double prefill_tokens_per_ms = 30.0; ///< reading speed assumed where none is known
+    double comfortable_wait_ms = 0.0;    ///< wait for a first token that harms nobody
 };
 
 /// Outcome of a placement.
@@ -36,11 +37,13 @@
     double expected_wait_ms = 0.0; ///< estimated time until the first token or the answer begins
 };
 
-/// Chooses the engine with the least estimated time to the first token.
+/// Chooses the engine on which a request costs least.
 ///
-/// The estimate is the prompt tokens that wait on the engine and those of the
-/// request that its cache lacks, at the engine's reading speed, and the
-/// slowdown by the requests that run there. Engines at the load bound are
+/// It costs the time in which the engine reads what its cache lacks, and the
+/// wait for the first token: the prompt tokens that wait there and the slowdown
+/// by the requests that run. A wait within what is comfortable counts little,
+/// so that a busy holder is left only where the answer would be late; each
+/// reading elsewhere takes room in another cache. Engines at the load bound are
 /// passed over. Ties go to the order of rendezvous hashing by `affinity`, so
 /// that routers choose alike without messages.
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -11,9 +11,12 @@
 
 namespace {
 
-/// Relative cost of reading tokens that another engine holds already: they
-/// also delay every request that runs beside them.
-constexpr double reread_weight = 1.5;
+/// Cost of a millisecond in which an engine reads a prompt, in milliseconds of
+/// waiting: the requests that run beside it wait as well.
+constexpr double reading_weight = 1.0;
+/// Cost of a millisecond of waiting within what is comfortable. It is above 0,
+/// so that the less busy one of two holders is preferred.
+constexpr double comfortable_weight = 0.2;
 /// Milliseconds that a full engine adds to a first token beyond an empty one.
 constexpr double full_engine_delay_ms = 60.0;
 /// Milliseconds within which engines count as equal, so that routers agree.
@@ -33,6 +36,12 @@
            full_engine_delay_ms * (occupancy + queued);
 }
 
+/// Cost of a wait: little as long as the answer is in time anyway.
+double felt(double wait, const placement_limits& limits) {
+    const double comfortable = std::min(wait, limits.comfortable_wait_ms);
+    return comfortable_weight * comfortable + (wait - comfortable);
+}
+
 routed_decision choose(std::vector<estimate> estimates, double tie, std::string_view reason) {
     if (estimates.empty()) {
         return {std::nullopt, "no upstream is usable"};
@@ -73,10 +82,11 @@
             continue;
         }
         const double wait = engine_wait(engine, limits);
-        const double reread = (reread_weight - 1.0) * engine.missing / limits.prefill_tokens_per_ms;
-        estimates.push_back({index, wait + reread, wait, rendezvous_score(affinity, engine.hash)});
+        const double reading = reading_weight * engine.missing / limits.prefill_tokens_per_ms;
+        estimates.push_back(
+            {index, felt(wait, limits) + reading, wait, rendezvous_score(affinity, engine.hash)});
     }
-    return choose(std::move(estimates), tie_ms, "least expected wait");
+    return choose(std::move(estimates), tie_ms, "least cost");
 }
 
 routed_decision place_on_worker(std::uint64_t request, std::span<const routed_candidate> workers,
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -43,6 +43,21 @@
     CHECK(place_on_engine(1, engines, limits).index != 4);
 }
 
+TEST_CASE("a holder is left only where the wait there is more than comfortable") {
+    auto engines = make_engines(9);
+    engines[4].missing = 500;
+    engines[4].backlog = 12'000;
+    CHECK(place_on_engine(1, engines, limits).index != 4);
+    auto patient = limits;
+    patient.comfortable_wait_ms = 500;
+    CHECK(place_on_engine(1, engines, patient).index == 4);
+    engines[4].backlog = 40'000;
+    CHECK(place_on_engine(1, engines, patient).index != 4);
+    engines[4].backlog = 9'000;
+    engines[6].missing = 500;
+    CHECK(place_on_engine(1, engines, patient).index == 6);
+}
+
 TEST_CASE("routers that know nothing agree on the engine of a prompt and spread the prompts") {
     const auto engines = make_engines(9);
     std::set<std::size_t> used;
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -29,6 +29,8 @@
 /// Connections that were idle for longer carry no request that runs at most once.
 constexpr duration fresh_connection_age = 4s;
 constexpr std::uint32_t lowest_priority = 9;
+/// Part of the latency target that a wait for the first token may take unfelt.
+constexpr double comfortable_share = 0.3;
 /// Crashes after which a request is refused. One more than for chats: a
 /// connection may break for other reasons just before an upstream ends.
 constexpr std::uint8_t most_crashes = suspect_table::crash_limit + 1;
@@ -141,8 +143,9 @@
     const auto started = clock::now();
     view_ = thread_.plane.view();
     const routing_settings& settings = thread_.plane.settings();
-    placed_ = place_request(question_, *view_, thread_.plane.memory(), settings.placement,
-                            settings.failure_domain, started);
+    placement_limits limits = settings.placement;
+    limits.comfortable_wait_ms = comfortable_share * static_cast<double>(route_->target_latency.count());
+    placed_ = place_request(question_, *view_, thread_.plane.memory(), limits, settings.failure_domain, started);
     if (!placed_) {
         last_detail_ = "the service has no upstream left to try";
         step_ = state_.ran_before ? next_step::fail_as_unknown : next_step::refuse;
@@ -153,6 +156,7 @@
               {"service", service_->name},
               {"upstream", placed_->upstream.entry.id},
               {"reason", std::string{placed_->reason}},
+              {"prefix", std::to_string(question_.prefixes.empty() ? 0 : question_.prefixes.back().key)},
               {"in_flight", std::to_string(static_cast<int>(placed_->in_flight))},
               {"missing_tokens", std::to_string(placed_->missing_tokens)},
               {"expected_wait_ms", std::to_string(static_cast<int>(placed_->expected_wait_ms))},
