Tell of prompts' holders onward in large fleets

Fleets of over 8 routers send each status to three routers, so that a holder was known to 3 of 91. Each router now tells once of what it heard first.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -75,6 +75,9 @@
     /// Other routers that are known, whether heard or not.
     std::size_t known() const { return others_.size(); }
 
+    /// Whether each message goes to all routers, as the fleet is small.
+    bool tells_everybody() const;
+
     /// Routers that the next message should go to, and notes that it does.
     std::vector<const member*> choose_targets(time_point now);
 
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -130,9 +130,13 @@
     return found;
 }
 
+bool membership::tells_everybody() const {
+    return others_.size() <= all_to_all_limit;
+}
+
 std::vector<const member*> membership::choose_targets(time_point now) {
     std::vector<const member*> chosen;
-    const std::size_t most = others_.size() <= all_to_all_limit ? others_.size() : fanout;
+    const std::size_t most = tells_everybody() ? others_.size() : fanout;
     for (std::size_t seen = 0; seen < others_.size() && chosen.size() < most; ++seen) {
         const auto next = next_after(others_, target_after_);
         target_after_ = next->first;
--- a/packages/fleet/include/citronwick/fleet/routing_memory.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_memory.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/wire/messages.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <mutex>
 #include <set>
 #include <vector>
@@ -40,17 +41,23 @@
     /// Adds what other routers should know to a message.
     void add_news(wire::gossip& message);
 
+    /// How what another router says spreads: it told everybody, or only a few,
+    /// so that each router tells it onward once.
+    enum class spread : std::uint8_t { done, onward };
+
     /// Takes in what another router says.
-    void merge(const wire::gossip& message, time_point now);
+    void merge(const wire::gossip& message, spread how, time_point now);
 
     /// Forgets what was not used for long, and upstreams that have gone.
     void expire(const std::set<std::uint64_t>& upstreams, time_point now);
 
 private:
+    void tell(const wire::prefix_entry& entry);
+
     mutable std::mutex mutex_;
     upstream_health health_;
     prefix_directory prefixes_;
-    std::vector<wire::prefix_entry> new_prefixes_;
+    std::deque<wire::prefix_entry> new_prefixes_; ///< not told yet
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -122,7 +122,9 @@
     for (const wire::news_entry& entry : message.news) {
         host_.on_position(entry.revision);
     }
-    memory_.merge(message, now);
+    memory_.merge(message,
+                  members_.tells_everybody() ? routing_memory::spread::done : routing_memory::spread::onward,
+                  now);
     suspects_.merge(message.suspects, now);
     for (const wire::freshness_answer& answer : message.answers) {
         host_.on_answer(boot_time{answer.asked_at}, std::chrono::milliseconds{answer.age}, answer.revision);
--- a/packages/fleet/src/routing_memory.cpp
+++ b/packages/fleet/src/routing_memory.cpp
@@ -11,7 +11,9 @@
 /// Time after which an engine is expected to have dropped an unused prefix.
 constexpr duration prefix_lifetime = std::chrono::seconds{60};
 /// Entries of one kind in a message, so that a datagram stays small.
-constexpr std::size_t entries_per_message = 64;
+constexpr std::size_t entries_per_message = 96;
+/// Entries that wait to be told; beyond them the oldest are given up.
+constexpr std::size_t most_waiting_entries = 4'096;
 
 std::uint8_t clamped(std::uint32_t value) {
     return static_cast<std::uint8_t>(
@@ -37,7 +39,7 @@
     const std::scoped_lock lock{mutex_};
     for (const shared_prefix& prefix : prefixes) {
         if (prefixes_.record(short_hash(prefix.key), short_hash(upstream), now)) {
-            new_prefixes_.push_back({short_hash(prefix.key), short_hash(upstream)});
+            tell({short_hash(prefix.key), short_hash(upstream)});
         }
     }
 }
@@ -73,13 +75,22 @@
     new_prefixes_.erase(new_prefixes_.begin(), end);
 }
 
-void routing_memory::merge(const wire::gossip& message, time_point now) {
+void routing_memory::tell(const wire::prefix_entry& entry) {
+    if (new_prefixes_.size() == most_waiting_entries) {
+        new_prefixes_.pop_front();
+    }
+    new_prefixes_.push_back(entry);
+}
+
+void routing_memory::merge(const wire::gossip& message, spread how, time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const wire::evidence_entry& seen : message.evidence) {
         health_.record_evidence({seen.upstream, seen.good, seen.bad}, now);
     }
     for (const wire::prefix_entry& entry : message.prefixes) {
-        prefixes_.record(entry.prefix, entry.upstream, now);
+        if (prefixes_.record(entry.prefix, entry.upstream, now) && how == spread::onward) {
+            tell(entry);
+        }
     }
 }
 
