Count the load of large fleets by a keeper in each failure domain

Cause of LIMIT in large fleets: a router tells three others each 150 to 500 ms, so that of 91 each hears another one every 4 to 12 s, and places by counts that old. One router of each failure domain now collects what its routers have in flight, exchanges the sums with the other domains' and sends the fleet's round a tree four times a second, whose order changes with each table so that a dead router keeps nobody from many.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -72,6 +72,11 @@
     /// of so lately that they need not have been heard yet.
     std::vector<const member*> expected_in_domain(time_point now) const;
 
+    /// Of each other failure domain of the region, the first routers in the
+    /// order in which rendezvous hashing assigns a duty.
+    std::vector<std::uint64_t> assigned_elsewhere(std::uint64_t duty, std::size_t count,
+                                                  time_point now) const;
+
     /// Other routers that are known, whether heard or not.
     std::size_t known() const { return others_.size(); }
 
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -130,6 +130,22 @@
     return found;
 }
 
+std::vector<std::uint64_t> membership::assigned_elsewhere(std::uint64_t duty, std::size_t count,
+                                                          time_point now) const {
+    std::map<std::string, std::vector<const member*>> by_domain;
+    for (const member* other : live_in_region(now)) {
+        by_domain[other->record.failure_domain].push_back(other);
+    }
+    by_domain.erase(self_.failure_domain);
+    std::vector<std::uint64_t> found;
+    for (auto& candidates : by_domain | std::views::values) {
+        std::ranges::sort(candidates, std::greater{},
+                          [duty](const member* other) { return rendezvous_score(duty, other->hash); });
+        std::ranges::transform(candidates | std::views::take(count), std::back_inserter(found), &member::hash);
+    }
+    return found;
+}
+
 bool membership::tells_everybody() const {
     return others_.size() <= all_to_all_limit;
 }
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/fleet/work_ledger.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 #include "citronwick/wire/envelope.hpp"
@@ -12,7 +13,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace citronwick {
 
@@ -76,24 +79,26 @@
     std::uint64_t sent_bytes() const { return sent_bytes_; }
 
 private:
-    struct peer_work {
-        std::int32_t in_flight = 0;
-        std::int32_t backlog = 0;
-    };
     /// How much this router's work differs from what the others were told.
     enum class work_change : std::uint8_t { none, some, urgent };
-    using work_table = std::map<std::uint32_t, peer_work>;
-
     void take(const wire::header& from, const wire::gossip& message);
-    void take_work(std::uint64_t sender, const std::vector<wire::work_entry>& entries);
     void answer_questions(const wire::gossip& message, const endpoint& to);
-    void replace_work(std::uint64_t peer, work_table table);
-    void publish_work(std::uint32_t upstream, const peer_work& sum) const;
+    void publish_work(time_point now);
+    work_table own_work() const;
+    void tell(time_point now);
+    void take_fleet_table(const wire::gossip& message, time_point now);
+    void take_table(const wire::gossip& message, time_point now);
+    void keep_tables(time_point now);
+    void send_table(const wire::gossip& message, const endpoint& to);
     void take_changes(const wire::gossip& message, const endpoint& from, time_point now);
     void pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now);
+    std::vector<endpoint> children(std::uint64_t root, std::uint64_t number, time_point now) const;
     void ask_watcher(time_point now);
+    void pass_over_silent_watcher(std::uint64_t silent);
     std::uint64_t watcher(time_point now) const;
+    std::vector<const member*> domain_peers(time_point now) const;
     work_change own_work_change() const;
+    wire::gossip work_message(time_point now);
     wire::gossip status_message(time_point now);
     void send(const wire::gossip& message, const endpoint& to, time_point now);
 
@@ -108,11 +113,18 @@
     bool has_key_ = false;
     bool is_registered_ = false;
     bool is_leaving_ = false;
-    std::map<std::uint64_t, work_table> work_by_peer_;
-    work_table elsewhere_;                    ///< sum over all peers
-    std::map<std::uint32_t, peer_work> told_; ///< own work as the others know it
+    work_ledger ledger_;
+    work_table told_; ///< own work as the others know it
     time_point told_at_;
+    time_point published_at_;
+    time_point status_at_;
     time_point asked_at_;
+    std::uint64_t asked_router_ = 0;
+    int questions_unanswered_ = 0;              ///< by that router
+    std::set<std::uint64_t> passed_over_;       ///< watchers that fell silent, until they are heard
+    std::uint32_t tables_made_ = 0;             ///< as a keeper
+    time_point table_made_at_;
+    std::map<std::uint64_t, std::uint32_t> newest_table_; ///< number by keeper
     std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -22,6 +22,7 @@
     std::atomic<std::int32_t> backlog{0}; ///< prompt tokens sent and not yet answered
     std::atomic<std::int32_t> elsewhere_in_flight{0};
     std::atomic<std::int32_t> elsewhere_backlog{0};
+    std::atomic<double> usual_elsewhere{0.0}; ///< requests elsewhere, averaged over some seconds
     std::atomic<std::int32_t> connections{0}; ///< open ones of this router
 };
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -9,6 +9,7 @@
 #include "citronwick/wire/change_pack.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <limits>
 #include <ranges>
@@ -31,8 +32,17 @@
 /// Shortest time between two questions.
 constexpr duration question_interval = 400ms;
 constexpr double burst_seconds = 2.0;
-/// Only confirmations this fresh are passed on; others help nobody.
-constexpr duration useful_age = 3000ms;
+/// Unanswered questions in a row after which another router watches.
+constexpr int most_unanswered = 5;
+/// Shortest time between two tables of a keeper.
+constexpr duration table_interval = 250ms;
+/// Routers of each other failure domain that are told: its keeper, and the one
+/// that follows should the keeper have died.
+constexpr std::size_t keepers_told = 2;
+/// Time over which counts of requests elsewhere are averaged.
+constexpr duration usual_time = 3s;
+/// Bytes a second of the tables that a keeper makes; longer ones are rarer.
+constexpr double table_bytes_per_second = 3'000.0;
 /// Packed bytes of changes that are passed on; routers read larger ones
 /// themselves. They fit one datagram with its header.
 constexpr std::size_t most_passed_on = 48'000;
@@ -48,6 +58,24 @@
     return static_cast<Number>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<Number>::max()));
 }
 
+work_table table_of(const std::vector<wire::work_entry>& entries) {
+    work_table table;
+    for (const wire::work_entry& entry : entries) {
+        table[entry.upstream] = {entry.in_flight,
+                                 static_cast<std::int32_t>(entry.backlog * wire::backlog_unit)};
+    }
+    return table;
+}
+
+std::vector<wire::work_entry> entries_of(const work_table& table) {
+    std::vector<wire::work_entry> entries;
+    for (const auto& [upstream, work] : table) {
+        entries.push_back({upstream, clamped<std::uint16_t>(work.in_flight),
+                           clamped<std::uint16_t>(work.backlog / wire::backlog_unit)});
+    }
+    return entries;
+}
+
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 }
@@ -91,12 +119,19 @@
     }
 }
 
+/// Routers of this failure domain that are expected to do their part.
+std::vector<const member*> router_peers::domain_peers(time_point now) const {
+    auto found = members_.expected_in_domain(now);
+    std::erase_if(found, [this](const member* other) { return passed_over_.contains(other->hash); });
+    return found;
+}
+
 bool router_peers::is_on_duty(time_point now) const {
     return watcher(now) == members_.self_hash();
 }
 
 std::uint64_t router_peers::watcher(time_point now) const {
-    return assigned_router(watch_duty, members_.self_hash(), members_.expected_in_domain(now));
+    return assigned_router(watch_duty, members_.self_hash(), domain_peers(now));
 }
 
 std::size_t router_peers::live_routers(time_point now) const {
@@ -114,10 +149,18 @@
     if (!members_.heard_from(from, now) || !address) {
         return;
     }
+    if (passed_over_.erase(from.sender) > 0) {
+        log_info("watcher_heard_again", {{"router_hash", std::to_string(from.sender)}});
+    }
+    if (from.sender == watcher(now)) {
+        questions_unanswered_ = 0;
+    }
     if (!message.positions.empty()) {
-        take_work(from.sender, message.work);
+        ledger_.replace(from.sender, table_of(message.work));
+        publish_work(now);
         host_.on_position(message.positions.front().revision);
     }
+    take_table(message, now);
     take_changes(message, *address, now);
     for (const wire::news_entry& entry : message.news) {
         host_.on_position(entry.revision);
@@ -133,51 +176,33 @@
 }
 
 void router_peers::answer_questions(const wire::gossip& message, const endpoint& to) {
-    const auto age = host_.key_age();
-    if (message.questions.empty() || !age || *age > useful_age) {
+    if (message.questions.empty()) {
         return;
     }
-    // Rounded up, so that an answer never looks fresher than it is.
-    const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age);
+    // Without a confirmation the answer is empty; it shows that this router lives.
     wire::gossip answer;
-    std::ranges::transform(
-        message.questions, std::back_inserter(answer.answers), [&](const wire::freshness_question& question) {
-            return wire::freshness_answer{question.asked_at, clamped<std::uint32_t>(whole.count()),
-                                          host_.revision()};
-        });
-    send(answer, to, clock::now());
-}
-
-void router_peers::take_work(std::uint64_t sender, const std::vector<wire::work_entry>& entries) {
-    work_table table;
-    for (const wire::work_entry& entry : entries) {
-        table[entry.upstream] = {entry.in_flight,
-                                 static_cast<std::int32_t>(entry.backlog * wire::backlog_unit)};
+    if (const auto age = host_.key_age()) {
+        // Rounded up, so that an answer never looks fresher than it is.
+        const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age);
+        std::ranges::transform(message.questions, std::back_inserter(answer.answers),
+                               [&](const wire::freshness_question& question) {
+                                   return wire::freshness_answer{question.asked_at,
+                                                                 clamped<std::uint32_t>(whole.count()),
+                                                                 host_.revision()};
+                               });
     }
-    replace_work(sender, std::move(table));
-}
-
-/// Replaces what a peer has on upstreams, and updates the sums that it is part of.
-void router_peers::replace_work(std::uint64_t peer, work_table table) {
-    const auto add = [this](const work_table& changed, std::int32_t sign) {
-        for (const auto& [upstream, work] : changed) {
-            peer_work& sum = elsewhere_[upstream];
-            sum.in_flight += sign * work.in_flight;
-            sum.backlog += sign * work.backlog;
-            publish_work(upstream, sum);
-        }
-    };
-    work_table& known = work_by_peer_[peer];
-    add(known, -1);
-    add(table, 1);
-    known = std::move(table);
+    send(answer, to, clock::now());
 }
 
-void router_peers::publish_work(std::uint32_t upstream, const peer_work& sum) const {
-    const auto& works = host_.works();
-    if (const auto found = works.find(upstream); found != works.end()) {
-        found->second->elsewhere_in_flight.store(sum.in_flight, std::memory_order_relaxed);
-        found->second->elsewhere_backlog.store(sum.backlog, std::memory_order_relaxed);
+void router_peers::publish_work(time_point now) {
+    const auto passed = std::chrono::duration<double>{now - std::exchange(published_at_, now)};
+    const double weight = 1.0 - std::exp(-passed / std::chrono::duration<double>{usual_time});
+    for (const auto& [upstream, work] : host_.works()) {
+        const amount_of_work elsewhere = ledger_.elsewhere(upstream, now);
+        work->elsewhere_in_flight.store(elsewhere.in_flight, std::memory_order_relaxed);
+        work->elsewhere_backlog.store(elsewhere.backlog, std::memory_order_relaxed);
+        const double usual = work->usual_elsewhere.load(std::memory_order_relaxed);
+        work->usual_elsewhere.store(usual + weight * (elsewhere.in_flight - usual), std::memory_order_relaxed);
     }
 }
 
@@ -185,7 +210,7 @@
     auto change = work_change::none;
     for (const auto& [upstream, work] : host_.works()) {
         const auto told = told_.find(upstream);
-        const peer_work before = told == told_.end() ? peer_work{} : told->second;
+        const amount_of_work before = told == told_.end() ? amount_of_work{} : told->second;
         const auto backlog = work->backlog.load(std::memory_order_relaxed);
         if (std::abs(backlog - before.backlog) >= urgent_backlog) {
             return work_change::urgent;
@@ -197,20 +222,19 @@
     return change;
 }
 
-wire::gossip router_peers::status_message(time_point now) {
-    wire::gossip message;
-    told_.clear();
-    for (const auto& [upstream, work] : host_.works()) {
-        const auto in_flight = work->in_flight.load(std::memory_order_relaxed);
-        const auto backlog = work->backlog.load(std::memory_order_relaxed);
-        if (in_flight > 0) {
-            told_[upstream] = {in_flight, backlog};
-            message.work.push_back({upstream, clamped<std::uint16_t>(in_flight),
-                                    clamped<std::uint16_t>(backlog / wire::backlog_unit)});
-        }
-    }
+/// All of this router's work.
+wire::gossip router_peers::work_message(time_point now) {
+    told_ = own_work();
     told_at_ = now;
+    wire::gossip message;
+    message.work = entries_of(told_);
     message.positions.push_back({host_.revision()});
+    return message;
+}
+
+wire::gossip router_peers::status_message(time_point now) {
+    status_at_ = now;
+    wire::gossip message = work_message(now);
     message.suspects = suspects_.take_news();
     memory_.add_news(message);
     if (is_leaving_) {
@@ -219,12 +243,107 @@
     return message;
 }
 
+/// Tells the other routers what is due. In a large fleet a change of work goes
+/// to the keeper of the failure domain alone.
+void router_peers::tell(time_point now) {
+    const auto change = own_work_change();
+    const bool may_wait = change == work_change::some && now - told_at_ < work_interval;
+    const bool work_is_due = change != work_change::none && !may_wait && budget_.take(0.0, now);
+    const bool status_is_due = now - status_at_ >= heartbeat;
+    const auto keeper = members_.address_of(watcher(now));
+    if (status_is_due || (work_is_due && members_.tells_everybody())) {
+        const wire::gossip message = status_message(now);
+        for (const member* other : members_.choose_targets(now)) {
+            send(message, other->address, now);
+        }
+        if (!members_.tells_everybody() && keeper) {
+            send(work_message(now), *keeper, now);
+        }
+    } else if (work_is_due && keeper) {
+        send(work_message(now), *keeper, now);
+    }
+}
+
+/// Keeper's part: exchanges its failure domain's work with the other keepers,
+/// and sends the fleet's round.
+void router_peers::keep_tables(time_point now) {
+    if (members_.tells_everybody() || !is_on_duty(now)) {
+        return;
+    }
+    std::vector<std::uint64_t> here;
+    std::ranges::transform(domain_peers(now), std::back_inserter(here), &member::hash);
+    const std::uint64_t domain = hash64(settings_.failure_domain);
+    const work_table own_domain = ledger_.sum_of(here, own_work());
+    const work_table fleet = ledger_.fleet(domain, own_domain, now);
+    const double bytes = static_cast<double>(fleet.size() * sizeof(wire::work_entry));
+    const duration spacing = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{bytes / table_bytes_per_second});
+    if (now - table_made_at_ < std::max(table_interval, spacing)) {
+        return;
+    }
+    table_made_at_ = now;
+    wire::gossip message;
+    message.tables.push_back({members_.self_hash(), ++tables_made_, domain});
+    message.table_work = entries_of(own_domain);
+    for (const std::uint64_t keeper : members_.assigned_elsewhere(watch_duty, keepers_told, now)) {
+        if (const auto address = members_.address_of(keeper)) {
+            send_table(message, *address);
+        }
+    }
+    message.tables.front().domain = 0;
+    message.table_work = entries_of(fleet);
+    take_fleet_table(message, now);
+}
+
+void router_peers::take_table(const wire::gossip& message, time_point now) {
+    if (message.tables.empty()) {
+        return;
+    }
+    const wire::table_origin& origin = message.tables.front();
+    if (origin.domain != 0) {
+        ledger_.take_domain(origin.domain, table_of(message.table_work), now);
+        return;
+    }
+    std::uint32_t& newest = newest_table_[origin.keeper];
+    if (origin.number > newest) {
+        newest = origin.number;
+        take_fleet_table(message, now);
+    }
+}
+
+/// Uses the fleet's work and passes it on.
+void router_peers::take_fleet_table(const wire::gossip& message, time_point now) {
+    const wire::table_origin& origin = message.tables.front();
+    const bool is_own = origin.keeper == members_.self_hash();
+    ledger_.take_fleet(table_of(message.table_work), is_own ? own_work() : told_, now);
+    publish_work(now);
+    for (const endpoint& child : children(origin.keeper, origin.number, now)) {
+        send_table(message, child);
+    }
+}
+
+/// Sends a table; its bytes are bounded by the time between two tables.
+void router_peers::send_table(const wire::gossip& message, const endpoint& to) {
+    sent_bytes_ += channel_.send(message, to);
+}
+
+work_table router_peers::own_work() const {
+    work_table own;
+    for (const auto& [upstream, work] : host_.works()) {
+        const auto in_flight = work->in_flight.load(std::memory_order_relaxed);
+        if (in_flight > 0) {
+            own[upstream] = {in_flight, work->backlog.load(std::memory_order_relaxed)};
+        }
+    }
+    return own;
+}
+
 void router_peers::tick(time_point now) {
     for (const std::uint64_t silent : members_.silent(now)) {
-        if (work_by_peer_.contains(silent)) {
+        if (ledger_.knows(silent)) {
             log_warn("router_silent", {{"router_hash", std::to_string(silent)}});
-            replace_work(silent, {});
-            work_by_peer_.erase(silent);
+            ledger_.forget(silent);
+            publish_work(now);
         }
     }
     members_.forget_silent(now);
@@ -232,16 +351,8 @@
         return;
     }
     ask_watcher(now);
-    const bool is_due = now - told_at_ >= heartbeat;
-    const auto change = own_work_change();
-    const bool may_wait = change == work_change::some && now - told_at_ < work_interval;
-    const bool work_is_due = change != work_change::none && !may_wait && budget_.take(0.0, now);
-    if (is_due || work_is_due) {
-        const wire::gossip message = status_message(now);
-        for (const member* other : members_.choose_targets(now)) {
-            send(message, other->address, now);
-        }
-    }
+    tell(now);
+    keep_tables(now);
 }
 
 void router_peers::tell_of_changes(const kv_changes& seen, std::int64_t previous, time_point now) {
@@ -267,26 +378,39 @@
 /// Sends small changes from the watcher to everybody, large ones down a tree
 /// whose root is the watcher, so that no link carries them more than a few times.
 void router_peers::pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now) {
-    const auto others = members_.expected_in_domain(now);
     if (message.changes.size() <= most_sent_directly) {
         if (watcher == members_.self_hash()) {
-            std::ranges::for_each(others, [&](const member* other) { send(message, other->address, now); });
+            std::ranges::for_each(domain_peers(now),
+                                  [&](const member* other) { send(message, other->address, now); });
         }
         return;
     }
+    const auto number = static_cast<std::uint64_t>(message.news.front().revision);
+    for (const endpoint& child : children(watcher, number, now)) {
+        send(message, child, now);
+    }
+}
+
+/// Routers to which this one passes on what a root sends round its failure
+/// domain. Each number has a tree of its own, so that a router that has died
+/// keeps nobody from more than a few messages.
+std::vector<endpoint> router_peers::children(std::uint64_t root, std::uint64_t number, time_point now) const {
+    const auto others = domain_peers(now);
     std::vector<std::uint64_t> order{members_.self_hash()};
     std::ranges::transform(others, std::back_inserter(order), &member::hash);
-    std::ranges::sort(order);
-    const auto root = std::ranges::find(order, watcher);
-    std::ranges::rotate(order, root == order.end() ? order.begin() : root);
+    std::erase(order, root);
+    std::ranges::sort(order, {}, [number](std::uint64_t router) { return hash_combine(number, router); });
+    order.insert(order.begin(), root);
     const auto self =
         static_cast<std::size_t>(std::ranges::find(order, members_.self_hash()) - order.begin());
+    std::vector<endpoint> found;
     for (const std::uint64_t child :
          order | std::views::drop(tree_width * self + 1) | std::views::take(tree_width)) {
         if (const auto address = members_.address_of(child)) {
-            send(message, *address, now);
+            found.push_back(*address);
         }
     }
+    return found;
 }
 
 void router_peers::take_changes(const wire::gossip& message, const endpoint& from, time_point now) {
@@ -316,20 +440,36 @@
 
 void router_peers::ask_watcher(time_point now) {
     const auto age = host_.key_age();
-    const auto address = members_.address_of(watcher(now));
+    const std::uint64_t asked = watcher(now);
+    const auto address = members_.address_of(asked);
     if (!address || now - asked_at_ < question_interval || (age && *age < question_age)) {
         return;
     }
+    if (std::exchange(asked_router_, asked) != asked) {
+        questions_unanswered_ = 0;
+    }
+    if (++questions_unanswered_ > most_unanswered) {
+        pass_over_silent_watcher(asked);
+        return;
+    }
     asked_at_ = now;
     wire::gossip message;
     message.questions.push_back({static_cast<std::int64_t>(boot_now())});
     send(message, *address, now);
 }
 
+/// Leaves the watcher's duty to the next router until this one is heard again.
+void router_peers::pass_over_silent_watcher(std::uint64_t silent) {
+    questions_unanswered_ = 0;
+    passed_over_.insert(silent);
+    log_warn("watcher_passed_over",
+             {{"router_hash", std::to_string(silent)}, {"questions", std::to_string(most_unanswered)}});
+}
+
 void router_peers::leave(time_point now) {
     members_.leave();
     is_leaving_ = true;
-    told_at_ = now - heartbeat;
+    status_at_ = now - heartbeat;
 }
 
 void router_peers::send(const wire::gossip& message, const endpoint& to, time_point now) {
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -28,6 +28,7 @@
     double load_slack = 3.0;             ///< requests above that bound that are always allowed
     double prefill_tokens_per_ms = 30.0; ///< reading speed assumed where none is known
     double comfortable_wait_ms = 0.0;    ///< wait for a first token that harms nobody
+    double plain_tie = 0.0;              ///< load per slot within which plain upstreams count as equal
 };
 
 /// Outcome of a placement.
@@ -56,6 +57,10 @@
 
 /// Chooses the plain upstream with the least load per slot; among equals one
 /// of this failure domain, then by rendezvous hashing of `request`.
+///
+/// Where many routers share counts that are older than a request takes, all of
+/// them would run to the same upstream. `plain_tie` then has upstreams whose
+/// load differs little count as equal, near or not, so that requests spread.
 routed_decision place_on_worker(std::uint64_t request, std::span<const routed_candidate> workers,
                                 const placement_limits& limits);
 
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -93,6 +93,7 @@
                                 const placement_limits& limits) {
     const double bound = load_limit(workers, limits);
     constexpr double near_bonus = 1.0;
+    const bool is_exact = limits.plain_tie == 0.0;
     std::vector<estimate> estimates;
     for (std::size_t index = 0; index < workers.size(); ++index) {
         const routed_candidate& worker = workers[index];
@@ -100,10 +101,10 @@
             continue;
         }
         const double load = worker.in_flight / std::max(worker.slots, 1.0);
-        const double score = rendezvous_score(request, worker.hash) + (worker.is_near ? near_bonus : 0.0);
+        const double score = rendezvous_score(request, worker.hash) + (is_exact && worker.is_near ? near_bonus : 0.0);
         estimates.push_back({index, load, load, score});
     }
-    return choose(std::move(estimates), 0.0, "least loaded");
+    return choose(std::move(estimates), limits.plain_tie, "least loaded");
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -29,6 +29,10 @@
 /// Connections that were idle for longer carry no request that runs at most once.
 constexpr duration fresh_connection_age = 4s;
 constexpr std::uint32_t lowest_priority = 9;
+/// Routers up to which each hears of a request elsewhere before it has ended.
+constexpr std::size_t small_fleet = 9;
+/// Load per slot that old counts are wrong by.
+constexpr double tie_in_large_fleets = 0.5;
 /// Part of the latency target that a wait for the first token may take unfelt.
 constexpr double comfortable_share = 0.3;
 /// Crashes after which a request is refused. One more than for chats: a
@@ -145,6 +149,7 @@
     const routing_settings& settings = thread_.plane.settings();
     placement_limits limits = settings.placement;
     limits.comfortable_wait_ms = comfortable_share * static_cast<double>(route_->target_latency.count());
+    limits.plain_tie = view_->live_routers > small_fleet ? tie_in_large_fleets : 0.0;
     placed_ = place_request(question_, *view_, thread_.plane.memory(), limits, settings.failure_domain, started);
     if (!placed_) {
         last_detail_ = "the service has no upstream left to try";
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -22,15 +22,16 @@
                                        strictness{false, false}};
 
 routed_candidate candidate_of(const routed_upstream& upstream, const routing_memory::opinion& known,
-                              const placement_question& question, std::string_view failure_domain) {
+                              const placement_question& question, bool uses_usual,
+                              std::string_view failure_domain) {
     const upstream_work& work = *upstream.work;
-    const auto in_flight = work.in_flight.load(std::memory_order_relaxed) +
-                           work.elsewhere_in_flight.load(std::memory_order_relaxed);
+    const double elsewhere = uses_usual ? work.usual_elsewhere.load(std::memory_order_relaxed)
+                                        : work.elsewhere_in_flight.load(std::memory_order_relaxed);
     const auto backlog =
         work.backlog.load(std::memory_order_relaxed) + work.elsewhere_backlog.load(std::memory_order_relaxed);
     const auto cached = std::min(known.cached_tokens, question.prompt_tokens);
     return {.hash = upstream.hash,
-            .in_flight = static_cast<double>(in_flight),
+            .in_flight = work.in_flight.load(std::memory_order_relaxed) + elsewhere,
             .slots = static_cast<double>(upstream.entry.slots),
             .backlog = static_cast<double>(backlog),
             .missing = static_cast<double>(question.prompt_tokens - cached),
@@ -66,9 +67,12 @@
     std::vector<std::uint64_t> hashes;
     std::ranges::transform(upstreams, std::back_inserter(hashes), &routed_upstream::hash);
     const auto opinions = memory.opinions(hashes, question.prefixes, now);
+    // A plain request has ended before others hear of it, where counts are old.
+    const bool uses_usual = !question.service->engine && limits.plain_tie > 0.0;
     std::vector<routed_candidate> candidates;
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
-        candidates.push_back(candidate_of(upstreams[index], opinions[index], question, failure_domain));
+        candidates.push_back(
+            candidate_of(upstreams[index], opinions[index], question, uses_usual, failure_domain));
     }
     const std::uint64_t affinity =
         question.prefixes.empty() ? question.request : question.prefixes.back().key;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -87,6 +87,14 @@
 /// Prompt tokens that `work_entry::backlog` counts as one.
 constexpr std::uint32_t backlog_unit = 64;
 
+/// Names the table of work that a message holds: all of a failure domain's, or
+/// of the whole fleet's.
+struct table_origin {
+    std::uint64_t keeper = 0; ///< hash of the router that made it
+    std::uint32_t number = 0; ///< grows with each table of that keeper
+    std::uint64_t domain = 0; ///< hash of the failure domain's name, 0 for the whole fleet
+};
+
 /// How far the sender has followed the platform's store. A message that holds
 /// one also holds all of the sender's work.
 struct store_position {
@@ -146,6 +154,8 @@
     std::vector<suspect_entry> suspects;
     std::vector<work_entry> work;
     std::vector<store_position> positions;
+    std::vector<table_origin> tables; ///< at most one
+    std::vector<work_entry> table_work;
     std::string changes; ///< of the store, as `pack_changes` writes them
     std::vector<news_entry> news;
     std::vector<freshness_question> questions;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -111,6 +111,11 @@
     archive(entry.upstream, entry.in_flight, entry.backlog);
 }
 
+template <class Archive>
+void serialize(Archive& archive, table_origin& origin) {
+    archive(origin.keeper, origin.number, origin.domain);
+}
+
 template <class Archive>
 void serialize(Archive& archive, store_position& position) {
     archive(position.revision);
@@ -170,7 +175,8 @@
     serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
                       message.slot_replies, message.reports, message.leaving, message.documents,
                       message.suspects, message.work, message.positions, message.questions, message.answers,
-                      message.evidence, message.prefixes, message.changes, message.news);
+                      message.evidence, message.prefixes, message.changes, message.news, message.tables,
+                      message.table_work);
 }
 
 template <class Archive>
