Leave the watch to a router that the store answers

A router now says whether the store answers it; one that it does not answer, or whose answers are not fresh five times in a row, is passed over until it says otherwise.

Tried first: one stale answer is enough. Questions for the revision each 1 s in place of 0.7 s.

--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -141,7 +141,8 @@
     for (auto& candidates : by_domain | std::views::values) {
         std::ranges::sort(candidates, std::greater{},
                           [duty](const member* other) { return rendezvous_score(duty, other->hash); });
-        std::ranges::transform(candidates | std::views::take(count), std::back_inserter(found), &member::hash);
+        std::ranges::transform(candidates | std::views::take(count), std::back_inserter(found),
+                               &member::hash);
     }
     return found;
 }
--- a/packages/ctl/src/request_story.cpp
+++ b/packages/ctl/src/request_story.cpp
@@ -40,9 +40,11 @@
     std::string_view cause;
 };
 constexpr std::array causes{
-    cause_text{"no-upstream", "every upstream that could be tried was full, gone or refused it; it did not run"},
+    cause_text{"no-upstream",
+               "every upstream that could be tried was full, gone or refused it; it did not run"},
     cause_text{"upstream-failed", "an upstream broke off after the request had been sent; it may have run"},
-    cause_text{"keys-not-confirmed", "the team keys were not confirmed in time; see the age and the store's lines"},
+    cause_text{"keys-not-confirmed",
+               "the team keys were not confirmed in time; see the age and the store's lines"},
     cause_text{"deadline", "the time that the caller or the route gives was over"},
     cause_text{"unknown-route", "no route of the declaration in force leads there; see its version"},
     cause_text{"unknown-team", "no team of the declaration in force holds the key; see its version"},
@@ -136,12 +138,11 @@
 void print_json(const command_context& command, const std::vector<log_line>& lines) {
     json::array all;
     for (const log_line& line : lines) {
-        all.push_back(json::object{{"time", line.time},
-                                   {"router", line.router},
-                                   {"own", line.is_own},
-                                   {"line", line.fields}});
+        all.push_back(json::object{
+            {"time", line.time}, {"router", line.router}, {"own", line.is_own}, {"line", line.fields}});
     }
-    command.out << json::serialize(json::object{{"lines", std::move(all)}, {"ended", ending_of(lines)}}) << "\n";
+    command.out << json::serialize(json::object{{"lines", std::move(all)}, {"ended", ending_of(lines)}})
+                << "\n";
 }
 
 } // namespace
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronwick {
@@ -26,6 +27,7 @@
 /// What the exchange with other routers needs from this one, and tells it.
 struct peer_host {
     std::function<std::int64_t()> revision;           ///< followed in the store
+    std::function<bool()> has_store;                  ///< the store answers this router
     std::function<std::optional<duration>()> key_age; ///< of the newest confirmation
     std::function<const std::map<std::uint32_t, std::shared_ptr<upstream_work>>&()> works;
     std::function<void(std::int64_t revision)> on_position; ///< of a peer
@@ -82,7 +84,7 @@
     /// How much this router's work differs from what the others were told.
     enum class work_change : std::uint8_t { none, some, urgent };
     void take(const wire::header& from, const wire::gossip& message);
-    void answer_questions(const wire::gossip& message, const endpoint& to);
+    void answer_questions(const wire::gossip& message, const endpoint& to, time_point now);
     void publish_work(time_point now);
     work_table own_work() const;
     void tell(time_point now);
@@ -94,9 +96,9 @@
     void pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now);
     std::vector<endpoint> children(std::uint64_t root, std::uint64_t number, time_point now) const;
     void ask_watcher(time_point now);
-    void pass_over_silent_watcher(std::uint64_t silent);
+    void judge_watcher(std::uint64_t sender, const wire::gossip& message);
+    void pass_over(std::uint64_t router, std::string_view reason);
     std::uint64_t watcher(time_point now) const;
-    std::vector<const member*> domain_peers(time_point now) const;
     work_change own_work_change() const;
     wire::gossip work_message(time_point now);
     wire::gossip status_message(time_point now);
@@ -120,9 +122,9 @@
     time_point status_at_;
     time_point asked_at_;
     std::uint64_t asked_router_ = 0;
-    int questions_unanswered_ = 0;              ///< by that router
-    std::set<std::uint64_t> passed_over_;       ///< watchers that fell silent, until they are heard
-    std::uint32_t tables_made_ = 0;             ///< as a keeper
+    int questions_unanswered_ = 0;        ///< by that router
+    std::set<std::uint64_t> passed_over_; ///< for the watch: silent, or without the store
+    std::uint32_t tables_made_ = 0;       ///< as a keeper
     time_point table_made_at_;
     std::map<std::uint64_t, std::uint32_t> newest_table_; ///< number by keeper
     std::uint64_t sent_bytes_ = 0;
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -53,8 +53,8 @@
     /// Revision up to which all changes have been passed on.
     std::int64_t revision() const { return revision_; }
 
-    /// Whether the last call was answered.
-    bool is_connected() const { return !outage_since_; }
+    /// Whether calls were answered lately.
+    bool has_store(time_point now) const;
 
 private:
     task<bool> list();
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -32,7 +32,9 @@
 /// Shortest time between two questions.
 constexpr duration question_interval = 400ms;
 constexpr double burst_seconds = 2.0;
-/// Unanswered questions in a row after which another router watches.
+/// Age of a watcher's own confirmation from which its answers count for nothing.
+constexpr duration stale_age = 2500ms;
+/// Questions in a row without a fresh answer after which another router watches.
 constexpr int most_unanswered = 5;
 /// Shortest time between two tables of a keeper.
 constexpr duration table_interval = 250ms;
@@ -119,19 +121,22 @@
     }
 }
 
-/// Routers of this failure domain that are expected to do their part.
-std::vector<const member*> router_peers::domain_peers(time_point now) const {
-    auto found = members_.expected_in_domain(now);
-    std::erase_if(found, [this](const member* other) { return passed_over_.contains(other->hash); });
-    return found;
-}
-
 bool router_peers::is_on_duty(time_point now) const {
     return watcher(now) == members_.self_hash();
 }
 
+/// The router that watches: the first of those to which the store answers, or
+/// of all, where it answers none.
 std::uint64_t router_peers::watcher(time_point now) const {
-    return assigned_router(watch_duty, members_.self_hash(), domain_peers(now));
+    auto able = members_.expected_in_domain(now);
+    std::erase_if(able, [this](const member* other) { return passed_over_.contains(other->hash); });
+    if (host_.has_store()) {
+        return assigned_router(watch_duty, members_.self_hash(), able);
+    }
+    if (able.empty()) {
+        return assigned_router(watch_duty, members_.self_hash(), members_.expected_in_domain(now));
+    }
+    return assigned_router(watch_duty, able.front()->hash, able);
 }
 
 std::size_t router_peers::live_routers(time_point now) const {
@@ -149,12 +154,7 @@
     if (!members_.heard_from(from, now) || !address) {
         return;
     }
-    if (passed_over_.erase(from.sender) > 0) {
-        log_info("watcher_heard_again", {{"router_hash", std::to_string(from.sender)}});
-    }
-    if (from.sender == watcher(now)) {
-        questions_unanswered_ = 0;
-    }
+    judge_watcher(from.sender, message);
     if (!message.positions.empty()) {
         ledger_.replace(from.sender, table_of(message.work));
         publish_work(now);
@@ -172,15 +172,15 @@
     for (const wire::freshness_answer& answer : message.answers) {
         host_.on_answer(boot_time{answer.asked_at}, std::chrono::milliseconds{answer.age}, answer.revision);
     }
-    answer_questions(message, *address);
+    answer_questions(message, *address, now);
 }
 
-void router_peers::answer_questions(const wire::gossip& message, const endpoint& to) {
+void router_peers::answer_questions(const wire::gossip& message, const endpoint& to, time_point now) {
     if (message.questions.empty()) {
         return;
     }
-    // Without a confirmation the answer is empty; it shows that this router lives.
-    wire::gossip answer;
+    // A router without the store says so in its work message.
+    wire::gossip answer = host_.has_store() ? wire::gossip{} : work_message(now);
     if (const auto age = host_.key_age()) {
         // Rounded up, so that an answer never looks fresher than it is.
         const auto whole = std::chrono::ceil<std::chrono::milliseconds>(*age);
@@ -191,7 +191,7 @@
                                                                  host_.revision()};
                                });
     }
-    send(answer, to, clock::now());
+    send(answer, to, now);
 }
 
 void router_peers::publish_work(time_point now) {
@@ -202,7 +202,8 @@
         work->elsewhere_in_flight.store(elsewhere.in_flight, std::memory_order_relaxed);
         work->elsewhere_backlog.store(elsewhere.backlog, std::memory_order_relaxed);
         const double usual = work->usual_elsewhere.load(std::memory_order_relaxed);
-        work->usual_elsewhere.store(usual + weight * (elsewhere.in_flight - usual), std::memory_order_relaxed);
+        work->usual_elsewhere.store(usual + weight * (elsewhere.in_flight - usual),
+                                    std::memory_order_relaxed);
     }
 }
 
@@ -228,7 +229,7 @@
     told_at_ = now;
     wire::gossip message;
     message.work = entries_of(told_);
-    message.positions.push_back({host_.revision()});
+    message.positions.push_back({host_.revision(), host_.has_store()});
     return message;
 }
 
@@ -271,13 +272,13 @@
         return;
     }
     std::vector<std::uint64_t> here;
-    std::ranges::transform(domain_peers(now), std::back_inserter(here), &member::hash);
+    std::ranges::transform(members_.expected_in_domain(now), std::back_inserter(here), &member::hash);
     const std::uint64_t domain = hash64(settings_.failure_domain);
     const work_table own_domain = ledger_.sum_of(here, own_work());
     const work_table fleet = ledger_.fleet(domain, own_domain, now);
     const double bytes = static_cast<double>(fleet.size() * sizeof(wire::work_entry));
-    const duration spacing = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{bytes / table_bytes_per_second});
+    const duration spacing =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>{bytes / table_bytes_per_second});
     if (now - table_made_at_ < std::max(table_interval, spacing)) {
         return;
     }
@@ -380,7 +381,7 @@
 void router_peers::pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now) {
     if (message.changes.size() <= most_sent_directly) {
         if (watcher == members_.self_hash()) {
-            std::ranges::for_each(domain_peers(now),
+            std::ranges::for_each(members_.expected_in_domain(now),
                                   [&](const member* other) { send(message, other->address, now); });
         }
         return;
@@ -395,7 +396,7 @@
 /// domain. Each number has a tree of its own, so that a router that has died
 /// keeps nobody from more than a few messages.
 std::vector<endpoint> router_peers::children(std::uint64_t root, std::uint64_t number, time_point now) const {
-    const auto others = domain_peers(now);
+    const auto others = members_.expected_in_domain(now);
     std::vector<std::uint64_t> order{members_.self_hash()};
     std::ranges::transform(others, std::back_inserter(order), &member::hash);
     std::erase(order, root);
@@ -449,7 +450,8 @@
         questions_unanswered_ = 0;
     }
     if (++questions_unanswered_ > most_unanswered) {
-        pass_over_silent_watcher(asked);
+        questions_unanswered_ = 0;
+        pass_over(asked, "no fresh answers");
         return;
     }
     asked_at_ = now;
@@ -458,12 +460,31 @@
     send(message, *address, now);
 }
 
-/// Leaves the watcher's duty to the next router until this one is heard again.
-void router_peers::pass_over_silent_watcher(std::uint64_t silent) {
-    questions_unanswered_ = 0;
-    passed_over_.insert(silent);
-    log_warn("watcher_passed_over",
-             {{"router_hash", std::to_string(silent)}, {"questions", std::to_string(most_unanswered)}});
+/// Learns from a message whether its sender can watch the store for others.
+void router_peers::judge_watcher(std::uint64_t sender, const wire::gossip& message) {
+    // A router that has just taken over the watch may have an old confirmation.
+    const bool helps = std::ranges::any_of(message.answers, [](const wire::freshness_answer& answer) {
+        return std::chrono::milliseconds{answer.age} < stale_age;
+    });
+    if (helps && sender == asked_router_) {
+        questions_unanswered_ = 0;
+    }
+    if (message.positions.empty()) {
+        return;
+    }
+    if (!message.positions.front().has_store) {
+        pass_over(sender, "without the store");
+    } else if (passed_over_.erase(sender) > 0) {
+        log_info("watcher_heard_again", {{"router_hash", std::to_string(sender)}});
+    }
+}
+
+/// Leaves a router out of those that may watch, until it says that it can.
+void router_peers::pass_over(std::uint64_t router, std::string_view reason) {
+    if (passed_over_.insert(router).second) {
+        log_info("watcher_passed_over",
+                 {{"router_hash", std::to_string(router)}, {"reason", std::string{reason}}});
+    }
 }
 
 void router_peers::leave(time_point now) {
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -124,6 +124,7 @@
 
     peer_host peer_events() {
         return {.revision = [this] { return follower_.revision(); },
+                .has_store = [this] { return follower_.has_store(clock::now()); },
                 .key_age = [this] { return freshness_.age(boot_now()); },
                 .works = [this]() -> const auto& { return works_; },
                 .on_position = [this](std::int64_t revision) { follower_.hear_of(revision); },
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -15,11 +15,11 @@
 /// Time for which the store may hold a watch.
 constexpr std::chrono::milliseconds watch_wait = 5s;
 /// Between two questions for the store's revision.
-constexpr duration confirm_interval = 700ms;
+constexpr duration confirm_interval = 1s;
 /// A read of what has changed does not wait.
 constexpr std::chrono::milliseconds no_wait = 1ms;
 /// After changes, so that those that come in quick succession share a call.
-constexpr duration change_pause = 60ms;
+constexpr duration change_pause = 100ms;
 /// Between two looks at whether a confirmation is wanted.
 constexpr duration confirm_check = 100ms;
 /// Between news of a change and reading it: most changes are passed on by then,
@@ -97,6 +97,11 @@
         bool succeeded = false;
         if (is_listed_ && !is_far_behind_) {
             const bool waits = on_duty_ && heard_revision_ <= revision_;
+            if (!waits) {
+                log_info("changes_read", {{"revision", std::to_string(revision_)},
+                                          {"heard_of", std::to_string(heard_revision_)},
+                                          {"on_duty", on_duty_ ? "yes" : "no"}});
+            }
             succeeded = co_await watch(waits ? watch_wait : no_wait);
         } else {
             succeeded = co_await list();
@@ -158,6 +163,10 @@
     co_return true;
 }
 
+bool store_follower::has_store(time_point now) const {
+    return !outage_since_ || now - *outage_since_ < shortest_lapse;
+}
+
 bool store_follower::may_have_lapsed(time_point now) const {
     return regained_at_ && now - *regained_at_ < lapse_window;
 }
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -101,7 +101,8 @@
             continue;
         }
         const double load = worker.in_flight / std::max(worker.slots, 1.0);
-        const double score = rendezvous_score(request, worker.hash) + (is_exact && worker.is_near ? near_bonus : 0.0);
+        const double score =
+            rendezvous_score(request, worker.hash) + (is_exact && worker.is_near ? near_bonus : 0.0);
         estimates.push_back({index, load, load, score});
     }
     return choose(std::move(estimates), limits.plain_tie, "least loaded");
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -150,7 +150,8 @@
     placement_limits limits = settings.placement;
     limits.comfortable_wait_ms = comfortable_share * static_cast<double>(route_->target_latency.count());
     limits.plain_tie = view_->live_routers > small_fleet ? tie_in_large_fleets : 0.0;
-    placed_ = place_request(question_, *view_, thread_.plane.memory(), limits, settings.failure_domain, started);
+    placed_ =
+        place_request(question_, *view_, thread_.plane.memory(), limits, settings.failure_domain, started);
     if (!placed_) {
         last_detail_ = "the service has no upstream left to try";
         step_ = state_.ran_before ? next_step::fail_as_unknown : next_step::refuse;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -99,6 +99,7 @@
 /// one also holds all of the sender's work.
 struct store_position {
     std::int64_t revision = 0;
+    bool has_store = true; ///< the store answers the sender
 };
 
 /// One change in the platform's store, as the router that watches it saw it.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -118,7 +118,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, store_position& position) {
-    archive(position.revision);
+    archive(position.revision, position.has_store);
 }
 
 template <class Archive>
--- a/packages/wire/tests/change_pack.tests.cpp
+++ b/packages/wire/tests/change_pack.tests.cpp
@@ -26,7 +26,8 @@
 TEST_CASE("packed changes unpack to the same, and a repetitive value takes few bytes") {
     std::string declaration;
     for (int index = 0; index < 1'400; ++index) {
-        declaration += R"({"name":"r-)" + std::to_string(index * 7'919) + R"(","host":"a.example","kind":"safe"},)";
+        declaration +=
+            R"({"name":"r-)" + std::to_string(index * 7'919) + R"(","host":"a.example","kind":"safe"},)";
     }
     const auto packed =
         wire::pack_changes({{"declaration", declaration, false, 6, 7}, {"worker", "", true, 7, 9}});
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -93,7 +93,8 @@
                             << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
                             << "store_timeout = \"500ms\"\nkey_lifetime = \"" << options_.key_lifetime.count()
                             << "ms\"\n"
-                            << options_.platform_settings << "\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nformat = \""
+                            << options_.platform_settings
+                            << "\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nformat = \""
                             << options_.log_format << "\"\n";
     router.process = std::make_unique<child_process>(
         std::vector<std::string>{binary("citronwickd"), "--config", settings}, router.log);
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -78,10 +78,11 @@
                               " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
     for (std::size_t at = 0; at < whole.size(); at += piece) {
         const std::string part = whole.substr(at, piece);
-        const auto time = std::chrono::microseconds{static_cast<std::int64_t>(part.size()) * 1'000'000 /
-                                                    bytes_per_second_};
+        const auto time =
+            std::chrono::microseconds{static_cast<std::int64_t>(part.size()) * 1'000'000 / bytes_per_second_};
         link_is_free_at_ = std::max(link_is_free_at_, clock::now()) + time;
-        const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(link_is_free_at_ - clock::now());
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::microseconds>(link_is_free_at_ - clock::now());
         co_await sleep_for(wait);
         auto [error, size] = co_await asio::async_write(stream, asio::buffer(part), use_tuple);
         if (error) {
