Give the watch and the exchange of load code of their own

Who watches and what is told of work are now decided by watch_roster and load_exchange, which send nothing and are tested without network. An answer of a router that has lost the store no longer counts as having told everybody of its work.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -3,8 +3,9 @@
 
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
+#include "citronwick/fleet/load_exchange.hpp"
 #include "citronwick/fleet/routing_view.hpp"
-#include "citronwick/fleet/work_ledger.hpp"
+#include "citronwick/fleet/watch_roster.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 #include "citronwick/wire/envelope.hpp"
@@ -13,9 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace citronwick {
@@ -81,28 +80,23 @@
     std::uint64_t sent_bytes() const { return sent_bytes_; }
 
 private:
-    /// How much this router's work differs from what the others were told.
-    enum class work_change : std::uint8_t { none, some, urgent };
     void take(const wire::header& from, const wire::gossip& message);
+    void take_changes(const wire::gossip& message, const endpoint& from, time_point now);
+    void judge_watcher(std::uint64_t sender, const wire::gossip& message);
     void answer_questions(const wire::gossip& message, const endpoint& to, time_point now);
-    void publish_work(time_point now);
-    work_table own_work() const;
+    void ask_watcher(time_point now);
     void tell(time_point now);
-    void take_fleet_table(const wire::gossip& message, time_point now);
-    void take_table(const wire::gossip& message, time_point now);
     void keep_tables(time_point now);
-    void send_table(const wire::gossip& message, const endpoint& to);
-    void take_changes(const wire::gossip& message, const endpoint& from, time_point now);
     void pass_on(const wire::gossip& message, std::uint64_t watcher, time_point now);
-    std::vector<endpoint> children(std::uint64_t root, std::uint64_t number, time_point now) const;
-    void ask_watcher(time_point now);
-    void judge_watcher(std::uint64_t sender, const wire::gossip& message);
-    void pass_over(std::uint64_t router, std::string_view reason);
-    std::uint64_t watcher(time_point now) const;
-    work_change own_work_change() const;
+    void pass_on_table(const wire::gossip& message, time_point now);
+    void send_table(const wire::gossip& message, std::uint64_t to);
+    void send(const wire::gossip& message, const endpoint& to, time_point now);
+    wire::store_position position() const;
     wire::gossip work_message(time_point now);
     wire::gossip status_message(time_point now);
-    void send(const wire::gossip& message, const endpoint& to, time_point now);
+    std::uint64_t watcher(time_point now) const;
+    std::vector<std::uint64_t> domain_peers(time_point now) const;
+    std::vector<std::uint64_t> children(std::uint64_t root, std::uint64_t number, time_point now) const;
 
     const routing_settings& settings_;
     routing_memory& memory_;
@@ -111,22 +105,15 @@
     wire::envelope envelope_;
     membership members_;
     fleet_channel channel_;
+    watch_roster roster_;
+    load_exchange loads_;
     token_bucket budget_;
     bool has_key_ = false;
     bool is_registered_ = false;
     bool is_leaving_ = false;
-    work_ledger ledger_;
-    work_table told_; ///< own work as the others know it
-    time_point told_at_;
-    time_point published_at_;
-    time_point status_at_;
+    time_point told_at_;   ///< when work was told last
+    time_point status_at_; ///< when a status was sent last
     time_point asked_at_;
-    std::uint64_t asked_router_ = 0;
-    int questions_unanswered_ = 0;        ///< by that router
-    std::set<std::uint64_t> passed_over_; ///< for the watch: silent, or without the store
-    std::uint32_t tables_made_ = 0;       ///< as a keeper
-    time_point table_made_at_;
-    std::map<std::uint64_t, std::uint32_t> newest_table_; ///< number by keeper
     std::uint64_t sent_bytes_ = 0;
 };
 
--- a/packages/fleet/include/citronwick/fleet/work_ledger.hpp
+++ b/packages/fleet/include/citronwick/fleet/work_ledger.hpp
@@ -42,7 +42,7 @@
 
     /// Takes in the fleet's work from the own keeper.
     /// @param own part of it that this router had told
-    void take_fleet(work_table work, work_table own, time_point now);
+    void take_fleet(work_table work, const work_table& own, time_point now);
 
     /// Work of the given routers together with this one's.
     work_table sum_of(const std::vector<std::uint64_t>& routers, work_table own) const;
--- a/packages/fleet/src/work_ledger.cpp
+++ b/packages/fleet/src/work_ledger.cpp
@@ -55,7 +55,7 @@
     by_domain_[domain] = {std::move(work), now};
 }
 
-void work_ledger::take_fleet(work_table work, work_table own, time_point now) {
+void work_ledger::take_fleet(work_table work, const work_table& own, time_point now) {
     for (const auto& [upstream, amount] : own) {
         work[upstream] -= amount;
     }
