--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -25,10 +25,10 @@
 
 /// What the exchange with other routers needs from this one, and tells it.
 struct peer_host {
-    std::function<std::int64_t()> revision;           ///< followed in the store
-    std::function<bool()> has_store;                  ///< the store answers this router
-    std::function<std::optional<duration>()> key_age; ///< of the newest confirmation
-    std::function<const std::map<std::uint32_t, std::shared_ptr<upstream_work>>&()> works;
+    std::function<std::int64_t()> revision;                 ///< followed in the store
+    std::function<bool()> has_store;                        ///< the store answers this router
+    std::function<std::optional<duration>()> key_age;       ///< of the newest confirmation
+    std::function<const load_exchange::works&()> works;     ///< on the upstreams that are shown
     std::function<void(std::int64_t revision)> on_position; ///< of a peer
     /// Changes that a peer passes on.
     /// @return whether they were new
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -117,7 +117,6 @@
     }
 
     bool is_convicted() const {
-        const auto crash_id = short_hash(hash64(random_id()));
         const auto crashes = thread_.shared.control.suspects().crashes(fingerprint_, clock::now());
         return crashes >= suspect_table::crash_limit;
     }
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -147,6 +147,9 @@
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer{response};
     auto [head_error, head_size] = co_await http::async_write_header(stream, serializer, use_tuple);
+    if (head_error) {
+        co_return false;
+    }
     const std::string last{request["Last-Event-Id"]};
     std::int64_t sent = 0;
     for (std::int64_t id = last.empty() ? 1 : std::stoll(last) + 1; id <= events_; ++id) {
