--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -173,6 +173,10 @@
         {.method = reads ? "GET" : "POST", .target = path, .body = body, .headers = std::move(all)});
 }
 
+void set_all(const std::deque<node>& workers, const std::string& fault) {
+    std::ranges::for_each(workers, [&](const node& worker) { set_fault(worker, fault); });
+}
+
 std::int64_t runs_of(const node& worker, const std::string& attempt) {
     const auto page =
         parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body);
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -83,6 +83,9 @@
     std::size_t started_ = 0;
 };
 
+/// Sets the same faults of several workers.
+void set_all(const std::deque<node>& workers, const std::string& fault);
+
 /// Times that a worker ran a request.
 std::int64_t runs_of(const node& worker, const std::string& attempt);
 
