Judge a store outage by what the store served to any router

Callers' requests reached upstreams up to 2,307 ms after the store had acknowledged that they leave (bound 2,000 ms).

Cause: a removed entry counts as an expired lease shortly after a store outage, and the length of an outage was the time between two calls of one router. A router that is not the watcher may call the store once in several seconds. Class: the age of a condition taken from one's own last look at it.

Now an outage ends with the first moment at which the store is known to have served any router (own calls, peers' confirmations), a router whose calls fail repeats them until it is served, and the time in which entries may be missing is counted from the end of the outage, not from when a router finds them missing.

The tests of upstream_directory pass the end of the lapse window instead of a flag and check the same times.

--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_FLEET_STORE_FOLLOWER_HPP_INCLUDED
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/fleet/store_outage.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -13,12 +14,14 @@
 /// Callbacks of `store_follower`.
 struct store_listener {
     /// Called with a complete listing.
-    /// @param may_have_lapsed the store was unreachable recently, so entries may
-    ///        be missing because their leases could not be renewed
-    std::function<void(const kv_listing&, bool may_have_lapsed)> on_listing;
+    /// @param lapse_window_end set if the store was down recently, so that entries may
+    ///        be missing until then because their leases could not be renewed
+    std::function<void(const kv_listing&, std::optional<time_point> lapse_window_end)> on_listing;
     /// Called with new changes.
     /// @param previous revision up to which all changes had been delivered before
-    std::function<void(const kv_changes&, std::int64_t previous, bool may_have_lapsed)> on_changes;
+    /// @param lapse_window_end as for `on_listing`
+    std::function<void(const kv_changes&, std::int64_t previous, std::optional<time_point> lapse_window_end)>
+        on_changes;
     /// Called when the state delivered so far is confirmed to have been current
     /// at the given time.
     std::function<void(boot_time requested_at)> on_confirmed;
@@ -29,10 +32,13 @@
 /// The watcher of a failure domain keeps a watch open. It also polls the store's
 /// revision at short intervals, because a watch without events does not prove
 /// that nothing has changed. The other routers read from the store only when a
-/// peer announces a change or when their state has gone unconfirmed for a while.
+/// peer announces a change, when their state has gone unconfirmed for a while, or
+/// to find out whether the store serves them again after a failed call.
 class store_follower {
 public:
-    store_follower(const asio::any_io_executor& executor, watched_kv_client& store, store_listener listener);
+    /// @param lapse_grace time after an outage in which expired entries reappear
+    store_follower(const asio::any_io_executor& executor, watched_kv_client& store, duration lapse_grace,
+                   store_listener listener);
 
     /// Follows the store until the executor stops.
     task<void> run();
@@ -51,6 +57,10 @@
     /// Records that a peer knows of changes up to a revision.
     void notify_revision(std::int64_t revision);
 
+    /// Records that a peer confirmed its state with the store.
+    /// @param age time since that confirmation
+    void record_peer_confirmation(duration age);
+
     /// Requests a confirmation from the store.
     void request_confirmation();
 
@@ -69,8 +79,8 @@
     task<void> back_off();
     task<void> pause(duration time);
     void record_success();
+    void record_service(time_point served_at);
     void record_failure(const failure& error);
-    bool may_have_lapsed(time_point now) const;
     duration time_until_work(time_point now) const;
 
     watched_kv_client& store_;
@@ -84,8 +94,8 @@
     bool prefers_listing_ = false;
     bool is_watcher_ = true;
     bool confirmation_requested_ = false;
-    std::optional<time_point> outage_since_;
-    std::optional<time_point> recovered_at_;
+    store_outage outage_;
+    std::optional<time_point> calls_fail_since_; ///< set while this router's calls fail
     int failures_in_row_ = 0;
 };
 
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/store_outage.hpp
@@ -0,0 +1,43 @@
+#ifndef CITRONWICK_FLEET_STORE_OUTAGE_HPP_INCLUDED
+#define CITRONWICK_FLEET_STORE_OUTAGE_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+
+#include <optional>
+
+namespace citronwick {
+
+/// Estimates when the platform's store was down for the whole fleet, so that
+/// entries whose leases expired meanwhile can be told from upstreams that left.
+///
+/// An outage lasts from a failed call of this router to the next moment at which
+/// the store is known to have served any router. This router's own calls alone
+/// would make outages too long: most routers call the store rarely, and the store
+/// may reject some routers while it serves the others.
+class store_outage {
+public:
+    /// @param grace time after an outage in which expired entries reappear
+    explicit store_outage(duration grace) : grace_{grace} {}
+
+    /// Records that a call of this router failed.
+    void record_failure(time_point now);
+
+    /// Records that the store served this router or another one.
+    /// @param served_at latest moment at which it is known to have done so
+    /// @return the length of the outage that has ended, if there was one
+    std::optional<duration> record_service(time_point served_at);
+
+    /// Time until which missing entries may have expired during an outage; none
+    /// if no outage has ended recently.
+    std::optional<time_point> lapse_window_end(time_point now) const;
+
+private:
+    duration grace_;
+    std::optional<time_point> failing_since_;
+    time_point served_at_;
+    std::optional<time_point> lapse_window_end_;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -24,31 +24,28 @@
 /// The upstreams listed in the platform's store.
 ///
 /// During a store outage leases expire although the upstreams are still
-/// running. Entries that are missing after an outage therefore stay usable for
-/// a grace period and are removed if they have not reappeared by its end.
-/// Outside of an outage, an upstream whose entry is missing gets no new requests
-/// from that moment on.
+/// running. Entries that are missing after an outage therefore stay usable until
+/// the end of the outage's lapse window, and are removed if they have not
+/// reappeared by then. At other times, an upstream whose entry is missing gets no
+/// new requests from that moment on.
 class upstream_directory {
 public:
-    /// @param grace for entries that lapsed during an outage, counted from the
-    ///        moment they are found missing
-    explicit upstream_directory(duration grace) : grace_{grace} {}
-
     /// Adds or updates an entry.
     /// @param revision of its last change; entries older than the known one are ignored
     /// @return the incarnation that it replaced, if any
     std::optional<ended_upstream> put(const upstream_entry& entry, std::int64_t revision, time_point now);
 
     /// Removes an entry that was deleted or cannot be decoded.
-    /// @param may_have_lapsed whether the store was unreachable recently
-    std::optional<ended_upstream> remove(const std::string& id, std::int64_t revision, bool may_have_lapsed,
-                                         std::string_view reason, time_point now);
+    /// @param usable_until end of the lapse window, none outside of one
+    std::optional<ended_upstream> remove(const std::string& id, std::int64_t revision,
+                                         std::optional<time_point> usable_until, std::string_view reason);
 
     /// Removes all entries that a complete listing lacks.
+    /// @param usable_until end of the lapse window, none outside of one
     std::vector<ended_upstream> retain(const std::set<std::string>& ids, std::int64_t revision,
-                                       bool may_have_lapsed, time_point now);
+                                       std::optional<time_point> usable_until);
 
-    /// Removes the entries whose grace period has ended.
+    /// Removes the missing entries whose lapse window has ended.
     std::vector<ended_upstream> expire(time_point now);
 
     /// Upstreams that accept new requests, by service.
@@ -66,10 +63,9 @@
     struct tracked_entry {
         routed_upstream upstream;
         std::int64_t revision = 0;
-        std::optional<time_point> lapsed_at{}; ///< when it was found missing after an outage
+        std::optional<time_point> usable_until{}; ///< set if it is missing and may have lapsed
     };
 
-    duration grace_;
     std::map<std::string, tracked_entry> entries_;
     std::map<std::string, std::int64_t> removal_revisions_; ///< by identifier
 };
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -18,30 +18,30 @@
 
 } // namespace
 
-declared_fleet::declared_fleet(const platform_adapter& adapter, suspect_registry& suspects, duration grace)
-    : adapter_{adapter}, suspects_{suspects}, layout_{adapter.layout()}, directory_{grace},
-      crash_detector_{crash_window} {}
+declared_fleet::declared_fleet(const platform_adapter& adapter, suspect_registry& suspects)
+    : adapter_{adapter}, suspects_{suspects}, layout_{adapter.layout()}, crash_detector_{crash_window} {}
 
-bool declared_fleet::apply(const kv_change& change, bool may_have_lapsed, time_point now) {
+bool declared_fleet::apply(const kv_change& change, std::optional<time_point> usable_until, time_point now) {
     if (change.key == layout_.configuration_key) {
         apply_configuration(change);
         return true;
     }
     if (change.key.starts_with(layout_.upstream_prefix)) {
-        apply_upstream(change, may_have_lapsed, now);
+        apply_upstream(change, usable_until, now);
         return true;
     }
     return false;
 }
 
-void declared_fleet::retain_listed(const kv_listing& listing, bool may_have_lapsed, time_point now) {
+void declared_fleet::retain_listed(const kv_listing& listing, std::optional<time_point> usable_until,
+                                   time_point now) {
     std::set<std::string> listed;
     for (const kv_item& item : listing.items) {
         if (item.key.starts_with(layout_.upstream_prefix)) {
             listed.insert(item.key.substr(layout_.upstream_prefix.size()));
         }
     }
-    for (const ended_upstream& ended : directory_.retain(listed, listing.revision, may_have_lapsed, now)) {
+    for (const ended_upstream& ended : directory_.retain(listed, listing.revision, usable_until)) {
         handle_end(ended, now);
     }
 }
@@ -86,20 +86,21 @@
                                         {"teams", std::to_string(config_->team_count())}});
 }
 
-void declared_fleet::apply_upstream(const kv_change& change, bool may_have_lapsed, time_point now) {
+void declared_fleet::apply_upstream(const kv_change& change, std::optional<time_point> usable_until,
+                                    time_point now) {
     const std::string id = change.key.substr(layout_.upstream_prefix.size());
     if (!change.value) {
-        const auto ended = directory_.remove(id, change.revision, may_have_lapsed, "entry removed", now);
+        const auto ended = directory_.remove(id, change.revision, usable_until, "entry removed");
         log_info("upstream_entry_removed", {{"upstream", id},
                                             {"revision", std::to_string(change.revision)},
-                                            {"doubted", may_have_lapsed ? "yes" : "no"}});
+                                            {"may_have_lapsed", usable_until ? "yes" : "no"}});
         handle_end(ended, now);
         return;
     }
     const auto entry = adapter_.decode_upstream(id, *change.value);
     if (entry.has_error()) {
         log_failure("upstream_entry_refused", entry.error());
-        handle_end(directory_.remove(id, change.revision, false, "entry unreadable", now), now);
+        handle_end(directory_.remove(id, change.revision, std::nullopt, "entry unreadable"), now);
         return;
     }
     handle_end(directory_.put(*entry, change.revision, now), now);
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -16,18 +16,19 @@
 /// Used by the control thread only. Every change is logged.
 class declared_fleet {
 public:
-    /// @param grace for entries that lapsed while the store was unreachable
-    declared_fleet(const platform_adapter& adapter, suspect_registry& suspects, duration grace);
+    declared_fleet(const platform_adapter& adapter, suspect_registry& suspects);
 
     /// Applies a change of a key.
-    /// @param may_have_lapsed whether the store was unreachable recently
+    /// @param usable_until time until which an upstream remains usable although its
+    ///        entry is removed, none outside of a lapse window
     /// @return false if the key is neither a configuration nor an upstream
-    bool apply(const kv_change& change, bool may_have_lapsed, time_point now);
+    bool apply(const kv_change& change, std::optional<time_point> usable_until, time_point now);
 
     /// Removes the upstreams that a complete listing lacks.
-    void retain_listed(const kv_listing& listing, bool may_have_lapsed, time_point now);
+    /// @param usable_until as for `apply`
+    void retain_listed(const kv_listing& listing, std::optional<time_point> usable_until, time_point now);
 
-    /// Removes the upstreams whose grace period has ended.
+    /// Removes the missing upstreams whose lapse window has ended.
     /// @return whether any were removed
     bool expire(time_point now);
 
@@ -45,7 +46,7 @@
 
 private:
     void apply_configuration(const kv_change& change);
-    void apply_upstream(const kv_change& change, bool may_have_lapsed, time_point now);
+    void apply_upstream(const kv_change& change, std::optional<time_point> usable_until, time_point now);
     void handle_end(const std::optional<ended_upstream>& ended, time_point now);
     void handle_end(const ended_upstream& ended, time_point now);
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -51,10 +51,10 @@
         : settings_{std::move(settings)}, layout_{adapter.layout()},
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
                  store_calls_},
-          follower_{context_.get_executor(), store_, make_store_listener()},
+          follower_{context_.get_executor(), store_, settings_.lapse_grace, make_store_listener()},
           peers_{context_.get_executor(), settings_, observations_, suspects_, make_peer_callbacks()},
-          declared_{adapter, suspects_, settings_.lapse_grace},
-          freshness_{settings_.key_lifetime - key_margin}, view_{std::make_shared<const routing_view>()} {}
+          declared_{adapter, suspects_}, freshness_{settings_.key_lifetime - key_margin},
+          view_{std::make_shared<const routing_view>()} {}
 
     io_result<endpoint> start() {
         const auto bound = peers_.open(settings_.fleet_listen);
@@ -114,16 +114,20 @@
     void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
 
     store_listener make_store_listener() {
-        return {
-            .on_listing = [this](const kv_listing& listing,
-                                 bool may_have_lapsed) { apply_listing(listing, may_have_lapsed); },
-            .on_changes = [this](const kv_changes& seen, std::int64_t previous,
-                                 bool may_have_lapsed) { apply_changes(seen, previous, may_have_lapsed); },
-            .on_confirmed =
-                [this](boot_time asked_at) {
-                    freshness_.confirm(asked_at);
-                    publish_freshness();
-                }};
+        return {.on_listing =
+                    [this](const kv_listing& listing, std::optional<time_point> usable_until) {
+                        apply_listing(listing, usable_until);
+                    },
+                .on_changes =
+                    [this](const kv_changes& seen, std::int64_t previous,
+                           std::optional<time_point> usable_until) {
+                        apply_changes(seen, previous, usable_until);
+                    },
+                .on_confirmed =
+                    [this](boot_time asked_at) {
+                        freshness_.confirm(asked_at);
+                        publish_freshness();
+                    }};
     }
 
     peer_callbacks make_peer_callbacks() {
@@ -138,6 +142,7 @@
                     },
                 .on_freshness_answer =
                     [this](boot_time asked_at, duration age, std::int64_t revision) {
+                        follower_.record_peer_confirmation(boot_now() - (asked_at - age));
                         if (freshness_.confirm_by_peer(asked_at, age, revision, follower_.revision())) {
                             publish_freshness();
                         }
@@ -164,30 +169,31 @@
 
     // Changes of the store
 
-    void apply_listing(const kv_listing& listing, bool may_have_lapsed) {
+    void apply_listing(const kv_listing& listing, std::optional<time_point> usable_until) {
         const auto now = clock::now();
         for (const kv_item& item : listing.items) {
-            apply_change({item.key, item.value, item.revision}, may_have_lapsed, now);
+            apply_change({item.key, item.value, item.revision}, usable_until, now);
         }
-        declared_.retain_listed(listing, may_have_lapsed, now);
+        declared_.retain_listed(listing, usable_until, now);
         registration_->set_listed();
         log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
                                   {"revision", std::to_string(listing.revision)},
-                                  {"may_have_lapsed", may_have_lapsed ? "yes" : "no"}});
+                                  {"may_have_lapsed", usable_until ? "yes" : "no"}});
         publish(now);
     }
 
-    void apply_changes(const kv_changes& seen, std::int64_t previous, bool may_have_lapsed) {
+    void apply_changes(const kv_changes& seen, std::int64_t previous,
+                       std::optional<time_point> usable_until) {
         const auto now = clock::now();
         peers_.forward_changes(seen, previous, now);
         for (const kv_change& change : seen.changes) {
-            apply_change(change, may_have_lapsed, now);
+            apply_change(change, usable_until, now);
         }
         publish(now);
     }
 
-    void apply_change(const kv_change& change, bool may_have_lapsed, time_point now) {
-        if (!declared_.apply(change, may_have_lapsed, now)) {
+    void apply_change(const kv_change& change, std::optional<time_point> usable_until, time_point now) {
+        if (!declared_.apply(change, usable_until, now)) {
             registration_->apply(change);
         }
     }
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -29,19 +29,22 @@
 constexpr int max_doublings_watcher = 3;
 /// Routers other than the watcher may retry less often, as the watcher announces
 /// changes once the store is back.
-constexpr int max_doublings_non_watcher = 6;
-/// Time after an outage in which removals may be due to expired leases.
-constexpr duration lapse_window = 1500ms;
-/// Shortest outage during which a lease may expire.
-constexpr duration shortest_lapse_outage = 1s;
+constexpr int max_doublings_non_watcher = 5;
+/// Time of failed calls from which this router reports the store as unreachable,
+/// and from which a listing is shorter than the history since.
+constexpr duration unreachable_after = 1s;
 /// Longest sleep when idle; new work ends it early.
 constexpr duration idle_sleep = 10s;
 
+std::string to_milliseconds(duration value) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 } // namespace
 
 store_follower::store_follower(const asio::any_io_executor& executor, watched_kv_client& store,
-                               store_listener listener)
-    : store_{store}, listener_{std::move(listener)}, wake_{executor} {}
+                               duration lapse_grace, store_listener listener)
+    : store_{store}, listener_{std::move(listener)}, wake_{executor}, outage_{lapse_grace} {}
 
 void store_follower::set_watcher(bool is_watcher) {
     if (is_watcher && !is_watcher_) {
@@ -58,6 +61,10 @@
     }
 }
 
+void store_follower::record_peer_confirmation(duration age) {
+    record_service(clock::now() - age);
+}
+
 void store_follower::request_confirmation() {
     confirmation_requested_ = true;
 }
@@ -120,8 +127,8 @@
         // are also read here.
         const bool has_overdue_notification =
             notified_revision_ > revision_ && clock::now() - notified_at_ >= notification_delay;
-        const bool is_due =
-            is_listed_ && (is_watcher_ || confirmation_requested_ || has_overdue_notification);
+        const bool is_due = is_listed_ && (is_watcher_ || confirmation_requested_ ||
+                                           has_overdue_notification || calls_fail_since_.has_value());
         bool succeeded = true;
         if (must_relist()) {
             succeeded = co_await list();
@@ -167,31 +174,33 @@
 }
 
 bool store_follower::is_store_reachable(time_point now) const {
-    return !outage_since_ || now - *outage_since_ < shortest_lapse_outage;
+    return !calls_fail_since_ || now - *calls_fail_since_ < unreachable_after;
 }
 
-bool store_follower::may_have_lapsed(time_point now) const {
-    return recovered_at_ && now - *recovered_at_ < lapse_window;
+void store_follower::record_service(time_point served_at) {
+    if (const auto length = outage_.record_service(served_at)) {
+        log_info("store_outage_ended",
+                 {{"length_ms", to_milliseconds(*length)}, {"revision", std::to_string(revision_)}});
+    }
 }
 
 void store_follower::record_success() {
     const auto now = clock::now();
-    if (outage_since_) {
-        const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(now - *outage_since_);
+    record_service(now);
+    if (calls_fail_since_) {
+        const duration away = now - *std::exchange(calls_fail_since_, std::nullopt);
         log_info("store_regained",
-                 {{"away_ms", std::to_string(away.count())}, {"failures", std::to_string(failures_in_row_)}});
-        if (now - *outage_since_ >= shortest_lapse_outage) {
-            recovered_at_ = now;
-            prefers_listing_ = is_listed_;
-        }
-        outage_since_.reset();
+                 {{"away_ms", to_milliseconds(away)}, {"failures", std::to_string(failures_in_row_)}});
+        prefers_listing_ = prefers_listing_ || (is_listed_ && away >= unreachable_after);
     }
     failures_in_row_ = 0;
 }
 
 void store_follower::record_failure(const failure& error) {
-    if (!outage_since_) {
-        outage_since_ = clock::now();
+    const auto now = clock::now();
+    outage_.record_failure(now);
+    if (!calls_fail_since_) {
+        calls_fail_since_ = now;
         log_warn("store_lost", {{"step", error.step},
                                 {"peer", error.peer},
                                 {"detail", error.detail},
@@ -218,7 +227,7 @@
     prefers_listing_ = false;
     confirmation_requested_ = false;
     revision_ = listing->revision;
-    listener_.on_listing(*listing, may_have_lapsed(clock::now()));
+    listener_.on_listing(*listing, outage_.lapse_window_end(clock::now()));
     listener_.on_confirmed(requested_at);
     co_return true;
 }
@@ -249,7 +258,7 @@
     drop_superseded(*seen);
     const auto previous = std::exchange(revision_, seen->revision);
     notified_revision_ = std::max(notified_revision_, revision_);
-    listener_.on_changes(*seen, previous, may_have_lapsed(clock::now()));
+    listener_.on_changes(*seen, previous, outage_.lapse_window_end(clock::now()));
     co_await pause(change_delay);
     co_return true;
 }
@@ -261,7 +270,7 @@
     prefers_listing_ = false;
     const auto before = std::exchange(revision_, forwarded.revision);
     notified_revision_ = std::max(notified_revision_, revision_);
-    listener_.on_changes(forwarded, before, may_have_lapsed(clock::now()));
+    listener_.on_changes(forwarded, before, outage_.lapse_window_end(clock::now()));
     return true;
 }
 
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -28,7 +28,7 @@
         return std::nullopt;
     }
     old.revision = revision;
-    old.lapsed_at.reset();
+    old.usable_until.reset();
     if (old.upstream.entry.incarnation == entry.incarnation) {
         const bool was_leaving = old.upstream.entry.leaving;
         old.upstream.entry = entry;
@@ -41,17 +41,17 @@
 }
 
 std::optional<ended_upstream> upstream_directory::remove(const std::string& id, std::int64_t revision,
-                                                         bool may_have_lapsed, std::string_view reason,
-                                                         time_point now) {
+                                                         std::optional<time_point> usable_until,
+                                                         std::string_view reason) {
     auto& removal = removal_revisions_[id];
     removal = std::max(removal, revision);
     const auto found = entries_.find(id);
     if (found == entries_.end() || found->second.revision > revision) {
         return std::nullopt;
     }
-    if (may_have_lapsed) {
-        if (!found->second.lapsed_at) {
-            found->second.lapsed_at = now;
+    if (usable_until) {
+        if (!found->second.usable_until) {
+            found->second.usable_until = usable_until;
         }
         return std::nullopt;
     }
@@ -61,8 +61,8 @@
 }
 
 std::vector<ended_upstream> upstream_directory::retain(const std::set<std::string>& ids,
-                                                       std::int64_t revision, bool may_have_lapsed,
-                                                       time_point now) {
+                                                       std::int64_t revision,
+                                                       std::optional<time_point> usable_until) {
     std::vector<std::string> missing;
     for (const auto& id : entries_ | std::views::keys) {
         if (!ids.contains(id)) {
@@ -71,7 +71,7 @@
     }
     std::vector<ended_upstream> ended;
     for (const std::string& id : missing) {
-        if (auto removed = remove(id, revision, may_have_lapsed, "not listed", now)) {
+        if (auto removed = remove(id, revision, usable_until, "not listed")) {
             ended.push_back(std::move(*removed));
         }
     }
@@ -81,9 +81,9 @@
 std::vector<ended_upstream> upstream_directory::expire(time_point now) {
     std::vector<ended_upstream> ended;
     std::erase_if(entries_, [&](const auto& entry) {
-        const bool is_over = entry.second.lapsed_at && now - *entry.second.lapsed_at >= grace_;
+        const bool is_over = entry.second.usable_until && now >= *entry.second.usable_until;
         if (is_over) {
-            ended.push_back({entry.second.upstream.entry, "not restored within the grace period"});
+            ended.push_back({entry.second.upstream.entry, "not restored within the lapse window"});
         }
         return is_over;
     });
--- /dev/null
+++ b/packages/fleet/tests/store_outage.tests.cpp
@@ -0,0 +1,39 @@
+#include "citronwick/fleet/store_outage.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace citronwick;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{1h};
+
+} // namespace
+
+TEST_CASE("an outage ends when the store has served any router") {
+    store_outage outage{2s};
+    outage.record_service(start);
+    outage.record_failure(start + 1s);
+    CHECK_FALSE(outage.record_service(start + 900ms));
+    CHECK(outage.record_service(start + 4s) == std::optional<duration>{3s});
+    CHECK(outage.lapse_window_end(start + 5s) == start + 6s);
+    CHECK_FALSE(outage.lapse_window_end(start + 6s));
+}
+
+TEST_CASE("a router that alone is rejected sees no outage") {
+    store_outage outage{2s};
+    for (auto time = start; time < start + 10s; time += 1s) {
+        outage.record_failure(time + 10ms);
+        outage.record_failure(time + 900ms);
+        CHECK_FALSE(outage.record_service(time + 1s));
+        CHECK_FALSE(outage.lapse_window_end(time + 1s));
+    }
+}
+
+TEST_CASE("a lapse window is counted from the end of the outage, whenever a removal is seen") {
+    store_outage outage{2s};
+    outage.record_failure(start);
+    outage.record_service(start + 5s);
+    CHECK(outage.lapse_window_end(start + 6900ms) == start + 7s);
+}
--- a/packages/fleet/tests/upstream_directory.tests.cpp
+++ b/packages/fleet/tests/upstream_directory.tests.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 TEST_CASE("a leaving upstream is unusable, whatever later entries of the same incarnation state") {
-    upstream_directory directory{2s};
+    upstream_directory directory;
     directory.put(worker("a"), 10, start);
     CHECK(usable(directory) == 1);
     directory.put(worker("a", 1, true), 11, start);
@@ -39,30 +39,30 @@
 }
 
 TEST_CASE("entries and removals older than the known revision are ignored") {
-    upstream_directory directory{2s};
+    upstream_directory directory;
     directory.put(worker("a", 2), 20, start);
     CHECK_FALSE(directory.put(worker("a", 1), 19, start));
-    CHECK_FALSE(directory.remove("a", 19, false, "test", start));
+    CHECK_FALSE(directory.remove("a", 19, std::nullopt, "test"));
     CHECK(usable(directory) == 1);
-    directory.remove("a", 21, false, "test", start);
+    directory.remove("a", 21, std::nullopt, "test");
     directory.put(worker("a", 2), 20, start);
     CHECK(usable(directory) == 0);
 }
 
 TEST_CASE("a removed entry is unusable at once unless the store was unreachable") {
-    upstream_directory directory{2s};
+    upstream_directory directory;
     directory.put(worker("a"), 10, start);
-    const auto ended = directory.remove("a", 11, false, "test", start);
+    const auto ended = directory.remove("a", 11, std::nullopt, "test");
     REQUIRE(ended);
     CHECK_FALSE(ended->entry.leaving);
     CHECK(usable(directory) == 0);
 }
 
-TEST_CASE("a lapsed entry stays usable until its grace period ends, and beyond if it reappears") {
-    upstream_directory directory{2s};
+TEST_CASE("a lapsed entry stays usable until the lapse window ends, and beyond if it reappears") {
+    upstream_directory directory;
     directory.put(worker("a"), 10, start);
     directory.put(worker("b"), 11, start);
-    CHECK(directory.retain({}, 20, true, start).empty());
+    CHECK(directory.retain({}, 20, start + 2s).empty());
     CHECK(usable(directory) == 2);
     directory.put(worker("a"), 21, start + 1s);
     CHECK(directory.expire(start + 1900ms).empty());
@@ -72,15 +72,15 @@
 }
 
 TEST_CASE("entries missing from a listing are removed") {
-    upstream_directory directory{2s};
+    upstream_directory directory;
     directory.put(worker("a"), 10, start);
     directory.put(worker("b"), 11, start);
-    CHECK(directory.retain({"b"}, 20, false, start).size() == 1);
+    CHECK(directory.retain({"b"}, 20, std::nullopt).size() == 1);
     CHECK(usable(directory) == 1);
 }
 
 TEST_CASE("a new incarnation of an upstream starts without the load of the previous one") {
-    upstream_directory directory{2s};
+    upstream_directory directory;
     directory.put(worker("a", 1), 10, start);
     const auto before = directory.usable().at("drafts").front();
     before.load->in_flight = 5;
