Ask again whether the upstream accepts requests once connected

Callers' requests reached upstreams that had left while their connection was being opened.

Cause: the upstream is chosen first, the connection may then take up to 300 ms, and the view was not read again. Class: time of check and time of use.

Now the newest view is asked right before the first byte, beside the freshness of the key; a request whose upstream has left is placed elsewhere as not sent.

--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronwick {
@@ -40,6 +41,10 @@
     std::size_t live_routers = 1;                                               ///< including this one
     std::size_t known_routers = 1; ///< registered routers, including this one
     std::int64_t revision = 0;     ///< of the store, up to which this view includes all changes
+
+    /// Whether an incarnation is an upstream of the service that accepts new requests.
+    /// @param upstream its hash
+    bool accepts_requests(std::string_view service, std::uint64_t upstream) const;
 };
 
 /// Hash that identifies an incarnation of an upstream.
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -18,14 +18,18 @@
     if (caller_.disconnected()) {
         co_return exchange_result{attempt_outcome::not_sent, "the caller left"};
     }
-    // Connecting may have taken long, and a request is sent only while its key is
-    // confirmed.
+    // Connecting may have taken long. A request is sent only while its key is
+    // confirmed and the upstream accepts requests.
     if (team_ != nullptr && !route_->anonymous) {
         refusal_before_send_ = check_key_freshness();
         if (refusal_before_send_) {
             co_return exchange_result{attempt_outcome::not_sent, refusal_before_send_->detail};
         }
     }
+    view_ = context_.plane.view();
+    if (!view_->accepts_requests(service_->name, placement_->upstream.hash)) {
+        co_return exchange_result{attempt_outcome::not_sent, "the upstream left meanwhile"};
+    }
     const auto now = clock::now();
     if (remaining_time(now) <= 0ms) {
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
