Ask the store directly when the watcher gives no confirmation for 1.5 s

Callers' requests could reach upstreams over 2,000 ms after the store had acknowledged that they leave, when the watcher of the router's failure domain had just died.

Cause: the others learnt of changes again only after its silence timeout (2,500 ms) or after five unanswered queries (0.8 s + 5 x 0.4 s), and asked the store themselves only at a confirmation 3.2 s old. Each of these is longer than the bound.

Now a router asks the store once its newest confirmation is 1.5 s old. With a living watcher it never gets there: a query goes out at 0.8 s, the next 0.4 s later, and the watcher confirms each second. The sum from an acknowledgement to the last router: 1.5 s, 0.1 s until the next check, two store calls. Configurations and keys travel the same way and gain the same bound.

--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -32,8 +32,9 @@
 /// Interval at which the number of store calls is logged.
 constexpr duration calls_log_interval = 10s;
 /// Age of the newest confirmation from which a router requests another one from
-/// the store instead of waiting for a peer's.
-constexpr duration self_confirm_age = 3200ms;
+/// the store instead of waiting for a peer's. Bounds how late a router whose
+/// watcher has failed learns of a change.
+constexpr duration self_confirm_age = 1500ms;
 /// Subtracted from the key lifetime, to allow for the time that a request takes
 /// to reach its upstream.
 constexpr duration key_margin = 200ms;
--- a/tests/integration/routes.tests.cpp
+++ b/tests/integration/routes.tests.cpp
@@ -21,6 +21,9 @@
 constexpr const char* six_events = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"
                                    "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n";
 
+/// Time after which no request may reach a worker that leaves.
+constexpr auto drain_bound = 2s;
+
 /// Number of response bytes that the store has sent.
 std::int64_t bytes_sent(const node& store) {
     const auto status = http_call(store.address(), {.target = "/standin/status"});
@@ -346,3 +349,29 @@
     system.start_router();
     CHECK(system.wait_ready());
 }
+
+TEST_CASE("proof: a router whose watcher died learns in time that a worker leaves") {
+    routed_fleet system{{.routers = 3}};
+    REQUIRE(system.wait_ready());
+    std::size_t killed = 0; // one of the three is the watcher
+    SUBCASE("the first router is killed") {
+        killed = 0;
+    }
+    SUBCASE("the second router is killed") {
+        killed = 1;
+    }
+    SUBCASE("the third router is killed") {
+        killed = 2;
+    }
+    const node& leaving = system.plain_workers()[0];
+    system.routers()[killed].process->signal(SIGKILL);
+    system.register_worker(leaving, "desk", "draining");
+    std::this_thread::sleep_for(drain_bound);
+    for (std::size_t index = 0; index < system.routers().size(); ++index) {
+        for (int count = 0; count < 10 && index != killed; ++count) {
+            const std::string attempt = std::to_string(index) + "-" + std::to_string(count);
+            CHECK(system.ask(system.routers()[index], "/read/1", attempt).status == 200);
+            CHECK(runs_of(leaving, attempt) == 0);
+        }
+    }
+}
