Count a peer's confirmation once the changes it speaks of have arrived

Cause: while configurations follow each other, the watcher's answer often names a revision that its asker has not applied yet.

Now the answer is kept and confirms the keys as soon as the router has applied that revision: what it holds then is at least as new as what the watcher had confirmed. The view is published first, so no request meets old keys under a new confirmation.

--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -213,6 +213,9 @@
             }
         }
         view_.store(std::move(next));
+        if (freshness_.advance(follower_.revision())) {
+            publish_freshness();
+        }
     }
 
     // Periodic tasks
--- a/packages/policy/include/citronwick/policy/key_freshness.hpp
+++ b/packages/policy/include/citronwick/policy/key_freshness.hpp
@@ -27,11 +27,16 @@
     /// @param age age of the peer's own confirmation when it responded
     /// @param revision newest revision known to the peer
     /// @param own_revision newest revision that this router has applied
-    /// @return whether the response confirms the keys. It does not if the peer
-    ///         knows of a newer revision than this router has applied.
+    /// @return whether the response confirms the keys. If the peer knows of a newer
+    ///         revision than this router has applied, it does so only once `advance`
+    ///         has reached that revision.
     bool confirm_by_peer(boot_time requested_at, duration age, std::int64_t revision,
                          std::int64_t own_revision);
 
+    /// Records that this router has applied the changes up to a revision.
+    /// @return whether that confirms the keys, by an earlier response of a peer
+    bool advance(std::int64_t own_revision);
+
     /// Age of the newest confirmation; empty if there has been none.
     std::optional<duration> age(boot_time now) const;
 
@@ -42,8 +47,15 @@
     std::optional<boot_time> confirmed_at() const { return confirmed_at_; }
 
 private:
+    /// Confirmation of a revision that this router has not applied yet.
+    struct pending_confirmation {
+        std::int64_t revision = 0;
+        boot_time confirmed_at{};
+    };
+
     duration limit_;
     std::optional<boot_time> confirmed_at_;
+    std::optional<pending_confirmation> pending_;
 };
 
 } // namespace citronwick
--- a/packages/policy/src/key_freshness.cpp
+++ b/packages/policy/src/key_freshness.cpp
@@ -10,13 +10,26 @@
 
 bool key_freshness::confirm_by_peer(boot_time requested_at, duration age, std::int64_t revision,
                                     std::int64_t own_revision) {
-    if (age < duration::zero() || revision > own_revision) {
+    if (age < duration::zero()) {
+        return false;
+    }
+    if (revision > own_revision) {
+        pending_ = {revision, requested_at - age};
         return false;
     }
     confirm(requested_at - age);
     return true;
 }
 
+bool key_freshness::advance(std::int64_t own_revision) {
+    if (!pending_ || pending_->revision > own_revision) {
+        return false;
+    }
+    confirm(pending_->confirmed_at);
+    pending_.reset();
+    return true;
+}
+
 std::optional<duration> key_freshness::age(boot_time now) const {
     if (!confirmed_at_) {
         return std::nullopt;
--- a/packages/policy/tests/key_freshness.tests.cpp
+++ b/packages/policy/tests/key_freshness.tests.cpp
@@ -54,3 +54,12 @@
     CHECK_FALSE(keys.is_fresh(at(2s)));
     CHECK_FALSE(keys.confirm_by_peer(at(2s), -1s, 7, 7));
 }
+
+TEST_CASE("a response from a peer with a newer revision confirms the keys once its changes have arrived") {
+    key_freshness keys{5s};
+    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, 8, 7));
+    CHECK_FALSE(keys.advance(7));
+    CHECK(keys.advance(9));
+    CHECK(*keys.age(at(3s)) == 2s);
+    CHECK_FALSE(keys.advance(10));
+}
