Refuse the prompt part that crashes upstreams, and only that part

Requests of one kind crashed one upstream after the other: no two are alike, so each was a suspect of its own and no count reached the limit.

Cause: what is convicted was the fingerprint of method, path, key and body. Besides, a crash was known only when the entry's lease had expired, over 2 s after the connections had broken. Class: the identity under which evidence is counted does not match what causes the fault.

Now each shared part of a prompt is a suspect beside the request. A part is refused with 422 from its third crash on, unless it was served after it became a suspect, or another suspect explains all of its crashes. Records of what is refused are repeated, so a router that starts or was cut off learns them; the table is bounded.

--- a/packages/control/include/citronwick/control/suspect_registry.hpp
+++ b/packages/control/include/citronwick/control/suspect_registry.hpp
@@ -1,18 +1,24 @@
 #ifndef CITRONWICK_CONTROL_SUSPECT_REGISTRY_HPP_INCLUDED
 #define CITRONWICK_CONTROL_SUSPECT_REGISTRY_HPP_INCLUDED
 
+#include "citronwick/policy/recent_keys.hpp"
 #include "citronwick/policy/suspect_table.hpp"
 #include "citronwick/wire/messages.hpp"
 
 #include <mutex>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace citronwick {
 
-/// Thread-safe table of the requests suspected of crashing upstreams. Traffic threads
-/// record crashes; the control thread gossips them.
+/// Thread-safe table of the requests and prompt parts suspected of crashing
+/// upstreams. Traffic threads record what was served; the control thread records
+/// crashes and gossips both.
 class suspect_registry {
 public:
+    suspect_registry();
+
     /// Records that an upstream crashed while it held the request, and queues the
     /// record for gossip.
     /// @param crash identifies the crash, equal on all routers that observed it; not 0
@@ -23,21 +29,35 @@
     /// queues the record for gossip.
     void record_served(std::uint64_t request, time_point now);
 
-    /// @return number of crashes attributed to the request
+    /// As `record_served`, for a part of a prompt. Counts only if the request was sent
+    /// after the part had become a suspect.
+    void record_served_part(std::uint64_t part, time_point sent_at, time_point now);
+
+    bool was_served_recently(std::uint64_t part, time_point now) const;
+
+    /// @return the part of a prompt that crashes upstreams, if any
+    std::optional<std::uint64_t> refused_part(std::span<const std::uint64_t> parts, std::uint8_t limit,
+                                              time_point now) const;
+
+    /// @return number of crashes attributed to the request or prompt part
     std::uint8_t crashes(std::uint64_t request, time_point now) const;
 
     /// Merges the records of another router, and queues new ones for gossip.
     void merge(const std::vector<wire::suspect_entry>& entries, time_point now);
 
-    /// @return the records queued for gossip since the last call
-    std::vector<wire::suspect_entry> take_updates();
+    /// @return the records queued for gossip since the last call, and from time to time
+    ///         those of one refused suspect, for routers that missed them
+    std::vector<wire::suspect_entry> take_updates(time_point now);
 
     void expire(time_point now);
 
 private:
     mutable std::mutex mutex_;
     suspect_table table_;
+    recent_keys served_parts_;
     std::vector<wire::suspect_entry> updates_;
+    std::uint64_t last_repeated_ = 0; ///< suspect whose records were repeated last
+    time_point repeated_at_;
 };
 
 } // namespace citronwick
--- a/packages/control/src/control_plane_state.cpp
+++ b/packages/control/src/control_plane_state.cpp
@@ -127,7 +127,7 @@
 }
 
 void control_plane::state::gossip_if_due(time_point now) {
-    pending_suspects_ = suspects_.take_updates();
+    pending_suspects_ = suspects_.take_updates(now);
     urgent_ = urgent_ || !pending_suspects_.empty();
     const bool refresh = now - last_refresh_at_ >= control_timing::refresh_interval;
     const bool is_due = urgent_ || refresh || version_rounds_left_ > 0 ||
--- a/packages/fleet/include/citronwick/fleet/crash_detector.hpp
+++ b/packages/fleet/include/citronwick/fleet/crash_detector.hpp
@@ -8,25 +8,37 @@
 
 namespace citronwick {
 
-/// Finds the requests that were running on an upstream when it crashed.
+/// Something that may have crashed an upstream.
+struct crash_suspect {
+    enum class kind : std::uint8_t { request, prompt_part };
+
+    std::uint64_t fingerprint = 0;
+    kind type = kind::request;
+
+    friend bool operator==(const crash_suspect&, const crash_suspect&) = default;
+};
+
+/// Finds what was running on an upstream when it crashed.
 ///
 /// A broken connection alone is not evidence of a crash, since networks and
-/// upstreams close connections for other reasons. The requests become suspects
-/// only if the upstream's incarnation then ends, unannounced, within a time window.
+/// upstreams close connections for other reasons. What was on it becomes suspect
+/// only if the upstream's incarnation is then found to have ended, unannounced,
+/// within a time window.
 class crash_detector {
 public:
     /// @param window time after a broken connection in which the end of the incarnation counts as a crash
     explicit crash_detector(duration window) : window_{window} {}
 
-    void record_broken_connection(std::uint64_t request, std::uint64_t upstream, time_point now);
+    void record_broken_connection(const std::vector<crash_suspect>& suspects, std::uint64_t upstream,
+                                  time_point now);
 
     /// Records that an incarnation has ended, and removes its broken connections.
-    /// @return the requests whose connections to it broke within the window
-    std::vector<std::uint64_t> upstream_ended(std::uint64_t upstream, time_point now);
+    /// @return what was on the connections to it that broke within the window
+    std::vector<crash_suspect> upstream_ended(std::uint64_t upstream, time_point now);
 
 private:
     struct broken_connection {
-        std::uint64_t request = 0;
+        crash_suspect suspect;
         std::uint64_t upstream = 0;
         time_point at;
     };
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace citronwick {
 
@@ -16,6 +17,7 @@
 class upstream_observations;
 class suspect_registry;
 struct routing_settings;
+struct crash_suspect;
 struct routing_view;
 
 /// The control thread of a router whose fleet is declared in the platform's store.
@@ -51,8 +53,11 @@
     suspect_registry& suspects();
 
     /// Records that a connection broke while the upstream was running a request.
-    /// @param request fingerprint of the request
-    void report_broken_connection(std::uint64_t request, std::uint64_t upstream);
+    /// @param suspects the request and the parts of its prompt that may have caused it
+    void report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream);
+
+    /// Records that an upstream refuses connections after one broke.
+    void report_refusing_upstream(std::uint64_t upstream);
 
     /// Calls to the platform's store since start.
     const kv_call_counts& store_calls() const;
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -54,6 +54,9 @@
     /// Load of an upstream's incarnation, null if it is unknown.
     std::shared_ptr<upstream_load> load_of(std::uint64_t hash) const;
 
+    /// Entry of an incarnation, null if it is unknown.
+    const upstream_entry* entry_of(std::uint64_t hash) const;
+
     /// Hashes of all known incarnations.
     std::set<std::uint64_t> hashes() const;
 
--- a/packages/fleet/src/crash_detector.cpp
+++ b/packages/fleet/src/crash_detector.cpp
@@ -5,18 +5,21 @@
 
 namespace citronwick {
 
-void crash_detector::record_broken_connection(std::uint64_t request, std::uint64_t upstream, time_point now) {
+void crash_detector::record_broken_connection(const std::vector<crash_suspect>& suspects,
+                                              std::uint64_t upstream, time_point now) {
     std::erase_if(broken_connections_,
                   [&](const broken_connection& each) { return now - each.at >= window_; });
-    broken_connections_.push_back({request, upstream, now});
+    std::ranges::transform(
+        suspects, std::back_inserter(broken_connections_),
+        [&](const crash_suspect& suspect) { return broken_connection{suspect, upstream, now}; });
 }
 
-std::vector<std::uint64_t> crash_detector::upstream_ended(std::uint64_t upstream, time_point now) {
-    std::vector<std::uint64_t> suspects;
+std::vector<crash_suspect> crash_detector::upstream_ended(std::uint64_t upstream, time_point now) {
+    std::vector<crash_suspect> suspects;
     std::erase_if(broken_connections_, [&](const broken_connection& each) {
         const bool was_there = each.upstream == upstream;
         if (was_there && now - each.at < window_) {
-            suspects.push_back(each.request);
+            suspects.push_back(each.suspect);
         }
         return was_there;
     });
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -54,8 +54,17 @@
     return !ended.empty();
 }
 
-void declared_fleet::record_broken_connection(std::uint64_t request, std::uint64_t upstream, time_point now) {
-    crash_detector_.record_broken_connection(request, upstream, now);
+void declared_fleet::record_broken_connection(const std::vector<crash_suspect>& suspects,
+                                              std::uint64_t upstream, time_point now) {
+    crash_detector_.record_broken_connection(suspects, upstream, now);
+}
+
+void declared_fleet::record_refusing_upstream(std::uint64_t upstream, time_point now) {
+    const upstream_entry* const entry = directory_.entry_of(upstream);
+    if (entry != nullptr && !entry->leaving) {
+        log_info("upstream_refuses", {{"upstream", entry->id}, {"service", entry->service}});
+        record_crash(*entry, now);
+    }
 }
 
 std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::usable() const {
@@ -119,23 +128,27 @@
     }
 }
 
-/// Logs the end of an incarnation. If it was unannounced, the requests whose
-/// connections broke on it become suspects.
+/// Logs the end of an incarnation. An unannounced one counts as a crash.
 void declared_fleet::handle_end(const ended_upstream& ended, time_point now) {
     log_info("upstream_ended", {{"upstream", ended.entry.id},
                                 {"service", ended.entry.service},
                                 {"reason", std::string{ended.reason}},
                                 {"announced", ended.entry.leaving ? "yes" : "no"}});
-    const auto upstream = upstream_hash(ended.entry);
-    const auto suspects = crash_detector_.upstream_ended(upstream, now);
-    if (ended.entry.leaving) {
-        return;
+    if (!ended.entry.leaving) {
+        record_crash(ended.entry, now);
     }
-    for (const std::uint64_t request : suspects) {
-        const auto crashes = suspects_.record_crash(request, short_hash(upstream), now);
-        log_warn("request_suspected", {{"fingerprint", std::to_string(request)},
-                                       {"upstream", ended.entry.id},
-                                       {"crashes", std::to_string(crashes)}});
+}
+
+/// What was on the upstream's broken connections becomes suspect.
+void declared_fleet::record_crash(const upstream_entry& crashed, time_point now) {
+    const auto upstream = upstream_hash(crashed);
+    for (const crash_suspect& suspect : crash_detector_.upstream_ended(upstream, now)) {
+        const auto crashes = suspects_.record_crash(suspect.fingerprint, short_hash(upstream), now);
+        const bool is_part = suspect.type == crash_suspect::kind::prompt_part;
+        log_warn(is_part ? "prompt_part_suspected" : "request_suspected",
+                 {{"fingerprint", std::to_string(suspect.fingerprint)},
+                  {"upstream", crashed.id},
+                  {"crashes", std::to_string(crashes)}});
     }
 }
 
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -33,7 +33,13 @@
     bool expire(time_point now);
 
     /// Records that a connection broke while the upstream was running a request.
-    void record_broken_connection(std::uint64_t request, std::uint64_t upstream, time_point now);
+    /// @param suspects the request and the parts of its prompt that may have caused it
+    void record_broken_connection(const std::vector<crash_suspect>& suspects, std::uint64_t upstream,
+                                  time_point now);
+
+    /// Records that an upstream refuses connections after one broke, so that its
+    /// process has ended.
+    void record_refusing_upstream(std::uint64_t upstream, time_point now);
 
     /// The configuration in force, null before the first one.
     std::shared_ptr<const routing_configuration> config() const { return config_; }
@@ -49,6 +55,7 @@
     void apply_upstream(const kv_change& change, std::optional<time_point> usable_until, time_point now);
     void handle_end(const std::optional<ended_upstream>& ended, time_point now);
     void handle_end(const ended_upstream& ended, time_point now);
+    void record_crash(const upstream_entry& crashed, time_point now);
 
     const platform_adapter& adapter_;
     suspect_registry& suspects_;
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -183,7 +183,7 @@
 wire::gossip router_peers::status_message(time_point now) {
     status_sent_at_ = now;
     wire::gossip message = load_message(now);
-    message.suspects = suspects_.take_updates();
+    message.suspects = suspects_.take_updates(now);
     observations_.add_updates(message);
     if (is_leaving_) {
         message.members.push_back(members_.self());
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -106,9 +106,15 @@
         return age && *age < freshness_.limit();
     }
 
-    void report_broken_connection(std::uint64_t request, std::uint64_t upstream) {
+    void report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream) {
+        asio::post(context_, [this, upstream, suspects = std::move(suspects)] {
+            declared_.record_broken_connection(suspects, upstream, clock::now());
+        });
+    }
+
+    void report_refusing_upstream(std::uint64_t upstream) {
         asio::post(context_,
-                   [=, this] { declared_.record_broken_connection(request, upstream, clock::now()); });
+                   [this, upstream] { declared_.record_refusing_upstream(upstream, clock::now()); });
     }
 
 private:
@@ -344,8 +350,12 @@
     return state_->suspects();
 }
 
-void routing_plane::report_broken_connection(std::uint64_t request, std::uint64_t upstream) {
-    state_->report_broken_connection(request, upstream);
+void routing_plane::report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream) {
+    state_->report_broken_connection(std::move(suspects), upstream);
+}
+
+void routing_plane::report_refusing_upstream(std::uint64_t upstream) {
+    state_->report_refusing_upstream(upstream);
 }
 
 const kv_call_counts& routing_plane::store_calls() const {
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -107,6 +107,12 @@
     return found == values.end() ? nullptr : (*found).upstream.load;
 }
 
+const upstream_entry* upstream_directory::entry_of(std::uint64_t hash) const {
+    const auto found = std::ranges::find_if(
+        entries_, [hash](const auto& each) { return each.second.upstream.hash == hash; });
+    return found == entries_.end() ? nullptr : &found->second.upstream.entry;
+}
+
 std::set<std::uint64_t> upstream_directory::hashes() const {
     std::set<std::uint64_t> found;
     std::ranges::transform(entries_ | std::views::values, std::inserter(found, found.end()),
--- a/packages/fleet/tests/upstream_directory.tests.cpp
+++ b/packages/fleet/tests/upstream_directory.tests.cpp
@@ -92,9 +92,9 @@
 
 TEST_CASE("a broken connection makes its request a suspect only if the upstream ends within the window") {
     crash_detector detector{6s};
-    detector.record_broken_connection(1, 100, start);
-    detector.record_broken_connection(2, 200, start);
-    CHECK(detector.upstream_ended(100, start + 1s) == std::vector<std::uint64_t>{1});
+    detector.record_broken_connection({{1}}, 100, start);
+    detector.record_broken_connection({{2}}, 200, start);
+    CHECK(detector.upstream_ended(100, start + 1s) == std::vector<crash_suspect>{{1}});
     CHECK(detector.upstream_ended(100, start + 1s).empty());
     CHECK(detector.upstream_ended(200, start + 7s).empty());
 }
--- a/packages/policy/include/citronwick/policy/prompt.hpp
+++ b/packages/policy/include/citronwick/policy/prompt.hpp
@@ -33,6 +33,10 @@
 /// All shared prefixes of a prompt, shortest first; empty if it has fewer than two parts.
 std::vector<shared_prefix> shared_prefixes(const prompt& request_prompt);
 
+/// Fingerprints of the parts of a prompt that other requests may share, in order,
+/// whatever precedes them; empty if it has fewer than two parts.
+std::vector<std::uint64_t> shared_part_fingerprints(const prompt& request_prompt);
+
 } // namespace citronwick
 
 #endif
--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -7,14 +7,17 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
+#include <vector>
 
 namespace citronwick {
 
-/// Tracks requests that may crash upstreams, by fingerprint.
+/// Tracks requests, and parts of prompts, that may crash upstreams, by fingerprint.
 ///
 /// Every request that is in flight on an upstream when it crashes becomes a
-/// suspect. A request that was in flight during `crash_limit` crashes is refused
-/// until its entry expires.
+/// suspect, and so may the parts of its prompt. What was in flight during
+/// `crash_limit` crashes without ever being served is refused until its entry
+/// expires. If the table is full, the entry that was updated longest ago gives way.
 class suspect_table {
 public:
     using fingerprint = std::uint64_t;
@@ -42,15 +45,41 @@
     /// Number of crashes recorded for a request; 0 if it was served or its entry has expired.
     std::uint8_t crashes(fingerprint request, time_point now) const;
 
+    /// Whether the suspect had crashed an upstream before a time.
+    bool was_suspected_at(fingerprint request, time_point then) const;
+
+    /// Finds a part of a prompt that is to be refused: one that has reached the limit,
+    /// unless a suspect outside of this prompt explains all of its crashes. Parts that
+    /// only ever occurred beside the one that crashes upstreams are thereby served,
+    /// and proved sound.
+    std::optional<fingerprint> refused_part(std::span<const fingerprint> parts, std::uint8_t limit,
+                                            time_point now) const;
+
+    /// A crash of a suspect.
+    struct crash_record {
+        fingerprint suspect = 0;
+        crash_id crash = 0;
+    };
+
+    /// All crashes of the first suspect after `previous` that has reached the limit,
+    /// in order of fingerprint and starting over at the end; empty if there is none.
+    std::vector<crash_record> next_refused(fingerprint previous, std::uint8_t limit, time_point now) const;
+
     /// Removes expired entries.
     void expire(time_point now);
 
+    std::size_t size() const { return entries_.size(); }
+
 private:
     struct entry {
         std::set<crash_id> crashes;
         bool was_served = false;
+        time_point suspected_at;
         time_point updated_at;
     };
+
+    entry& entry_of(fingerprint request);
+
     std::map<fingerprint, entry> entries_;
 };
 
--- a/packages/policy/src/prompt.cpp
+++ b/packages/policy/src/prompt.cpp
@@ -2,6 +2,8 @@
 
 #include "citronwick/core/hash.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace citronwick {
@@ -25,4 +27,17 @@
     return prefixes;
 }
 
+std::vector<std::uint64_t> shared_part_fingerprints(const prompt& request_prompt) {
+    // Distinguishes the fingerprints from those of whole requests.
+    static const std::uint64_t kind = hash64("prompt part");
+    std::vector<std::uint64_t> fingerprints;
+    if (request_prompt.empty()) {
+        return fingerprints;
+    }
+    std::transform(request_prompt.parts.begin(), std::prev(request_prompt.parts.end()),
+                   std::back_inserter(fingerprints),
+                   [](const prompt_part& part) { return hash_combine(kind, part.id); });
+    return fingerprints;
+}
+
 } // namespace citronwick
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -1,5 +1,8 @@
 #include "citronwick/policy/suspect_table.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 namespace citronwick {
 
 namespace {
@@ -8,6 +11,9 @@
 
 /// Time after the last new crash or successful run at which an entry expires.
 constexpr duration retention = 10min;
+constexpr std::size_t max_entries = 16'384;
+/// Crashes kept for one suspect; no limit is higher.
+constexpr std::size_t max_crashes = 16;
 
 } // namespace
 
@@ -17,11 +23,11 @@
 }
 
 bool suspect_table::merge(fingerprint request, crash_id crash, time_point now) {
-    entry& known = entries_[request];
+    entry& known = entry_of(request);
     if (now - known.updated_at >= retention) {
-        known = {};
+        known = {.suspected_at = now};
     }
-    const bool is_new = known.crashes.insert(crash).second;
+    const bool is_new = known.crashes.size() < max_crashes && known.crashes.insert(crash).second;
     if (is_new) {
         known.updated_at = now;
     }
@@ -45,6 +51,51 @@
     return is_suspect ? static_cast<std::uint8_t>(found->second.crashes.size()) : std::uint8_t{0};
 }
 
+bool suspect_table::was_suspected_at(fingerprint request, time_point then) const {
+    const auto found = entries_.find(request);
+    return found != entries_.end() && found->second.suspected_at <= then;
+}
+
+std::optional<suspect_table::fingerprint>
+suspect_table::refused_part(std::span<const fingerprint> parts, std::uint8_t limit, time_point now) const {
+    const auto is_refused = [&](fingerprint part) {
+        if (crashes(part, now) < limit) {
+            return false;
+        }
+        const std::set<crash_id>& to_explain = entries_.at(part).crashes;
+        return std::ranges::none_of(entries_, [&](const auto& each) {
+            return std::ranges::find(parts, each.first) == parts.end() && crashes(each.first, now) >= limit &&
+                   std::ranges::includes(each.second.crashes, to_explain);
+        });
+    };
+    const auto found = std::ranges::find_if(parts, is_refused);
+    return found == parts.end() ? std::nullopt : std::optional{*found};
+}
+
+std::vector<suspect_table::crash_record> suspect_table::next_refused(fingerprint previous, std::uint8_t limit,
+                                                                     time_point now) const {
+    const auto is_refused = [&](const auto& each) { return crashes(each.first, now) >= limit; };
+    const auto after = entries_.upper_bound(previous);
+    auto found = std::find_if(after, entries_.end(), is_refused);
+    if (found == entries_.end()) {
+        found = std::find_if(entries_.begin(), after, is_refused);
+    }
+    std::vector<crash_record> records;
+    if (found != entries_.end() && is_refused(*found)) {
+        std::ranges::transform(found->second.crashes, std::back_inserter(records),
+                               [&](crash_id crash) { return crash_record{found->first, crash}; });
+    }
+    return records;
+}
+
+suspect_table::entry& suspect_table::entry_of(fingerprint request) {
+    if (entries_.size() >= max_entries && !entries_.contains(request)) {
+        entries_.erase(
+            std::ranges::min_element(entries_, {}, [](const auto& each) { return each.second.updated_at; }));
+    }
+    return entries_[request];
+}
+
 void suspect_table::expire(time_point now) {
     std::erase_if(entries_, [now](const auto& each) { return now - each.second.updated_at >= retention; });
 }
--- a/packages/policy/tests/suspects.tests.cpp
+++ b/packages/policy/tests/suspects.tests.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/policy/suspect_table.hpp"
 
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace citronwick;
 using namespace std::chrono_literals;
@@ -39,3 +40,33 @@
     table.merge(7, 3, start + 2s);
     CHECK(table.crashes(7, start + 2s) == 0);
 }
+
+TEST_CASE("a part that only ever occurred beside the deadly one is served without it") {
+    const time_point start{1h};
+    constexpr std::uint64_t deadly = 1;
+    constexpr std::uint64_t companion = 2;
+    constexpr std::uint8_t limit = 3;
+    suspect_table table;
+    for (const std::uint32_t crash : {11U, 12U, 13U}) {
+        table.record_crash(deadly, crash, start);
+        table.record_crash(companion, crash, start);
+    }
+    const std::vector<std::uint64_t> both{companion, deadly};
+    const std::vector<std::uint64_t> sound{companion, 3};
+    CHECK(table.refused_part(both, limit, start));
+    CHECK_FALSE(table.refused_part(sound, limit, start));
+    table.record_crash(deadly, 14, start);
+    const std::vector<std::uint64_t> alone{deadly, 4};
+    CHECK(table.refused_part(alone, limit, start) == deadly);
+    CHECK_FALSE(table.refused_part(sound, limit, start));
+}
+
+TEST_CASE("the table of suspects is bounded, and the newest entries stay") {
+    const time_point start{1h};
+    suspect_table table;
+    for (std::uint64_t request = 0; request < 20'000; ++request) {
+        table.record_crash(request, 1, start + std::chrono::milliseconds{request});
+    }
+    CHECK(table.size() <= 16'384);
+    CHECK(table.crashes(19'999, start + 20s) == 1);
+}
--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -29,6 +29,8 @@
     void release(std::unique_ptr<upstream_connection> connection, time_point now,
                  duration idle_timeout = duration::max());
 
+    const asio::any_io_executor& executor() const { return executor_; }
+
 private:
     struct idle_connection {
         std::unique_ptr<upstream_connection> connection;
--- /dev/null
+++ b/packages/traffic/src/crash_probe.hpp
@@ -0,0 +1,35 @@
+#ifndef CITRONWICK_TRAFFIC_CRASH_PROBE_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_CRASH_PROBE_HPP_INCLUDED
+
+#include "citronwick/io/task.hpp"
+
+#include <set>
+
+namespace citronwick {
+
+class routing_plane;
+struct routed_upstream;
+
+/// Finds out whether an upstream whose connection broke has crashed.
+///
+/// Its entry in the store tells so only once its lease has expired. An upstream
+/// whose process has ended refuses new connections at once, whereas one that is
+/// cut off does not answer, and one that only closed a connection accepts another.
+class crash_probe {
+public:
+    explicit crash_probe(routing_plane& plane) : plane_{plane} {}
+
+    /// Starts probing an upstream unless that is under way, and reports to the
+    /// control thread if it refuses connections.
+    void start(const asio::any_io_executor& executor, const routed_upstream& upstream);
+
+private:
+    task<void> run(endpoint address, std::uint64_t upstream);
+
+    routing_plane& plane_;
+    std::set<std::uint64_t> in_progress_; ///< hashes of the upstreams
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/policy/retry_window.hpp"
 #include "citronwick/traffic/connection_pool.hpp"
+#include "crash_probe.hpp"
 
 #include <map>
 #include <string>
@@ -22,6 +23,7 @@
     route_metrics& counters;
     connection_pool pool;
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
+    crash_probe probe;
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/crash_detector.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
@@ -109,8 +110,22 @@
     const std::string method{request_.method_string()};
     fingerprint_ =
         hash64(method + " " + std::string{target} + "\n" + traits_.team_key + "\n" + request_.body());
-    if (context_.plane.suspects().crashes(fingerprint_, clock::now()) >= crash_limit) {
-        return problem{422, "crashes-upstreams", "upstreams crashed each time that this request ran"};
+    part_fingerprints_ = shared_part_fingerprints(traits_.text);
+    return check_crashes(clock::now());
+}
+
+/// Refuses requests that crash upstreams, by themselves or by a part of their prompt.
+std::optional<problem> route_exchange::check_crashes(time_point now) const {
+    const suspect_registry& suspects = context_.plane.suspects();
+    const auto result = state_.may_have_run_before ? outcome::unknown : outcome::not_run;
+    if (suspects.crashes(fingerprint_, now) >= crash_limit) {
+        return problem{422, "crashes-upstreams", "upstreams crashed each time that this request ran", result};
+    }
+    if (const auto part = suspects.refused_part(part_fingerprints_, crash_limit, now)) {
+        return problem{422, "prompt-part-crashes-upstreams",
+                       "upstreams crashed each time that a prompt with the part " + std::to_string(*part) +
+                           " ran",
+                       result};
     }
     return std::nullopt;
 }
@@ -150,6 +165,12 @@
 /// @return whether to try another upstream
 task<bool> route_exchange::run_attempt() {
     const auto started = clock::now();
+    attempt_sent_at_ = started;
+    refusal_before_send_ = check_crashes(started);
+    if (refusal_before_send_) {
+        next_step_ = next_step::refuse;
+        co_return false;
+    }
     view_ = context_.plane.view();
     const routing_settings& settings = context_.plane.settings();
     placement_parameters parameters = settings.placement;
@@ -268,10 +289,10 @@
                                                      now);
     }
     if (result.outcome == attempt_outcome::answered) {
-        context_.plane.suspects().record_served(fingerprint_, now);
+        record_served(now);
     }
     if (result.is_broken && !caller_disconnected) {
-        context_.plane.report_broken_connection(fingerprint_, upstream);
+        report_broken_connection(now);
     }
     const bool may_retry = !refusal_before_send_ && may_try_elsewhere(state_);
     const bool uses_retry_budget = result.outcome != attempt_outcome::not_sent;
@@ -288,6 +309,29 @@
     return next_step_ == next_step::try_elsewhere;
 }
 
+void route_exchange::record_served(time_point now) {
+    suspect_registry& suspects = context_.plane.suspects();
+    suspects.record_served(fingerprint_, now);
+    std::ranges::for_each(part_fingerprints_, [&](std::uint64_t part) {
+        suspects.record_served_part(part, attempt_sent_at_, now);
+    });
+}
+
+/// Reports what may have crashed the upstream: the request, and unless its response
+/// had begun, each part of its prompt with which no request was served lately.
+void route_exchange::report_broken_connection(time_point now) {
+    std::vector<crash_suspect> suspects{{fingerprint_, crash_suspect::kind::request}};
+    if (!state_.response_started) {
+        for (const std::uint64_t part : part_fingerprints_) {
+            if (!context_.plane.suspects().was_served_recently(part, now)) {
+                suspects.push_back({part, crash_suspect::kind::prompt_part});
+            }
+        }
+    }
+    context_.plane.report_broken_connection(std::move(suspects), placement_->upstream.hash);
+    context_.probe.start(context_.pool.executor(), placement_->upstream);
+}
+
 /// The problem reported for a request that got no response.
 problem route_exchange::failure_problem(next_step step) const {
     if (step == next_step::refuse) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -37,6 +37,9 @@
     std::optional<problem> resolve_route();
     std::optional<problem> authenticate_team();
     std::optional<problem> check_key_freshness() const;
+    std::optional<problem> check_crashes(time_point now) const;
+    void record_served(time_point now);
+    void report_broken_connection(time_point now);
     task<void> run_attempts();
     task<bool> run_attempt();
     task<exchange_result> send_request(upstream_connection& connection, in_flight_guard& in_flight);
@@ -69,12 +72,13 @@
     routed_placement_request placement_request_;
     std::optional<routed_placement> placement_;
     std::uint64_t fingerprint_ = 0;
+    std::vector<std::uint64_t> part_fingerprints_; ///< of the prompt's shared parts
     time_point deadline_;
+    time_point attempt_sent_at_;
     attempt_state state_;
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
-    std::optional<problem>
-        refusal_before_send_; ///< set if the request is refused after placement, before sending
+    std::optional<problem> refusal_before_send_; ///< set if the request is refused after its arrival
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -25,7 +25,8 @@
                    adapter.dialect(),
                    counters,
                    connection_pool{executor, settings.pooled_connection_age},
-                   {}} {}
+                   {},
+                   crash_probe{plane}} {}
 
     request_limits limits() const override {
         const auto view = context_.plane.view();
