End responses without end at their deadline, and bound what is buffered

A caller's request was held for 20 s and longer, past its deadline of 2 s, while an upstream sent bytes without end in the body of a response.

Cause: reads of a body were limited by the time since the last byte, so a body that never pauses had no end; events of a stream and bodies of streaming routes that are no streams had no limit of size either. Class: an idle timeout in place of a deadline. Heads and bytes that are no response were bounded already, by the parser.

Now bodies on routes are read until the request's deadline, at most 16 MiB are buffered, and a stream whose event exceeds 1 MiB or that passes the deadline is broken off. The other interfaces' buffered bodies have the same bound of size.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -46,8 +46,10 @@
     /// Reads the next chunk of the body; empty at its end.
     task<io_result<std::string>> read_some(std::chrono::milliseconds idle_timeout);
 
-    /// Reads the rest of the body.
-    task<io_result<std::string>> read_all(std::chrono::milliseconds idle_timeout);
+    /// Reads the rest of the body, up to the largest size that is buffered.
+    /// @param deadline time by which it must be complete
+    task<io_result<std::string>> read_all(std::chrono::milliseconds idle_timeout,
+                                          time_point deadline = time_point::max());
 
     /// Whether the response was read to its end and the connection stays open.
     bool reusable() const;
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -13,6 +13,13 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Largest event of a stream; bytes without an event boundary may come without end.
+constexpr std::size_t max_event_bytes = 1'048'576;
+
+} // namespace
+
 task<exchange_result> route_exchange::send_request(upstream_connection& connection,
                                                    in_flight_guard& in_flight) {
     if (caller_.disconnected()) {
@@ -50,7 +57,7 @@
             result.outcome = outcome_before;
         }
     } else if (result.outcome == attempt_outcome::not_run) {
-        co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms));
+        co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms), deadline_);
     }
     if (!exchange.reusable()) {
         connection.close();
@@ -77,7 +84,7 @@
 }
 
 task<exchange_result> route_exchange::buffer_response(upstream_connection& connection) {
-    auto body = co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms));
+    auto body = co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms), deadline_);
     if (body.has_error()) {
         co_return exchange_result{attempt_outcome::may_have_run, to_text(body.error()), true};
     }
@@ -98,6 +105,12 @@
             break;
         }
         std::string events = events_.push(*chunk);
+        const bool is_overlong = events_.pending_bytes() > max_event_bytes;
+        if (is_overlong || remaining_time(clock::now()) <= 0ms) {
+            connection.close();
+            co_return exchange_result{attempt_outcome::may_have_run,
+                                      is_overlong ? "an event is too long" : "the deadline has passed"};
+        }
         if (!events.empty() && !co_await relay_events(connection, std::move(events))) {
             co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
         }
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t chunk_bytes = 16'384;
+/// Largest body that is buffered, whatever its length field states.
+constexpr std::size_t max_buffered_bytes = 16'777'216;
 
 /// Time without a TCP acknowledgement after which a connection counts as broken.
 constexpr std::chrono::milliseconds ack_timeout{1'500};
@@ -129,9 +131,16 @@
     co_return std::string{};
 }
 
-task<io_result<std::string>> upstream_connection::read_all(std::chrono::milliseconds idle_timeout) {
+task<io_result<std::string>> upstream_connection::read_all(std::chrono::milliseconds idle_timeout,
+                                                           time_point deadline) {
     std::string body;
     while (true) {
+        if (body.size() > max_buffered_bytes) {
+            co_return close_with_failure("read response body", http::error::body_limit, true);
+        }
+        if (clock::now() >= deadline) {
+            co_return close_with_failure("read response body", asio::error::timed_out, true);
+        }
         auto chunk = co_await read_some(idle_timeout);
         if (chunk.has_error()) {
             co_return chunk.error();
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -34,7 +34,7 @@
             co_return classify();
         }
         skipped_response_ = true;
-        auto skipped = co_await connection_.read_all(time_until(deadline, clock::now()));
+        auto skipped = co_await connection_.read_all(time_until(deadline, clock::now()), deadline);
         if (skipped.has_error() || skipped->size() > max_skipped_response_bytes) {
             break;
         }
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -133,6 +133,12 @@
         co_await asio::async_write(stream, asio::buffer(garbage), use_tuple);
         co_return false;
     }
+    if (fault.starts_with("endless")) {
+        co_return co_await send_endless(stream, request, fault);
+    }
+    if (fault.starts_with("unframed")) {
+        co_return co_await send_unframed(stream, request, fault == "unframed_cut");
+    }
     if (request.target().find("/stream/") != std::string_view::npos) {
         co_return co_await run_stream(stream, request);
     }
@@ -143,6 +149,47 @@
     co_return sent;
 }
 
+/// Sends bytes until the caller closes, in the part of a response that the fault names.
+task<bool> routed_worker::send_endless(tcp_stream& stream, const http_request& request,
+                                       const std::string& fault) {
+    const std::string stamp = "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: x\r\nCitronwick-Attempt-Id: " +
+                              std::string{request[attempt_header]} + "\r\n";
+    std::string start = stamp + "Content-Type: text/event-stream\r\n\r\n";
+    if (fault == "endless_bytes") {
+        start.clear();
+    } else if (fault == "endless_head") {
+        start = stamp + "X-Padding: ";
+    }
+    const std::string padding(fault == "endless_drip" ? 1 : 65'536, 'x');
+    auto [error, size] = co_await asio::async_write(stream, asio::buffer(start), use_tuple);
+    while (!error) {
+        if (fault == "endless_drip") {
+            co_await sleep_for(1ms);
+        }
+        auto [write_error, written] = co_await asio::async_write(stream, asio::buffer(padding), use_tuple);
+        error = write_error;
+    }
+    ++aborted_runs_;
+    co_return false;
+}
+
+/// Sends a response that has neither a length nor chunks and ends with its connection.
+task<bool> routed_worker::send_unframed(tcp_stream& stream, const http_request& request, bool is_cut) {
+    std::string body = "done by " + id_;
+    if (request.target().find("/stream/") != std::string_view::npos) {
+        body = "";
+        for (std::int64_t id = 1; id <= event_count_; ++id) {
+            body += format_event(id);
+        }
+        body.resize(is_cut ? body.size() - 1 : body.size());
+    }
+    const std::string response = "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: stamp." + id_ +
+                                 "\r\nCitronwick-Attempt-Id: " + std::string{request[attempt_header]} +
+                                 "\r\n\r\n" + body;
+    co_await asio::async_write(stream, asio::buffer(response), use_tuple);
+    co_return false;
+}
+
 task<bool> routed_worker::run_stream(tcp_stream& stream, const http_request& request) {
     http::response<http::empty_body> response{make_header(request)};
     response.set(http::field::content_type, "text/event-stream");
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -23,6 +23,9 @@
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
+    task<bool> send_endless(boost::beast::tcp_stream& stream, const http_request& request,
+                            const std::string& fault);
+    task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request, bool is_cut);
     task<bool> send(boost::beast::tcp_stream& stream, const http_request& request, http::status status,
                     std::string body);
     http::response_header<> make_header(const http_request& request) const;
