Make the messages of the checks on endless responses compile

The operands of the message were built without parentheses, which doctest reads as its own operator.

--- a/tests/integration/routes.tests.cpp
+++ b/tests/integration/routes.tests.cpp
@@ -400,8 +400,8 @@
         for (const char* const path : {"/book/1", "/guide/stream/1"}) {
             const auto started = citronwick::clock::now();
             const auto answer = system.ask(router, path, std::string{fault} + path);
-            CHECK_MESSAGE(citronwick::clock::now() - started < 2500ms, std::string{fault} + path);
-            CHECK_MESSAGE((answer.status == 502 || answer.status == 504), std::string{fault} + path);
+            CHECK_MESSAGE(citronwick::clock::now() - started < 2500ms, (std::string{fault} + path));
+            CHECK_MESSAGE((answer.status == 502 || answer.status == 504), (std::string{fault} + path));
         }
     }
     CHECK(resident_kb(router) < max_memory_kb);
