Count crashes at the same moment once against a prompt part

Cause: a part was refused from three crashes on. Where 15 in 100 of 140 engines crash at one moment, each holds requests with the popular parts, which so get three crashes at once; the requests that could prove them sound are then refused everywhere. Class: repetitions of one event counted as independent evidence.

Now records carry the age of the crash, and crashes within 500 ms count once. A request that was sent after the first crash and answered proves its parts sound, also if the answer came before the accusation was heard.

--- a/packages/control/include/citronwick/control/suspect_registry.hpp
+++ b/packages/control/include/citronwick/control/suspect_registry.hpp
@@ -55,7 +55,16 @@
     mutable std::mutex mutex_;
     suspect_table table_;
     recent_keys served_parts_;
-    std::vector<wire::suspect_entry> updates_;
+    /// A record to gossip.
+    struct update {
+        std::uint64_t suspect = 0;
+        std::uint32_t crash = 0;
+        time_point crashed_at;
+    };
+
+    void record_served_locked(std::uint64_t suspect, time_point now);
+
+    std::vector<update> updates_;
     std::uint64_t last_repeated_ = 0; ///< suspect whose records were repeated last
     time_point repeated_at_;
 };
--- a/packages/control/src/suspect_registry.cpp
+++ b/packages/control/src/suspect_registry.cpp
@@ -1,5 +1,8 @@
 #include "citronwick/control/suspect_registry.hpp"
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace citronwick {
@@ -10,41 +13,53 @@
 
 /// Value of `suspect_entry::crash` in the record of a served request.
 constexpr std::uint32_t no_crash = 0;
-/// Time for which a served part is not accused. Keeps the most frequent parts, which
-/// are sound, out of the messages about each crash.
-constexpr duration served_lifetime = 2s;
+/// Time for which it is remembered that a part was served.
+constexpr duration served_lifetime = 10s;
+/// Time for which a part that was served is not accused. Keeps the most frequent
+/// parts out of the messages about each crash.
+constexpr duration immunity = 2s;
 constexpr std::size_t max_served_parts = 16'384;
 /// Interval at which the records of a refused suspect are sent again.
 constexpr duration repeat_interval = 1s;
 
+std::uint16_t to_age(duration value) {
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(value / wire::crash_age_unit, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
 } // namespace
 
 suspect_registry::suspect_registry() : served_parts_{served_lifetime, max_served_parts} {}
 
 std::uint8_t suspect_registry::record_crash(std::uint64_t request, std::uint32_t crash, time_point now) {
     const std::scoped_lock lock{mutex_};
-    updates_.push_back({request, crash});
+    updates_.push_back({request, crash, now});
     return table_.record_crash(request, crash, now);
 }
 
 void suspect_registry::record_served(std::uint64_t request, time_point now) {
     const std::scoped_lock lock{mutex_};
-    if (table_.record_served(request, now)) {
-        updates_.push_back({request, no_crash});
+    record_served_locked(request, now);
+}
+
+void suspect_registry::record_served_locked(std::uint64_t suspect, time_point now) {
+    if (table_.record_served(suspect, now)) {
+        updates_.push_back({suspect, no_crash, now});
     }
 }
 
 void suspect_registry::record_served_part(std::uint64_t part, time_point sent_at, time_point now) {
     const std::scoped_lock lock{mutex_};
-    served_parts_.record(part, now);
-    if (table_.was_suspected_at(part, sent_at) && table_.record_served(part, now)) {
-        updates_.push_back({part, no_crash});
+    served_parts_.record(part, sent_at);
+    if (table_.was_suspected_at(part, sent_at)) {
+        record_served_locked(part, now);
     }
 }
 
 bool suspect_registry::was_served_recently(std::uint64_t part, time_point now) const {
     const std::scoped_lock lock{mutex_};
-    return served_parts_.contains(part, now);
+    const auto sent_at = served_parts_.recorded_at(part, now);
+    return sent_at && now - *sent_at < immunity;
 }
 
 std::optional<std::uint64_t> suspect_registry::refused_part(std::span<const std::uint64_t> parts,
@@ -61,10 +76,17 @@
 void suspect_registry::merge(const std::vector<wire::suspect_entry>& entries, time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const wire::suspect_entry& entry : entries) {
-        const bool is_new = entry.crash == no_crash ? table_.record_served(entry.fingerprint, now)
-                                                    : table_.merge(entry.fingerprint, entry.crash, now);
-        if (is_new) {
-            updates_.push_back(entry);
+        if (entry.crash == no_crash) {
+            record_served_locked(entry.fingerprint, now);
+            continue;
+        }
+        const time_point crashed_at = now - entry.age * wire::crash_age_unit;
+        if (table_.merge(entry.fingerprint, entry.crash, crashed_at, now)) {
+            updates_.push_back({entry.fingerprint, entry.crash, crashed_at});
+        }
+        const auto served_at = served_parts_.recorded_at(entry.fingerprint, now);
+        if (served_at && *served_at > crashed_at) {
+            record_served_locked(entry.fingerprint, now);
         }
     }
 }
@@ -76,10 +98,14 @@
         repeated_at_ = now;
         for (const auto& record : table_.next_refused(last_repeated_, suspect_table::crash_limit, now)) {
             last_repeated_ = record.suspect;
-            updates.push_back({record.suspect, record.crash});
+            updates.push_back({record.suspect, record.crash, record.crashed_at});
         }
     }
-    return updates;
+    std::vector<wire::suspect_entry> entries;
+    std::ranges::transform(updates, std::back_inserter(entries), [now](const update& each) {
+        return wire::suspect_entry{each.suspect, each.crash, to_age(now - each.crashed_at)};
+    });
+    return entries;
 }
 
 void suspect_registry::expire(time_point now) {
--- a/packages/policy/include/citronwick/policy/recent_keys.hpp
+++ b/packages/policy/include/citronwick/policy/recent_keys.hpp
@@ -6,17 +6,20 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace citronwick {
 
-/// Remembers keys for a limited time after they were last recorded. Beyond its
-/// capacity, new keys are not remembered until others have expired.
+/// Remembers for a limited time when keys were last recorded. Beyond its capacity,
+/// new keys are not remembered until others have expired.
 class recent_keys {
 public:
     recent_keys(duration lifetime, std::size_t capacity) : lifetime_{lifetime}, capacity_{capacity} {}
 
-    void record(std::uint64_t key, time_point now);
-    bool contains(std::uint64_t key, time_point now) const;
+    void record(std::uint64_t key, time_point at);
+
+    /// Latest time at which the key was recorded, none if that has expired.
+    std::optional<time_point> recorded_at(std::uint64_t key, time_point now) const;
 
     /// Removes expired keys.
     void expire(time_point now);
--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <vector>
 
@@ -34,8 +33,9 @@
     std::uint8_t record_crash(fingerprint request, crash_id crash, time_point now);
 
     /// Merges a crash that another router observed.
+    /// @param crashed_at time of the crash
     /// @return whether the crash was not known before
-    bool merge(fingerprint request, crash_id crash, time_point now);
+    bool merge(fingerprint request, crash_id crash, time_point crashed_at, time_point now);
 
     /// Records that an upstream served the request, so the request did not cause the
     /// crashes. It is no longer a suspect.
@@ -45,13 +45,14 @@
     /// Number of crashes recorded for a request; 0 if it was served or its entry has expired.
     std::uint8_t crashes(fingerprint request, time_point now) const;
 
-    /// Whether the suspect had crashed an upstream before a time.
+    /// Whether the suspect was on an upstream that crashed before a time.
     bool was_suspected_at(fingerprint request, time_point then) const;
 
     /// Finds a part of a prompt that is to be refused: one that has reached the limit,
     /// unless a suspect outside of this prompt explains all of its crashes. Parts that
     /// only ever occurred beside the one that crashes upstreams are thereby served,
-    /// and proved sound.
+    /// and proved sound. Crashes at about the same time count once, since upstreams
+    /// that fail together may all hold requests with a popular part.
     std::optional<fingerprint> refused_part(std::span<const fingerprint> parts, std::uint8_t limit,
                                             time_point now) const;
 
@@ -59,6 +60,7 @@
     struct crash_record {
         fingerprint suspect = 0;
         crash_id crash = 0;
+        time_point crashed_at;
     };
 
     /// All crashes of the first suspect after `previous` that has reached the limit,
@@ -72,13 +74,13 @@
 
 private:
     struct entry {
-        std::set<crash_id> crashes;
+        std::map<crash_id, time_point> crashes;
         bool was_served = false;
-        time_point suspected_at;
         time_point updated_at;
     };
 
     entry& entry_of(fingerprint request);
+    std::size_t separate_crashes(fingerprint request, time_point now) const;
 
     std::map<fingerprint, entry> entries_;
 };
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 
 namespace citronwick {
 
@@ -14,20 +15,22 @@
 constexpr std::size_t max_entries = 16'384;
 /// Crashes kept for one suspect; no limit is higher.
 constexpr std::size_t max_crashes = 16;
+/// Shortest time between two crashes that count separately against a prompt part.
+constexpr duration crash_separation = 500ms;
 
 } // namespace
 
 std::uint8_t suspect_table::record_crash(fingerprint request, crash_id crash, time_point now) {
-    merge(request, crash, now);
+    merge(request, crash, now, now);
     return crashes(request, now);
 }
 
-bool suspect_table::merge(fingerprint request, crash_id crash, time_point now) {
+bool suspect_table::merge(fingerprint request, crash_id crash, time_point crashed_at, time_point now) {
     entry& known = entry_of(request);
     if (now - known.updated_at >= retention) {
-        known = {.suspected_at = now};
+        known = {};
     }
-    const bool is_new = known.crashes.size() < max_crashes && known.crashes.insert(crash).second;
+    const bool is_new = known.crashes.size() < max_crashes && known.crashes.emplace(crash, crashed_at).second;
     if (is_new) {
         known.updated_at = now;
     }
@@ -53,19 +56,40 @@
 
 bool suspect_table::was_suspected_at(fingerprint request, time_point then) const {
     const auto found = entries_.find(request);
-    return found != entries_.end() && found->second.suspected_at <= then;
+    return found != entries_.end() &&
+           std::ranges::any_of(found->second.crashes | std::views::values,
+                               [then](time_point crashed_at) { return crashed_at <= then; });
+}
+
+/// Number of crashes of a suspect that are far enough apart in time.
+std::size_t suspect_table::separate_crashes(fingerprint request, time_point now) const {
+    if (crashes(request, now) == 0) {
+        return 0;
+    }
+    std::vector<time_point> times;
+    std::ranges::copy(entries_.at(request).crashes | std::views::values, std::back_inserter(times));
+    std::ranges::sort(times);
+    std::size_t count = 0;
+    time_point counted_at;
+    for (const time_point crashed_at : times) {
+        if (count == 0 || crashed_at - counted_at >= crash_separation) {
+            counted_at = crashed_at;
+            ++count;
+        }
+    }
+    return count;
 }
 
 std::optional<suspect_table::fingerprint>
 suspect_table::refused_part(std::span<const fingerprint> parts, std::uint8_t limit, time_point now) const {
     const auto is_refused = [&](fingerprint part) {
-        if (crashes(part, now) < limit) {
+        if (separate_crashes(part, now) < limit) {
             return false;
         }
-        const std::set<crash_id>& to_explain = entries_.at(part).crashes;
+        const auto to_explain = entries_.at(part).crashes | std::views::keys;
         return std::ranges::none_of(entries_, [&](const auto& each) {
             return std::ranges::find(parts, each.first) == parts.end() && crashes(each.first, now) >= limit &&
-                   std::ranges::includes(each.second.crashes, to_explain);
+                   std::ranges::includes(each.second.crashes | std::views::keys, to_explain);
         });
     };
     const auto found = std::ranges::find_if(parts, is_refused);
@@ -82,8 +106,9 @@
     }
     std::vector<crash_record> records;
     if (found != entries_.end() && is_refused(*found)) {
-        std::ranges::transform(found->second.crashes, std::back_inserter(records),
-                               [&](crash_id crash) { return crash_record{found->first, crash}; });
+        std::ranges::transform(found->second.crashes, std::back_inserter(records), [&](const auto& crash) {
+            return crash_record{found->first, crash.first, crash.second};
+        });
     }
     return records;
 }
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_WIRE_MESSAGES_HPP_INCLUDED
 #define CITRONWICK_WIRE_MESSAGES_HPP_INCLUDED
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -76,8 +77,11 @@
 struct suspect_entry {
     std::uint64_t fingerprint = 0; ///< hash of team and body
     std::uint32_t crash = 0;       ///< identifies the crash; 0 states that the request was served
+    std::uint16_t age = 0;         ///< time since the crash, in units of `crash_age_unit`
 };
 
+constexpr std::chrono::milliseconds crash_age_unit{20};
+
 /// Load that the sender has on one upstream.
 struct load_entry {
     std::uint32_t upstream = 0;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -89,7 +89,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, suspect_entry& entry) {
-    archive(entry.fingerprint, entry.crash);
+    archive(entry.fingerprint, entry.crash, entry.age);
 }
 
 template <class Archive>
