Tell routers with forwarded changes that entries may have lapsed

Callers got 503 although their upstreams were alive: after an outage of the store, entries whose leases had expired were dropped at once by routers that had not noticed the outage.

Cause: each router judged by its own calls whether there had been an outage. A router that is no watcher makes none for 1.5 s, so one that lasted 2 s was often too short for it. Besides, an outage was counted from the first failed call, up to a second after it began.

Now the watcher sends with the changes for how long missing entries may have lapsed, and an outage is counted from the last to the next moment of service if a call failed in between, from 2 s on. A router that alone is rejected still sees none: its peer confirms each second.

"a router that made no call during an outage takes the watcher's word" does not compile before.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -32,8 +32,9 @@
     std::function<const load_exchange::load_map&()> loads;  ///< counters of the published upstreams
     std::function<void(std::int64_t revision)> on_revision; ///< known to a peer
     /// Called with changes of the store that a peer forwards.
+    /// @param lapse time for which missing entries may have lapsed, as the watcher knows
     /// @return whether they were new
-    std::function<bool(const kv_changes&, std::int64_t previous)> on_changes;
+    std::function<bool(const kv_changes&, std::int64_t previous, duration lapse)> on_changes;
     std::function<void(boot_time asked_at, duration age, std::int64_t revision)> on_freshness_answer;
 };
 
@@ -65,7 +66,9 @@
 
     /// Forwards changes of the store to the other routers of this failure domain
     /// if this router is their watcher.
-    void forward_changes(const kv_changes& seen, std::int64_t previous, time_point now);
+    /// @param lapse_window_end set if missing entries may have lapsed until then
+    void forward_changes(const kv_changes& seen, std::int64_t previous,
+                         std::optional<time_point> lapse_window_end, time_point now);
 
     /// Announces that this router is leaving.
     void leave(time_point now);
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -51,8 +51,10 @@
 
     /// Applies changes that a peer forwards, unless there is a gap before them.
     /// @param previous revision of the change before the first one
+    /// @param lapse time for which the peer takes missing entries for lapsed ones
     /// @return whether they were new and have been applied
-    bool apply_forwarded(const kv_changes& forwarded, std::int64_t previous);
+    bool apply_forwarded(const kv_changes& forwarded, std::int64_t previous,
+                         duration lapse = duration::zero());
 
     /// Records that a peer knows of changes up to a revision.
     void notify_revision(std::int64_t revision);
--- a/packages/fleet/include/citronwick/fleet/store_outage.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_outage.hpp
@@ -10,10 +10,10 @@
 /// Estimates when the platform's store was down for the whole fleet, so that
 /// entries whose leases expired meanwhile can be told from upstreams that left.
 ///
-/// An outage lasts from a failed call of this router to the next moment at which
-/// the store is known to have served any router. This router's own calls alone
-/// would make outages too long: most routers call the store rarely, and the store
-/// may reject some routers while it serves the others.
+/// An outage lasts from the last to the next moment at which the store is known to
+/// have served any router, if a call of this router failed in between. This
+/// router's own calls alone would make outages too long: most routers call the
+/// store rarely, and the store may reject some routers while it serves the others.
 class store_outage {
 public:
     /// @param grace time after an outage in which expired entries reappear
@@ -27,14 +27,18 @@
     /// @return the length of the outage that has ended, if there was one
     std::optional<duration> record_service(time_point served_at);
 
+    /// Records that a peer has seen an outage.
+    /// @param end of its lapse window
+    void extend_lapse_window(time_point end);
+
     /// Time until which missing entries may have expired during an outage; none
     /// if no outage has ended recently.
     std::optional<time_point> lapse_window_end(time_point now) const;
 
 private:
     duration grace_;
-    std::optional<time_point> failing_since_;
-    time_point served_at_;
+    std::optional<time_point> failing_since_; ///< first failed call since `served_at_`
+    std::optional<time_point> served_at_;     ///< latest moment of service known
     std::optional<time_point> lapse_window_end_;
 };
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -48,6 +48,11 @@
 
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
+std::uint16_t to_uint16_ms(duration value) {
+    return static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(value / 1ms, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
 }
 
 } // namespace
@@ -262,7 +267,8 @@
     exchange_tables(now);
 }
 
-void router_peers::forward_changes(const kv_changes& seen, std::int64_t previous, time_point now) {
+void router_peers::forward_changes(const kv_changes& seen, std::int64_t previous,
+                                   std::optional<time_point> lapse_window_end, time_point now) {
     if (!has_key_ || !is_registered_ || !is_watcher(now)) {
         return;
     }
@@ -278,7 +284,8 @@
                                            {"revision", std::to_string(seen.revision)}});
         message.changes.clear();
     }
-    message.watcher_positions.push_back({seen.revision, members_.self_hash()});
+    const duration lapse = lapse_window_end ? *lapse_window_end - now : duration::zero();
+    message.watcher_positions.push_back({seen.revision, members_.self_hash(), to_uint16_ms(lapse)});
     relay_changes(message, members_.self_hash(), now);
 }
 
@@ -337,8 +344,12 @@
                                      entry.is_removal ? std::nullopt : std::optional{std::move(entry.value)},
                                      entry.revision});
     }
-    if (callbacks_.on_changes(forwarded, previous) && !message.watcher_positions.empty()) {
-        relay_changes(message, message.watcher_positions.front().watcher, now);
+    if (message.watcher_positions.empty()) {
+        return;
+    }
+    const wire::watcher_position& position = message.watcher_positions.front();
+    if (callbacks_.on_changes(forwarded, previous, std::chrono::milliseconds{position.lapse_ms})) {
+        relay_changes(message, position.watcher, now);
     }
 }
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -144,8 +144,8 @@
                 .loads = [this]() -> const auto& { return loads_; },
                 .on_revision = [this](std::int64_t revision) { follower_.notify_revision(revision); },
                 .on_changes =
-                    [this](const kv_changes& forwarded, std::int64_t previous) {
-                        return follower_.apply_forwarded(forwarded, previous);
+                    [this](const kv_changes& forwarded, std::int64_t previous, duration lapse) {
+                        return follower_.apply_forwarded(forwarded, previous, lapse);
                     },
                 .on_freshness_answer =
                     [this](boot_time asked_at, duration age, std::int64_t revision) {
@@ -192,7 +192,7 @@
     void apply_changes(const kv_changes& seen, std::int64_t previous,
                        std::optional<time_point> usable_until) {
         const auto now = clock::now();
-        peers_.forward_changes(seen, previous, now);
+        peers_.forward_changes(seen, previous, usable_until, now);
         for (const kv_change& change : seen.changes) {
             apply_change(change, usable_until, now);
         }
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -263,14 +263,18 @@
     co_return true;
 }
 
-bool store_follower::apply_forwarded(const kv_changes& forwarded, std::int64_t previous) {
+bool store_follower::apply_forwarded(const kv_changes& forwarded, std::int64_t previous, duration lapse) {
     if (!is_listed_ || previous > revision_ || forwarded.revision <= revision_) {
         return false;
     }
     prefers_listing_ = false;
+    const auto now = clock::now();
+    if (lapse > duration::zero()) {
+        outage_.extend_lapse_window(now + lapse);
+    }
     const auto before = std::exchange(revision_, forwarded.revision);
     notified_revision_ = std::max(notified_revision_, revision_);
-    listener_.on_changes(forwarded, before, outage_.lapse_window_end(clock::now()));
+    listener_.on_changes(forwarded, before, outage_.lapse_window_end(now));
     return true;
 }
 
--- a/packages/fleet/tests/store_follower.tests.cpp
+++ b/packages/fleet/tests/store_follower.tests.cpp
@@ -148,3 +148,11 @@
     CHECK(seen.follower.revision() == seen.store.revision());
     CHECK(seen.window_of_listing);
 }
+
+TEST_CASE("a router that made no call during an outage takes the watcher's word for lapsed entries") {
+    followed_store seen;
+    const auto previous = seen.store.revision();
+    const kv_change forwarded = seen.store.remove("second");
+    CHECK(seen.follower.apply_forwarded({{forwarded}, forwarded.revision}, previous, 1500ms));
+    CHECK(seen.removals_doubted == 1);
+}
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -119,7 +119,8 @@
 /// Revision up to which a router that watches the store has received its changes.
 struct watcher_position {
     std::int64_t revision = 0;
-    std::uint64_t watcher = 0; ///< hash of the watching router's name
+    std::uint64_t watcher = 0;  ///< hash of the watching router's name
+    std::uint16_t lapse_ms = 0; ///< time for which missing entries may have lapsed in an outage
 };
 
 /// Asks for the age of the receiver's configuration.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -124,7 +124,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, watcher_position& position) {
-    archive(position.revision, position.watcher);
+    archive(position.revision, position.watcher, position.lapse_ms);
 }
 
 template <class Archive>
