Send load tables three times as often, and leave room for what they miss

Cause: placement of 77 routers used counts that were 0.6 to 0.7 s old, about as long as a request takes. All sent to the same engine until they heard that it was full. Class: a control loop whose delay is as long as what it controls. Evidence: with the logs of all routers, the load of each engine was added up and compared with the count that each placement had used: all 122 placements beyond the bound were within the router's own limit by its count; the mean was the same for all ways of counting it; the storm of configurations made no difference.

Tables held 8 B an upstream, so 3,000 B/s allowed one each 0.37 s, and a count took up to three of them. Now they list their upstreams once a second and hold 2 B an upstream, and go out each 150 ms in the same bytes. Routers report after 100 ms. In large fleets, placement keeps one of the three requests of load slack free for what others have sent since.

--- a/packages/fleet/include/citronwick/fleet/load_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/load_exchange.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace citronwick {
@@ -19,6 +20,10 @@
 
 /// Builds this router's load reports and merges those of the other routers.
 /// Sending the messages is left to the caller.
+///
+/// The tables of an aggregator list their upstreams only now and then; the tables
+/// in between hold the counts alone, in the same order. They are thereby small
+/// enough to be sent several times a second.
 class load_exchange {
 public:
     using load_map = std::map<std::uint32_t, std::shared_ptr<upstream_load>>;
@@ -59,7 +64,17 @@
     bool merge_table(const wire::gossip& message, time_point now);
 
 private:
+    /// Upstreams of an aggregator's tables.
+    struct upstream_list {
+        std::uint32_t number = 0; ///< of the table that listed them
+        std::vector<std::uint32_t> upstreams;
+    };
+    /// Aggregator, and hash of the failure domain's name or 0 for the whole fleet.
+    using table_kind = std::pair<std::uint64_t, std::uint64_t>;
+
     load_table local_table() const;
+    wire::gossip table_message(const load_table& table, std::uint64_t domain) const;
+    std::optional<load_table> read_table(const wire::gossip& message);
     void update_remote_loads(time_point now);
 
     std::uint64_t self_;
@@ -68,6 +83,9 @@
     load_totals totals_;
     load_table reported_; ///< local load as last reported
     std::uint32_t table_number_ = 0;
+    upstream_list own_list_; ///< of this router's tables as aggregator
+    std::map<table_kind, upstream_list> lists_;
+    time_point upstreams_listed_at_;
     time_point tables_built_at_;
     time_point averaged_at_;
     std::map<std::uint64_t, std::uint32_t> newest_table_; ///< table number by aggregator
--- a/packages/fleet/src/load_exchange.cpp
+++ b/packages/fleet/src/load_exchange.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <iterator>
 #include <limits>
+#include <ranges>
 #include <utility>
 
 namespace citronwick {
@@ -18,10 +20,14 @@
 /// since it noticeably delays other requests sent there.
 constexpr std::int32_t urgent_backlog = 2'000;
 /// Shortest interval between two tables of an aggregator.
-constexpr duration table_interval = 250ms;
+constexpr duration table_interval = 100ms;
+/// Interval at which tables list their upstreams again, for routers that missed it.
+constexpr duration list_interval = 1s;
 /// Byte rate of the tables that an aggregator builds; larger ones are built less
 /// often.
 constexpr double table_bytes_per_second = 3'000.0;
+/// Bytes of a table besides its counts.
+constexpr std::size_t table_header_bytes = 64;
 /// Time constant for averaging the requests of other routers.
 constexpr duration averaging_time = 3s;
 
@@ -39,6 +45,11 @@
     return table;
 }
 
+std::uint8_t to_uint8(std::int32_t value) {
+    return static_cast<std::uint8_t>(
+        std::clamp<std::int32_t>(value, 0, std::numeric_limits<std::uint8_t>::max()));
+}
+
 std::vector<wire::load_entry> entries_of(const load_table& table) {
     std::vector<wire::load_entry> entries;
     for (const auto& [upstream, load] : table) {
@@ -105,7 +116,8 @@
 load_exchange::build_tables(const std::vector<std::uint64_t>& routers, time_point now) {
     const load_table own_domain = totals_.sum_of(routers, local_table());
     const load_table fleet = totals_.fleet_load(domain_, own_domain, now);
-    const auto bytes = static_cast<double>(fleet.size() * sizeof(wire::load_entry));
+    const auto bytes =
+        static_cast<double>(table_header_bytes + tracked_loads_().size() * sizeof(wire::load_count));
     const auto interval_by_size =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>{bytes / table_bytes_per_second});
     if (now - tables_built_at_ < std::max(table_interval, interval_by_size)) {
@@ -113,20 +125,60 @@
     }
     tables_built_at_ = now;
     ++table_number_;
-    table_messages messages;
-    messages.domain.load_table_ids.push_back({self_, table_number_, domain_});
-    messages.domain.load_table = entries_of(own_domain);
-    messages.fleet.load_table_ids.push_back({self_, table_number_, 0});
-    messages.fleet.load_table = entries_of(fleet);
+    std::vector<std::uint32_t> upstreams;
+    std::ranges::copy(tracked_loads_() | std::views::keys, std::back_inserter(upstreams));
+    if (upstreams != own_list_.upstreams || now - upstreams_listed_at_ >= list_interval) {
+        upstreams_listed_at_ = now;
+        own_list_ = {table_number_, std::move(upstreams)};
+    }
+    table_messages messages{table_message(own_domain, domain_), table_message(fleet, 0)};
     totals_.set_fleet_load(fleet, local_table(), now);
     update_remote_loads(now);
     return messages;
 }
 
+wire::gossip load_exchange::table_message(const load_table& table, std::uint64_t domain) const {
+    wire::gossip message;
+    message.load_table_ids.push_back({self_, table_number_, domain, own_list_.number});
+    if (own_list_.number == table_number_) {
+        message.load_table_upstreams = own_list_.upstreams;
+    }
+    for (const std::uint32_t upstream : own_list_.upstreams) {
+        const auto found = table.find(upstream);
+        const load_amount load = found == table.end() ? load_amount{} : found->second;
+        message.load_table.push_back(
+            {to_uint8(load.in_flight), to_uint8(load.backlog / wire::count_unit_tokens)});
+    }
+    return message;
+}
+
+/// Reads a table.
+/// @return none if the table that lists its upstreams was missed
+std::optional<load_table> load_exchange::read_table(const wire::gossip& message) {
+    const wire::load_table_id& table_id = message.load_table_ids.front();
+    upstream_list& list = lists_[{table_id.aggregator, table_id.domain}];
+    if (!message.load_table_upstreams.empty()) {
+        list = {table_id.number, message.load_table_upstreams};
+    }
+    if (list.number != table_id.list_number || list.upstreams.size() != message.load_table.size()) {
+        return std::nullopt;
+    }
+    load_table table;
+    for (std::size_t index = 0; index < list.upstreams.size(); ++index) {
+        const wire::load_count& count = message.load_table[index];
+        if (count.in_flight > 0) {
+            table[list.upstreams[index]] = {count.in_flight, count.backlog * wire::count_unit_tokens};
+        }
+    }
+    return table;
+}
+
 bool load_exchange::merge_table(const wire::gossip& message, time_point now) {
     const wire::load_table_id& table_id = message.load_table_ids.front();
     if (table_id.domain != 0) {
-        totals_.set_domain_load(table_id.domain, table_of(message.load_table), now);
+        if (auto table = read_table(message)) {
+            totals_.set_domain_load(table_id.domain, std::move(*table), now);
+        }
         return false;
     }
     std::uint32_t& newest = newest_table_[table_id.aggregator];
@@ -134,8 +186,10 @@
         return false;
     }
     newest = table_id.number;
-    totals_.set_fleet_load(table_of(message.load_table), reported_, now);
-    update_remote_loads(now);
+    if (auto table = read_table(message)) {
+        totals_.set_fleet_load(std::move(*table), reported_, now);
+        update_remote_loads(now);
+    }
     return true;
 }
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -21,8 +21,10 @@
 
 /// Longest interval between two status messages.
 constexpr duration heartbeat_interval = 500ms;
-/// Shortest interval between two reports of minor load changes.
+/// Shortest interval between two reports of minor load changes, to all routers of
+/// a small fleet or to the load aggregator of a large one.
 constexpr duration load_report_interval = 150ms;
+constexpr duration aggregator_report_interval = 100ms;
 /// Age of a confirmation from which the watcher is queried for a newer one.
 constexpr duration query_age = 800ms;
 /// Shortest interval between two queries.
@@ -46,13 +48,13 @@
         std::clamp<std::int64_t>(whole, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
-wire::member_record self_record(const routing_settings& settings) {
-    return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 std::uint16_t to_uint16_ms(duration value) {
     return static_cast<std::uint16_t>(
         std::clamp<std::int64_t>(value / 1ms, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+wire::member_record self_record(const routing_settings& settings) {
+    return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 }
 
 } // namespace
@@ -202,7 +204,9 @@
 void router_peers::send_updates(time_point now) {
     using change = load_exchange::change;
     const auto local = loads_.local_change();
-    const bool may_wait = local == change::minor && now - load_sent_at_ < load_report_interval;
+    const duration report_interval =
+        members_.is_full_mesh() ? load_report_interval : aggregator_report_interval;
+    const bool may_wait = local == change::minor && now - load_sent_at_ < report_interval;
     const bool load_is_due = local != change::none && !may_wait && budget_.take(0.0, now);
     const bool status_is_due = now - status_sent_at_ >= heartbeat_interval;
     const auto aggregator = members_.address_of(watcher(now));
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -31,6 +31,12 @@
     double load_tie_threshold = 0.0;     ///< difference in load per slot up to which plain upstreams tie
 };
 
+/// Adapts the parameters to the age of the load counts in a fleet of this size.
+///
+/// In a large fleet counts are a fraction of a second old, and other routers send
+/// requests meanwhile.
+placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers);
+
 /// Result of a placement.
 struct routed_decision {
     std::optional<std::size_t> index; ///< index into the candidates; empty if no upstream is usable
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -24,6 +24,15 @@
 /// Difference in cost up to which engines count as equal. Routers with slightly
 /// different load counts then make the same choice.
 constexpr double tie_threshold_ms = 6.0;
+/// Largest fleet in which routers learn of each other's requests before these have
+/// ended.
+constexpr std::size_t max_small_fleet_routers = 9;
+/// Error of the load per slot that outdated counts cause in larger fleets.
+constexpr double large_fleet_tie_threshold = 0.5;
+/// Load slack in larger fleets; the rest is left for requests that other routers
+/// have sent since the counts were taken. From 1 on, the least loaded upstream is
+/// always within the bound.
+constexpr double large_fleet_load_slack = 2.0;
 
 struct estimate {
     std::size_t index = 0;
@@ -60,6 +69,15 @@
 
 } // namespace
 
+placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers) {
+    if (live_routers <= max_small_fleet_routers) {
+        return parameters;
+    }
+    parameters.load_tie_threshold = large_fleet_tie_threshold;
+    parameters.load_slack = std::min(parameters.load_slack, large_fleet_load_slack);
+    return parameters;
+}
+
 double load_limit(std::span<const routed_candidate> upstreams, const placement_parameters& parameters) {
     const double total =
         std::accumulate(upstreams.begin(), upstreams.end(), 0.0,
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -5,7 +5,11 @@
 #include "citronwick/policy/upstream_health.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <random>
 #include <ranges>
 #include <set>
 #include <string>
@@ -27,6 +31,53 @@
     return engines;
 }
 
+/// Plays routers that place requests by counts that are up to `count_age` old.
+/// @return share of the requests that reach an engine over the load bound
+double share_over_bound(const placement_parameters& used, std::chrono::milliseconds count_age) {
+    constexpr std::size_t engine_count = 140;
+    constexpr std::size_t subject_count = 500;
+    constexpr std::size_t request_count = 20'000;
+    constexpr double requests_per_ms = 0.64;
+    constexpr double mean_run_ms = 600.0;
+    auto counted = make_upstreams(engine_count);
+    std::ranges::for_each(counted, [](routed_candidate& each) { each.slots = 24; });
+    std::vector<routed_candidate> actual = counted;
+    std::multimap<double, std::size_t> ends;
+    std::mt19937 random{1};
+    const auto uniform = [&random] { return (static_cast<double>(random()) + 1.0) / 4'294'967'296.0; };
+    double now = 0.0;
+    double counted_at = 0.0;
+    std::size_t over_bound = 0;
+    for (std::size_t request = 0; request < request_count; ++request) {
+        now -= std::log(uniform()) / requests_per_ms;
+        while (!ends.empty() && ends.begin()->first <= now) {
+            actual[ends.begin()->second].in_flight -= 1.0;
+            ends.erase(ends.begin());
+        }
+        if (now - counted_at >= static_cast<double>(count_age.count())) {
+            counted_at = now;
+            std::ranges::transform(actual, counted.begin(), std::identity{});
+        }
+        // Popular subjects are asked for more often than others.
+        const double popularity = uniform() * uniform();
+        const auto subject = static_cast<std::uint64_t>(popularity * subject_count);
+        const std::uint64_t affinity = hash64("subject" + std::to_string(subject));
+        auto candidates = counted;
+        for (std::size_t index = 0; index < engine_count; ++index) {
+            const bool holds_prefix = hash64(std::to_string(subject), index) % engine_count < 5;
+            candidates[index].uncached_tokens = holds_prefix ? 500 : 8'000;
+        }
+        const auto chosen = place_on_engine(affinity, candidates, used).index;
+        if (!chosen) {
+            continue;
+        }
+        over_bound += actual[*chosen].in_flight > load_limit(actual, parameters) ? 1 : 0;
+        actual[*chosen].in_flight += 1.0;
+        ends.emplace(now - mean_run_ms * std::log(uniform()), *chosen);
+    }
+    return static_cast<double>(over_bound) / static_cast<double>(request_count);
+}
+
 } // namespace
 
 TEST_CASE("a request is placed on the engine that has cached its shared prefix") {
@@ -119,6 +170,19 @@
     CHECK(chosen[3] == 0);
 }
 
+TEST_CASE("counts of a large fleet that are 300 ms old do not push engines over the load bound") {
+    auto small_fleet = parameters;
+    small_fleet.acceptable_wait_ms = 240;
+    const auto large_fleet = adapt_to_fleet(small_fleet, 77);
+    CHECK(share_over_bound(small_fleet, 700ms) > 0.03);
+    CHECK(share_over_bound(large_fleet, 300ms) <= 0.03);
+}
+
+TEST_CASE("in a large fleet an idle service still accepts requests") {
+    const auto engines = make_upstreams(3);
+    CHECK(place_on_engine(1, engines, adapt_to_fleet(parameters, 77)).index);
+}
+
 TEST_CASE("a prefix expires after the retention time") {
     prefix_directory directory{60s};
     const std::vector<shared_prefix> prefixes{{1, 2'500}, {2, 8'600}};
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -32,11 +32,6 @@
 /// repeated.
 constexpr duration max_idle_for_unrepeatable = 4s;
 constexpr std::uint32_t lowest_priority = 9;
-/// Largest fleet in which routers learn of each other's requests before these have
-/// ended.
-constexpr std::size_t max_small_fleet_routers = 9;
-/// Error of the load per slot that outdated counts cause in larger fleets.
-constexpr double large_fleet_tie_threshold = 0.5;
 /// Share of the target latency that the wait for the first token may take without
 /// being noticed.
 constexpr double acceptable_wait_share = 0.3;
@@ -173,11 +168,9 @@
     }
     view_ = context_.plane.view();
     const routing_settings& settings = context_.plane.settings();
-    placement_parameters parameters = settings.placement;
+    placement_parameters parameters = adapt_to_fleet(settings.placement, view_->live_routers);
     parameters.acceptable_wait_ms =
         acceptable_wait_share * static_cast<double>(route_->target_latency.count());
-    parameters.load_tie_threshold =
-        view_->live_routers > max_small_fleet_routers ? large_fleet_tie_threshold : 0.0;
     placement_ = choose_upstream(placement_request_, *view_, context_.plane.observations(), parameters,
                                  settings.failure_domain, started);
     if (!placement_) {
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -95,11 +95,21 @@
 /// Identifies the load table in a message, which covers one failure domain or
 /// the whole fleet.
 struct load_table_id {
-    std::uint64_t aggregator = 0; ///< hash of the name of the router that built the table
-    std::uint32_t number = 0;     ///< increases with each table of that aggregator
-    std::uint64_t domain = 0;     ///< hash of the failure domain's name, 0 for the whole fleet
+    std::uint64_t aggregator = 0;  ///< hash of the name of the router that built the table
+    std::uint32_t number = 0;      ///< increases with each table of that aggregator
+    std::uint64_t domain = 0;      ///< hash of the failure domain's name, 0 for the whole fleet
+    std::uint32_t list_number = 0; ///< number of the table that lists the upstreams of this one
 };
 
+/// Load of one upstream in a load table, which saturates at the largest values.
+struct load_count {
+    std::uint8_t in_flight = 0;
+    std::uint8_t backlog = 0; ///< prompt tokens not yet processed, in units of `count_unit_tokens`
+};
+
+/// Prompt tokens in one unit of `load_count::backlog`.
+constexpr std::int32_t count_unit_tokens = 256;
+
 /// Revision up to which the sender has applied the changes in the platform's
 /// store. A message that holds one also holds all of the sender's load.
 struct store_position {
@@ -162,8 +172,10 @@
     std::vector<load_entry> load;
     std::vector<store_position> store_positions;
     std::vector<load_table_id> load_table_ids; ///< at most one
-    std::vector<load_entry> load_table;
-    std::string changes; ///< of the store, as written by `pack_changes`
+    /// Upstreams of the load table; empty if an earlier table has listed them.
+    std::vector<std::uint32_t> load_table_upstreams;
+    std::vector<load_count> load_table; ///< in the order of the listed upstreams
+    std::string changes;                ///< of the store, as written by `pack_changes`
     std::vector<watcher_position> watcher_positions;
     std::vector<freshness_query> freshness_queries;
     std::vector<freshness_answer> freshness_answers;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -114,7 +114,12 @@
 
 template <class Archive>
 void serialize(Archive& archive, load_table_id& id) {
-    archive(id.aggregator, id.number, id.domain);
+    archive(id.aggregator, id.number, id.domain, id.list_number);
+}
+
+template <class Archive>
+void serialize(Archive& archive, load_count& count) {
+    archive(count.in_flight, count.backlog);
 }
 
 template <class Archive>
@@ -177,7 +182,8 @@
                       message.slot_replies, message.reports, message.leaving, message.documents,
                       message.suspects, message.load, message.store_positions, message.freshness_queries,
                       message.freshness_answers, message.outcomes, message.prefixes, message.changes,
-                      message.watcher_positions, message.load_table_ids, message.load_table);
+                      message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
+                      message.load_table);
 }
 
 template <class Archive>
