--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -26,7 +26,7 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp.
+/// route_delivery.cpp, and what concerns crashes of upstreams in route_crashes.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request);
