--- a/packages/policy/tests/suspects.tests.cpp
+++ b/packages/policy/tests/suspects.tests.cpp
@@ -41,24 +41,24 @@
     CHECK(table.crashes(7, start + 2s) == 0);
 }
 
-TEST_CASE("a part that only ever occurred beside the deadly one is served without it") {
+TEST_CASE("a part that only ever occurred beside the crashing one is served without it") {
     const time_point start{1h};
-    constexpr std::uint64_t deadly = 1;
+    constexpr std::uint64_t crashing = 1;
     constexpr std::uint64_t companion = 2;
     constexpr std::uint8_t limit = 3;
     suspect_table table;
     for (const std::uint32_t crash : {11U, 12U, 13U}) {
-        table.record_crash(deadly, crash, start + crash * 1s);
+        table.record_crash(crashing, crash, start + crash * 1s);
         table.record_crash(companion, crash, start + crash * 1s);
     }
     const time_point now = start + 20s;
-    const std::vector<std::uint64_t> both{companion, deadly};
+    const std::vector<std::uint64_t> both{companion, crashing};
     const std::vector<std::uint64_t> sound{companion, 3};
     CHECK(table.refused_part(both, limit, now));
     CHECK_FALSE(table.refused_part(sound, limit, now));
-    table.record_crash(deadly, 14, now);
-    const std::vector<std::uint64_t> alone{deadly, 4};
-    CHECK(table.refused_part(alone, limit, now) == deadly);
+    table.record_crash(crashing, 14, now);
+    const std::vector<std::uint64_t> alone{crashing, 4};
+    CHECK(table.refused_part(alone, limit, now) == crashing);
     CHECK_FALSE(table.refused_part(sound, limit, now));
 }
 
--- a/tests/integration/crashing_prompt_parts.tests.cpp
+++ b/tests/integration/crashing_prompt_parts.tests.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr const char* deadly_part = "bad0bad0";
+constexpr const char* crashing_part = "bad0bad0";
 constexpr auto stable_window = 3s;
 constexpr std::size_t crashes_until_bound = 5;
 /// Requests with the part that may still reach engines after the stable window.
@@ -40,19 +40,19 @@
 TEST_CASE("proof: a prompt part that crashes engines is refused on all routers, and only that part") {
     routed_fleet system{{.routers = 3, .engines = 14}};
     REQUIRE(system.wait_ready());
-    set_faults(system.engines(), std::string{R"({"crash_on_part":")"} + deadly_part + "\"}");
+    set_faults(system.engines(), std::string{R"({"crash_on_part":")"} + crashing_part + "\"}");
     const auto ask_sound = [&](int count) {
         const std::string name = "a" + std::to_string(count);
         return ask_stream(system, system.routers()[static_cast<std::size_t>(count % 3)], name,
                           "c" + std::to_string(count % 4));
     };
-    const auto ask_deadly = [&](int count) {
+    const auto ask_crashing = [&](int count) {
         const std::string name = "d" + std::to_string(count);
-        return ask_stream(system, system.routers()[static_cast<std::size_t>(count % 3)], name, deadly_part);
+        return ask_stream(system, system.routers()[static_cast<std::size_t>(count % 3)], name, crashing_part);
     };
     int refused = 0;
     for (int count = 0; count < 30; ++count) {
-        refused += ask_deadly(count).status == 422 ? 1 : 0;
+        refused += ask_crashing(count).status == 422 ? 1 : 0;
         ask_sound(count);
         std::this_thread::sleep_for(150ms);
     }
@@ -72,6 +72,6 @@
         system.start_router();
         REQUIRE(system.wait_ready());
         std::this_thread::sleep_for(stable_window);
-        CHECK(ask_stream(system, system.routers().back(), "late", deadly_part).status == 422);
+        CHECK(ask_stream(system, system.routers().back(), "late", crashing_part).status == 422);
     }
 }
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -39,7 +39,7 @@
         remaining_faults_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         cut_after_events_ = integer_member(fault_settings, "cut_after");
-        deadly_part_ = string_member(fault_settings, "crash_on_part");
+        crashing_part_ = string_member(fault_settings, "crash_on_part");
         co_return co_await send_response(stream, http::status::ok, "{}");
     }
     if (target == "/standin/runs") {
@@ -200,7 +200,7 @@
         co_return false;
     }
     const std::string_view parts = request["Citronwick-Prompt-Prefix"];
-    if (!deadly_part_.empty() && parts.find(deadly_part_) != std::string_view::npos) {
+    if (!crashing_part_.empty() && parts.find(crashing_part_) != std::string_view::npos) {
         std::_Exit(EXIT_FAILURE);
     }
     const std::string last_event_id{request["Last-Event-Id"]};
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -37,7 +37,7 @@
     std::chrono::milliseconds delay_{0};
     std::int64_t event_count_ = 6;
     std::int64_t cut_after_events_ = 0; ///< events before a stream is cut, 0 for never
-    std::string deadly_part_;           ///< part of a prompt on which the process ends, empty for none
+    std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
     std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
     boost::json::object runs_;          ///< by attempt id
     standin_server server_;
