--- a/packages/control/src/suspect_registry.cpp
+++ b/packages/control/src/suspect_registry.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t no_crash = 0;
 /// Time for which it is remembered that a part was served.
 constexpr duration served_lifetime = 10s;
-/// Time for which a part that was served is not accused. Keeps the most frequent
+/// Time for which a part that was served is not suspected. Keeps the most frequent
 /// parts out of the messages about each crash.
 constexpr duration immunity = 2s;
 constexpr std::size_t max_served_parts = 16'384;
--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -51,7 +51,7 @@
     /// Finds a part of a prompt that is to be refused: one that has reached the limit,
     /// unless a suspect outside of this prompt explains all of its crashes. Parts that
     /// only ever occurred beside the one that crashes upstreams are thereby served,
-    /// and proved sound. Crashes at about the same time count once, since upstreams
+    /// and cleared. Crashes at about the same time count once, since upstreams
     /// that fail together may all hold requests with a popular part.
     std::optional<fingerprint> refused_part(std::span<const fingerprint> parts, std::uint8_t limit,
                                             time_point now) const;
