--- /dev/null
+++ b/packages/policy/src/permit_pool.cpp
@@ -0,0 +1,90 @@
+#include "citronwick/policy/permit_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Rate at which requests are sent to an upstream whose limit is lower or 0. Their
+/// responses tell when the limit has ended.
+constexpr double min_rate = 0.1;
+/// A bucket holds the permits of this time, and one more.
+constexpr double capacity_seconds = 0.5;
+/// Permits that a bucket may hold beyond its capacity because they were given to it.
+constexpr double max_given = 3.0;
+constexpr double max_surplus = 1.0;
+/// Requests for each permit up to which rejected routers are told to return with the
+/// next permit. More than one, since not every router has a request by then.
+constexpr double requests_per_permit = 3.0;
+/// Time constant for averaging the rate of rejections.
+constexpr std::chrono::duration<double> averaging_time{1.0};
+constexpr duration max_wait = 2s;
+
+double capacity(double rate) {
+    return 1.0 + capacity_seconds * rate;
+}
+
+} // namespace
+
+permit_pool::bucket& permit_pool::refill(std::uint32_t upstream, double limit, double share, time_point now) {
+    // A bucket starts empty: requests were sent without permits until the limit was known.
+    const auto [found, is_new] = buckets_.try_emplace(upstream, bucket{.refilled_at = now});
+    bucket& filled = found->second;
+    const std::chrono::duration<double> elapsed = now - filled.refilled_at;
+    filled.refilled_at = now;
+    const double rate = std::max(limit, min_rate) * std::clamp(share, 0.0, 1.0);
+    if (rate < filled.rate) {
+        filled.permits = std::min(filled.permits, capacity(rate));
+    }
+    filled.rate = rate;
+    const double added = filled.rate * std::max(elapsed.count(), 0.0);
+    const double room = std::max(capacity(filled.rate) - filled.permits, 0.0);
+    filled.permits += std::min(added, room);
+    filled.surplus = std::min(filled.surplus + std::max(added - room, 0.0), max_surplus);
+    return filled;
+}
+
+permit_decision permit_pool::take(std::uint32_t upstream, double limit, double share, time_point now) {
+    bucket& filled = refill(upstream, limit, share, now);
+    if (filled.permits >= 1.0) {
+        filled.permits -= 1.0;
+        return {true, duration::zero()};
+    }
+    ++rejections_[upstream];
+    const std::chrono::duration<double> elapsed = now - std::exchange(filled.rejected_at, now);
+    filled.rejection_rate = filled.rejection_rate * std::exp(-elapsed / averaging_time) + 1.0;
+    if (filled.rate <= 0.0) {
+        return {false, max_wait};
+    }
+    const double contention = std::max(1.0, filled.rejection_rate / (requests_per_permit * filled.rate));
+    const std::chrono::duration<double> wait{contention * (1.0 - filled.permits) / filled.rate};
+    return {false, std::chrono::ceil<duration>(std::min<std::chrono::duration<double>>(wait, max_wait))};
+}
+
+std::uint32_t permit_pool::take_surplus(std::uint32_t upstream, double limit, double share, time_point now) {
+    bucket& filled = refill(upstream, limit, share, now);
+    const double whole = std::floor(filled.surplus);
+    filled.surplus -= whole;
+    return static_cast<std::uint32_t>(whole);
+}
+
+void permit_pool::add(std::uint32_t upstream, std::uint32_t permits, time_point now) {
+    const auto [found, is_new] = buckets_.try_emplace(upstream, bucket{.refilled_at = now});
+    bucket& filled = found->second;
+    filled.permits = std::min(filled.permits + permits, capacity(filled.rate) + max_given);
+}
+
+std::map<std::uint32_t, std::uint32_t> permit_pool::take_rejections() {
+    return std::exchange(rejections_, {});
+}
+
+void permit_pool::retain(const std::set<std::uint32_t>& limited) {
+    std::erase_if(buckets_, [&](const auto& entry) { return !limited.contains(entry.first); });
+}
+
+} // namespace citronwick
