Share the rate limits that upstreams name between all routers

Cause: no code read the field, and the limit is one for all routers together. Each request to a limited upstream now needs a permit of its failure domain's coordinator, which hands out the parts of the routers that delegate to it, so that the sum is kept whatever routers believe about each other; limits are told to all routers, and permits go where requests are. Checked again right before sending; retries and resumed streams pass the same place. Routers that have ended have no part.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -22,6 +22,7 @@
     std::optional<time_point> last_heard_at{}; ///< time of the last authenticated message from it
     time_point discovered_at;
     time_point last_contacted_at; ///< time of the last message sent to it
+    bool is_registered = true;    ///< has an entry in the platform's store
 };
 
 /// Membership list of the fleet, with the liveness of each router as seen from
@@ -87,6 +88,13 @@
     /// Number of other known routers, live or silent.
     std::size_t known_count() const { return others_.size(); }
 
+    /// Number of other routers that may still send requests: those with an entry in
+    /// the store, or live, except for those that announced their end and are silent.
+    std::size_t active_count(time_point now) const;
+
+    /// Records that a router's entry was removed from the store.
+    void record_unregistered(const std::string& vm);
+
     /// Whether the fleet is small enough to send each message to all routers.
     bool is_full_mesh() const;
 
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -50,6 +50,7 @@
         known.record = record;
         known.address = *address;
         known.discovered_at = now;
+        known.is_registered = true;
     }
     return newer || leaves;
 }
@@ -148,6 +149,20 @@
     return found;
 }
 
+std::size_t membership::active_count(time_point now) const {
+    const auto is_active = [&](const member& other) {
+        const bool is_silent = !other.last_heard_at || now - *other.last_heard_at >= base_silence_timeout;
+        return other.record.leaving ? !is_silent : other.is_registered || is_live(other, now);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(others_ | std::views::values, is_active));
+}
+
+void membership::record_unregistered(const std::string& vm) {
+    if (const auto found = others_.find(hash64(vm)); found != others_.end()) {
+        found->second.is_registered = false;
+    }
+}
+
 bool membership::is_full_mesh() const {
     return others_.size() <= max_full_mesh_peers;
 }
--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -43,6 +43,9 @@
     bool is_not_run = false; ///< the upstream states that it did not run the request
     bool is_encoded = false; ///< the body has a content encoding that was not requested
     std::optional<reported_load> load{};
+    /// Requests a second that the upstream takes from all routers together; not a
+    /// finite number, or negative, if what it names is unusable. Empty if it names none.
+    std::optional<double> rate_limit{};
     std::optional<std::chrono::milliseconds> idle_timeout{}; ///< of the connection
 };
 
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
+#include "citronwick/fleet/permit_exchange.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/watcher_selector.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
@@ -21,6 +22,7 @@
 
 class upstream_observations;
 class suspect_registry;
+class upstream_limits;
 struct routing_settings;
 
 /// Callbacks by which `router_peers` reads this router's state and passes on
@@ -43,7 +45,8 @@
 class router_peers {
 public:
     router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
-                 upstream_observations& observations, suspect_registry& suspects, peer_callbacks callbacks);
+                 upstream_observations& observations, suspect_registry& suspects, upstream_limits& limits,
+                 peer_callbacks callbacks);
 
     /// Binds the fleet channel.
     io_result<endpoint> open(const endpoint& listen);
@@ -61,6 +64,9 @@
     /// Adds or updates a router from its entry in the store.
     void merge_member(const wire::member_record& record, time_point now);
 
+    /// Records that a router's entry was removed from the store.
+    void record_unregistered(const std::string& vm) { members_.record_unregistered(vm); }
+
     /// Sends the messages that are due. To be called periodically.
     void tick(time_point now);
 
@@ -70,6 +76,10 @@
     void forward_changes(const kv_changes& seen, std::int64_t previous,
                          std::optional<time_point> lapse_window_end, time_point now);
 
+    /// Requests a permit for one request to a rate-limited upstream.
+    /// @param reply called once, or never if the coordinator does not answer
+    void request_permit(std::uint32_t upstream, permit_exchange::reply_callback reply, time_point now);
+
     /// Announces that this router is leaving.
     void leave(time_point now);
 
@@ -95,6 +105,7 @@
     void relay_changes(const wire::gossip& message, std::uint64_t watcher, time_point now);
     void relay_table(const wire::gossip& message, time_point now);
     void send_table(const wire::gossip& message, std::uint64_t to);
+    permit_network make_permit_network();
     void send(const wire::gossip& message, const endpoint& to, time_point now);
     wire::store_position position() const;
     wire::gossip load_message(time_point now);
@@ -112,6 +123,7 @@
     fleet_channel channel_;
     watcher_selector watcher_selector_;
     load_exchange loads_;
+    permit_exchange permits_;
     token_bucket budget_;
     bool has_key_ = false;
     bool is_registered_ = false;
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/core/time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -13,9 +14,11 @@
 namespace citronwick {
 
 struct kv_call_counts;
+struct permit_decision;
 class platform_adapter;
 class upstream_observations;
 class suspect_registry;
+class upstream_limits;
 struct routing_settings;
 struct crash_suspect;
 struct routing_view;
@@ -51,6 +54,14 @@
 
     upstream_observations& observations();
     suspect_registry& suspects();
+    upstream_limits& limits();
+    const upstream_limits& limits() const;
+
+    /// Requests a permit for one request to a rate-limited upstream.
+    /// @param upstream hash of its incarnation
+    /// @param reply called on the control thread, or never if the permit coordinator
+    ///        does not answer
+    void request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply);
 
     /// Records that a connection broke while the upstream was running a request.
     /// @param suspects the request and the parts of its prompt that may have caused it
--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
@@ -0,0 +1,84 @@
+#ifndef CITRONWICK_FLEET_UPSTREAM_LIMITS_HPP_INCLUDED
+#define CITRONWICK_FLEET_UPSTREAM_LIMITS_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+#include "citronwick/policy/rate_limit_table.hpp"
+#include "citronwick/wire/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace citronwick {
+
+/// Rate limits of the upstreams, as this router's responses and other routers tell.
+/// Shared by the traffic threads; the control thread exchanges it with other routers.
+/// Every change is logged.
+class upstream_limits {
+public:
+    /// Records a response of an upstream.
+    /// @param upstream hash of its incarnation
+    /// @param id for the log
+    /// @param limit requests a second that it names, none if it names no limit; ignored
+    ///        if it is not a finite, non-negative number
+    /// @param sent_at when the request was sent
+    void record_response(std::uint64_t upstream, const std::string& id, std::optional<double> limit,
+                         time_point sent_at, time_point now);
+
+    /// Requests a second that the upstream takes; empty if no limit holds.
+    std::optional<double> limit_of(std::uint64_t upstream) const;
+
+    /// Records that a permit was rejected.
+    /// @param until time from which one may be requested again
+    void record_rejection(std::uint64_t upstream, time_point until);
+
+    /// What is known about the limit of one upstream.
+    struct summary {
+        std::optional<double> per_second; ///< empty if no limit holds
+        bool may_request_permit = true;
+    };
+
+    /// @return one summary for each upstream, in the same order
+    std::vector<summary> summaries(const std::vector<std::uint64_t>& upstreams, time_point now) const;
+
+    /// Merges what another router tells.
+    /// @param from_own_domain whether it tells its own observations to its coordinator
+    void merge(const std::vector<wire::limit_entry>& entries, bool from_own_domain, time_point now);
+
+    /// This router's own observations, if some are to be reported now.
+    std::vector<wire::limit_entry> take_report(time_point now);
+
+    /// All known limits, or those that were observed in this failure domain.
+    std::vector<wire::limit_entry> all(time_point now) const;
+    std::vector<wire::limit_entry> of_domain(time_point now) const;
+
+    /// Number of changes of the known limits since start.
+    std::uint64_t change_count() const;
+
+    /// Upstreams whose limit holds.
+    std::map<std::uint32_t, double> in_force() const;
+
+    /// Removes upstreams that are no longer known.
+    /// @param upstreams hashes of the known ones
+    void expire(const std::set<std::uint64_t>& upstreams, time_point now);
+
+private:
+    void log_change(std::uint32_t upstream, const std::string& id, const char* source) const;
+
+    mutable std::mutex mutex_;
+    rate_limit_table known_;
+    rate_limit_table own_;    ///< observed by this router
+    rate_limit_table domain_; ///< observed by this router or reported to it as coordinator
+    std::map<std::uint32_t, time_point> rejected_until_;
+    bool report_is_urgent_ = false;
+    time_point reported_at_;
+    std::uint64_t changes_ = 0;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/fleet/src/fleet_registration.cpp
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -68,6 +68,8 @@
                              .failure_domain = string_member(*entry, "failure_domain"),
                              .fleet_address = string_member(*entry, "fleet_address"),
                              .incarnation = static_cast<std::uint64_t>(change.revision)});
+    } else {
+        listener_.on_router_removed(key.substr(router_prefix.size()));
     }
 }
 
--- a/packages/fleet/src/fleet_registration.hpp
+++ b/packages/fleet/src/fleet_registration.hpp
@@ -15,6 +15,7 @@
 /// Callbacks for changes of the fleet's own keys.
 struct registration_listener {
     std::function<void(const wire::member_record&)> on_router;
+    std::function<void(const std::string& vm)> on_router_removed;
     std::function<void(const std::string& key)> on_fleet_key;
     std::function<void(std::uint64_t incarnation)> on_registered; ///< called for this router
 };
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -61,11 +61,12 @@
 
 router_peers::router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                            upstream_observations& observations, suspect_registry& suspects,
-                           peer_callbacks callbacks)
+                           upstream_limits& limits, peer_callbacks callbacks)
     : settings_{settings}, observations_{observations}, suspects_{suspects}, callbacks_{std::move(callbacks)},
       envelope_{random_id()}, members_{self_record(settings)},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
+      permits_{members_.self_hash(), limits, make_permit_network()},
       budget_{static_cast<double>(settings.control_bytes_per_second),
               burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
@@ -152,6 +153,44 @@
                                        answer.revision);
     }
     answer_queries(message, *address, now);
+    permits_.handle_message(from.sender, message, now);
+}
+
+permit_network router_peers::make_permit_network() {
+    const auto send_to = [this](const wire::gossip& message, std::uint64_t to, time_point now) {
+        if (const auto address = members_.address_of(to)) {
+            send(message, *address, now);
+        }
+    };
+    return {
+        .coordinator = [this](time_point now) { return watcher(now); },
+        .active_routers = [this](time_point now) { return members_.active_count(now) + 1; },
+        .report_targets =
+            [this](time_point now) {
+                if (!members_.is_full_mesh()) {
+                    return std::vector{watcher(now)};
+                }
+                std::vector<std::uint64_t> all;
+                std::ranges::transform(members_.live(now), std::back_inserter(all), &member::hash);
+                return all;
+            },
+        .other_coordinators =
+            [this](time_point now) {
+                return members_.assigned_in_other_domains(watcher_selector::role(), aggregators_per_domain,
+                                                          now);
+            },
+        .send = send_to,
+        .relay =
+            [this, send_to](const wire::gossip& message, const wire::limit_list_id& list, time_point now) {
+                for (const std::uint64_t child : children(list.coordinator, list.number, now)) {
+                    send_to(message, child, now);
+                }
+            }};
+}
+
+void router_peers::request_permit(std::uint32_t upstream, permit_exchange::reply_callback reply,
+                                  time_point now) {
+    permits_.request(upstream, std::move(reply), now);
 }
 
 void router_peers::answer_queries(const wire::gossip& message, const endpoint& to, time_point now) {
@@ -269,6 +308,7 @@
     query_watcher(now);
     send_updates(now);
     exchange_tables(now);
+    permits_.tick(now);
 }
 
 void router_peers::forward_changes(const kv_changes& seen, std::int64_t previous,
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_follower.hpp"
+#include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/counted_kv_client.hpp"
 #include "citronwick/io/log.hpp"
@@ -53,7 +54,8 @@
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
                  store_calls_},
           follower_{context_.get_executor(), store_, settings_.lapse_grace, make_store_listener()},
-          peers_{context_.get_executor(), settings_, observations_, suspects_, make_peer_callbacks()},
+          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_,
+                 make_peer_callbacks()},
           declared_{adapter, suspects_}, freshness_{settings_.key_lifetime - key_margin},
           view_{std::make_shared<const routing_view>()} {}
 
@@ -93,6 +95,7 @@
     const routing_settings& settings() const { return settings_; }
     upstream_observations& observations() { return observations_; }
     suspect_registry& suspects() { return suspects_; }
+    upstream_limits& limits() { return limits_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
 
@@ -112,6 +115,12 @@
         });
     }
 
+    void request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply) {
+        asio::post(context_, [this, upstream, reply = std::move(reply)]() mutable {
+            peers_.request_permit(short_hash(upstream), std::move(reply), clock::now());
+        });
+    }
+
     void report_refusing_upstream(std::uint64_t upstream) {
         asio::post(context_,
                    [this, upstream] { declared_.record_refusing_upstream(upstream, clock::now()); });
@@ -159,6 +168,7 @@
     registration_listener make_registration_listener() {
         return {.on_router =
                     [this](const wire::member_record& record) { peers_.merge_member(record, clock::now()); },
+                .on_router_removed = [this](const std::string& vm) { peers_.record_unregistered(vm); },
                 .on_fleet_key = [this](const std::string& key) { peers_.set_key(key); },
                 .on_registered = [this](std::uint64_t incarnation) { peers_.set_incarnation(incarnation); }};
     }
@@ -254,6 +264,7 @@
         if (now - last_expiry_ >= expiry_interval) {
             last_expiry_ = now;
             observations_.expire(declared_.hashes(), now);
+            limits_.expire(declared_.hashes(), now);
             suspects_.expire(now);
         }
     }
@@ -290,6 +301,7 @@
     asio::io_context context_{1};
     upstream_observations observations_;
     suspect_registry suspects_;
+    upstream_limits limits_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
     store_follower follower_;
@@ -350,6 +362,18 @@
     return state_->suspects();
 }
 
+upstream_limits& routing_plane::limits() {
+    return state_->limits();
+}
+
+const upstream_limits& routing_plane::limits() const {
+    return state_->limits();
+}
+
+void routing_plane::request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply) {
+    state_->request_permit(upstream, std::move(reply));
+}
+
 void routing_plane::report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream) {
     state_->report_broken_connection(std::move(suspects), upstream);
 }
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -19,6 +19,7 @@
     double backlog_tokens = 0.0;      ///< prompt tokens waiting for prefill
     double uncached_tokens = 0.0;     ///< prompt tokens of this request that the upstream must prefill
     bool usable = true;               ///< not leaving, unreachable, ejected or already tried
+    bool rate_limited = false;        ///< named a rate limit, which keeps its load low
     bool same_failure_domain = false; ///< as this router
 };
 
@@ -74,7 +75,8 @@
 routed_decision place_on_plain_upstream(std::uint64_t request, std::span<const routed_candidate> upstreams,
                                         const placement_parameters& parameters);
 
-/// Maximum number of concurrent requests on one upstream under the load bound.
+/// Maximum number of concurrent requests on one upstream under the load bound. The
+/// mean is that of the upstreams without a rate limit, if there are any.
 double load_limit(std::span<const routed_candidate> upstreams, const placement_parameters& parameters);
 
 } // namespace citronwick
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -3,7 +3,6 @@
 #include "citronwick/policy/rendezvous_ranking.hpp"
 
 #include <algorithm>
-#include <numeric>
 #include <ranges>
 #include <vector>
 
@@ -79,10 +78,16 @@
 }
 
 double load_limit(std::span<const routed_candidate> upstreams, const placement_parameters& parameters) {
-    const double total =
-        std::accumulate(upstreams.begin(), upstreams.end(), 0.0,
-                        [](double sum, const routed_candidate& each) { return sum + each.in_flight; });
-    const double mean = total / static_cast<double>(std::max<std::size_t>(upstreams.size(), 1));
+    const bool all_limited = std::ranges::all_of(upstreams, &routed_candidate::rate_limited);
+    double total = 0.0;
+    std::size_t count = 0;
+    for (const routed_candidate& each : upstreams) {
+        if (all_limited || !each.rate_limited) {
+            total += each.in_flight;
+            ++count;
+        }
+    }
+    const double mean = total / static_cast<double>(std::max<std::size_t>(count, 1));
     return parameters.load_multiple * mean + parameters.load_slack;
 }
 
--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -29,6 +29,9 @@
     /// Counts an attempt to send a request to an upstream.
     void count_attempt(std::string_view service, std::string_view outcome, duration elapsed);
 
+    /// Counts a request for a permit to send to a rate-limited upstream.
+    void count_permit(std::string_view service, std::string_view decision);
+
     /// Counts a new connection to an upstream.
     void count_connection(std::string_view service);
 
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -1,7 +1,9 @@
 #ifndef CITRONWICK_TRAFFIC_ROUTE_CONTEXT_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_ROUTE_CONTEXT_HPP_INCLUDED
 
+#include "citronwick/policy/fair_admission.hpp"
 #include "citronwick/policy/retry_window.hpp"
+#include "citronwick/policy/return_schedule.hpp"
 #include "citronwick/traffic/connection_pool.hpp"
 #include "crash_probe.hpp"
 
@@ -15,6 +17,13 @@
 class routing_plane;
 struct traffic_settings;
 
+/// Division of a service's capacity while its upstreams have rate limits.
+struct service_capacity {
+    fair_admission by_team;
+    fair_admission by_route;
+    return_schedule returns;
+};
+
 /// State that the requests of one traffic thread share.
 struct route_context {
     const traffic_settings& settings;
@@ -24,6 +33,8 @@
     connection_pool pool;
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
     crash_probe probe;
+    std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
+    time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -1,6 +1,7 @@
 // Sends a routed request to an upstream and relays the response.
 
 #include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
@@ -37,6 +38,11 @@
     if (!view_->accepts_requests(service_->name, placement_->upstream.hash)) {
         co_return exchange_result{attempt_outcome::not_sent, "the upstream left meanwhile"};
     }
+    upstream_limits& limits = context_.plane.limits();
+    const std::uint64_t upstream = placement_->upstream.hash;
+    if (!placement_request_.has_permit && limits.limit_of(upstream)) {
+        co_return exchange_result{attempt_outcome::not_sent, "the upstream named a limit meanwhile"};
+    }
     const auto now = clock::now();
     if (remaining_time(now) <= 0ms) {
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
@@ -50,6 +56,10 @@
     auto forwarded = make_forwarded_request();
     auto result = co_await exchange.run(std::move(forwarded), max_body_bytes, attempt_deadline(now));
     in_flight.mark_prompt_processed();
+    if (exchange.has_response()) {
+        limits.record_response(upstream, placement_->upstream.entry.id, exchange.traits().rate_limit, now,
+                               clock::now());
+    }
     if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::failed_run) {
         const auto outcome_before = result.outcome;
         result = co_await relay_response(connection);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -31,9 +31,6 @@
 /// repeated.
 constexpr duration max_idle_for_unrepeatable = 4s;
 constexpr std::uint32_t lowest_priority = 9;
-/// Share of the target latency that the wait for the first token may take without
-/// being noticed.
-constexpr double acceptable_wait_share = 0.3;
 /// Number of route priorities within each team priority.
 constexpr std::uint32_t route_priority_levels = 3;
 
@@ -147,12 +144,8 @@
         co_return false;
     }
     view_ = context_.plane.view();
-    const routing_settings& settings = context_.plane.settings();
-    placement_parameters parameters = adapt_to_fleet(settings.placement, view_->live_routers);
-    parameters.acceptable_wait_ms =
-        acceptable_wait_share * static_cast<double>(route_->target_latency.count());
-    placement_ = choose_upstream(placement_request_, *view_, context_.plane.observations(), parameters,
-                                 settings.failure_domain, started);
+    co_await place(started);
+    record_capacity(clock::now());
     if (!placement_) {
         last_attempt_detail_ = "the service has no upstream left to try";
         next_step_ = state_.may_have_run_before ? next_step::fail_as_unknown : next_step::refuse;
@@ -168,6 +161,7 @@
           std::to_string(placement_request_.prefixes.empty() ? 0 : placement_request_.prefixes.back().key)},
          {"in_flight", std::to_string(static_cast<int>(placement_->in_flight))},
          {"missing_tokens", std::to_string(placement_->uncached_tokens)},
+         {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
          {"revision", std::to_string(view_->revision)}});
     placement_request_.tried.push_back(placement_->upstream.hash);
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -26,7 +26,8 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp, and what concerns crashes of upstreams in route_crashes.cpp.
+/// route_delivery.cpp, what concerns crashes of upstreams in route_crashes.cpp, and
+/// the choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request);
@@ -40,6 +41,9 @@
     std::optional<problem> check_crashes(time_point now) const;
     void record_served(time_point now);
     void report_broken_connection(time_point now);
+    task<void> place(time_point started);
+    bool may_use_scarce_capacity(time_point now);
+    void record_capacity(time_point now);
     task<void> run_attempts();
     task<bool> run_attempt();
     task<exchange_result> send_request(upstream_connection& connection, in_flight_guard& in_flight);
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/io/counted_kv_client.hpp"
 
 #include <prometheus/counter.h>
@@ -51,6 +52,14 @@
                                        .Name("citronwick_upstream_connections_total")
                                        .Help("Connections opened to upstreams, by service")
                                        .Register(registry);
+    Family<Counter>& permits = prometheus::BuildCounter()
+                                   .Name("citronwick_permits_total")
+                                   .Help("Permits requested for rate-limited upstreams, by decision")
+                                   .Register(registry);
+    Family<Gauge>& limited_upstreams = prometheus::BuildGauge()
+                                           .Name("citronwick_rate_limited_upstreams")
+                                           .Help("Upstreams that have named a rate limit")
+                                           .Register(registry);
     Family<Gauge>& version = prometheus::BuildGauge()
                                  .Name("citronwick_declaration_version")
                                  .Help("Version of the declaration in force")
@@ -102,6 +111,11 @@
     families_->connections.Add({{"service", std::string{service}}}).Increment();
 }
 
+void route_metrics::count_permit(std::string_view service, std::string_view decision) {
+    families_->permits.Add({{"service", std::string{service}}, {"decision", std::string{decision}}})
+        .Increment();
+}
+
 std::string route_metrics::page(const routing_plane& plane) {
     const auto view = plane.view();
     const auto age = plane.key_age(boot_now());
@@ -110,6 +124,7 @@
     families_->key_age.Add({}).Set(age ? seconds(*age) : -1.0);
     families_->live_routers.Add({}).Set(static_cast<double>(view->live_routers));
     families_->gossip_bytes.Add({}).Set(static_cast<double>(plane.gossip_bytes()));
+    families_->limited_upstreams.Add({}).Set(static_cast<double>(plane.limits().in_force().size()));
     const kv_call_counts& calls = plane.store_calls();
     for (std::size_t kind = 0; kind < kv_call_names.size(); ++kind) {
         const std::string name{kv_call_names.at(kind)};
--- /dev/null
+++ b/packages/traffic/src/route_permits.cpp
@@ -0,0 +1,124 @@
+// Chooses the upstream of an attempt, with a permit if it is rate-limited.
+
+#include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/routing_settings.hpp"
+#include "citronwick/fleet/upstream_limits.hpp"
+#include "citronwick/io/log.hpp"
+#include "citronwick/traffic/route_metrics.hpp"
+#include "citronwick/traffic/traffic_settings.hpp"
+#include "permit_waiter.hpp"
+#include "route_context.hpp"
+#include "route_exchange.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Share of the target latency that the wait for the first token may take without
+/// being noticed.
+constexpr double acceptable_wait_share = 0.3;
+/// Rate-limited upstreams for which one attempt requests a permit.
+constexpr int max_permit_requests = 3;
+/// Time for which no permits are requested from a coordinator that did not answer.
+constexpr duration silent_coordinator_pause = 150ms;
+/// Weights of the route priorities in the division of scarce capacity.
+constexpr std::array priority_weights{4.0, 2.0, 1.0};
+
+double priority_weight(std::uint32_t priority) {
+    return priority_weights.at(std::min<std::size_t>(priority, priority_weights.size() - 1));
+}
+
+} // namespace
+
+/// Chooses the upstream of an attempt. One with a rate limit is chosen only if the
+/// permit coordinator admits the request; otherwise others are tried.
+task<void> route_exchange::place(time_point started) {
+    const routing_settings& settings = context_.plane.settings();
+    placement_parameters parameters = adapt_to_fleet(settings.placement, view_->live_routers);
+    parameters.acceptable_wait_ms =
+        acceptable_wait_share * static_cast<double>(route_->target_latency.count());
+    upstream_limits& limits = context_.plane.limits();
+    bool may_use_limited = may_use_scarce_capacity(started);
+    placement_request_.has_permit = false;
+    for (int requests = 0; true; ++requests) {
+        const auto now = clock::now();
+        may_use_limited = may_use_limited && requests < max_permit_requests;
+        placement_request_.may_use_limited = may_use_limited && now >= context_.permits_paused_until;
+        placement_ = choose_upstream(placement_request_, *view_, context_.plane.observations(), limits,
+                                     parameters, settings.failure_domain, now);
+        if (!placement_ || !placement_->rate_limit) {
+            co_return;
+        }
+        const std::uint64_t upstream = placement_->upstream.hash;
+        const auto decision = co_await acquire_permit(context_.plane, upstream);
+        const bool granted = decision && decision->granted;
+        context_.counters.count_permit(service_->name, granted    ? "granted"
+                                                       : decision ? "rejected"
+                                                                  : "silent");
+        if (granted) {
+            placement_request_.has_permit = true;
+            co_return;
+        }
+        if (decision) {
+            limits.record_rejection(upstream, clock::now() + decision->wait);
+        } else {
+            context_.permits_paused_until = clock::now() + silent_coordinator_pause;
+        }
+        log_info("permit_rejected", {{"request", caller_.request_id()},
+                                     {"upstream", placement_->upstream.entry.id},
+                                     {"per_second", std::to_string(*placement_->rate_limit)},
+                                     {"reason", decision ? "limit reached" : "coordinator silent"},
+                                     {"wait_ms", decision ? std::to_string(decision->wait / 1ms) : "-"}});
+    }
+}
+
+/// Whether the request may use upstreams with a rate limit, in fairness to the
+/// requests of other teams and routes.
+bool route_exchange::may_use_scarce_capacity(time_point now) {
+    service_capacity& capacity = context_.capacities[service_->name];
+    const std::uint64_t team = hash64(team_ == nullptr ? std::string_view{} : team_->name);
+    const std::uint64_t hash = placement_request_.request_hash;
+    return capacity.by_team.may_admit(team, 1.0, hash, now) &&
+           capacity.by_route.may_admit(hash64(route_->name), priority_weight(route_->priority),
+                                       hash_combine(hash, team), now);
+}
+
+/// While upstreams of the service have rate limits, records whether it had capacity
+/// for the request, and prepares its refusal if it had none.
+void route_exchange::record_capacity(time_point now) {
+    const auto found = view_->upstreams.find(service_->name);
+    if (found == view_->upstreams.end()) {
+        return;
+    }
+    std::vector<std::uint64_t> hashes;
+    std::ranges::transform(found->second, std::back_inserter(hashes), &routed_upstream::hash);
+    double limits_sum = 0.0;
+    bool has_limits = false;
+    for (const auto& each : context_.plane.limits().summaries(hashes, now)) {
+        has_limits = has_limits || each.per_second.has_value();
+        limits_sum += each.per_second.value_or(0.0);
+    }
+    if (!has_limits) {
+        return;
+    }
+    service_capacity& capacity = context_.capacities[service_->name];
+    const bool is_served = placement_.has_value();
+    const std::uint64_t team = hash64(team_ == nullptr ? std::string_view{} : team_->name);
+    capacity.by_team.record(team, 1.0, is_served, now);
+    capacity.by_route.record(hash64(route_->name), priority_weight(route_->priority), is_served, now);
+    if (!is_served && !state_.may_have_run_before) {
+        const auto sharers = static_cast<double>(view_->known_routers * context_.settings.threads);
+        refusal_before_send_ =
+            problem{503, "upstreams-limited", "the upstreams take no more requests than they named",
+                    outcome::not_run, capacity.returns.next(limits_sum / sharers, now)};
+    }
+}
+
+} // namespace citronwick
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -1,5 +1,6 @@
 #include "route_placer.hpp"
 
+#include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 
 #include <algorithm>
@@ -57,11 +58,10 @@
 
 } // namespace
 
-std::optional<routed_placement> choose_upstream(const routed_placement_request& request,
-                                                const routing_view& view,
-                                                const upstream_observations& observations,
-                                                const placement_parameters& parameters,
-                                                std::string_view failure_domain, time_point now) {
+std::optional<routed_placement>
+choose_upstream(const routed_placement_request& request, const routing_view& view,
+                const upstream_observations& observations, const upstream_limits& limits,
+                const placement_parameters& parameters, std::string_view failure_domain, time_point now) {
     const auto found = view.upstreams.find(request.service->name);
     if (found == view.upstreams.end()) {
         return std::nullopt;
@@ -70,6 +70,7 @@
     std::vector<std::uint64_t> hashes;
     std::ranges::transform(upstreams, std::back_inserter(hashes), &routed_upstream::hash);
     const auto summaries = observations.summaries(hashes, request.prefixes, now);
+    const auto limited = limits.summaries(hashes, now);
     // In large fleets, a plain request has usually ended before other routers learn
     // of it, so the average load from other routers is used.
     const bool use_mean_load = !request.service->engine && parameters.load_tie_threshold > 0.0;
@@ -77,6 +78,7 @@
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
         candidates.push_back(
             make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
+        candidates.back().rate_limited = limited[index].per_second.has_value();
     }
     const std::uint64_t affinity =
         request.prefixes.empty() ? request.request_hash : request.prefixes.back().key;
@@ -84,7 +86,9 @@
     for (const exclusion_rules& level : exclusion_levels) {
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             const bool was_tried = std::ranges::find(request.tried, hashes[index]) != request.tried.end();
-            candidates[index].usable = !was_tried &&
+            const bool may_send = !candidates[index].rate_limited ||
+                                  (request.may_use_limited && limited[index].may_request_permit);
+            candidates[index].usable = !was_tried && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
         }
@@ -94,8 +98,11 @@
         if (decision.index) {
             const routed_candidate& chosen = candidates[*decision.index];
             return routed_placement{upstreams[*decision.index],
-                                    static_cast<std::uint32_t>(chosen.uncached_tokens), chosen.in_flight,
-                                    decision.expected_wait_ms, decision.reason};
+                                    static_cast<std::uint32_t>(chosen.uncached_tokens),
+                                    chosen.in_flight,
+                                    decision.expected_wait_ms,
+                                    decision.reason,
+                                    limited[*decision.index].per_second};
         }
     }
     return std::nullopt;
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -15,6 +15,7 @@
 
 namespace citronwick {
 
+class upstream_limits;
 class upstream_observations;
 
 /// Properties of a request that determine its placement.
@@ -24,6 +25,8 @@
     std::vector<shared_prefix> prefixes; ///< of the prompt, shortest first
     std::uint32_t prompt_tokens = 0;
     std::vector<std::uint64_t> tried; ///< hashes of upstreams that earlier attempts used
+    bool may_use_limited = true;      ///< whether upstreams with a rate limit may be chosen
+    bool has_permit = false;          ///< for the chosen upstream, which has a rate limit
 };
 
 /// Upstream chosen for a request, and the estimates behind the choice.
@@ -33,17 +36,18 @@
     double in_flight = 0.0;            ///< estimated requests in flight on the upstream
     double expected_wait_ms = 0.0;
     std::string_view reason;
+    std::optional<double> rate_limit; ///< requests a second, if the upstream named a limit
 };
 
 /// Chooses the upstream of a request from the current view and from observations
 /// of earlier requests.
 /// @param failure_domain failure domain of this router
-/// @return none if the service has no untried upstream
-std::optional<routed_placement> choose_upstream(const routed_placement_request& request,
-                                                const routing_view& view,
-                                                const upstream_observations& observations,
-                                                const placement_parameters& parameters,
-                                                std::string_view failure_domain, time_point now);
+/// @return none if the service has no untried upstream, or all of them have reached
+///         their rate limits
+std::optional<routed_placement>
+choose_upstream(const routed_placement_request& request, const routing_view& view,
+                const upstream_observations& observations, const upstream_limits& limits,
+                const placement_parameters& parameters, std::string_view failure_domain, time_point now);
 
 /// Counts a request as in flight on an upstream during its lifetime.
 class in_flight_guard {
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -31,6 +31,7 @@
         }
         traits_ = dialect_.read_response(connection_.header());
         if (!should_skip_response()) {
+            has_response_ = true;
             co_return classify();
         }
         skipped_response_ = true;
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -35,6 +35,9 @@
     /// Traits of the last response header that was read.
     const response_traits& traits() const { return traits_; }
 
+    /// Whether the header of the response to this request was read.
+    bool has_response() const { return has_response_; }
+
     /// Whether the connection may be reused for another request.
     bool reusable() const { return !skipped_response_ && connection_.reusable(); }
 
@@ -47,6 +50,7 @@
     const request_dialect& dialect_;
     std::string attempt_id_;
     response_traits traits_;
+    bool has_response_ = false;
     bool skipped_response_ = false; ///< if set, the connection is not reused
 };
 
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -158,6 +158,42 @@
     std::uint32_t upstream = 0;
 };
 
+/// Rate limit of one upstream. Without a `limit_list_id` in the message, these are
+/// the sender's own observations.
+struct limit_entry {
+    std::uint32_t upstream = 0;
+    float per_second = 0.0F;      ///< requests that it takes from all routers together
+    std::uint16_t named_age = 0;  ///< milliseconds since a response named the limit
+    std::uint16_t denied_age = 0; ///< since a request was sent whose response named none; `no_age` for never
+};
+
+constexpr std::uint16_t no_age = 65'535;
+
+/// Identifies a list of limits that a permit coordinator distributes in its failure domain.
+struct limit_list_id {
+    std::uint64_t coordinator = 0; ///< hash of its name
+    std::uint32_t number = 0;      ///< increases with each list; 0 in lists for other coordinators
+};
+
+/// Asks the permit coordinator to admit one request to a rate-limited upstream.
+struct permit_request {
+    std::uint32_t upstream = 0;
+    std::uint16_t nonce = 0; ///< echoed in the reply
+};
+
+/// Reply to `permit_request`.
+struct permit_reply {
+    std::uint16_t nonce = 0;
+    std::uint16_t wait = 0; ///< milliseconds after which to ask again, if not granted
+    bool granted = false;
+};
+
+/// Number of permits for one upstream.
+struct permit_count {
+    std::uint32_t upstream = 0;
+    std::uint8_t count = 0;
+};
+
 /// One datagram of the fleet channel.
 struct gossip {
     std::vector<member_record> members;
@@ -181,6 +217,12 @@
     std::vector<freshness_answer> freshness_answers;
     std::vector<outcome_entry> outcomes;
     std::vector<prefix_entry> prefixes;
+    std::vector<limit_entry> limits;
+    std::vector<limit_list_id> limit_list_ids; ///< at most one
+    std::vector<permit_request> permit_requests;
+    std::vector<permit_reply> permit_replies;
+    std::vector<permit_count> rejected_permits; ///< by the sending coordinator, since its last message
+    std::vector<permit_count> given_permits;    ///< to the receiving coordinator
 };
 
 /// Request over TCP for the header of a document and for some of its chunks.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -158,6 +158,31 @@
     archive(entry.prefix, entry.upstream);
 }
 
+template <class Archive>
+void serialize(Archive& archive, limit_entry& entry) {
+    archive(entry.upstream, entry.per_second, entry.named_age, entry.denied_age);
+}
+
+template <class Archive>
+void serialize(Archive& archive, limit_list_id& id) {
+    archive(id.coordinator, id.number);
+}
+
+template <class Archive>
+void serialize(Archive& archive, permit_request& request) {
+    archive(request.upstream, request.nonce);
+}
+
+template <class Archive>
+void serialize(Archive& archive, permit_reply& reply) {
+    archive(reply.nonce, reply.wait, reply.granted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, permit_count& entry) {
+    archive(entry.upstream, entry.count);
+}
+
 /// Serializes only the lists that are not empty, preceded by a bit mask of them.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
@@ -183,7 +208,8 @@
                       message.suspects, message.load, message.store_positions, message.freshness_queries,
                       message.freshness_answers, message.outcomes, message.prefixes, message.changes,
                       message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
-                      message.load_table);
+                      message.load_table, message.limits, message.limit_list_ids, message.permit_requests,
+                      message.permit_replies, message.rejected_permits, message.given_permits);
 }
 
 template <class Archive>
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -72,7 +72,10 @@
 }
 
 void routed_fleet::start_router() {
-    node router{.name = "entry-" + std::to_string(next_index_++), .failure_domain = domain};
+    const std::size_t index = next_index_++;
+    const std::size_t number = index % options_.failure_domains;
+    node router{.name = "entry-" + std::to_string(index),
+                .failure_domain = number == 0 ? domain : "domain-" + std::to_string(number)};
     router.log = file(router.name + ".log");
     start_process(router);
     routers_.push_back(std::move(router));
@@ -87,7 +90,7 @@
     const std::string port_file = file(router.name + ".ports");
     std::filesystem::remove(port_file);
     std::ofstream{settings} << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
-                            << "failure_domain = \"" << domain << "\"\n\n[listen]\n"
+                            << "failure_domain = \"" << router.failure_domain << "\"\n\n[listen]\n"
                             << "callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
                             << "fleet = \"127.0.0.1:0\"\nport_file = \"" << port_file << "\"\n\n[platform]\n"
                             << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
@@ -178,6 +181,16 @@
     std::ranges::for_each(workers, [&](const node& worker) { set_fault(worker, fault); });
 }
 
+std::vector<std::int64_t> arrivals_at(const node& worker) {
+    const auto page =
+        parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body);
+    std::vector<std::int64_t> times;
+    for (const auto& each : *array_member(*page, "arrivals")) {
+        times.push_back(each.to_number<std::int64_t>());
+    }
+    return times;
+}
+
 std::int64_t runs_of(const node& worker, const std::string& attempt_id) {
     const auto page =
         parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body);
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -22,6 +22,7 @@
     bool proxies = false;            ///< put fault proxies in front of the store and the workers
     std::string platform_settings{}; ///< lines added to the table [platform]
     std::string log_format = "key_value";
+    std::size_t failure_domains = 1; ///< over which the routers are spread
 };
 
 /// Runs routers, workers and the metadata store as processes on this machine.
@@ -88,6 +89,9 @@
 /// Sets the same faults on several workers.
 void set_faults(const std::deque<node>& workers, const std::string& fault);
 
+/// Arrivals of requests at a worker, in milliseconds of the steady clock.
+std::vector<std::int64_t> arrivals_at(const node& worker);
+
 /// Number of times that a worker ran a request.
 std::int64_t runs_of(const node& worker, const std::string& attempt_id);
 
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -1,5 +1,6 @@
 #include "routed_worker.hpp"
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/json_text.hpp"
 
 #include <boost/asio/write.hpp>
@@ -40,12 +41,14 @@
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         cut_after_events_ = integer_member(fault_settings, "cut_after");
         crashing_part_ = string_member(fault_settings, "crash_on_part");
+        limit_ = string_member(fault_settings, "limit");
         co_return co_await send_response(stream, http::status::ok, "{}");
     }
     if (target == "/standin/runs") {
-        json::object status{{"runs", runs_}, {"unfinished", aborted_runs_}};
+        json::object status{{"runs", runs_}, {"unfinished", aborted_runs_}, {"arrivals", arrivals_}};
         co_return co_await send_json(stream, std::move(status));
     }
+    arrivals_.emplace_back(clock::now().time_since_epoch() / 1ms);
     if (request["Citronwick-Expect-Instance"] != id_) {
         co_return co_await send(stream, request, http::status::misdirected_request, "");
     }
@@ -74,6 +77,9 @@
     header.set(attempt_header, request[attempt_header]);
     header.set("Citronwick-Server-Stamp", "stamp." + id_);
     header.set("Citronwick-Server-Load", "1,0,8");
+    if (!limit_.empty()) {
+        header.set("Server-Limit", limit_);
+    }
     return header;
 }
 
