--- a/packages/config/include/citronwick/config/routing_configuration.hpp
+++ b/packages/config/include/citronwick/config/routing_configuration.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_CONFIG_ROUTING_CONFIGURATION_HPP_INCLUDED
 #define CITRONWICK_CONFIG_ROUTING_CONFIGURATION_HPP_INCLUDED
 
+#include "citronwick/core/store_position.hpp"
 #include "citronwick/policy/route_table.hpp"
 
 #include <chrono>
@@ -53,11 +54,11 @@
 /// One version of the routing declaration, indexed for lookups.
 class routing_configuration {
 public:
-    /// @param revision store revision at which this version was written
-    routing_configuration(routing_declaration declared, std::int64_t revision);
+    /// @param position of the store at which this version was written
+    routing_configuration(routing_declaration declared, store_position position);
 
     std::uint64_t version() const { return declared_.version; }
-    std::int64_t revision() const { return revision_; }
+    store_position position() const { return position_; }
     const caller_limits& limits() const { return declared_.limits; }
     const route_table& routes() const { return routes_; }
     const std::vector<routed_service>& services() const { return declared_.services; }
@@ -71,7 +72,7 @@
 
 private:
     routing_declaration declared_;
-    std::int64_t revision_;
+    store_position position_;
     route_table routes_;
     std::unordered_map<std::string, std::size_t> team_by_key_;
 };
--- a/packages/config/src/routing_configuration.cpp
+++ b/packages/config/src/routing_configuration.cpp
@@ -5,8 +5,8 @@
 
 namespace citronwick {
 
-routing_configuration::routing_configuration(routing_declaration declared, std::int64_t revision)
-    : declared_{std::move(declared)}, revision_{revision}, routes_{std::exchange(declared_.routes, {})} {
+routing_configuration::routing_configuration(routing_declaration declared, store_position position)
+    : declared_{std::move(declared)}, position_{position}, routes_{std::exchange(declared_.routes, {})} {
     for (std::size_t index = 0; index < declared_.teams.size(); ++index) {
         for (const std::string& key : declared_.teams[index].keys) {
             team_by_key_.emplace(key, index);
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -28,16 +28,16 @@
 /// Callbacks by which `router_peers` reads this router's state and passes on
 /// what it receives from other routers.
 struct peer_callbacks {
-    std::function<std::int64_t()> revision;           ///< of the store, up to which all changes are known
-    std::function<bool()> is_store_reachable;         ///< by this router
-    std::function<std::optional<duration>()> key_age; ///< age of the newest confirmation
-    std::function<const load_exchange::load_map&()> loads;  ///< counters of the published upstreams
-    std::function<void(std::int64_t revision)> on_revision; ///< known to a peer
+    std::function<store_position()> position;              ///< up to which all changes of the store are known
+    std::function<bool()> is_store_reachable;              ///< by this router
+    std::function<std::optional<duration>()> key_age;      ///< age of the newest confirmation
+    std::function<const load_exchange::load_map&()> loads; ///< counters of the published upstreams
+    std::function<void(store_position)> on_position;       ///< known to a peer
     /// Called with changes of the store that a peer forwards.
     /// @param lapse time for which missing entries may have lapsed, as the watcher knows
     /// @return whether they were new
-    std::function<bool(const kv_changes&, std::int64_t previous, duration lapse)> on_changes;
-    std::function<void(boot_time asked_at, duration age, std::int64_t revision)> on_freshness_answer;
+    std::function<bool(const kv_changes&, store_position previous, duration lapse)> on_changes;
+    std::function<void(boot_time asked_at, duration age, store_position)> on_freshness_answer;
 };
 
 /// Exchanges state with the other routers: liveness, load, the freshness of the
@@ -73,7 +73,7 @@
     /// Forwards changes of the store to the other routers of this failure domain
     /// if this router is their watcher.
     /// @param lapse_window_end set if missing entries may have lapsed until then
-    void forward_changes(const kv_changes& seen, std::int64_t previous,
+    void forward_changes(const kv_changes& seen, store_position previous,
                          std::optional<time_point> lapse_window_end, time_point now);
 
     /// Requests a permit for one request to a rate-limited upstream.
@@ -98,6 +98,7 @@
     void handle_message(const wire::header& from, const wire::gossip& message);
     void handle_changes(const wire::gossip& message, const endpoint& from, time_point now);
     void record_watcher_report(std::uint64_t sender, const wire::gossip& message);
+    void notify_positions(const wire::gossip& message) const;
     void answer_queries(const wire::gossip& message, const endpoint& to, time_point now);
     void query_watcher(time_point now);
     void send_updates(time_point now);
@@ -108,6 +109,7 @@
     permit_network make_permit_network();
     void send(const wire::gossip& message, const endpoint& to, time_point now);
     wire::store_position position() const;
+    void add_era(wire::gossip& message) const;
     wire::gossip load_message(time_point now);
     wire::gossip status_message(time_point now);
     std::uint64_t watcher(time_point now) const;
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_FLEET_ROUTING_VIEW_HPP_INCLUDED
 
 #include "citronwick/config/routing_configuration.hpp"
+#include "citronwick/core/store_position.hpp"
 #include "citronwick/core/time.hpp"
 #include "citronwick/fleet/upstream_entry.hpp"
 
@@ -40,7 +41,7 @@
     std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
     std::size_t live_routers = 1;                                               ///< including this one
     std::size_t known_routers = 1; ///< registered routers, including this one
-    std::int64_t revision = 0;     ///< of the store, up to which this view includes all changes
+    store_position position{};     ///< of the store, up to which this view includes all changes
 
     /// Whether an incarnation is an upstream of the service that accepts new requests.
     /// @param upstream its hash
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -18,9 +18,11 @@
     ///        be missing until then because their leases could not be renewed
     std::function<void(const kv_listing&, std::optional<time_point> lapse_window_end)> on_listing;
     /// Called with new changes.
-    /// @param previous revision up to which all changes had been delivered before
+    /// @param previous position up to which all changes had been delivered before, in
+    ///        the same era
     /// @param lapse_window_end as for `on_listing`
-    std::function<void(const kv_changes&, std::int64_t previous, std::optional<time_point> lapse_window_end)>
+    std::function<void(const kv_changes&, store_position previous,
+                       std::optional<time_point> lapse_window_end)>
         on_changes;
     /// Called when the state delivered so far is confirmed to have been current
     /// at the given time.
@@ -34,6 +36,11 @@
 /// that nothing has changed. The other routers read from the store only when a
 /// peer announces a change, when their state has gone unconfirmed for a while, or
 /// to find out whether the store serves them again after a failed call.
+///
+/// A response, or a peer, that names a newer era than the one followed means that the
+/// store has come back from a copy. The keys are then listed anew, and what is missing
+/// may have been written after the copy was taken: its writers have the lapse window
+/// to write it again.
 class store_follower {
 public:
     /// @param lapse_grace time after an outage in which expired entries reappear
@@ -50,14 +57,14 @@
     void set_watcher(bool is_watcher);
 
     /// Applies changes that a peer forwards, unless there is a gap before them.
-    /// @param previous revision of the change before the first one
+    /// @param previous position of the change before the first one
     /// @param lapse time for which the peer takes missing entries for lapsed ones
     /// @return whether they were new and have been applied
-    bool apply_forwarded(const kv_changes& forwarded, std::int64_t previous,
+    bool apply_forwarded(const kv_changes& forwarded, store_position previous,
                          duration lapse = duration::zero());
 
-    /// Records that a peer knows of changes up to a revision.
-    void notify_revision(std::int64_t revision);
+    /// Records that a peer knows of changes up to a position.
+    void notify_position(store_position position);
 
     /// Records that a peer confirmed its state with the store.
     /// @param age time since that confirmation
@@ -66,8 +73,8 @@
     /// Requests a confirmation from the store.
     void request_confirmation();
 
-    /// Revision up to which all changes have been delivered to the listener.
-    std::int64_t revision() const { return revision_; }
+    /// Position up to which all changes have been delivered to the listener.
+    store_position position() const { return position_; }
 
     /// Whether the store has answered recently.
     bool is_store_reachable(time_point now) const;
@@ -78,6 +85,8 @@
     task<void> wait_for_work();
     task<bool> confirm();
     bool must_relist() const;
+    bool has_era_changed() const;
+    void refuse_older(store_position received);
     task<void> back_off();
     task<void> pause(duration time);
     void record_success();
@@ -88,8 +97,8 @@
     watched_kv_client& store_;
     store_listener listener_;
     asio::steady_timer wake_;
-    std::int64_t revision_ = 0;
-    std::int64_t notified_revision_ = 0;
+    store_position position_;
+    store_position notified_position_; ///< newest that a peer knows
     time_point notified_at_;
     bool is_listed_ = false;
     /// Set after an outage, when a listing is shorter than the history since.
@@ -99,6 +108,7 @@
     store_outage outage_;
     std::optional<time_point> calls_fail_since_; ///< set while this router's calls fail
     int failures_in_row_ = 0;
+    int older_answers_in_row_ = 0; ///< listings that were older than what is known
 };
 
 } // namespace citronwick
--- a/packages/fleet/include/citronwick/fleet/store_outage.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_outage.hpp
@@ -27,6 +27,10 @@
     /// @return the length of the outage that has ended, if there was one
     std::optional<duration> record_service(time_point served_at);
 
+    /// Records that the store has come back from a copy. Entries that were written
+    /// after the copy was taken are missing until they are written again.
+    void record_restoration(time_point now) { extend_lapse_window(now + grace_); }
+
     /// Records that a peer has seen an outage.
     /// @param end of its lapse window
     void extend_lapse_window(time_point end);
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_FLEET_UPSTREAM_DIRECTORY_HPP_INCLUDED
 #define CITRONWICK_FLEET_UPSTREAM_DIRECTORY_HPP_INCLUDED
 
+#include "citronwick/core/store_position.hpp"
 #include "citronwick/core/time.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/upstream_entry.hpp"
@@ -28,21 +29,25 @@
 /// the end of the outage's lapse window, and are removed if they have not
 /// reappeared by then. At other times, an upstream whose entry is missing gets no
 /// new requests from that moment on.
+///
+/// A store that comes back from a copy lists entries as they were when the copy was
+/// taken. What is known to have been written later counts: an incarnation that had
+/// left, or was leaving, does not accept requests again.
 class upstream_directory {
 public:
     /// Adds or updates an entry.
-    /// @param revision of its last change; entries older than the known one are ignored
+    /// @param position of its last change; entries older than the known one are ignored
     /// @return the incarnation that it replaced, if any
-    std::optional<ended_upstream> put(const upstream_entry& entry, std::int64_t revision, time_point now);
+    std::optional<ended_upstream> put(const upstream_entry& entry, store_position position);
 
     /// Removes an entry that was deleted or cannot be decoded.
     /// @param usable_until end of the lapse window, none outside of one
-    std::optional<ended_upstream> remove(const std::string& id, std::int64_t revision,
+    std::optional<ended_upstream> remove(const std::string& id, store_position position,
                                          std::optional<time_point> usable_until, std::string_view reason);
 
     /// Removes all entries that a complete listing lacks.
     /// @param usable_until end of the lapse window, none outside of one
-    std::vector<ended_upstream> retain(const std::set<std::string>& ids, std::int64_t revision,
+    std::vector<ended_upstream> retain(const std::set<std::string>& ids, store_position position,
                                        std::optional<time_point> usable_until);
 
     /// Removes the missing entries whose lapse window has ended.
@@ -65,12 +70,20 @@
 private:
     struct tracked_entry {
         routed_upstream upstream;
-        std::int64_t revision = 0;
+        store_position position{};
         std::optional<time_point> usable_until{}; ///< set if it is missing and may have lapsed
     };
 
     std::map<std::string, tracked_entry> entries_;
-    std::map<std::string, std::int64_t> removal_revisions_; ///< by identifier
+    /// Removal of an entry, with the incarnation and sequence number that it had.
+    struct removal {
+        store_position position{};
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+    };
+    bool is_older_than_removal(const upstream_entry& entry, store_position position) const;
+
+    std::map<std::string, removal> removals_; ///< by identifier
 };
 
 } // namespace citronwick
--- a/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
@@ -17,6 +17,7 @@
     std::uint32_t slots = 1;       ///< requests that it runs concurrently
     std::uint64_t incarnation = 0; ///< changes with each start
     bool leaving = false;          ///< accepts no new requests
+    std::uint64_t sequence = 0;    ///< increases with what this incarnation writes
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -41,7 +41,7 @@
             listed.insert(item.key.substr(layout_.upstream_prefix.size()));
         }
     }
-    for (const ended_upstream& ended : directory_.retain(listed, listing.revision, usable_until)) {
+    for (const ended_upstream& ended : directory_.retain(listed, listing.position, usable_until)) {
         handle_end(ended, now);
     }
 }
@@ -74,7 +74,7 @@
 /// Applies a new configuration. One that cannot be decoded is refused, and the
 /// previous one stays in force.
 void declared_fleet::apply_configuration(const kv_change& change) {
-    if (!change.value || (config_ && change.revision <= config_->revision())) {
+    if (!change.value || (config_ && change.position <= config_->position())) {
         return;
     }
     auto declared = adapter_.decode_configuration(*change.value);
@@ -85,12 +85,13 @@
     if (config_ && declared->version < config_->version()) {
         log_warn("configuration_refused", {{"reason", "older version"},
                                            {"version", std::to_string(declared->version)},
+                                           {"position", to_text(change.position)},
                                            {"in_force", std::to_string(config_->version())}});
         return;
     }
-    config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.revision);
+    config_ = std::make_shared<const routing_configuration>(std::move(*declared), change.position);
     log_info("configuration_in_force", {{"version", std::to_string(config_->version())},
-                                        {"revision", std::to_string(change.revision)},
+                                        {"position", to_text(change.position)},
                                         {"routes", std::to_string(config_->routes().routes().size())},
                                         {"teams", std::to_string(config_->team_count())}});
 }
@@ -99,9 +100,9 @@
                                     time_point now) {
     const std::string id = change.key.substr(layout_.upstream_prefix.size());
     if (!change.value) {
-        const auto ended = directory_.remove(id, change.revision, usable_until, "entry removed");
+        const auto ended = directory_.remove(id, change.position, usable_until, "entry removed");
         log_info("upstream_entry_removed", {{"upstream", id},
-                                            {"revision", std::to_string(change.revision)},
+                                            {"position", to_text(change.position)},
                                             {"may_have_lapsed", usable_until ? "yes" : "no"}});
         handle_end(ended, now);
         return;
@@ -109,17 +110,17 @@
     const auto entry = adapter_.decode_upstream(id, *change.value);
     if (entry.has_error()) {
         log_failure("upstream_entry_refused", entry.error());
-        handle_end(directory_.remove(id, change.revision, std::nullopt, "entry unreadable"), now);
+        handle_end(directory_.remove(id, change.position, std::nullopt, "entry unreadable"), now);
         return;
     }
-    handle_end(directory_.put(*entry, change.revision, now), now);
+    handle_end(directory_.put(*entry, change.position), now);
     log_info("upstream_learnt", {{"upstream", entry->id},
                                  {"service", entry->service},
                                  {"address", to_text(entry->address)},
                                  {"failure_domain", entry->failure_domain},
                                  {"incarnation", std::to_string(entry->incarnation)},
                                  {"leaving", entry->leaving ? "yes" : "no"},
-                                 {"revision", std::to_string(change.revision)}});
+                                 {"position", to_text(change.position)}});
 }
 
 void declared_fleet::handle_end(const std::optional<ended_upstream>& ended, time_point now) {
--- a/packages/fleet/src/fleet_registration.cpp
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/io/log.hpp"
 
 #include <boost/json/serialize.hpp>
+#include <utility>
 
 namespace citronwick {
 
@@ -35,8 +36,24 @@
                                                       {"start", start_id_}});
 }
 
-void fleet_registration::set_listed() {
+void fleet_registration::begin_listing(store_position position) {
+    revisions_.clear();
+    has_fleet_key_ = false;
+    if (position.era > era_) {
+        // The lease may not exist in the copy, and the entry gets another position.
+        entry_is_own_ = false;
+        must_check_ = true;
+    }
+    era_ = position.era;
+}
+
+void fleet_registration::end_listing() {
+    entry_is_own_ = entry_is_own_ && revisions_.contains(router_key());
+    must_check_ = must_check_ || !entry_is_own_ || !has_fleet_key_;
     is_listed_ = true;
+    if (must_check_) {
+        timer_.cancel();
+    }
 }
 
 void fleet_registration::apply(const kv_change& change) {
@@ -44,9 +61,10 @@
         return;
     }
     const std::string key = change.key.substr(prefix_.size());
-    revisions_[key] = change.value ? change.revision : 0;
+    revisions_[key] = change.value ? change.position.revision : 0;
     if (key == fleet_key_name && change.value) {
         has_fleet_key_ = true;
+        fleet_key_ = *change.value;
         listener_.on_fleet_key(*change.value);
     } else if (key.starts_with(router_prefix)) {
         apply_router_entry(key, change);
@@ -59,7 +77,7 @@
     if (is_self) {
         const bool is_own = entry && string_member(*entry, "start") == start_id_;
         if (is_own && !entry_is_own_) {
-            listener_.on_registered(static_cast<std::uint64_t>(change.revision));
+            listener_.on_registered(to_sequence_number(change.position));
         }
         entry_is_own_ = is_own;
     } else if (entry) {
@@ -67,12 +85,16 @@
                              .region = string_member(*entry, "region"),
                              .failure_domain = string_member(*entry, "failure_domain"),
                              .fleet_address = string_member(*entry, "fleet_address"),
-                             .incarnation = static_cast<std::uint64_t>(change.revision)});
+                             .incarnation = to_sequence_number(change.position)});
     } else {
         listener_.on_router_removed(key.substr(router_prefix.size()));
     }
 }
 
+std::string fleet_registration::router_key() const {
+    return std::string{router_prefix} + self_.vm;
+}
+
 bool fleet_registration::is_registered() const {
     return entry_is_own_ && has_fleet_key_;
 }
@@ -97,21 +119,25 @@
             succeeded = co_await renew();
         }
         const bool settled = succeeded && is_registered();
-        co_await pause(settled ? renew_interval : retry_interval);
+        if (!settled || !std::exchange(must_check_, false)) {
+            co_await pause(settled ? renew_interval : retry_interval);
+        }
     }
 }
 
 /// Creates the fleet key unless another router has done so. The created value
 /// arrives with the changes of the store.
 task<bool> fleet_registration::create_fleet_key() {
-    auto created = co_await store_.compare_and_swap(prefix_ + std::string{fleet_key_name}, 0, random_id(), 0);
+    const std::string value = fleet_key_.empty() ? random_id() : fleet_key_;
+    auto created = co_await store_.compare_and_swap(prefix_ + std::string{fleet_key_name}, 0, value, 0);
     if (created.has_error()) {
         log_failure("fleet_key_not_created", created.error());
         co_return false;
     }
     if (created->current && !has_fleet_key_) {
-        apply(
-            {prefix_ + std::string{fleet_key_name}, created->current->value, created->current->mod_revision});
+        apply({prefix_ + std::string{fleet_key_name},
+               created->current->value,
+               {created->current->mod_revision, created->era}});
     }
     co_return true;
 }
@@ -123,7 +149,7 @@
         co_return false;
     }
     lease_ = lease->id;
-    const std::string key = std::string{router_prefix} + self_.vm;
+    const std::string key = router_key();
     auto written = co_await store_.compare_and_swap(prefix_ + key, revisions_[key], entry_text(), lease_);
     if (written.has_error()) {
         log_failure("router_not_registered", written.error());
@@ -132,9 +158,9 @@
     if (written->succeeded) {
         log_info("router_registered",
                  {{"router", self_.vm}, {"incarnation", std::to_string(written->revision)}});
-        apply({prefix_ + key, entry_text(), written->revision});
+        apply({prefix_ + key, entry_text(), {written->revision, written->era}});
     } else if (written->current) {
-        apply({prefix_ + key, written->current->value, written->current->mod_revision});
+        apply({prefix_ + key, written->current->value, {written->current->mod_revision, written->era}});
     } else {
         revisions_[key] = 0;
     }
--- a/packages/fleet/src/fleet_registration.hpp
+++ b/packages/fleet/src/fleet_registration.hpp
@@ -36,8 +36,12 @@
     /// Applies a change of one of the fleet's keys; ignores other keys.
     void apply(const kv_change& change);
 
-    /// Records that a complete listing of the store has been applied.
-    void set_listed();
+    /// Records that the changes that follow are a complete listing of the store.
+    void begin_listing(store_position position);
+
+    /// Records that a complete listing has been applied. Of the fleet's keys, those
+    /// that it lacks are written again.
+    void end_listing();
 
 private:
     void apply_router_entry(const std::string& key, const kv_change& change);
@@ -46,6 +50,7 @@
     task<bool> renew();
     task<void> pause(std::chrono::milliseconds time);
     std::string entry_text() const;
+    std::string router_key() const;
     bool is_registered() const;
 
     watched_kv_client& store_;
@@ -55,8 +60,11 @@
     registration_listener listener_;
     asio::steady_timer timer_;
     std::map<std::string, std::int64_t> revisions_; ///< by key without prefix, 0 if removed
+    std::uint64_t era_ = 0;                         ///< to which these revisions belong
+    std::string fleet_key_;                         ///< newest known value, empty if none
     bool is_listed_ = false;
     bool has_fleet_key_ = false;
+    bool must_check_ = false; ///< whether to renew the lease without waiting
     bool entry_is_own_ = false;
     std::int64_t lease_ = 0;
 };
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -53,6 +53,11 @@
         std::clamp<std::int64_t>(value / 1ms, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+/// Era of the revisions in a message.
+std::uint64_t era_of(const wire::gossip& message) {
+    return message.store_era.empty() ? 0 : message.store_era.front();
+}
+
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
 }
@@ -127,6 +132,9 @@
     const auto now = clock::now();
     std::ranges::for_each(message.members,
                           [&](const wire::member_record& record) { merge_member(record, now); });
+    // Also from a sender whose new incarnation is not known yet, as all routers get one
+    // when the store has come back from a copy.
+    notify_positions(message);
     const auto address = members_.address_of(from.sender);
     if (!members_.record_message(from, now) || !address) {
         return;
@@ -134,15 +142,11 @@
     record_watcher_report(from.sender, message);
     if (!message.store_positions.empty()) {
         loads_.merge_report(from.sender, message.load, now);
-        callbacks_.on_revision(message.store_positions.front().revision);
     }
     if (!message.load_table_ids.empty() && loads_.merge_table(message, now)) {
         relay_table(message, now);
     }
     handle_changes(message, *address, now);
-    for (const wire::watcher_position& entry : message.watcher_positions) {
-        callbacks_.on_revision(entry.revision);
-    }
     observations_.merge(message,
                         members_.is_full_mesh() ? upstream_observations::relay::none
                                                 : upstream_observations::relay::once,
@@ -150,7 +154,7 @@
     suspects_.merge(message.suspects, now);
     for (const wire::freshness_answer& answer : message.freshness_answers) {
         callbacks_.on_freshness_answer(boot_time{answer.asked_at}, std::chrono::milliseconds{answer.age},
-                                       answer.revision);
+                                       {answer.revision, era_of(message)});
     }
     answer_queries(message, *address, now);
     permits_.handle_message(from.sender, message, now);
@@ -193,6 +197,17 @@
     permits_.request(upstream, std::move(reply), now);
 }
 
+/// Passes on the positions in the store that a message names.
+void router_peers::notify_positions(const wire::gossip& message) const {
+    const std::uint64_t era = era_of(message);
+    for (const wire::store_position& entry : message.store_positions) {
+        callbacks_.on_position({entry.revision, era});
+    }
+    for (const wire::watcher_position& entry : message.watcher_positions) {
+        callbacks_.on_position({entry.revision, era});
+    }
+}
+
 void router_peers::answer_queries(const wire::gossip& message, const endpoint& to, time_point now) {
     if (message.freshness_queries.empty()) {
         return;
@@ -207,14 +222,22 @@
         std::ranges::transform(message.freshness_queries, std::back_inserter(answer.freshness_answers),
                                [&](const wire::freshness_query& query) {
                                    return wire::freshness_answer{query.asked_at, to_age(*age),
-                                                                 callbacks_.revision()};
+                                                                 callbacks_.position().revision};
                                });
     }
+    add_era(answer);
     send(answer, to, now);
 }
 
 wire::store_position router_peers::position() const {
-    return {callbacks_.revision(), callbacks_.is_store_reachable()};
+    return {callbacks_.position().revision, callbacks_.is_store_reachable()};
+}
+
+/// Adds the era to which this router's revisions belong.
+void router_peers::add_era(wire::gossip& message) const {
+    if (const std::uint64_t era = callbacks_.position().era; era != 0) {
+        message.store_era = {static_cast<std::uint32_t>(era)};
+    }
 }
 
 /// Message that reports this router's load and its store position.
@@ -223,6 +246,7 @@
     wire::gossip message;
     message.load = loads_.report_local_load();
     message.store_positions.push_back(position());
+    add_era(message);
     return message;
 }
 
@@ -311,25 +335,27 @@
     permits_.tick(now);
 }
 
-void router_peers::forward_changes(const kv_changes& seen, std::int64_t previous,
+void router_peers::forward_changes(const kv_changes& seen, store_position previous,
                                    std::optional<time_point> lapse_window_end, time_point now) {
     if (!has_key_ || !is_registered_ || !is_watcher(now)) {
         return;
     }
     std::vector<wire::change_entry> changes;
     for (const kv_change& change : seen.changes) {
-        changes.push_back({change.key, change.value.value_or(""), !change.value, previous, change.revision});
-        previous = change.revision;
+        changes.push_back({change.key, change.value.value_or(""), !change.value, previous.revision,
+                           change.position.revision});
+        previous = change.position;
     }
     wire::gossip message;
     message.changes = wire::pack_changes(changes);
     if (message.changes.size() > max_forwarded_bytes) {
         log_info("changes_not_passed_on", {{"packed_bytes", std::to_string(message.changes.size())},
-                                           {"revision", std::to_string(seen.revision)}});
+                                           {"position", to_text(seen.position)}});
         message.changes.clear();
     }
     const duration lapse = lapse_window_end ? *lapse_window_end - now : duration::zero();
-    message.watcher_positions.push_back({seen.revision, members_.self_hash(), to_uint16_ms(lapse)});
+    message.watcher_positions.push_back({seen.position.revision, members_.self_hash(), to_uint16_ms(lapse)});
+    message.store_era = {static_cast<std::uint32_t>(seen.position.era)};
     relay_changes(message, members_.self_hash(), now);
 }
 
@@ -381,12 +407,13 @@
     if (entries->empty()) {
         return;
     }
-    kv_changes forwarded{.revision = entries->back().revision};
-    const auto previous = entries->front().previous;
+    const std::uint64_t era = era_of(message);
+    kv_changes forwarded{.position = {entries->back().revision, era}};
+    const store_position previous{entries->front().previous, era};
     for (wire::change_entry& entry : *entries) {
         forwarded.changes.push_back({std::move(entry.key),
                                      entry.is_removal ? std::nullopt : std::optional{std::move(entry.value)},
-                                     entry.revision});
+                                     {entry.revision, era}});
     }
     if (message.watcher_positions.empty()) {
         return;
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -135,7 +135,7 @@
                         apply_listing(listing, usable_until);
                     },
                 .on_changes =
-                    [this](const kv_changes& seen, std::int64_t previous,
+                    [this](const kv_changes& seen, store_position previous,
                            std::optional<time_point> usable_until) {
                         apply_changes(seen, previous, usable_until);
                     },
@@ -147,19 +147,19 @@
     }
 
     peer_callbacks make_peer_callbacks() {
-        return {.revision = [this] { return follower_.revision(); },
+        return {.position = [this] { return follower_.position(); },
                 .is_store_reachable = [this] { return follower_.is_store_reachable(clock::now()); },
                 .key_age = [this] { return freshness_.age(boot_now()); },
                 .loads = [this]() -> const auto& { return loads_; },
-                .on_revision = [this](std::int64_t revision) { follower_.notify_revision(revision); },
+                .on_position = [this](store_position position) { follower_.notify_position(position); },
                 .on_changes =
-                    [this](const kv_changes& forwarded, std::int64_t previous, duration lapse) {
+                    [this](const kv_changes& forwarded, store_position previous, duration lapse) {
                         return follower_.apply_forwarded(forwarded, previous, lapse);
                     },
                 .on_freshness_answer =
-                    [this](boot_time asked_at, duration age, std::int64_t revision) {
+                    [this](boot_time asked_at, duration age, store_position position) {
                         follower_.record_peer_confirmation(boot_now() - (asked_at - age));
-                        if (freshness_.confirm_by_peer(asked_at, age, revision, follower_.revision())) {
+                        if (freshness_.confirm_by_peer(asked_at, age, position, follower_.position())) {
                             publish_freshness();
                         }
                     }};
@@ -177,7 +177,7 @@
         const auto confirmed = freshness_.confirmed_at();
         const auto now = boot_now();
         if (!keys_are_fresh(now)) {
-            log_info("keys_confirmed", {{"revision", std::to_string(follower_.revision())},
+            log_info("keys_confirmed", {{"position", to_text(follower_.position())},
                                         {"age_ms", to_milliseconds(now - *confirmed)}});
         }
         confirmed_at_.store(static_cast<std::int64_t>(*confirmed), std::memory_order_release);
@@ -188,18 +188,19 @@
 
     void apply_listing(const kv_listing& listing, std::optional<time_point> usable_until) {
         const auto now = clock::now();
+        registration_->begin_listing(listing.position);
         for (const kv_item& item : listing.items) {
-            apply_change({item.key, item.value, item.revision}, usable_until, now);
+            apply_change({item.key, item.value, item.position}, usable_until, now);
         }
         declared_.retain_listed(listing, usable_until, now);
-        registration_->set_listed();
+        registration_->end_listing();
         log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
-                                  {"revision", std::to_string(listing.revision)},
+                                  {"position", to_text(listing.position)},
                                   {"may_have_lapsed", usable_until ? "yes" : "no"}});
         publish(now);
     }
 
-    void apply_changes(const kv_changes& seen, std::int64_t previous,
+    void apply_changes(const kv_changes& seen, store_position previous,
                        std::optional<time_point> usable_until) {
         const auto now = clock::now();
         peers_.forward_changes(seen, previous, usable_until, now);
@@ -221,7 +222,7 @@
         next->upstreams = declared_.usable();
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
-        next->revision = follower_.revision();
+        next->position = follower_.position();
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
             for (const routed_upstream& each : upstreams) {
@@ -229,7 +230,7 @@
             }
         }
         view_.store(std::move(next));
-        if (freshness_.advance(follower_.revision())) {
+        if (freshness_.advance(follower_.position())) {
             publish_freshness();
         }
     }
@@ -292,7 +293,7 @@
             staleness_logged_ = true;
             log_warn("keys_not_confirmed", {{"age_ms", to_milliseconds(*age)},
                                             {"limit_ms", to_milliseconds(freshness_.limit())},
-                                            {"revision", std::to_string(follower_.revision())}});
+                                            {"position", to_text(follower_.position())}});
         }
     }
 
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -53,9 +53,9 @@
     is_watcher_ = is_watcher;
 }
 
-void store_follower::notify_revision(std::int64_t revision) {
-    if (revision > std::max(revision_, notified_revision_)) {
-        notified_revision_ = revision;
+void store_follower::notify_position(store_position position) {
+    if (position > std::max(position_, notified_position_)) {
+        notified_position_ = position;
         notified_at_ = clock::now();
         wake_.cancel();
     }
@@ -74,7 +74,7 @@
     if (is_watcher_ || !is_listed_) {
         return duration::zero();
     }
-    if (notified_revision_ > revision_) {
+    if (notified_position_ > position_) {
         return std::max(notified_at_ + notification_delay - now, duration::zero());
     }
     return idle_sleep;
@@ -91,7 +91,8 @@
 
 task<void> store_follower::back_off() {
     const int doublings = is_watcher_ ? max_doublings_watcher : max_doublings_non_watcher;
-    return pause(first_back_off * (1 << std::clamp(failures_in_row_ - 1, 0, doublings)));
+    const int in_row = std::max(failures_in_row_, older_answers_in_row_);
+    return pause(first_back_off * (1 << std::clamp(in_row - 1, 0, doublings)));
 }
 
 task<void> store_follower::pause(duration time) {
@@ -103,11 +104,11 @@
     while (true) {
         co_await wait_for_work();
         bool succeeded = false;
-        if (is_listed_ && !prefers_listing_) {
-            const bool waits = is_watcher_ && notified_revision_ <= revision_;
+        if (is_listed_ && !prefers_listing_ && !has_era_changed()) {
+            const bool waits = is_watcher_ && notified_position_ <= position_;
             if (!waits) {
-                log_info("changes_read", {{"revision", std::to_string(revision_)},
-                                          {"heard_of", std::to_string(notified_revision_)},
+                log_info("changes_read", {{"position", to_text(position_)},
+                                          {"heard_of", to_text(notified_position_)},
                                           {"on_duty", is_watcher_ ? "yes" : "no"}});
             }
             succeeded = co_await watch(waits ? watch_wait : no_wait);
@@ -126,11 +127,11 @@
         // The watch may be waiting on a dead connection, so announced changes
         // are also read here.
         const bool has_overdue_notification =
-            notified_revision_ > revision_ && clock::now() - notified_at_ >= notification_delay;
+            notified_position_ > position_ && clock::now() - notified_at_ >= notification_delay;
         const bool is_due = is_listed_ && (is_watcher_ || confirmation_requested_ ||
                                            has_overdue_notification || calls_fail_since_.has_value());
         bool succeeded = true;
-        if (must_relist()) {
+        if (must_relist() || has_era_changed()) {
             succeeded = co_await list();
         } else if (is_due) {
             succeeded = co_await confirm();
@@ -146,26 +147,32 @@
 
 /// Whether a listing that became necessary by lost history has failed.
 bool store_follower::must_relist() const {
-    return !is_listed_ && revision_ > 0;
+    return !is_listed_ && position_ > store_position{};
+}
+
+/// Whether a response or a peer has named a newer era than the one followed.
+bool store_follower::has_era_changed() const {
+    return is_listed_ && std::max(store_.newest_era(), notified_position_.era) > position_.era;
 }
 
 /// Reads the store's revision. Changes that are not known yet are read before the
 /// state counts as confirmed.
 task<bool> store_follower::confirm() {
     const auto requested_at = boot_now();
-    auto revision = co_await store_.current_revision();
-    if (revision.has_error()) {
-        record_failure(revision.error());
+    auto current = co_await store_.current_position();
+    if (current.has_error()) {
+        record_failure(current.error());
         co_return false;
     }
     record_success();
-    if (is_listed_ && *revision > revision_) {
-        const bool followed = prefers_listing_ ? co_await list() : co_await watch(no_wait);
+    if (is_listed_ && *current > position_) {
+        const bool must_list = prefers_listing_ || current->era != position_.era;
+        const bool followed = must_list ? co_await list() : co_await watch(no_wait);
         if (!followed) {
             co_return false;
         }
     }
-    if (is_listed_ && *revision <= revision_) {
+    if (is_listed_ && *current <= position_) {
         prefers_listing_ = false;
         confirmation_requested_ = false;
         listener_.on_confirmed(requested_at);
@@ -180,7 +187,7 @@
 void store_follower::record_service(time_point served_at) {
     if (const auto length = outage_.record_service(served_at)) {
         log_info("store_outage_ended",
-                 {{"length_ms", to_milliseconds(*length)}, {"revision", std::to_string(revision_)}});
+                 {{"length_ms", to_milliseconds(*length)}, {"position", to_text(position_)}});
     }
 }
 
@@ -204,11 +211,20 @@
         log_warn("store_lost", {{"step", error.step},
                                 {"peer", error.peer},
                                 {"detail", error.detail},
-                                {"revision", std::to_string(revision_)}});
+                                {"position", to_text(position_)}});
     }
     ++failures_in_row_;
 }
 
+/// Logs a response from before what is already known, and slows further calls down.
+void store_follower::refuse_older(store_position received) {
+    ++older_answers_in_row_;
+    log_warn("store_answer_refused", {{"reason", "older than the position already known"},
+                                      {"position", to_text(received)},
+                                      {"known", to_text(position_)},
+                                      {"in_row", std::to_string(older_answers_in_row_)}});
+}
+
 task<bool> store_follower::list() {
     const auto requested_at = boot_now();
     auto listing = co_await store_.list("");
@@ -217,54 +233,66 @@
         co_return false;
     }
     record_success();
-    if (listing->revision < revision_) {
-        log_warn("store_answer_refused", {{"reason", "older than the revision already known"},
-                                          {"revision", std::to_string(listing->revision)},
-                                          {"known", std::to_string(revision_)}});
+    if (listing->position < position_) {
+        refuse_older(listing->position);
         co_return false;
     }
+    older_answers_in_row_ = 0;
+    if (position_ > store_position{} && listing->position.era > position_.era) {
+        log_warn("store_restored", {{"position", to_text(listing->position)}, {"known", to_text(position_)}});
+        outage_.record_restoration(clock::now());
+    }
     is_listed_ = true;
     prefers_listing_ = false;
     confirmation_requested_ = false;
-    revision_ = listing->revision;
+    position_ = listing->position;
+    notified_position_ = std::max(notified_position_, position_);
     listener_.on_listing(*listing, outage_.lapse_window_end(clock::now()));
     listener_.on_confirmed(requested_at);
     co_return true;
 }
 
 task<bool> store_follower::watch(std::chrono::milliseconds wait) {
-    const auto after = revision_;
-    auto seen = co_await store_.wait_for_changes("", after, wait);
+    const auto after = position_;
+    auto seen = co_await store_.wait_for_changes("", after.revision, wait);
     if (seen.has_error()) {
         record_failure(seen.error());
         co_return false;
     }
     record_success();
-    if (revision_ != after) {
-        co_return true; // another call has advanced the revision meanwhile
+    if (position_ != after) {
+        co_return true; // another call has advanced the position meanwhile
+    }
+    if (seen->position.era < after.era) {
+        refuse_older(seen->position);
+        co_return false;
     }
-    // The store delivers an event for every change, so a revision beyond the
-    // last event means that some changes were not delivered.
-    const std::int64_t delivered = seen->changes.empty() ? after : seen->changes.back().revision;
-    if (seen->history_lost || seen->revision > delivered) {
-        log_warn("store_history_lost", {{"revision", std::to_string(revision_)},
-                                        {"store_revision", std::to_string(seen->revision)}});
+    // The store delivers an event for every change, so a position beyond the last
+    // event means that some changes were not delivered. Events of another era follow
+    // on changes that this router does not have.
+    const store_position delivered = seen->changes.empty() ? after : seen->changes.back().position;
+    const bool is_other_era = seen->position.era != after.era;
+    if (seen->history_lost || is_other_era || seen->position > delivered) {
+        log_warn("store_history_lost",
+                 {{"position", to_text(position_)}, {"store_position", to_text(seen->position)}});
         is_listed_ = false;
         co_return co_await list();
     }
-    if (seen->revision <= revision_) {
+    if (seen->position <= position_) {
         co_return true;
     }
     drop_superseded(*seen);
-    const auto previous = std::exchange(revision_, seen->revision);
-    notified_revision_ = std::max(notified_revision_, revision_);
+    const auto previous = std::exchange(position_, seen->position);
+    notified_position_ = std::max(notified_position_, position_);
     listener_.on_changes(*seen, previous, outage_.lapse_window_end(clock::now()));
     co_await pause(change_delay);
     co_return true;
 }
 
-bool store_follower::apply_forwarded(const kv_changes& forwarded, std::int64_t previous, duration lapse) {
-    if (!is_listed_ || previous > revision_ || forwarded.revision <= revision_) {
+bool store_follower::apply_forwarded(const kv_changes& forwarded, store_position previous, duration lapse) {
+    if (!is_listed_ || previous > position_ || forwarded.position <= position_ ||
+        forwarded.position.era != position_.era) {
+        notify_position(forwarded.position);
         return false;
     }
     prefers_listing_ = false;
@@ -272,8 +300,8 @@
     if (lapse > duration::zero()) {
         outage_.extend_lapse_window(now + lapse);
     }
-    const auto before = std::exchange(revision_, forwarded.revision);
-    notified_revision_ = std::max(notified_revision_, revision_);
+    const auto before = std::exchange(position_, forwarded.position);
+    notified_position_ = std::max(notified_position_, position_);
     listener_.on_changes(forwarded, before, outage_.lapse_window_end(now));
     return true;
 }
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -12,23 +12,48 @@
     return hash64(entry.id, entry.incarnation);
 }
 
-std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, std::int64_t revision,
-                                                      time_point /*now*/) {
-    const auto removal = removal_revisions_.find(entry.id);
-    if (removal != removal_revisions_.end() && removal->second >= revision) {
+namespace {
+
+/// Whether an entry states less than the known one, although its position is newer:
+/// the store has come back from a copy that was taken before.
+bool is_older_state(const upstream_entry& entry, const upstream_entry& known) {
+    return entry.incarnation != known.incarnation ? entry.incarnation < known.incarnation
+                                                  : entry.sequence < known.sequence;
+}
+
+} // namespace
+
+bool upstream_directory::is_older_than_removal(const upstream_entry& entry, store_position position) const {
+    const auto found = removals_.find(entry.id);
+    if (found == removals_.end()) {
+        return false;
+    }
+    const removal& removed = found->second;
+    const bool is_of_copy = position.era > removed.position.era;
+    return position <= removed.position ||
+           (is_of_copy && (entry.incarnation < removed.incarnation ||
+                           (entry.incarnation == removed.incarnation && entry.sequence <= removed.sequence)));
+}
+
+std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, store_position position) {
+    if (is_older_than_removal(entry, position)) {
         return std::nullopt;
     }
     const auto found = entries_.find(entry.id);
     if (found == entries_.end()) {
-        entries_[entry.id] = {{entry, upstream_hash(entry), std::make_shared<upstream_load>()}, revision};
+        entries_[entry.id] = {{entry, upstream_hash(entry), std::make_shared<upstream_load>()}, position};
         return std::nullopt;
     }
     tracked_entry& old = found->second;
-    if (revision < old.revision) {
+    if (position < old.position) {
         return std::nullopt;
     }
-    old.revision = revision;
+    const bool is_of_copy = position.era > old.position.era;
+    old.position = position;
     old.usable_until.reset();
+    if (is_of_copy && is_older_state(entry, old.upstream.entry)) {
+        return std::nullopt;
+    }
     if (old.upstream.entry.incarnation == entry.incarnation) {
         const bool was_leaving = old.upstream.entry.leaving;
         old.upstream.entry = entry;
@@ -40,28 +65,31 @@
     return ended;
 }
 
-std::optional<ended_upstream> upstream_directory::remove(const std::string& id, std::int64_t revision,
+std::optional<ended_upstream> upstream_directory::remove(const std::string& id, store_position position,
                                                          std::optional<time_point> usable_until,
                                                          std::string_view reason) {
-    auto& removal = removal_revisions_[id];
-    removal = std::max(removal, revision);
+    removal& removed = removals_[id];
+    removed.position = std::max(removed.position, position);
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second.revision > revision) {
+    if (found == entries_.end() || found->second.position > position) {
         return std::nullopt;
     }
+    const upstream_entry& known = found->second.upstream.entry;
+    removed.incarnation = known.incarnation;
+    removed.sequence = known.sequence;
     if (usable_until) {
         if (!found->second.usable_until) {
             found->second.usable_until = usable_until;
         }
         return std::nullopt;
     }
-    ended_upstream ended{found->second.upstream.entry, reason};
+    ended_upstream ended{known, reason};
     entries_.erase(found);
     return ended;
 }
 
 std::vector<ended_upstream> upstream_directory::retain(const std::set<std::string>& ids,
-                                                       std::int64_t revision,
+                                                       store_position position,
                                                        std::optional<time_point> usable_until) {
     std::vector<std::string> missing;
     for (const auto& id : entries_ | std::views::keys) {
@@ -71,7 +99,7 @@
     }
     std::vector<ended_upstream> ended;
     for (const std::string& id : missing) {
-        if (auto removed = remove(id, revision, usable_until, "not listed")) {
+        if (auto removed = remove(id, position, usable_until, "not listed")) {
             ended.push_back(std::move(*removed));
         }
     }
--- a/packages/io/include/citronwick/io/counted_kv_client.hpp
+++ b/packages/io/include/citronwick/io/counted_kv_client.hpp
@@ -39,7 +39,8 @@
     task<io_result<bool>> wait_for_change(std::string key, std::int64_t after_revision,
                                           std::chrono::milliseconds timeout) override;
     task<io_result<kv_listing>> list(std::string prefix) override;
-    task<io_result<std::int64_t>> current_revision() override;
+    task<io_result<store_position>> current_position() override;
+    std::uint64_t newest_era() const override;
     task<io_result<kv_changes>> wait_for_changes(std::string prefix, std::int64_t after,
                                                  std::chrono::milliseconds wait) override;
     std::uint64_t take_byte_count() override;
--- a/packages/io/include/citronwick/io/kv_client.hpp
+++ b/packages/io/include/citronwick/io/kv_client.hpp
@@ -21,6 +21,7 @@
 struct swap_outcome {
     bool succeeded = false;
     std::int64_t revision = 0;         ///< store revision after the call
+    std::uint64_t era = 0;             ///< of the store's history, 0 if the store does not name it
     std::optional<kv_entry> current{}; ///< existing entry if the comparison failed; none if the key is absent
 };
 
--- a/packages/io/include/citronwick/io/watched_kv_client.hpp
+++ b/packages/io/include/citronwick/io/watched_kv_client.hpp
@@ -1,37 +1,40 @@
 #ifndef CITRONWICK_IO_WATCHED_KV_CLIENT_HPP_INCLUDED
 #define CITRONWICK_IO_WATCHED_KV_CLIENT_HPP_INCLUDED
 
+#include "citronwick/core/store_position.hpp"
 #include "citronwick/io/kv_client.hpp"
 
 #include <vector>
 
 namespace citronwick {
 
-/// Key with its value and the revision at which it was last modified.
+/// Key with its value and the position at which it was last modified. In a store that
+/// came back from a copy, the era is that of the listing, not that of the change.
 struct kv_item {
     std::string key;
     std::string value;
-    std::int64_t revision = 0;
+    store_position position{};
 };
 
 /// Keys with a common prefix. A listing of several pages is not a snapshot: it may or may not
-/// include changes made after `revision`.
+/// include changes made after `position`.
 struct kv_listing {
     std::vector<kv_item> items;
-    std::int64_t revision = 0; ///< store revision before the first page was read
+    store_position position{}; ///< of the store before the first page was read
 };
 
 /// One change of a key.
 struct kv_change {
     std::string key;
     std::optional<std::string> value; ///< none if the key was removed
-    std::int64_t revision = 0;
+    store_position position{};
 };
 
-/// Changes after a revision, in order of revision.
+/// Changes after a position, in order.
 struct kv_changes {
     std::vector<kv_change> changes;
-    std::int64_t revision = 0; ///< revision to continue from
+    store_position position{}; ///< position to continue from; of another era, if the store
+                               ///< has come back from a copy
     bool history_lost = false; ///< the store no longer keeps these changes; list the keys again
 };
 
@@ -40,8 +43,11 @@
 public:
     virtual task<io_result<kv_listing>> list(std::string prefix) = 0;
 
-    /// Current revision of the store, no older than at the time of the call.
-    virtual task<io_result<std::int64_t>> current_revision() = 0;
+    /// Current position of the store, no older than at the time of the call.
+    virtual task<io_result<store_position>> current_position() = 0;
+
+    /// Newest era that any response has named, 0 if none has.
+    virtual std::uint64_t newest_era() const = 0;
 
     /// Waits for changes of keys with a prefix (long poll).
     /// @param wait longest time for which the service may hold the request
--- a/packages/io/src/counted_kv_client.cpp
+++ b/packages/io/src/counted_kv_client.cpp
@@ -43,8 +43,12 @@
     return count(kv_call::listing, service_->list(std::move(prefix)));
 }
 
-task<io_result<std::int64_t>> counted_kv_client::current_revision() {
-    return count(kv_call::revision, service_->current_revision());
+task<io_result<store_position>> counted_kv_client::current_position() {
+    return count(kv_call::revision, service_->current_position());
+}
+
+std::uint64_t counted_kv_client::newest_era() const {
+    return service_->newest_era();
 }
 
 task<io_result<kv_changes>> counted_kv_client::wait_for_changes(std::string prefix, std::int64_t after,
--- a/packages/policy/src/key_freshness.cpp
+++ b/packages/policy/src/key_freshness.cpp
@@ -8,21 +8,21 @@
     confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, requested_at) : requested_at;
 }
 
-bool key_freshness::confirm_by_peer(boot_time requested_at, duration age, std::int64_t revision,
-                                    std::int64_t own_revision) {
+bool key_freshness::confirm_by_peer(boot_time requested_at, duration age, store_position position,
+                                    store_position own_position) {
     if (age < duration::zero()) {
         return false;
     }
-    if (revision > own_revision) {
-        pending_ = {revision, requested_at - age};
+    if (position > own_position) {
+        pending_ = {position, requested_at - age};
         return false;
     }
     confirm(requested_at - age);
     return true;
 }
 
-bool key_freshness::advance(std::int64_t own_revision) {
-    if (!pending_ || pending_->revision > own_revision) {
+bool key_freshness::advance(store_position own_position) {
+    if (!pending_ || pending_->position > own_position) {
         return false;
     }
     confirm(pending_->confirmed_at);
--- a/packages/policy/tests/key_freshness.tests.cpp
+++ b/packages/policy/tests/key_freshness.tests.cpp
@@ -38,28 +38,37 @@
 
 TEST_CASE("a peer's confirmation ages from the time of the request") {
     key_freshness keys{5s};
-    CHECK(keys.confirm_by_peer(at(2s), 1s, 7, 7));
+    CHECK(keys.confirm_by_peer(at(2s), 1s, {7}, {7}));
     CHECK(*keys.age(at(4s)) == 3s);
 }
 
 TEST_CASE("a response that was buffered while the router was suspended does not make the keys fresh") {
     key_freshness keys{5s};
-    CHECK(keys.confirm_by_peer(at(0s), 100ms, 7, 7));
+    CHECK(keys.confirm_by_peer(at(0s), 100ms, {7}, {7}));
     CHECK_FALSE(keys.is_fresh(at(8s)));
 }
 
 TEST_CASE("a response from a peer with a newer revision does not confirm the keys") {
     key_freshness keys{5s};
-    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, 8, 7));
+    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, {8}, {7}));
     CHECK_FALSE(keys.is_fresh(at(2s)));
-    CHECK_FALSE(keys.confirm_by_peer(at(2s), -1s, 7, 7));
+    CHECK_FALSE(keys.confirm_by_peer(at(2s), -1s, {7}, {7}));
 }
 
 TEST_CASE("a response from a peer with a newer revision confirms the keys once its changes have arrived") {
     key_freshness keys{5s};
-    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, 8, 7));
-    CHECK_FALSE(keys.advance(7));
-    CHECK(keys.advance(9));
+    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, {8}, {7}));
+    CHECK_FALSE(keys.advance({7}));
+    CHECK(keys.advance({9}));
     CHECK(*keys.age(at(3s)) == 2s);
-    CHECK_FALSE(keys.advance(10));
+    CHECK_FALSE(keys.advance({10}));
+}
+
+TEST_CASE("a confirmation of another history counts only once this router follows that history") {
+    key_freshness keys{5s};
+    CHECK_FALSE(keys.confirm_by_peer(at(2s), 1s, {3, 2}, {30, 1}));
+    CHECK_FALSE(keys.advance({31, 1}));
+    CHECK_FALSE(keys.is_fresh(at(2s)));
+    CHECK(keys.advance({3, 2}));
+    CHECK(keys.is_fresh(at(2s)));
 }
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -163,7 +163,7 @@
          {"missing_tokens", std::to_string(placement_->uncached_tokens)},
          {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
-         {"revision", std::to_string(view_->revision)}});
+         {"position", to_text(view_->position)}});
     placement_request_.tried.push_back(placement_->upstream.hash);
     exchange_result result;
     {
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -68,6 +68,10 @@
                                   .Name("citronwick_store_revision")
                                   .Help("Revision up to which the store was followed")
                                   .Register(registry);
+    Family<Gauge>& era = prometheus::BuildGauge()
+                             .Name("citronwick_store_era")
+                             .Help("Number of the store's history; rises when it comes back from a copy")
+                             .Register(registry);
     Family<Gauge>& key_age = prometheus::BuildGauge()
                                  .Name("citronwick_key_confirmation_age_seconds")
                                  .Help("Time since the team keys were confirmed, -1 for never")
@@ -120,7 +124,8 @@
     const auto view = plane.view();
     const auto age = plane.key_age(boot_now());
     families_->version.Add({}).Set(view->config ? static_cast<double>(view->config->version()) : 0.0);
-    families_->revision.Add({}).Set(static_cast<double>(view->revision));
+    families_->revision.Add({}).Set(static_cast<double>(view->position.revision));
+    families_->era.Add({}).Set(static_cast<double>(view->position.era));
     families_->key_age.Add({}).Set(age ? seconds(*age) : -1.0);
     families_->live_routers.Add({}).Set(static_cast<double>(view->live_routers));
     families_->gossip_bytes.Add({}).Set(static_cast<double>(plane.gossip_bytes()));
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -65,7 +65,8 @@
         services[service] = std::move(list);
     }
     return {{"version", view->config ? view->config->version() : 0},
-            {"revision", view->revision},
+            {"revision", view->position.revision},
+            {"era", view->position.era},
             {"live_routers", view->live_routers},
             {"key_age_ms", age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1},
             {"services", std::move(services)}};
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -223,6 +223,8 @@
     std::vector<permit_reply> permit_replies;
     std::vector<permit_count> rejected_permits; ///< by the sending coordinator, since its last message
     std::vector<permit_count> given_permits;    ///< to the receiving coordinator
+    /// Era of all revisions in this message, at most one; empty if the store names none.
+    std::vector<std::uint32_t> store_era;
 };
 
 /// Request over TCP for the header of a document and for some of its chunks.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -209,7 +209,8 @@
                       message.freshness_answers, message.outcomes, message.prefixes, message.changes,
                       message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
                       message.load_table, message.limits, message.limit_list_ids, message.permit_requests,
-                      message.permit_replies, message.rejected_permits, message.given_permits);
+                      message.permit_replies, message.rejected_permits, message.given_permits,
+                      message.store_era);
 }
 
 template <class Archive>
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -72,10 +72,12 @@
     constexpr std::size_t chunk_bytes = 8'192;
     bytes_sent_ += static_cast<std::int64_t>(text.size());
     if (bytes_per_second_ == 0) {
-        co_return co_await send_response(stream, status, std::move(text));
+        std::vector<std::pair<std::string, std::string>> fields{{"Store-Era", std::to_string(era_)}};
+        co_return co_await send_with_fields(stream, status, std::move(text), std::move(fields));
     }
     const std::string response = "HTTP/1.1 " + std::to_string(static_cast<unsigned>(status)) +
-                                 " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+                                 " X\r\nStore-Era: " + std::to_string(era_) +
+                                 "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
     for (std::size_t offset = 0; offset < response.size(); offset += chunk_bytes) {
         const std::string chunk = response.substr(offset, chunk_bytes);
         const auto time = std::chrono::microseconds{static_cast<std::int64_t>(chunk.size()) * 1'000'000 /
@@ -231,16 +233,18 @@
 task<bool> metadata_store::watch(tcp_stream& stream, std::string target) {
     constexpr std::chrono::milliseconds poll_interval = 5ms;
     const auto after = parse_number(query_parameter(target, "after"));
+    const auto era = era_;
     const auto deadline =
         clock::now() + std::chrono::milliseconds{parse_number(query_parameter(target, "waitMs"))};
-    while ((after == revision_ || watches_suspended_) && clock::now() < deadline && mode_ == "up") {
+    while (((after == revision_ && era == era_) || watches_suspended_) && clock::now() < deadline &&
+           mode_ == "up") {
         co_await sleep_for(poll_interval);
         expire_leases();
     }
     if (mode_ != "up") {
         co_return false;
     }
-    if (after < compacted_revision_) {
+    if (after < compacted_revision_ || after > revision_ || era != era_) {
         co_return co_await send(stream, http::status::gone, "{}");
     }
     auto events = events_after(query_parameter(target, "prefix"), after);
@@ -267,12 +271,25 @@
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         bytes_per_second_ = integer_member(fault_settings, "bytes_per_second");
         watches_suspended_ = integer_member(fault_settings, "deaf") != 0;
+        if (integer_member(fault_settings, "copy") != 0) {
+            copy_ = {revision_, items_};
+        }
+        if (integer_member(fault_settings, "restore") != 0) {
+            ++era_;
+            revision_ = copy_.revision;
+            items_ = copy_.items;
+            leases_.clear();
+            std::ranges::for_each(items_, [](auto& each) { each.second.lease = 0; });
+            history_.clear();
+            compacted_revision_ = revision_;
+        }
         if (integer_member(fault_settings, "forget_history") != 0) {
             compacted_revision_ = revision_;
             history_.clear();
         }
     }
-    json::object status{{"revision", revision_}, {"calls", calls_}, {"bytes_sent", bytes_sent_}};
+    json::object status{
+        {"revision", revision_}, {"era", era_}, {"calls", calls_}, {"bytes_sent", bytes_sent_}};
     co_return co_await send_json(stream, std::move(status));
 }
 
--- a/tests/standin/metadata_store.hpp
+++ b/tests/standin/metadata_store.hpp
@@ -14,7 +14,8 @@
 
 /// Stand-in for the platform's metadata store: keys with revisions, paged
 /// listings, watches, conditional writes and leases over HTTP. Tests write any
-/// key by PUT /standin/key?NAME and remove it by DELETE.
+/// key by PUT /standin/key?NAME and remove it by DELETE. POST /standin/fault with "copy"
+/// takes a copy of the store, and with "restore" it comes back from that copy.
 class metadata_store {
 public:
     metadata_store(asio::io_context& context, const std::string& ip);
@@ -48,7 +49,15 @@
     void remove(const std::string& key);
     void expire_leases();
 
+    /// What a copy of the store holds.
+    struct copied_state {
+        std::int64_t revision = 1;
+        std::map<std::string, item> items;
+    };
+
     std::int64_t revision_ = 1;
+    std::int64_t era_ = 1;
+    copied_state copy_;
     std::int64_t next_lease_ = 1;
     std::int64_t compacted_revision_ = 0; ///< events up to this revision are no longer kept
     std::map<std::string, item> items_;
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -70,6 +70,19 @@
     co_return !error;
 }
 
+task<bool> send_with_fields(boost::beast::tcp_stream& stream, http::status status, std::string body,
+                            std::vector<std::pair<std::string, std::string>> fields) {
+    http_response response{status, 11};
+    response.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : fields) {
+        response.set(name, value);
+    }
+    response.body() = std::move(body);
+    response.prepare_payload();
+    auto [error, size] = co_await http::async_write(stream, response, use_tuple);
+    co_return !error;
+}
+
 task<bool> send_json(boost::beast::tcp_stream& stream, boost::json::object body) {
     auto text = boost::json::serialize(body);
     co_return co_await send_response(stream, http::status::ok, std::move(text));
--- a/tests/standin/standin_server.hpp
+++ b/tests/standin/standin_server.hpp
@@ -38,6 +38,10 @@
                          std::string content_type = "application/json", std::string load_report = {},
                          std::string request_id = {});
 
+/// Sends a response with additional header fields.
+task<bool> send_with_fields(boost::beast::tcp_stream& stream, http::status status, std::string body,
+                            std::vector<std::pair<std::string, std::string>> fields);
+
 task<bool> send_json(boost::beast::tcp_stream& stream, boost::json::object body);
 
 task<void> sleep_for(std::chrono::microseconds time);
