--- a/packages/policy/src/permit_pool.cpp
+++ b/packages/policy/src/permit_pool.cpp
@@ -20,10 +20,10 @@
 constexpr double max_surplus = 1.0;
 /// Requests for each permit up to which rejected routers are told to return with the
 /// next permit. More than one, since not every router has a request by then.
-constexpr double requests_per_permit = 3.0;
+constexpr double requests_per_permit = 1.5;
 /// Time constant for averaging the rate of rejections.
 constexpr std::chrono::duration<double> averaging_time{1.0};
-constexpr duration max_wait = 2s;
+constexpr duration max_wait = 5s;
 
 double capacity(double rate) {
     return 1.0 + capacity_seconds * rate;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -234,6 +234,11 @@
     std::vector<served_span> served_spans; ///< as the sender knows, at most one
 };
 
+/// Era of the revisions in a message, 0 if the store names none.
+inline std::uint64_t era_of(const gossip& message) {
+    return message.store_era.empty() ? 0 : message.store_era.front();
+}
+
 /// Request over TCP for the header of a document and for some of its chunks.
 struct document_request {
     document_kind kind = document_kind::configuration;
