--- a/tests/integration/restored_store.tests.cpp
+++ b/tests/integration/restored_store.tests.cpp
@@ -89,7 +89,8 @@
     }
     CHECK(refused == 0);
     // One listing of several pages each, and what the routers write again.
-    CHECK(calls_of(fleet.store()) - begin <= calm_calls + 4 * 20);
+    constexpr std::int64_t calls_of_four_routers = 80;
+    CHECK(calls_of(fleet.store()) - begin <= calm_calls + calls_of_four_routers);
 }
 
 TEST_CASE("proof: what a router wrote is there again after the store came back from a copy") {
