Take no limit from a response of an upstream that got another one's address

A 421 says that the address belongs to another upstream now; as a response without a limit it would have ended the limit of the one that is known there.

--- a/packages/fleet/src/permit_exchange.cpp
+++ b/packages/fleet/src/permit_exchange.cpp
@@ -204,6 +204,7 @@
             gifts[neediest->first].given_permits.push_back({upstream, to_uint8(permits)});
         }
     }
+    std::erase_if(rejecting_, [](const auto& each) { return each.second.empty(); });
     for (const auto& [coordinator, message] : gifts) {
         network_.send(message, coordinator, now);
     }
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -31,7 +31,7 @@
         }
         traits_ = dialect_.read_response(connection_.header());
         if (!should_skip_response()) {
-            has_response_ = true;
+            has_response_ = connection_.status() != misdirected;
             co_return classify();
         }
         skipped_response_ = true;
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -35,7 +35,8 @@
     /// Traits of the last response header that was read.
     const response_traits& traits() const { return traits_; }
 
-    /// Whether the header of the response to this request was read.
+    /// Whether the upstream has responded to this request, and not another one that has
+    /// got its address.
     bool has_response() const { return has_response_; }
 
     /// Whether the connection may be reused for another request.
