Rename the time at which a response named no limit

"Denied" suggested that an upstream denies a request. The field holds when the newest request was sent whose response named no limit, so it is unlimited_at, and unlimited_age in messages. No change of behaviour; policy, fleet and wire tests pass.

--- a/packages/fleet/src/upstream_limits.cpp
+++ b/packages/fleet/src/upstream_limits.cpp
@@ -29,14 +29,14 @@
 
 wire::limit_entry to_wire(std::uint32_t upstream, const rate_limit& limit, time_point now) {
     return {upstream, static_cast<float>(limit.per_second), to_age(now - limit.named_at),
-            limit.denied_at ? to_age(now - *limit.denied_at) : wire::no_age};
+            limit.unlimited_at ? to_age(now - *limit.unlimited_at) : wire::no_age};
 }
 
 rate_limit from_wire(const wire::limit_entry& entry, time_point now) {
     const double per_second = entry.per_second;
     rate_limit limit{per_second, now - std::chrono::milliseconds{entry.named_age}, std::nullopt};
-    if (entry.denied_age != wire::no_age) {
-        limit.denied_at = now - std::chrono::milliseconds{entry.denied_age};
+    if (entry.unlimited_age != wire::no_age) {
+        limit.unlimited_at = now - std::chrono::milliseconds{entry.unlimited_age};
     }
     return limit;
 }
@@ -141,7 +141,7 @@
     report_is_urgent_ = false;
     auto entries = to_wire(own_, now);
     std::erase_if(entries, [](const wire::limit_entry& entry) {
-        return std::chrono::milliseconds{std::min(entry.named_age, entry.denied_age)} > report_age;
+        return std::chrono::milliseconds{std::min(entry.named_age, entry.unlimited_age)} > report_age;
     });
     return entries;
 }
--- a/packages/policy/include/citronwick/policy/rate_limit_table.hpp
+++ b/packages/policy/include/citronwick/policy/rate_limit_table.hpp
@@ -13,13 +13,13 @@
 
 /// Rate limit of one upstream, as its responses tell.
 struct rate_limit {
-    double per_second = 0.0;             ///< requests that it takes from all routers together
-    time_point named_at;                 ///< arrival of the newest response that named the limit
-    std::optional<time_point> denied_at; ///< sending of the newest request whose response named none
+    double per_second = 0.0;                ///< requests that it takes from all routers together
+    time_point named_at;                    ///< arrival of the newest response that named the limit
+    std::optional<time_point> unlimited_at; ///< sending of the newest request whose response named none
 
     /// Whether the limit still holds. A response without a limit ends it only if its
     /// request was sent after the last response that named one.
-    bool holds() const { return !denied_at || *denied_at <= named_at; }
+    bool holds() const { return !unlimited_at || *unlimited_at <= named_at; }
 };
 
 /// Rate limits that upstreams name in their responses.
--- a/packages/policy/src/rate_limit_table.cpp
+++ b/packages/policy/src/rate_limit_table.cpp
@@ -31,8 +31,9 @@
         known.per_second = other.per_second;
         known.named_at = other.named_at;
     }
-    if (other.denied_at) {
-        known.denied_at = known.denied_at ? std::max(*known.denied_at, *other.denied_at) : *other.denied_at;
+    if (other.unlimited_at) {
+        known.unlimited_at =
+            known.unlimited_at ? std::max(*known.unlimited_at, *other.unlimited_at) : *other.unlimited_at;
     }
     return limit_of(upstream) != before;
 }
@@ -48,7 +49,7 @@
 void rate_limit_table::expire(const std::set<std::uint32_t>& upstreams, time_point now) {
     std::erase_if(entries_, [&](const auto& entry) {
         const rate_limit& limit = entry.second;
-        const bool has_ended = !limit.holds() && now - *limit.denied_at >= ended_lifetime;
+        const bool has_ended = !limit.holds() && now - *limit.unlimited_at >= ended_lifetime;
         return has_ended || !upstreams.contains(entry.first);
     });
 }
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -162,9 +162,10 @@
 /// the sender's own observations.
 struct limit_entry {
     std::uint32_t upstream = 0;
-    float per_second = 0.0F;      ///< requests that it takes from all routers together
-    std::uint16_t named_age = 0;  ///< milliseconds since a response named the limit
-    std::uint16_t denied_age = 0; ///< since a request was sent whose response named none; `no_age` for never
+    float per_second = 0.0F;     ///< requests that it takes from all routers together
+    std::uint16_t named_age = 0; ///< milliseconds since a response named the limit
+    /// Milliseconds since a request was sent whose response named none; `no_age` for never.
+    std::uint16_t unlimited_age = 0;
 };
 
 constexpr std::uint16_t no_age = 65'535;
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -160,7 +160,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, limit_entry& entry) {
-    archive(entry.upstream, entry.per_second, entry.named_age, entry.denied_age);
+    archive(entry.upstream, entry.per_second, entry.named_age, entry.unlimited_age);
 }
 
 template <class Archive>
