Order load tables and lists of limits by the incarnation that numbered them

After a restart an aggregator or coordinator numbers its messages from 1 again, and receivers ignored its load tables, and did not relay its lists of limits, until the numbers passed those of its earlier incarnation. Same class as the positions of a store that came back from a copy: a number was compared across two histories. Found by looking for that class; callers have not been seen to suffer from it, since counts that are too old are replaced by what routers hear directly, and only a part of the routers depend on a relay.

--- a/packages/core/include/citronwick/core/store_position.hpp
+++ b/packages/core/include/citronwick/core/store_position.hpp
@@ -26,10 +26,21 @@
 /// Formats a position as "era:revision".
 std::string to_text(const store_position& position);
 
+/// Bits of a sequence number that hold the revision.
+constexpr unsigned sequence_revision_bits = 40;
+
 /// A number that orders as positions do, for up to 2^40 revisions in an era.
 constexpr std::uint64_t to_sequence_number(const store_position& position) {
-    constexpr unsigned revision_bits = 40;
-    return (position.era << revision_bits) + static_cast<std::uint64_t>(position.revision);
+    return (position.era << sequence_revision_bits) + static_cast<std::uint64_t>(position.revision);
+}
+
+/// A sequence number in 32 bits. It wraps around: the sign of the difference of two
+/// short numbers tells their order, if fewer than 2^24 revisions lie between them.
+constexpr std::uint32_t shorten_sequence_number(std::uint64_t sequence_number) {
+    constexpr unsigned short_revision_bits = 24;
+    const std::uint64_t era = sequence_number >> sequence_revision_bits;
+    const std::uint64_t revision = sequence_number - (era << sequence_revision_bits);
+    return static_cast<std::uint32_t>((era << short_revision_bits) + revision);
 }
 
 } // namespace citronwick
--- a/packages/fleet/include/citronwick/fleet/load_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/load_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/core/time.hpp"
 #include "citronwick/fleet/load_totals.hpp"
+#include "citronwick/fleet/message_number.hpp"
 #include "citronwick/wire/messages.hpp"
 
 #include <cstdint>
@@ -33,6 +34,10 @@
     /// @param tracked_loads counters that placement reads, by the short hash of the upstream
     load_exchange(std::uint64_t self, std::uint64_t domain, std::function<const load_map&()> tracked_loads);
 
+    /// Sets this router's incarnation, which its tables name.
+    /// @param incarnation in 32 bits, see `shorten_sequence_number`
+    void set_incarnation(std::uint32_t incarnation) { incarnation_ = incarnation; }
+
     /// How much this router's load differs from what it last reported.
     enum class change : std::uint8_t { none, minor, urgent };
     change local_change() const;
@@ -66,7 +71,7 @@
 private:
     /// Upstreams of an aggregator's tables.
     struct upstream_list {
-        std::uint32_t number = 0; ///< of the table that listed them
+        message_number number; ///< of the table that listed them
         std::vector<std::uint32_t> upstreams;
     };
     /// Aggregator, and hash of the failure domain's name or 0 for the whole fleet.
@@ -79,6 +84,7 @@
 
     std::uint64_t self_;
     std::uint64_t domain_;
+    std::uint32_t incarnation_ = 0;
     std::function<const load_map&()> tracked_loads_;
     load_totals totals_;
     load_table reported_; ///< local load as last reported
@@ -88,7 +94,7 @@
     time_point upstreams_listed_at_;
     time_point tables_built_at_;
     time_point averaged_at_;
-    std::map<std::uint64_t, std::uint32_t> newest_table_; ///< table number by aggregator
+    std::map<std::uint64_t, message_number> newest_table_; ///< by aggregator
 };
 
 } // namespace citronwick
--- a/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_FLEET_PERMIT_EXCHANGE_HPP_INCLUDED
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/fleet/message_number.hpp"
 #include "citronwick/policy/permit_pool.hpp"
 #include "citronwick/policy/permit_shares.hpp"
 #include "citronwick/wire/messages.hpp"
@@ -43,6 +44,10 @@
 
     permit_exchange(std::uint64_t self, upstream_limits& limits, permit_network network);
 
+    /// Sets this router's incarnation, which its lists name.
+    /// @param incarnation in 32 bits, see `shorten_sequence_number`
+    void set_incarnation(std::uint32_t incarnation) { incarnation_ = incarnation; }
+
     /// Requests a permit for one request to an upstream.
     /// @param reply called once, or never if the coordinator does not answer
     void request(std::uint32_t upstream, reply_callback reply, time_point now);
@@ -75,6 +80,7 @@
     void give_surplus(const std::map<std::uint32_t, double>& limits, time_point now);
 
     std::uint64_t self_;
+    std::uint32_t incarnation_ = 0;
     upstream_limits& limits_;
     permit_network network_;
     permit_pool pool_;
@@ -82,7 +88,7 @@
     std::map<std::uint16_t, pending_request> pending_; ///< by nonce
     std::uint16_t next_nonce_ = 0;
     std::uint32_t list_number_ = 0;
-    std::map<std::uint64_t, std::uint32_t> newest_list_; ///< number by coordinator
+    std::map<std::uint64_t, message_number> newest_list_; ///< by coordinator
     std::uint64_t distributed_changes_ = 0;
     time_point distributed_at_;
     time_point rejections_reported_at_;
--- a/packages/fleet/src/load_exchange.cpp
+++ b/packages/fleet/src/load_exchange.cpp
@@ -27,7 +27,7 @@
 /// often.
 constexpr double table_bytes_per_second = 3'000.0;
 /// Bytes of a table besides its counts.
-constexpr std::size_t table_header_bytes = 64;
+constexpr std::size_t table_header_bytes = 70;
 /// Time constant for averaging the requests of other routers.
 constexpr duration averaging_time = 3s;
 
@@ -129,7 +129,7 @@
     std::ranges::copy(tracked_loads_() | std::views::keys, std::back_inserter(upstreams));
     if (upstreams != own_list_.upstreams || now - upstreams_listed_at_ >= list_interval) {
         upstreams_listed_at_ = now;
-        own_list_ = {table_number_, std::move(upstreams)};
+        own_list_ = {{incarnation_, table_number_}, std::move(upstreams)};
     }
     table_messages messages{table_message(own_domain, domain_), table_message(fleet, 0)};
     totals_.set_fleet_load(fleet, local_table(), now);
@@ -139,8 +139,9 @@
 
 wire::gossip load_exchange::table_message(const load_table& table, std::uint64_t domain) const {
     wire::gossip message;
-    message.load_table_ids.push_back({self_, table_number_, domain, own_list_.number});
-    if (own_list_.number == table_number_) {
+    message.list_incarnations.push_back(own_list_.number.incarnation);
+    message.load_table_ids.push_back({self_, table_number_, domain, own_list_.number.number});
+    if (own_list_.number.number == table_number_) {
         message.load_table_upstreams = own_list_.upstreams;
     }
     for (const std::uint32_t upstream : own_list_.upstreams) {
@@ -156,11 +157,13 @@
 /// @return none if the table that lists its upstreams was missed
 std::optional<load_table> load_exchange::read_table(const wire::gossip& message) {
     const wire::load_table_id& table_id = message.load_table_ids.front();
+    const std::uint32_t incarnation = wire::list_incarnation_of(message);
     upstream_list& list = lists_[{table_id.aggregator, table_id.domain}];
     if (!message.load_table_upstreams.empty()) {
-        list = {table_id.number, message.load_table_upstreams};
+        list = {{incarnation, table_id.number}, message.load_table_upstreams};
     }
-    if (list.number != table_id.list_number || list.upstreams.size() != message.load_table.size()) {
+    if (list.number != message_number{incarnation, table_id.list_number} ||
+        list.upstreams.size() != message.load_table.size()) {
         return std::nullopt;
     }
     load_table table;
@@ -181,11 +184,12 @@
         }
         return false;
     }
-    std::uint32_t& newest = newest_table_[table_id.aggregator];
-    if (table_id.number <= newest) {
+    const message_number number{wire::list_incarnation_of(message), table_id.number};
+    message_number& newest = newest_table_[table_id.aggregator];
+    if (!number.is_newer_than(newest)) {
         return false;
     }
-    newest = table_id.number;
+    newest = number;
     if (auto table = read_table(message)) {
         totals_.set_fleet_load(std::move(*table), reported_, now);
         update_remote_loads(now);
--- a/packages/fleet/src/permit_exchange.cpp
+++ b/packages/fleet/src/permit_exchange.cpp
@@ -109,9 +109,10 @@
     }
     limits_.merge(message.limits, false, now);
     const wire::limit_list_id& list = message.limit_list_ids.front();
-    std::uint32_t& newest = newest_list_[list.coordinator];
-    if (list.number > newest) {
-        newest = list.number;
+    const message_number number{wire::list_incarnation_of(message), list.number};
+    message_number& newest = newest_list_[list.coordinator];
+    if (number.is_newer_than(newest)) {
+        newest = number;
         network_.relay(message, list, now);
     }
 }
@@ -158,6 +159,7 @@
     list.limits = limits_.all(now);
     if (!list.limits.empty()) {
         list.limit_list_ids.push_back({self_, ++list_number_});
+        list.list_incarnations.push_back(incarnation_);
         network_.relay(list, list.limit_list_ids.front(), now);
     }
     wire::gossip domain;
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
+#include "citronwick/core/store_position.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
@@ -63,6 +64,8 @@
 void router_peers::set_incarnation(std::uint64_t incarnation) {
     channel_.set_incarnation(incarnation);
     members_.set_incarnation(incarnation);
+    loads_.set_incarnation(shorten_sequence_number(incarnation));
+    permits_.set_incarnation(shorten_sequence_number(incarnation));
     is_registered_ = true;
 }
 
--- a/packages/fleet/tests/load_exchange.tests.cpp
+++ b/packages/fleet/tests/load_exchange.tests.cpp
@@ -66,3 +66,23 @@
     REQUIRE(changed);
     CHECK(changed->fleet.load_table_upstreams.size() == 4);
 }
+
+TEST_CASE("tables of an aggregator that has restarted are used, although their numbers begin anew") {
+    auto loads = make_loads(2);
+    auto remote_loads = make_loads(2);
+    load_exchange receiver{2, domain, [&]() -> const auto& { return remote_loads; }};
+    auto now = start;
+    const auto send_tables = [&](std::uint32_t incarnation, std::int32_t in_flight, int count) {
+        load_exchange sender{aggregator, domain, [&]() -> const auto& { return loads; }};
+        sender.set_incarnation(incarnation);
+        loads.begin()->second->in_flight = in_flight;
+        for (int table = 0; table < count; ++table) {
+            now += 200ms;
+            receiver.merge_table(sender.build_tables({}, now)->fleet, now);
+        }
+    };
+    send_tables(1, 4, 100);
+    CHECK(remote_loads.begin()->second->remote_in_flight == 4);
+    send_tables(2, 7, 3);
+    CHECK(remote_loads.begin()->second->remote_in_flight == 7);
+}
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -233,8 +233,16 @@
     /// Era of all revisions in this message, at most one; empty if the store names none.
     std::vector<std::uint32_t> store_era;
     std::vector<served_span> served_spans; ///< as the sender knows, at most one
+    /// Incarnation of the router that numbered the load table or the list of limits, in
+    /// 32 bits; at most one.
+    std::vector<std::uint32_t> list_incarnations;
 };
 
+/// Incarnation that numbered the load table or list of limits in a message, 0 if unknown.
+inline std::uint32_t list_incarnation_of(const gossip& message) {
+    return message.list_incarnations.empty() ? 0 : message.list_incarnations.front();
+}
+
 /// Era of the revisions in a message, 0 if the store names none.
 inline std::uint64_t era_of(const gossip& message) {
     return message.store_era.empty() ? 0 : message.store_era.front();
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -215,7 +215,7 @@
                       message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
                       message.load_table, message.limits, message.limit_list_ids, message.permit_requests,
                       message.permit_replies, message.rejected_permits, message.given_permits,
-                      message.store_era, message.served_spans);
+                      message.store_era, message.served_spans, message.list_incarnations);
 }
 
 template <class Archive>
