Give permits from full buckets instead of keeping a surplus beside them

An upstream with a low limit could get more than the limit allows when a burst follows an idle time: each coordinator had a full bucket and one more permit kept for others, and all were used at once. Permits for others now come out of the full bucket, so that what all of them hold is bounded by the buckets alone.

The new test failed before in 3 of 16 cases (10 granted within 4 s at limit 0.3 and five coordinators, 6.8 allowed; 8 with four; 10 at limit 0.8, 9.8 allowed), and passes now; the test that permits go where the requests are still passes.

--- a/packages/policy/include/citronwick/policy/permit_pool.hpp
+++ b/packages/policy/include/citronwick/policy/permit_pool.hpp
@@ -19,8 +19,8 @@
 /// Permits to send requests to rate-limited upstreams, of one permit coordinator.
 ///
 /// A token bucket for each upstream is refilled with this coordinator's share of
-/// the limit. What a full bucket would lose may be given to coordinators that had
-/// to reject requests, so that the sum of all coordinators stays within the limit
+/// the limit. Permits of a full bucket may be given to coordinators that had to
+/// reject requests, so that the sum of all coordinators stays within the limit
 /// while the permits go to where the requests are.
 class permit_pool {
 public:
@@ -29,8 +29,8 @@
     /// @param share this coordinator's part of it, from 0 to 1
     permit_decision take(std::uint32_t upstream, double limit, double share, time_point now);
 
-    /// Refills a bucket and removes the permits beyond its capacity.
-    /// @return number of whole permits removed
+    /// Refills a bucket and, if it is full, removes permits that others may use.
+    /// @return number of permits removed
     std::uint32_t take_surplus(std::uint32_t upstream, double limit, double share, time_point now);
 
     /// Adds permits that another coordinator has given.
@@ -46,8 +46,7 @@
 private:
     struct bucket {
         double permits = 0.0;
-        double surplus = 0.0; ///< permits beyond the capacity
-        double rate = 0.0;    ///< permits a second
+        double rate = 0.0; ///< permits a second
         time_point refilled_at;
         double rejection_rate = 0.0; ///< a second, averaged
         time_point rejected_at;
--- a/packages/policy/src/permit_pool.cpp
+++ b/packages/policy/src/permit_pool.cpp
@@ -17,7 +17,8 @@
 constexpr double capacity_seconds = 0.5;
 /// Permits that a bucket may hold beyond its capacity because they were given to it.
 constexpr double max_given = 3.0;
-constexpr double max_surplus = 1.0;
+/// Permits that a full bucket gives away are those of this time, at least one.
+constexpr double given_seconds = 0.1;
 /// Requests for each permit up to which rejected routers are told to return with the
 /// next permit. More than one, since not every router has a request by then.
 constexpr double requests_per_permit = 1.5;
@@ -45,7 +46,6 @@
     const double added = filled.rate * std::max(elapsed.count(), 0.0);
     const double room = std::max(capacity(filled.rate) - filled.permits, 0.0);
     filled.permits += std::min(added, room);
-    filled.surplus = std::min(filled.surplus + std::max(added - room, 0.0), max_surplus);
     return filled;
 }
 
@@ -68,9 +68,12 @@
 
 std::uint32_t permit_pool::take_surplus(std::uint32_t upstream, double limit, double share, time_point now) {
     bucket& filled = refill(upstream, limit, share, now);
-    const double whole = std::floor(filled.surplus);
-    filled.surplus -= whole;
-    return static_cast<std::uint32_t>(whole);
+    if (filled.permits < capacity(filled.rate)) {
+        return 0;
+    }
+    const double given = std::max(1.0, std::floor(given_seconds * filled.rate));
+    filled.permits -= given;
+    return static_cast<std::uint32_t>(given);
 }
 
 void permit_pool::add(std::uint32_t upstream, std::uint32_t permits, time_point now) {
--- a/packages/policy/tests/rate_limits.tests.cpp
+++ b/packages/policy/tests/rate_limits.tests.cpp
@@ -106,6 +106,35 @@
     }
 }
 
+TEST_CASE("a burst after an idle time gets no more permits than the limit allows within four seconds") {
+    constexpr auto step = 10ms;
+    for (const double limit : {0.3, 0.8, 2.0, 10.0}) {
+        for (const std::size_t coordinators : {1U, 3U, 4U, 5U}) {
+            CAPTURE(limit);
+            CAPTURE(coordinators);
+            std::vector<permit_pool> pools(coordinators);
+            const double share = 1.0 / static_cast<double>(coordinators);
+            const auto burst = start + 60s;
+            int granted = 0;
+            for (permit_pool& pool : pools) {
+                pool.take(upstream, limit, share, start);
+            }
+            for (auto now = burst; now < burst + 4s; now += step) {
+                for (std::size_t index = 0; index < coordinators; ++index) {
+                    const std::size_t giver = (index + 1) % coordinators;
+                    if (pools[index].take(upstream, limit, share, now).granted) {
+                        ++granted;
+                    } else {
+                        pools[index].add(upstream, pools[giver].take_surplus(upstream, limit, share, now),
+                                         now);
+                    }
+                }
+            }
+            CHECK(granted <= 1.5 * 4.0 * limit + 5.0);
+        }
+    }
+}
+
 TEST_CASE("an upstream with limit 0 gets a request now and then, which tells when the limit has ended") {
     permit_pool pool;
     int sent = 0;
