Grant permits to the requests that save most by them

Cause: permits went to whoever asked first.

Routers now tell what a request saves; a permit's price falls from the weighted mean saving to 0 until the bucket is full, so that it waits for requests with much to save but is not lost.

--- a/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
@@ -49,8 +49,9 @@
     void set_incarnation(std::uint32_t incarnation) { incarnation_ = incarnation; }
 
     /// Requests a permit for one request to an upstream.
+    /// @param saving_ms see `permit_pool::take`
     /// @param reply called once, or never if the coordinator does not answer
-    void request(std::uint32_t upstream, reply_callback reply, time_point now);
+    void request(std::uint32_t upstream, double saving_ms, reply_callback reply, time_point now);
 
     void handle_message(std::uint64_t sender, const wire::gossip& message, time_point now);
 
@@ -71,7 +72,7 @@
         time_point sent_at;
     };
 
-    permit_decision decide(std::uint32_t upstream, time_point now);
+    permit_decision decide(std::uint32_t upstream, double saving_ms, time_point now);
     bool is_coordinator(time_point now) const;
     void handle_lists(const wire::gossip& message, time_point now);
     void report_observations(time_point now);
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -80,8 +80,10 @@
                          std::optional<time_point> lapse_window_end, time_point now);
 
     /// Requests a permit for one request to a rate-limited upstream.
+    /// @param saving_ms see `permit_pool::take`
     /// @param reply called once, or never if the coordinator does not answer
-    void request_permit(std::uint32_t upstream, permit_exchange::reply_callback reply, time_point now);
+    void request_permit(std::uint32_t upstream, double saving_ms, permit_exchange::reply_callback reply,
+                        time_point now);
 
     /// Announces that this router is leaving.
     void leave(time_point now);
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -59,9 +59,10 @@
 
     /// Requests a permit for one request to a rate-limited upstream.
     /// @param upstream hash of its incarnation
+    /// @param saving_ms see `permit_pool::take`
     /// @param reply called on the control thread, or never if the permit coordinator
     ///        does not answer
-    void request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply);
+    void request_permit(std::uint64_t upstream, double saving_ms, std::function<void(permit_decision)> reply);
 
     /// Records that a connection broke while the upstream was running a request.
     /// @param suspects the request and the parts of its prompt that may have caused it
--- a/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
@@ -15,6 +15,8 @@
 
 namespace citronwick {
 
+struct permit_decision;
+
 /// Rate limits of the upstreams, as this router's responses and other routers tell.
 /// Shared by the traffic threads; the control thread exchanges it with other routers.
 /// Every change is logged.
@@ -32,14 +34,14 @@
     /// Requests a second that the upstream takes; empty if no limit holds.
     std::optional<double> limit_of(std::uint64_t upstream) const;
 
-    /// Records that a permit was rejected.
-    /// @param until time from which one may be requested again
-    void record_rejection(std::uint64_t upstream, time_point until);
+    /// Records the coordinator's decision on a request for a permit.
+    void record_decision(std::uint64_t upstream, const permit_decision& decision, time_point now);
 
     /// What is known about the limit of one upstream.
     struct summary {
         std::optional<double> per_second; ///< empty if no limit holds
         bool may_request_permit = true;
+        double permit_price_ms = 0.0; ///< estimated from the coordinator's last decision
     };
 
     /// @return one summary for each upstream, in the same order
@@ -73,7 +75,14 @@
     rate_limit_table known_;
     rate_limit_table own_;    ///< observed by this router
     rate_limit_table domain_; ///< observed by this router or reported to it as coordinator
-    std::map<std::uint32_t, time_point> rejected_until_;
+    struct permit_terms {
+        time_point rejected_until; ///< time from which a permit may be requested again
+        double price_ms = 0.0;     ///< at that time
+        time_point full_at;        ///< time from which the price is 0
+
+        double price_at(time_point now) const;
+    };
+    std::map<std::uint32_t, permit_terms> permit_terms_;
     bool report_is_urgent_ = false;
     time_point reported_at_;
     std::uint64_t changes_ = 0;
--- a/packages/fleet/src/permit_exchange.cpp
+++ b/packages/fleet/src/permit_exchange.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/upstream_limits.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <ranges>
@@ -38,6 +39,16 @@
         std::clamp<std::int64_t>(value / 1ms, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+std::uint16_t to_saving(double saving_ms) {
+    return std::isfinite(saving_ms)
+               ? static_cast<std::uint16_t>(std::clamp(saving_ms, 0.0, wire::no_alternative - 1.0))
+               : wire::no_alternative;
+}
+
+double from_saving(std::uint16_t saving) {
+    return saving == wire::no_alternative ? std::numeric_limits<double>::infinity() : saving;
+}
+
 } // namespace
 
 permit_exchange::permit_exchange(std::uint64_t self, upstream_limits& limits, permit_network network)
@@ -51,24 +62,26 @@
     return shares_.share(network_.active_routers(now), now);
 }
 
-permit_decision permit_exchange::decide(std::uint32_t upstream, time_point now) {
+permit_decision permit_exchange::decide(std::uint32_t upstream, double saving_ms, time_point now) {
     if (!is_coordinator(now)) {
-        return {false, wrong_coordinator_wait};
+        return {.granted = false, .wait = wrong_coordinator_wait};
     }
     const auto limit = limits_.limit_of(upstream);
-    return limit ? pool_.take(upstream, *limit, share(now), now) : permit_decision{true, duration::zero()};
+    return limit ? pool_.take(upstream, *limit, share(now), saving_ms, now)
+                 : permit_decision{.granted = true};
 }
 
-void permit_exchange::request(std::uint32_t upstream, reply_callback reply, time_point now) {
+void permit_exchange::request(std::uint32_t upstream, double saving_ms, reply_callback reply,
+                              time_point now) {
     const std::uint64_t coordinator = network_.coordinator(now);
     if (coordinator == self_) {
-        reply(decide(upstream, now));
+        reply(decide(upstream, saving_ms, now));
         return;
     }
     const std::uint16_t nonce = next_nonce_++;
     pending_[nonce] = {std::move(reply), now};
     wire::gossip message;
-    message.permit_requests.push_back({upstream, nonce});
+    message.permit_requests.push_back({upstream, nonce, to_saving(saving_ms)});
     network_.send(message, coordinator, now);
 }
 
@@ -80,15 +93,17 @@
     handle_lists(message, now);
     wire::gossip replies;
     for (const wire::permit_request& each : message.permit_requests) {
-        const permit_decision decision = decide(each.upstream, now);
-        replies.permit_replies.push_back({each.nonce, to_uint16_ms(decision.wait), decision.granted});
+        const permit_decision decision = decide(each.upstream, from_saving(each.saving), now);
+        replies.permit_replies.push_back({each.nonce, to_uint16_ms(decision.wait), decision.granted,
+                                          to_saving(decision.price_ms), to_uint16_ms(decision.full_in)});
     }
     if (!replies.permit_replies.empty()) {
         network_.send(replies, sender, now);
     }
     for (const wire::permit_reply& each : message.permit_replies) {
         if (auto found = pending_.extract(each.nonce)) {
-            found.mapped().reply({each.granted, std::chrono::milliseconds{each.wait}});
+            found.mapped().reply({each.granted, std::chrono::milliseconds{each.wait},
+                                  static_cast<double>(each.price), std::chrono::milliseconds{each.full_in}});
         }
     }
     for (const wire::permit_count& each : message.rejected_permits) {
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -170,9 +170,9 @@
             }};
 }
 
-void router_peers::request_permit(std::uint32_t upstream, permit_exchange::reply_callback reply,
-                                  time_point now) {
-    permits_.request(upstream, std::move(reply), now);
+void router_peers::request_permit(std::uint32_t upstream, double saving_ms,
+                                  permit_exchange::reply_callback reply, time_point now) {
+    permits_.request(upstream, saving_ms, std::move(reply), now);
 }
 
 /// Message that reports this router's load and its store position.
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -115,9 +115,10 @@
         });
     }
 
-    void request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply) {
-        asio::post(context_, [this, upstream, reply = std::move(reply)]() mutable {
-            peers_.request_permit(short_hash(upstream), std::move(reply), clock::now());
+    void request_permit(std::uint64_t upstream, double saving_ms,
+                        std::function<void(permit_decision)> reply) {
+        asio::post(context_, [this, upstream, saving_ms, reply = std::move(reply)]() mutable {
+            peers_.request_permit(short_hash(upstream), saving_ms, std::move(reply), clock::now());
         });
     }
 
@@ -374,8 +375,9 @@
     return state_->limits();
 }
 
-void routing_plane::request_permit(std::uint64_t upstream, std::function<void(permit_decision)> reply) {
-    state_->request_permit(upstream, std::move(reply));
+void routing_plane::request_permit(std::uint64_t upstream, double saving_ms,
+                                   std::function<void(permit_decision)> reply) {
+    state_->request_permit(upstream, saving_ms, std::move(reply));
 }
 
 void routing_plane::report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream) {
--- a/packages/fleet/src/upstream_limits.cpp
+++ b/packages/fleet/src/upstream_limits.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/permit_pool.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -95,9 +96,19 @@
     return known_.limit_of(short_hash(upstream));
 }
 
-void upstream_limits::record_rejection(std::uint64_t upstream, time_point until) {
+void upstream_limits::record_decision(std::uint64_t upstream, const permit_decision& decision,
+                                      time_point now) {
     const std::scoped_lock lock{mutex_};
-    rejected_until_[short_hash(upstream)] = until;
+    permit_terms_[short_hash(upstream)] = {now + decision.wait, decision.price_ms, now + decision.full_in};
+}
+
+double upstream_limits::permit_terms::price_at(time_point now) const {
+    if (now >= full_at) {
+        return 0.0;
+    }
+    const std::chrono::duration<double> left = full_at - now;
+    const std::chrono::duration<double> whole = full_at - rejected_until;
+    return whole > left ? price_ms * std::sqrt(left / whole) : price_ms;
 }
 
 std::vector<upstream_limits::summary> upstream_limits::summaries(const std::vector<std::uint64_t>& upstreams,
@@ -107,8 +118,11 @@
     std::ranges::transform(upstreams, std::back_inserter(found), [&](std::uint64_t upstream) {
         const std::uint32_t name = short_hash(upstream);
         const auto limit = known_.limit_of(name);
-        const auto rejected = rejected_until_.find(name);
-        return summary{limit, !limit || rejected == rejected_until_.end() || now >= rejected->second};
+        const auto terms = permit_terms_.find(name);
+        if (!limit || terms == permit_terms_.end()) {
+            return summary{limit};
+        }
+        return summary{limit, now >= terms->second.rejected_until, terms->second.price_at(now)};
     });
     return found;
 }
@@ -179,7 +193,9 @@
     known_.expire(names, now);
     own_.expire(names, now);
     domain_.expire(names, now);
-    std::erase_if(rejected_until_, [now](const auto& each) { return now >= each.second; });
+    std::erase_if(permit_terms_, [now](const auto& each) {
+        return now >= each.second.rejected_until && now >= each.second.full_at;
+    });
 }
 
 } // namespace citronwick
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -20,6 +21,7 @@
     double uncached_tokens = 0.0;     ///< prompt tokens of this request that the upstream must prefill
     bool usable = true;               ///< not leaving, unreachable, ejected or already tried
     bool rate_limited = false;        ///< named a rate limit, which keeps its load low
+    double permit_price_ms = 0.0;     ///< saving below which it gets no permit, if rate-limited
     bool same_failure_domain = false; ///< as this router
 };
 
@@ -43,6 +45,9 @@
     std::optional<std::size_t> index; ///< index into the candidates; empty if no upstream is usable
     std::string_view reason;
     double expected_wait_ms = 0.0; ///< time to first token on an engine, load per slot on a plain upstream
+    /// If the chosen upstream is rate-limited, the cost that it saves compared with the
+    /// best one without a limit.
+    double saving_ms = std::numeric_limits<double>::infinity();
 };
 
 /// Chooses the engine with the lowest estimated cost for a request.
@@ -53,8 +58,9 @@
 /// `acceptable_wait_ms` has a low weight, so that a busy engine that holds the
 /// prefix is abandoned only if the response would be late: prefilling the prefix
 /// on another engine takes up space in that engine's cache too. Engines at the
-/// load bound are skipped. Ties are broken by the rendezvous score for `affinity`,
-/// so that routers make the same choice without communicating.
+/// load bound are skipped. A rate-limited engine costs its permit price in addition,
+/// so that permits go to the requests that need them most. Ties are broken by the rendezvous score for
+/// `affinity`, so that routers make the same choice without communicating.
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
                                 const placement_parameters& parameters);
 
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -36,6 +36,7 @@
 struct estimate {
     std::size_t index = 0;
     double cost = 0.0;
+    double price = 0.0; ///< of a permit, part of the cost
     double wait_ms = 0.0;
     double score = 0.0; ///< rendezvous score; the highest wins among equal costs
 };
@@ -114,10 +115,22 @@
         const double wait = estimated_wait_ms(engine, parameters);
         const double prefill_cost =
             prefill_weight * engine.uncached_tokens / parameters.prefill_tokens_per_ms;
-        estimates.push_back({index, wait_cost(wait, parameters) + prefill_cost, wait,
+        const double price = engine.rate_limited ? engine.permit_price_ms : 0.0;
+        estimates.push_back({index, wait_cost(wait, parameters) + prefill_cost + price, price, wait,
                              rendezvous_score(affinity, engine.hash)});
     }
-    return choose(std::move(estimates), tie_threshold_ms, "least cost");
+    double best_unlimited = std::numeric_limits<double>::infinity();
+    for (const estimate& each : estimates) {
+        if (!engines[each.index].rate_limited) {
+            best_unlimited = std::min(best_unlimited, each.cost);
+        }
+    }
+    routed_decision decision = choose(estimates, tie_threshold_ms, "least cost");
+    if (decision.index) {
+        const auto chosen = std::ranges::find(estimates, *decision.index, &estimate::index);
+        decision.saving_ms = std::max(best_unlimited - (chosen->cost - chosen->price), 0.0);
+    }
+    return decision;
 }
 
 routed_decision place_on_plain_upstream(std::uint64_t request, std::span<const routed_candidate> upstreams,
@@ -134,7 +147,7 @@
         const double load = upstream.in_flight / std::max(upstream.slots, 1.0);
         const double score = rendezvous_score(request, upstream.hash) +
                              (prefers_same_domain && upstream.same_failure_domain ? same_domain_bonus : 0.0);
-        estimates.push_back({index, load, load, score});
+        estimates.push_back({index, load, 0.0, load, score});
     }
     return choose(std::move(estimates), parameters.load_tie_threshold, "least loaded");
 }
--- a/packages/traffic/src/permit_waiter.cpp
+++ b/packages/traffic/src/permit_waiter.cpp
@@ -24,10 +24,11 @@
 
 } // namespace
 
-task<std::optional<permit_decision>> acquire_permit(routing_plane& plane, std::uint64_t upstream) {
+task<std::optional<permit_decision>> acquire_permit(routing_plane& plane, std::uint64_t upstream,
+                                                    double saving_ms) {
     const auto executor = co_await asio::this_coro::executor;
     const auto pending = std::make_shared<pending_reply>(executor);
-    plane.request_permit(upstream, [pending, executor](permit_decision decision) {
+    plane.request_permit(upstream, saving_ms, [pending, executor](permit_decision decision) {
         asio::post(executor, [pending, decision] {
             pending->decision = decision;
             // Also ends a wait that has not begun yet.
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -31,6 +31,13 @@
 /// Weights of the route priorities in the division of scarce capacity.
 constexpr std::array priority_weights{4.0, 2.0, 1.0};
 
+std::string rejection_reason(const std::optional<permit_decision>& decision) {
+    if (!decision) {
+        return "coordinator silent";
+    }
+    return decision->wait > 0ms ? "limit reached" : "saves less than others";
+}
+
 double priority_weight(std::uint32_t priority) {
     return priority_weights.at(std::min<std::size_t>(priority, priority_weights.size() - 1));
 }
@@ -57,24 +64,27 @@
             co_return;
         }
         const std::uint64_t upstream = placement_->upstream.hash;
-        const auto decision = co_await acquire_permit(context_.plane, upstream);
+        const auto decision = co_await acquire_permit(context_.plane, upstream, placement_->saving_ms);
         const bool granted = decision && decision->granted;
         context_.counters.count_permit(service_->name, granted    ? "granted"
                                                        : decision ? "rejected"
                                                                   : "silent");
+        if (decision) {
+            limits.record_decision(upstream, *decision, clock::now());
+        }
         if (granted) {
             placement_request_.has_permit = true;
             co_return;
         }
-        if (decision) {
-            limits.record_rejection(upstream, clock::now() + decision->wait);
-        } else {
+        if (!decision) {
             context_.permits_paused_until = clock::now() + silent_coordinator_pause;
         }
         log_info("permit_rejected", {{"request", caller_.request_id()},
                                      {"upstream", placement_->upstream.entry.id},
                                      {"per_second", std::to_string(*placement_->rate_limit)},
-                                     {"reason", decision ? "limit reached" : "coordinator silent"},
+                                     {"reason", rejection_reason(decision)},
+                                     {"saving_ms", std::to_string(placement_->saving_ms)},
+                                     {"price_ms", decision ? std::to_string(decision->price_ms) : "-"},
                                      {"wait_ms", decision ? std::to_string(decision->wait / 1ms) : "-"}});
     }
 }
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -79,6 +79,7 @@
         candidates.push_back(
             make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
         candidates.back().rate_limited = limited[index].per_second.has_value();
+        candidates.back().permit_price_ms = limited[index].permit_price_ms;
     }
     const std::uint64_t affinity =
         request.prefixes.empty() ? request.request_hash : request.prefixes.back().key;
@@ -102,7 +103,8 @@
                                     chosen.in_flight,
                                     decision.expected_wait_ms,
                                     decision.reason,
-                                    limited[*decision.index].per_second};
+                                    limited[*decision.index].per_second,
+                                    decision.saving_ms};
         }
     }
     return std::nullopt;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -180,13 +180,20 @@
 struct permit_request {
     std::uint32_t upstream = 0;
     std::uint16_t nonce = 0; ///< echoed in the reply
+    /// Milliseconds that this upstream saves compared with the best one without a limit;
+    /// `no_alternative` if there is none.
+    std::uint16_t saving = 0;
 };
 
+constexpr std::uint16_t no_alternative = 65'535;
+
 /// Reply to `permit_request`.
 struct permit_reply {
     std::uint16_t nonce = 0;
     std::uint16_t wait = 0; ///< milliseconds after which to ask again, if not granted
     bool granted = false;
+    std::uint16_t price = 0;   ///< milliseconds that a request must save to get a permit after that
+    std::uint16_t full_in = 0; ///< milliseconds until the price has fallen to 0
 };
 
 /// Number of permits for one upstream.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -170,12 +170,12 @@
 
 template <class Archive>
 void serialize(Archive& archive, permit_request& request) {
-    archive(request.upstream, request.nonce);
+    archive(request.upstream, request.nonce, request.saving);
 }
 
 template <class Archive>
 void serialize(Archive& archive, permit_reply& reply) {
-    archive(reply.nonce, reply.wait, reply.granted);
+    archive(reply.nonce, reply.wait, reply.granted, reply.price, reply.full_in);
 }
 
 template <class Archive>
