Refuse requests at once whose callers would give up in an engine's queue

Cause: the router sent whatever it could place, to queues of up to 24 s.

The wait in the queue, weighed by the route's priority, is compared with the callers' patience, which the platform documents.

--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -45,6 +45,7 @@
     std::optional<std::size_t> index; ///< index into the candidates; empty if no upstream is usable
     std::string_view reason;
     double expected_wait_ms = 0.0; ///< time to first token on an engine, load per slot on a plain upstream
+    double queue_wait_ms = 0.0;    ///< part of it that the engine spends on other requests
     /// If the chosen upstream is rate-limited, the cost that it saves compared with the
     /// best one without a limit.
     double saving_ms = std::numeric_limits<double>::infinity();
--- a/packages/policy/include/citronwick/policy/route.hpp
+++ b/packages/policy/include/citronwick/policy/route.hpp
@@ -40,10 +40,12 @@
     request_kind kind = request_kind::non_idempotent;
     std::chrono::milliseconds timeout{30'000};       ///< maximum time until the caller gets a response
     std::chrono::milliseconds target_latency{1'000}; ///< to the response or a stream's first event
-    std::uint32_t attempts = 1;                      ///< maximum number of upstreams that may run one request
-    std::uint32_t priority = 0;                      ///< 0 is the highest priority
-    bool anonymous = false;                          ///< no team key is required
-    bool uses_context = false;                       ///< prompts share prefixes that upstreams cache
+    /// Time after which callers give up a stream whose first event has not come.
+    std::chrono::milliseconds patience = std::chrono::milliseconds::max();
+    std::uint32_t attempts = 1; ///< maximum number of upstreams that may run one request
+    std::uint32_t priority = 0; ///< 0 is the highest priority
+    bool anonymous = false;     ///< no team key is required
+    bool uses_context = false;  ///< prompts share prefixes that upstreams cache
 };
 
 } // namespace citronwick
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -38,6 +38,7 @@
     double cost = 0.0;
     double price = 0.0; ///< of a permit, part of the cost
     double wait_ms = 0.0;
+    double queue_wait_ms = 0.0;
     double score = 0.0; ///< rendezvous score; the highest wins among equal costs
 };
 
@@ -59,12 +60,15 @@
 /// Chooses the best score among the estimates whose cost is within `tie_threshold` of the lowest.
 routed_decision choose(std::vector<estimate> estimates, double tie_threshold, std::string_view reason) {
     if (estimates.empty()) {
-        return {std::nullopt, "no upstream is usable"};
+        return {.reason = "no upstream is usable"};
     }
     const double lowest = std::ranges::min(estimates | std::views::transform(&estimate::cost));
     std::erase_if(estimates, [&](const estimate& each) { return each.cost > lowest + tie_threshold; });
     const auto best = std::ranges::max_element(estimates, {}, &estimate::score);
-    return {best->index, reason, best->wait_ms};
+    return {.index = best->index,
+            .reason = reason,
+            .expected_wait_ms = best->wait_ms,
+            .queue_wait_ms = best->queue_wait_ms};
 }
 
 } // namespace
@@ -113,11 +117,14 @@
             continue;
         }
         const double wait = estimated_wait_ms(engine, parameters);
-        const double prefill_cost =
-            prefill_weight * engine.uncached_tokens / parameters.prefill_tokens_per_ms;
+        const double prefill = engine.uncached_tokens / parameters.prefill_tokens_per_ms;
         const double price = engine.rate_limited ? engine.permit_price_ms : 0.0;
-        estimates.push_back({index, wait_cost(wait, parameters) + prefill_cost + price, price, wait,
-                             rendezvous_score(affinity, engine.hash)});
+        estimates.push_back({.index = index,
+                             .cost = wait_cost(wait, parameters) + prefill_weight * prefill + price,
+                             .price = price,
+                             .wait_ms = wait,
+                             .queue_wait_ms = wait - prefill,
+                             .score = rendezvous_score(affinity, engine.hash)});
     }
     double best_unlimited = std::numeric_limits<double>::infinity();
     for (const estimate& each : estimates) {
@@ -147,7 +154,7 @@
         const double load = upstream.in_flight / std::max(upstream.slots, 1.0);
         const double score = rendezvous_score(request, upstream.hash) +
                              (prefers_same_domain && upstream.same_failure_domain ? same_domain_bonus : 0.0);
-        estimates.push_back({index, load, 0.0, load, score});
+        estimates.push_back({.index = index, .cost = load, .wait_ms = load, .score = score});
     }
     return choose(std::move(estimates), parameters.load_tie_threshold, "least loaded");
 }
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -145,6 +145,7 @@
     }
     view_ = context_.plane.view();
     co_await place(started);
+    refuse_if_late(clock::now());
     record_capacity(clock::now());
     if (!placement_) {
         last_attempt_detail_ = "the service has no upstream left to try";
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/queue_wait.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "permit_waiter.hpp"
@@ -28,6 +29,9 @@
 constexpr int max_permit_requests = 3;
 /// Time for which no permits are requested from a coordinator that did not answer.
 constexpr duration silent_coordinator_pause = 150ms;
+/// Bounds of the time after which a caller is told to return.
+constexpr std::chrono::milliseconds earliest_return{100};
+constexpr std::chrono::milliseconds latest_return{2'000};
 /// Weights of the route priorities in the division of scarce capacity.
 constexpr std::array priority_weights{4.0, 2.0, 1.0};
 
@@ -38,6 +42,11 @@
     return decision->wait > 0ms ? "limit reached" : "saves less than others";
 }
 
+/// When a refused caller should come back: the excess of the wait will have passed.
+std::chrono::milliseconds return_time(duration excess) {
+    return std::clamp(std::chrono::ceil<std::chrono::milliseconds>(excess), earliest_return, latest_return);
+}
+
 double priority_weight(std::uint32_t priority) {
     return priority_weights.at(std::min<std::size_t>(priority, priority_weights.size() - 1));
 }
@@ -100,6 +109,22 @@
                                        hash_combine(hash, team), now);
 }
 
+/// Refuses a request whose caller would give up before the chosen engine turns to it.
+void route_exchange::refuse_if_late(time_point now) {
+    if (!placement_ || !service_->engine || state_.sent > 0) {
+        return;
+    }
+    const auto average_wait = std::chrono::duration<double, std::milli>{placement_->queue_wait_ms};
+    const duration wait = queue_wait(std::chrono::duration_cast<duration>(average_wait), route_->priority);
+    const duration patience = std::min(route_->patience, remaining_time(now));
+    if (wait <= patience) {
+        return;
+    }
+    refusal_before_send_ = problem{503, "upstreams-busy", "no upstream can begin its response in time",
+                                   outcome::not_run, return_time(wait - patience)};
+    placement_.reset();
+}
+
 /// While upstreams of the service have rate limits, records whether it had capacity
 /// for the request, and prepares its refusal if it had none.
 void route_exchange::record_capacity(time_point now) {
@@ -123,7 +148,7 @@
     const std::uint64_t team = hash64(team_ == nullptr ? std::string_view{} : team_->name);
     capacity.by_team.record(team, 1.0, is_served, now);
     capacity.by_route.record(hash64(route_->name), priority_weight(route_->priority), is_served, now);
-    if (!is_served && !state_.may_have_run_before) {
+    if (!is_served && !refusal_before_send_ && !state_.may_have_run_before) {
         const auto sharers = static_cast<double>(view_->known_routers * context_.settings.threads);
         refusal_before_send_ =
             problem{503, "upstreams-limited", "the upstreams take no more requests than they named",
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -104,7 +104,8 @@
                                     decision.expected_wait_ms,
                                     decision.reason,
                                     limited[*decision.index].per_second,
-                                    decision.saving_ms};
+                                    decision.saving_ms,
+                                    decision.queue_wait_ms};
         }
     }
     return std::nullopt;
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -38,6 +38,7 @@
     std::string_view reason;
     std::optional<double> rate_limit; ///< requests a second, if the upstream named a limit
     double saving_ms = 0.0;           ///< see `routed_decision`
+    double queue_wait_ms = 0.0;       ///< see `routed_decision`
 };
 
 /// Chooses the upstream of a request from the current view and from observations
