Compare rate limits in the precision of messages

A limit such as 3.8 was taken for a change whenever another router told it, since messages carry 4 bytes of it and responses gave 8. Limits are rounded where responses are recorded. The new test failed before (19 changes counted, 1 expected).

--- a/packages/fleet/src/upstream_limits.cpp
+++ b/packages/fleet/src/upstream_limits.cpp
@@ -49,6 +49,11 @@
     return entries;
 }
 
+/// The limit as messages carry it, so that the same one is equal whoever tells it.
+double in_message_precision(double per_second) {
+    return static_cast<float>(std::min(per_second, max_limit));
+}
+
 bool is_usable(double per_second) {
     return std::isfinite(per_second) && per_second >= 0.0;
 }
@@ -65,7 +70,7 @@
     const std::scoped_lock lock{mutex_};
     const auto record = [&](rate_limit_table& table) {
         if (limit) {
-            return table.record_limit(name, std::min(*limit, max_limit), now);
+            return table.record_limit(name, in_message_precision(*limit), now);
         }
         const auto known = known_.entries().find(name);
         // An end is also recorded where only other routers have seen the limit.
