Write the configuration again that the key-value service lost with a restored backup

After the product's own key-value service was restored from a backup, changes that operators made on the restored root had a generation that the routers knew already, and were ignored for good: the class of fault of the platform's store that came back from a copy.

A watcher that finds a root there that it has accepted before knows that the history went back, and writes the newest root, its chunks and the roots between again by compare-and-swap. Not mended: claims that a backup lacks (docs/LIMITATIONS.md).

--- a/packages/config/include/citronwick/config/config_store.hpp
+++ b/packages/config/include/citronwick/config/config_store.hpp
@@ -53,6 +53,14 @@
     task<io_result<std::uint64_t>> commit(const configuration_change& change,
                                           const stored_configuration* base);
 
+    /// Writes again what the service lost when it was restored from a backup.
+    /// @param roots texts of committed roots, oldest first; the last one is put in force
+    /// @param chunks contents of the chunks that the last root lists
+    /// @param expected_revision revision of the root that the service holds
+    /// @return whether the root was still the expected one
+    task<io_result<bool>> write_again(std::vector<std::string> roots, std::vector<std::string> chunks,
+                                      std::int64_t expected_revision);
+
     /// Reads up to `max_count` roots, newest first.
     task<io_result<std::vector<configuration_root>>> history(std::size_t max_count);
 
--- a/packages/config/src/config_store.cpp
+++ b/packages/config/src/config_store.cpp
@@ -170,6 +170,25 @@
     co_return error;
 }
 
+task<io_result<bool>> config_store::write_again(std::vector<std::string> roots,
+                                                std::vector<std::string> chunks,
+                                                std::int64_t expected_revision) {
+    const std::string newest = roots.back();
+    roots.pop_back();
+    chunks.insert(chunks.end(), roots.begin(), roots.end());
+    for (const std::string& content : chunks) {
+        auto put = co_await put_chunk(sha256_hex(content), content);
+        if (put.has_error()) {
+            co_return put.error();
+        }
+    }
+    auto swapped = co_await service_.compare_and_swap(root_key_, expected_revision, newest, 0);
+    if (swapped.has_error()) {
+        co_return swapped.error();
+    }
+    co_return swapped->succeeded;
+}
+
 task<io_result<std::vector<configuration_root>>> config_store::history(std::size_t max_count) {
     auto entry = co_await service_.read(root_key_);
     if (entry.has_error()) {
--- a/packages/control/include/citronwick/control/document_sync.hpp
+++ b/packages/control/include/citronwick/control/document_sync.hpp
@@ -11,6 +11,7 @@
 #include "citronwick/io/vm_list_client.hpp"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,7 +22,9 @@
 /// Keeps the configuration and the VM list up to date. Any router fetches them from
 /// other routers; the watchers of each failure domain also read them from the platform.
 ///
-/// A document is applied if it is valid and newer than the current one.
+/// A document is applied if it is valid and newer than the current one. If the
+/// key-value service holds an earlier root again, it was restored from a backup, and
+/// the watchers write there what it lacks.
 class document_sync {
 public:
     /// Receivers of new documents, and the watcher role of this router.
@@ -49,6 +52,7 @@
     task<void> watch_configuration();
     task<void> poll_vm_list();
     task<io_result<std::int64_t>> load_configuration();
+    task<void> write_again(kv_entry stored);
     void accept_platform_vm_list(const vm_list_document& list);
     bool accept(wire::document_kind kind, std::uint64_t generation, std::string header,
                 const std::string& source);
@@ -66,6 +70,7 @@
     std::unique_ptr<vm_list_client> vm_list_;
     config_store config_store_;
     std::array<bool, 2> pulling_{};
+    std::deque<std::string> accepted_roots_; ///< newest last
 };
 
 } // namespace citronwick
--- a/packages/control/src/document_sync.cpp
+++ b/packages/control/src/document_sync.cpp
@@ -12,6 +12,9 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+#include <iterator>
+
 namespace citronwick {
 
 namespace {
@@ -21,6 +24,8 @@
 
 /// Delay before a retry at the platform, and between checks of the watcher role.
 constexpr duration retry_interval = 1s;
+/// Roots that a router keeps to recognize a restored service and to write them again.
+constexpr std::size_t max_accepted_roots = 32;
 constexpr const char* configuration_source = "key-value service";
 
 task<void> sleep_for(duration time) {
@@ -71,6 +76,12 @@
     const std::string text = join_chunks(header);
     const bool is_valid = kind == document_kind::configuration ? apply_configuration(header, text, source)
                                                                : apply_vm_list(text, source);
+    if (is_valid && kind == document_kind::configuration) {
+        accepted_roots_.push_back(header);
+        if (accepted_roots_.size() > max_accepted_roots) {
+            accepted_roots_.pop_front();
+        }
+    }
     return is_valid && store_.accept(kind, generation, std::move(header));
 }
 
@@ -160,10 +171,40 @@
             co_return failure{"put configuration in force", configuration_source,
                               "the configuration is invalid or incomplete"};
         }
+    } else if (!accepted_roots_.empty() && root.value != accepted_roots_.back()) {
+        co_await write_again(root);
     }
     co_return root.mod_revision;
 }
 
+/// Writes the configuration in force again if the service holds one of its
+/// predecessors. Any other root was written by an operator, and is left alone.
+task<void> document_sync::write_again(kv_entry stored) {
+    const auto known = std::ranges::find(accepted_roots_, stored.value);
+    const document* const held = store_.current(document_kind::configuration);
+    if (known == accepted_roots_.end() || held == nullptr) {
+        log_warn("configuration_ignored",
+                 {{"reason", "not newer than the generation in force, nor before it"},
+                  {"revision", std::to_string(stored.mod_revision)}});
+        co_return;
+    }
+    // With the stored one, which becomes the predecessor of another root again.
+    std::vector<std::string> roots{known, accepted_roots_.end()};
+    std::vector<std::string> chunks;
+    std::ranges::transform(held->digests, std::back_inserter(chunks),
+                           [this](const std::string& digest) { return *store_.find_chunk(digest); });
+    const std::string generation = std::to_string(held->generation);
+    auto written =
+        co_await config_store_.write_again(std::move(roots), std::move(chunks), stored.mod_revision);
+    if (written.has_error()) {
+        log_failure("configuration_not_written_again", written.error());
+        co_return;
+    }
+    log_warn("configuration_written_again", {{"generation", generation},
+                                             {"reason", "the key-value service held an earlier one"},
+                                             {"succeeded", *written ? "yes" : "no"}});
+}
+
 task<void> document_sync::poll_vm_list() {
     bool failure_logged = false;
     while (true) {
--- a/tests/integration/configuration.tests.cpp
+++ b/tests/integration/configuration.tests.cpp
@@ -124,6 +124,24 @@
     CHECK_FALSE(monitor.reverted());
 }
 
+TEST_CASE("proof: changes are in force again after the key-value service was restored from a backup") {
+    fleet system{{.routers = 3, .engines = 1, .service_workers = 0}};
+    REQUIRE(system.wait_ready());
+    const generation_monitor monitor{system};
+    set_fault(system.key_value(), R"({"back_up":1})");
+    CHECK(system.ctl({"preset", "use", "peak"}).exit == 0);
+    REQUIRE(system.wait_generation(2, max_time_to_in_force));
+    CHECK(system.ctl({"drain", "engine-0"}).exit == 0);
+    REQUIRE(system.wait_generation(3, max_time_to_in_force));
+    set_fault(system.key_value(), R"({"restore":1})");
+    // The operator builds on the generation that was in force before.
+    CHECK(wait_until([&] { return system.ctl({"preset", "use", "maintenance", "--base", "3"}).exit == 0; },
+                     13s));
+    CHECK(system.wait_generation(4, max_time_to_in_force));
+    CHECK(system.ctl({"history"}).exit == 0);
+    CHECK_FALSE(monitor.reverted());
+}
+
 TEST_CASE("proof: watches that have gone stale delay a change by seconds only") {
     fleet system{{.routers = 3, .engines = 1, .service_workers = 0}};
     REQUIRE(system.wait_ready());
--- a/tests/standin/key_value_service.cpp
+++ b/tests/standin/key_value_service.cpp
@@ -50,6 +50,13 @@
     stale_watches_ = integer_member(fault_settings, "stale_watches") != 0;
     delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
     responses_to_drop_ = integer_member(fault_settings, "lose_answers");
+    if (integer_member(fault_settings, "back_up") != 0) {
+        backup_ = {revision_, values_};
+    }
+    if (integer_member(fault_settings, "restore") != 0) {
+        revision_ = backup_.revision;
+        values_ = backup_.values;
+    }
 }
 
 json::object key_value_service::statistics() const {
--- a/tests/standin/key_value_service.hpp
+++ b/tests/standin/key_value_service.hpp
@@ -13,7 +13,8 @@
 
 /// Stand-in for the platform's key-value service. Implements the part of the
 /// etcd v3 JSON gateway that routers use: range reads, transactions that compare
-/// mod_revision, leases and watches.
+/// mod_revision, leases and watches. POST /standin/fault with "back_up" takes a backup,
+/// and with "restore" the service is restored from it.
 class key_value_service {
 public:
     key_value_service(asio::io_context& context, const std::string& ip);
@@ -40,8 +41,15 @@
     void set_faults(const boost::json::object& fault_settings);
     void expire_leases();
 
+    /// What a backup of the service holds.
+    struct backup {
+        std::int64_t revision = 1;
+        std::map<std::string, stored_value> values;
+    };
+
     std::int64_t revision_ = 1;
     std::map<std::string, stored_value> values_;
+    backup backup_;
     std::map<std::int64_t, time_point> leases_;
     std::int64_t next_lease_ = 1;
     bool outage_ = false;        ///< connections are closed without a response
