Let the soak limit workers and bring the store back from a copy

The store now goes silent and comes back from a copy, after which what operators and workers wrote is written again, and workers name limits of 0.5 to 10 a second for a while. Incarnations of workers rise with each registration, as the platform's do; random ones could be lower than known ones, which a restored store makes matter.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -105,13 +105,25 @@
 }
 
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
+    const std::scoped_lock lock{keys_mutex_};
+    keys_[key] = value;
     http_call(store_.addresses.front(), {.method = "PUT", .target = "/standin/key?" + key, .body = value});
 }
 
 void routed_fleet::remove_key(const std::string& key) {
+    const std::scoped_lock lock{keys_mutex_};
+    keys_.erase(key);
     http_call(store_.addresses.front(), {.method = "DELETE", .target = "/standin/key?" + key});
 }
 
+void routed_fleet::write_keys_again() {
+    const std::scoped_lock lock{keys_mutex_};
+    for (const auto& [key, value] : keys_) {
+        http_call(store_.addresses.front(),
+                  {.method = "PUT", .target = "/standin/key?" + key, .body = value});
+    }
+}
+
 void routed_fleet::declare(const std::vector<std::string>& keys, std::size_t extra_routes) {
     json::array api_keys;
     std::ranges::for_each(keys, [&api_keys](const std::string& key) { api_keys.emplace_back(key); });
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -60,6 +62,9 @@
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
 
+    /// Writes all keys again, as operators and workers do after the store lost them.
+    void write_keys_again();
+
     /// Waits until every router has the latest declaration, confirmed team keys
     /// and all routers in its view.
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds{10});
@@ -83,6 +88,8 @@
     std::deque<node> plain_workers_;
     std::deque<node> engines_;
     std::int64_t version_ = 0;
+    std::mutex keys_mutex_;
+    std::map<std::string, std::string> keys_; ///< as last written
     std::size_t next_index_ = 0;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,6 +60,7 @@
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> next_attempt{0};
     std::atomic<bool> second_key_is_valid{true};
+    std::atomic<std::int64_t> newest_incarnation{1}; ///< of the workers
 };
 
 constexpr std::array paths{"/read/1", "/book/1", "/quote/stream/1", "/guide/stream/1"};
@@ -192,13 +193,31 @@
     set_fault(run.fleet.store(), "{}");
 }
 
+/// The store goes away and comes back from a copy, without what was written since.
+void restore_store(soak_run& run, std::mt19937_64& random) {
+    set_fault(run.fleet.store(), R"({"copy":1})");
+    std::this_thread::sleep_for(pick_time(random, 200, 3'000));
+    set_fault(run.fleet.store(), R"({"mode":"silent"})");
+    std::this_thread::sleep_for(pick_time(random, 200, 2'000));
+    set_fault(run.fleet.store(), R"({"restore":1})");
+    run.fleet.write_keys_again();
+}
+
+void limit_worker(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array limits{"0.5", "2", "10"};
+    const node& worker = pick_worker(run, random);
+    set_fault(worker, std::string{R"({"limit":")"} + limits.at(random() % limits.size()) + R"("})");
+    std::this_thread::sleep_for(pick_time(random, 500, 4'000));
+    set_fault(worker, "{}");
+}
+
 /// Drains a worker and registers it again as a new incarnation.
 void drain_worker(soak_run& run, std::mt19937_64& random) {
     auto& workers = run.fleet.plain_workers();
     const node& worker = workers[random() % workers.size()];
     run.fleet.register_worker(worker, "desk", "draining");
     std::this_thread::sleep_for(pick_time(random, 500, 2'000));
-    run.fleet.register_worker(worker, "desk", "ready", static_cast<std::int64_t>(2 + random() % 1'000'000));
+    run.fleet.register_worker(worker, "desk", "ready", ++run.newest_incarnation);
 }
 
 void change_keys(soak_run& run, std::mt19937_64& /*random*/) {
@@ -210,9 +229,9 @@
     }
 }
 
-constexpr std::array faults{&pause_router,   &kill_router,  &stop_router,  &disturb_worker,
-                            &disturb_worker, &cut_streams,  &disturb_link, &disturb_link,
-                            &disturb_store,  &drain_worker, &change_keys};
+constexpr std::array faults{&pause_router, &kill_router,   &stop_router,  &disturb_worker, &disturb_worker,
+                            &cut_streams,  &disturb_link,  &disturb_link, &disturb_store,  &drain_worker,
+                            &change_keys,  &restore_store, &limit_worker};
 
 /// Injects faults one after another. Two threads run this, so that faults overlap.
 void run_faults(soak_run& run, std::uint64_t stream, steady::time_point end) {
