End a stream at once whose resumption is answered with a failure

Cause: the stream broke after some events, and the engine that should go on with it answered with a failure; the router took that answer for the end of the stream, logged "answered", and neither ended nor closed the response. Whether a stream is complete is now what was relayed, and nothing else.

--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -132,6 +132,7 @@
         co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
     }
     co_await caller_.end_relay();
+    stream_is_complete_ = true;
     co_return exchange_result{attempt_outcome::answered, "stream complete"};
 }
 
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -299,10 +299,10 @@
     const bool claims_not_run = buffered_response_ && buffered_response_->result_int() == unavailable;
     const bool may_relay = buffered_response_ && (!claims_not_run || is_repeatable(route_->kind));
     if (state_.response_started) {
-        if (next_step_ != next_step::deliver) {
+        if (!stream_is_complete_) {
             caller_.close_after_response();
         }
-        log_request_end(next_step_ == next_step::deliver ? "answered" : "stream-broken");
+        log_request_end(stream_is_complete_ ? "answered" : "stream-broken");
         co_return;
     }
     if (may_relay && (next_step_ == next_step::deliver || state_.may_have_run_before)) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -84,6 +84,7 @@
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
     std::optional<problem> refusal_before_send_; ///< set if the request is refused after its arrival
+    bool stream_is_complete_ = false;            ///< whether its end was relayed to the caller
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
--- a/tests/integration/routes.tests.cpp
+++ b/tests/integration/routes.tests.cpp
@@ -3,6 +3,7 @@
 #include "routed_fleet.hpp"
 #include "waiting.hpp"
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/json_text.hpp"
 
 #include <boost/json/array.hpp>
@@ -377,3 +378,20 @@
         }
     }
 }
+
+TEST_CASE("proof: a stream whose resumption is answered with a failure ends broken, and at once") {
+    routed_fleet fleet{{.routers = 1, .plain_workers = 1, .engines = 2}};
+    REQUIRE(fleet.wait_ready());
+    set_fault(fleet.engines()[0], R"({"cut_after":2})");
+    set_fault(fleet.engines()[1], R"({"mode":"unmarked_503"})");
+    int broken = 0;
+    for (int count = 0; count < 20; ++count) {
+        const auto begin = clock::now();
+        const reply answer = fleet.ask(fleet.routers()[0], "/quote/stream/1", "r" + std::to_string(count));
+        CHECK(clock::now() - begin < 1s);
+        // No engine can complete the stream.
+        CHECK((answer.status != 200 || !answer.error.empty()));
+        broken += answer.status == 200 ? 1 : 0;
+    }
+    CHECK(broken > 0);
+}
