--- a/packages/ctl/src/request_timeline.cpp
+++ b/packages/ctl/src/request_timeline.cpp
@@ -47,8 +47,9 @@
                        "an upstream failed after the request was sent to it; it may have run"},
     result_explanation{"keys-not-confirmed",
                        "the team keys were not confirmed in time; see their age and the store events"},
-    result_explanation{"upstreams-busy",
-                       "the caller would have given up while the request waited in an engine; it did not run"},
+    result_explanation{
+        "upstreams-busy",
+        "the caller would have given up while the request waited in an engine; it did not run"},
     result_explanation{"upstreams-limited",
                        "the upstreams take no more requests than they named; it did not run"},
     result_explanation{"deadline", "the deadline of the caller or of the route passed"},
