--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -60,8 +60,9 @@
 /// prefix is abandoned only if the response would be late: prefilling the prefix
 /// on another engine takes up space in that engine's cache too. Engines at the
 /// load bound are skipped. A rate-limited engine costs its permit price in addition,
-/// so that permits go to the requests that need them most. Ties are broken by the rendezvous score for
-/// `affinity`, so that routers make the same choice without communicating.
+/// so that permits go to the requests that need them most. Ties are broken by the
+/// rendezvous score for `affinity`, so that routers make the same choice without
+/// communicating.
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
                                 const placement_parameters& parameters);
 
--- a/packages/policy/include/citronwick/policy/permit_pool.hpp
+++ b/packages/policy/include/citronwick/policy/permit_pool.hpp
@@ -15,7 +15,7 @@
     bool granted = false;
     duration wait{0};      ///< if not granted for lack of permits, time after which to ask again
     double price_ms = 0.0; ///< saving that a request must reach after that
-    duration full_in{0};   ///< time until the price has fallen to 0, if no permit is granted meanwhile
+    duration full_in{0};   ///< time until the bucket is full and the price 0, if nobody gets a permit
 };
 
 /// Permits to send requests to rate-limited upstreams, of one permit coordinator.
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -1,4 +1,5 @@
-// Chooses the upstream of an attempt, with a permit if it is rate-limited.
+// Chooses the upstream of an attempt, with a permit if it is rate-limited, or refuses a
+// request that none can take in time.
 
 #include "citronwick/core/hash.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
