Log what a router knows about a suspect when it sends it

Cause: for a request that crashes upstreams, the lines told which router saw which crash, and not what the routers that sent it on knew: too few crashes, enough that did not count, or a suspect that an answer had cleared. Three lines tell these apart: suspect_sent (per attempt, with the crashes known, those that count, and whether it was cleared), suspect_learnt (from other routers, from the second crash on) and suspect_cleared. No logic is changed.

--- a/packages/control/include/citronwick/control/suspect_registry.hpp
+++ b/packages/control/include/citronwick/control/suspect_registry.hpp
@@ -42,6 +42,9 @@
     /// @return number of crashes attributed to the request or prompt part
     std::uint8_t crashes(std::uint64_t request, time_point now) const;
 
+    /// @return what is known about the request or prompt part
+    suspect_table::suspicion suspicion_of(std::uint64_t suspect, time_point now) const;
+
     /// Merges the records of another router, and queues new ones for gossip.
     void merge(const std::vector<wire::suspect_entry>& entries, time_point now);
 
@@ -63,6 +66,7 @@
     };
 
     void record_served_locked(std::uint64_t suspect, time_point now);
+    void log_repeated_crash(std::uint64_t suspect, time_point crashed_at, time_point now) const;
 
     std::vector<update> updates_;
     std::uint64_t last_repeated_ = 0; ///< suspect whose records were repeated last
--- a/packages/control/src/suspect_registry.cpp
+++ b/packages/control/src/suspect_registry.cpp
@@ -1,5 +1,7 @@
 #include "citronwick/control/suspect_registry.hpp"
 
+#include "citronwick/io/log.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -45,6 +47,9 @@
 void suspect_registry::record_served_locked(std::uint64_t suspect, time_point now) {
     if (table_.record_served(suspect, now)) {
         updates_.push_back({suspect, no_crash, now});
+        log_info("suspect_cleared",
+                 {{"fingerprint", std::to_string(suspect)},
+                  {"crashes", std::to_string(table_.suspicion_of(suspect, now).crashes)}});
     }
 }
 
@@ -73,6 +78,11 @@
     return table_.crashes(request, now);
 }
 
+suspect_table::suspicion suspect_registry::suspicion_of(std::uint64_t suspect, time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    return table_.suspicion_of(suspect, now);
+}
+
 void suspect_registry::merge(const std::vector<wire::suspect_entry>& entries, time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const wire::suspect_entry& entry : entries) {
@@ -83,6 +93,7 @@
         const time_point crashed_at = now - entry.age * wire::crash_age_unit;
         if (table_.merge(entry.fingerprint, entry.crash, crashed_at, now)) {
             updates_.push_back({entry.fingerprint, entry.crash, crashed_at});
+            log_repeated_crash(entry.fingerprint, crashed_at, now);
         }
         const auto served_at = served_parts_.recorded_at(entry.fingerprint, now);
         if (served_at && *served_at > crashed_at) {
@@ -91,6 +102,19 @@
     }
 }
 
+/// Logs a crash learnt from another router, unless it is the first one of the suspect.
+void suspect_registry::log_repeated_crash(std::uint64_t suspect, time_point crashed_at,
+                                          time_point now) const {
+    const auto known = table_.suspicion_of(suspect, now);
+    if (known.crashes > 1) {
+        log_info("suspect_learnt", {{"fingerprint", std::to_string(suspect)},
+                                    {"crashes", std::to_string(known.crashes)},
+                                    {"separate", std::to_string(known.separate_crashes)},
+                                    {"served", known.was_served ? "yes" : "no"},
+                                    {"age_ms", std::to_string((now - crashed_at) / 1ms)}});
+    }
+}
+
 std::vector<wire::suspect_entry> suspect_registry::take_updates(time_point now) {
     const std::scoped_lock lock{mutex_};
     auto updates = std::exchange(updates_, {});
--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -45,6 +45,15 @@
     /// Number of crashes recorded for a request; 0 if it was served or its entry has expired.
     std::uint8_t crashes(fingerprint request, time_point now) const;
 
+    /// What is known about a request or a part of a prompt.
+    struct suspicion {
+        std::size_t crashes = 0;
+        std::size_t separate_crashes = 0; ///< those far enough apart in time to count against a part
+        bool was_served = false;          ///< after it had become a suspect
+    };
+
+    suspicion suspicion_of(fingerprint suspect, time_point now) const;
+
     /// Whether the suspect was on an upstream that crashed before a time.
     bool was_suspected_at(fingerprint request, time_point then) const;
 
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -54,6 +54,14 @@
     return is_suspect ? static_cast<std::uint8_t>(found->second.crashes.size()) : std::uint8_t{0};
 }
 
+suspect_table::suspicion suspect_table::suspicion_of(fingerprint suspect, time_point now) const {
+    const auto found = entries_.find(suspect);
+    if (found == entries_.end()) {
+        return {};
+    }
+    return {found->second.crashes.size(), separate_crashes(suspect, now), found->second.was_served};
+}
+
 bool suspect_table::was_suspected_at(fingerprint request, time_point then) const {
     const auto found = entries_.find(request);
     return found != entries_.end() &&
--- a/packages/traffic/src/route_crashes.cpp
+++ b/packages/traffic/src/route_crashes.cpp
@@ -3,10 +3,12 @@
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/fleet/crash_detector.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/io/log.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace citronwick {
 
@@ -34,6 +36,23 @@
     return std::nullopt;
 }
 
+/// Logs what is known about a request that is sent although it is a suspect, or holds one.
+void route_exchange::log_suspicions(time_point now) const {
+    std::vector<std::uint64_t> suspects{fingerprint_};
+    std::ranges::copy(part_fingerprints_, std::back_inserter(suspects));
+    for (const std::uint64_t suspect : suspects) {
+        const auto known = context_.plane.suspects().suspicion_of(suspect, now);
+        if (known.crashes > 0) {
+            log_info("suspect_sent", {{"request", caller_.request_id()},
+                                      {"upstream", placement_->upstream.entry.id},
+                                      {"fingerprint", std::to_string(suspect)},
+                                      {"crashes", std::to_string(known.crashes)},
+                                      {"separate", std::to_string(known.separate_crashes)},
+                                      {"served", known.was_served ? "yes" : "no"}});
+        }
+    }
+}
+
 void route_exchange::record_served(time_point now) {
     suspect_registry& suspects = context_.plane.suspects();
     suspects.record_served(fingerprint_, now);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -165,6 +165,7 @@
          {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
          {"position", to_text(view_->position)}});
+    log_suspicions(started);
     placement_request_.tried.push_back(placement_->upstream.hash);
     exchange_result result;
     {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -39,6 +39,7 @@
     std::optional<problem> authenticate_team();
     std::optional<problem> check_key_freshness() const;
     std::optional<problem> check_crashes(time_point now) const;
+    void log_suspicions(time_point now) const;
     void record_served(time_point now);
     void report_broken_connection(time_point now);
     task<void> place(time_point started);
