Keep enough crashes of a suspect to tell separate ones, and the same ones on all routers

Callers saw 502 for requests with a part that crashes upstreams, seconds after it was known, and 422 for sound requests that share another part with these. Cause: 16 crashes were kept for a suspect, the first that a router heard of. On 91 routers a crashing part ends 16 upstreams within a second; crashes within 500 ms count once, so such a router never counted the third separate crash. And a sound part that only occurred beside it had another 16 crashes than the crashing one, so it was no longer explained by it. Class: a bounded sample that depends on the order of arrival stands for the whole.

The tests of a part that crashes many within a second, and of a sound part beside it, failed on (refused_part empty; refused for the sound prompt). Ruled out: that the crashing part is cleared by answers (0 suspect_cleared lines of its fingerprint).

--- a/packages/control/include/citronwick/control/suspect_registry.hpp
+++ b/packages/control/include/citronwick/control/suspect_registry.hpp
@@ -25,12 +25,12 @@
     /// @return number of crashes attributed to the request so far
     std::uint8_t record_crash(std::uint64_t request, std::uint32_t crash, time_point now);
 
-    /// Records that an upstream has served the request. If the request was a suspect,
+    /// Records that an upstream has served the request. If that refutes crashes,
     /// queues the record for gossip.
     void record_served(std::uint64_t request, time_point now);
 
-    /// As `record_served`, for a part of a prompt. Counts only if the request was sent
-    /// after the part had become a suspect.
+    /// As `record_served`, for a part of a prompt. Refutes the crashes before the
+    /// request was sent.
     void record_served_part(std::uint64_t part, time_point sent_at, time_point now);
 
     bool was_served_recently(std::uint64_t part, time_point now) const;
@@ -52,24 +52,45 @@
     ///         those of one refused suspect, for routers that missed them
     std::vector<wire::suspect_entry> take_updates(time_point now);
 
+    /// Records that are new since the last call.
+    struct news {
+        std::vector<wire::suspect_entry> own;   ///< observed by this router
+        std::vector<wire::suspect_entry> heard; ///< from other routers
+    };
+
+    news take_news(time_point now);
+
+    /// @return one hash for each group of suspects, see `suspect_table::digest`
+    std::vector<std::uint16_t> digest(time_point now);
+
+    /// @return records of the groups in which another router's digest differs from
+    ///         this one's, at most `max_records`
+    std::vector<wire::suspect_entry> records_unlike(const std::vector<std::uint16_t>& digest,
+                                                    std::size_t max_records, time_point now);
+
     void expire(time_point now);
 
 private:
-    mutable std::mutex mutex_;
-    suspect_table table_;
-    recent_keys served_parts_;
     /// A record to gossip.
     struct update {
-        std::uint64_t suspect = 0;
-        std::uint32_t crash = 0;
-        time_point crashed_at;
+        suspect_table::record record;
+        bool is_own = false;
     };
 
-    void record_served_locked(std::uint64_t suspect, time_point now);
+    const std::vector<std::uint16_t>& digest_locked(time_point now);
+    void append_records_unlike(const std::vector<std::uint16_t>& digest, std::size_t first, std::size_t last,
+                               std::size_t max_records, time_point now,
+                               std::vector<wire::suspect_entry>& found);
+    void record_served_locked(std::uint64_t suspect, time_point served_at, bool is_own, time_point now);
     void log_repeated_crash(std::uint64_t suspect, time_point crashed_at, time_point now) const;
 
+    mutable std::mutex mutex_;
+    suspect_table table_;
+    recent_keys served_parts_;
     std::vector<update> updates_;
-    std::uint64_t last_repeated_ = 0; ///< suspect whose records were repeated last
+    std::optional<std::vector<std::uint16_t>> digest_; ///< of the current table, if it was asked for
+    std::size_t sent_records_ = 0;                     ///< in responses to digests that had to leave some out
+    std::uint64_t last_repeated_ = 0;                  ///< suspect whose records were repeated last
     time_point repeated_at_;
 };
 
--- a/packages/control/src/suspect_registry.cpp
+++ b/packages/control/src/suspect_registry.cpp
@@ -29,27 +29,36 @@
         std::clamp<std::int64_t>(value / wire::crash_age_unit, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+wire::suspect_entry to_wire(const suspect_table::record& record, time_point now) {
+    return {record.suspect, record.crash, to_age(now - record.at)};
+}
+
 } // namespace
 
 suspect_registry::suspect_registry() : served_parts_{served_lifetime, max_served_parts} {}
 
 std::uint8_t suspect_registry::record_crash(std::uint64_t request, std::uint32_t crash, time_point now) {
     const std::scoped_lock lock{mutex_};
-    updates_.push_back({request, crash, now});
-    return table_.record_crash(request, crash, now);
+    if (table_.merge(request, crash, now, now)) {
+        updates_.push_back({{request, crash, now}, true});
+        digest_.reset();
+    }
+    return table_.crashes(request, now);
 }
 
 void suspect_registry::record_served(std::uint64_t request, time_point now) {
     const std::scoped_lock lock{mutex_};
-    record_served_locked(request, now);
+    record_served_locked(request, now, true, now);
 }
 
-void suspect_registry::record_served_locked(std::uint64_t suspect, time_point now) {
-    if (table_.record_served(suspect, now)) {
-        updates_.push_back({suspect, no_crash, now});
-        log_info("suspect_cleared",
-                 {{"fingerprint", std::to_string(suspect)},
-                  {"crashes", std::to_string(table_.suspicion_of(suspect, now).crashes)}});
+void suspect_registry::record_served_locked(std::uint64_t suspect, time_point served_at, bool is_own,
+                                            time_point now) {
+    if (table_.record_served(suspect, served_at)) {
+        updates_.push_back({{suspect, no_crash, served_at}, is_own});
+        digest_.reset();
+        log_info("suspect_cleared", {{"fingerprint", std::to_string(suspect)},
+                                     {"crashes", std::to_string(table_.suspicion_of(suspect, now).crashes)},
+                                     {"left", std::to_string(table_.crashes(suspect, now))}});
     }
 }
 
@@ -57,7 +66,7 @@
     const std::scoped_lock lock{mutex_};
     served_parts_.record(part, sent_at);
     if (table_.was_suspected_at(part, sent_at)) {
-        record_served_locked(part, now);
+        record_served_locked(part, sent_at, true, now);
     }
 }
 
@@ -86,18 +95,19 @@
 void suspect_registry::merge(const std::vector<wire::suspect_entry>& entries, time_point now) {
     const std::scoped_lock lock{mutex_};
     for (const wire::suspect_entry& entry : entries) {
+        const time_point at = now - entry.age * wire::crash_age_unit;
         if (entry.crash == no_crash) {
-            record_served_locked(entry.fingerprint, now);
+            record_served_locked(entry.fingerprint, at, false, now);
             continue;
         }
-        const time_point crashed_at = now - entry.age * wire::crash_age_unit;
-        if (table_.merge(entry.fingerprint, entry.crash, crashed_at, now)) {
-            updates_.push_back({entry.fingerprint, entry.crash, crashed_at});
-            log_repeated_crash(entry.fingerprint, crashed_at, now);
+        if (table_.merge(entry.fingerprint, entry.crash, at, now)) {
+            updates_.push_back({{entry.fingerprint, entry.crash, at}, false});
+            digest_.reset();
+            log_repeated_crash(entry.fingerprint, at, now);
         }
         const auto served_at = served_parts_.recorded_at(entry.fingerprint, now);
-        if (served_at && *served_at > crashed_at) {
-            record_served_locked(entry.fingerprint, now);
+        if (served_at && *served_at > at) {
+            record_served_locked(entry.fingerprint, *served_at, true, now);
         }
     }
 }
@@ -117,25 +127,82 @@
 
 std::vector<wire::suspect_entry> suspect_registry::take_updates(time_point now) {
     const std::scoped_lock lock{mutex_};
-    auto updates = std::exchange(updates_, {});
+    std::vector<wire::suspect_entry> entries;
+    std::ranges::transform(std::exchange(updates_, {}), std::back_inserter(entries),
+                           [now](const update& each) { return to_wire(each.record, now); });
     if (now - repeated_at_ >= repeat_interval) {
         repeated_at_ = now;
         for (const auto& record : table_.next_refused(last_repeated_, suspect_table::crash_limit, now)) {
             last_repeated_ = record.suspect;
-            updates.push_back({record.suspect, record.crash, record.crashed_at});
+            entries.push_back(to_wire(record, now));
         }
     }
-    std::vector<wire::suspect_entry> entries;
-    std::ranges::transform(updates, std::back_inserter(entries), [now](const update& each) {
-        return wire::suspect_entry{each.suspect, each.crash, to_age(now - each.crashed_at)};
-    });
     return entries;
 }
 
+suspect_registry::news suspect_registry::take_news(time_point now) {
+    const std::scoped_lock lock{mutex_};
+    news taken;
+    for (const update& each : std::exchange(updates_, {})) {
+        (each.is_own ? taken.own : taken.heard).push_back(to_wire(each.record, now));
+    }
+    return taken;
+}
+
+const std::vector<std::uint16_t>& suspect_registry::digest_locked(time_point now) {
+    if (!digest_) {
+        const auto hashes = table_.digest(now);
+        digest_.emplace(hashes.begin(), hashes.end());
+    }
+    return *digest_;
+}
+
+std::vector<std::uint16_t> suspect_registry::digest(time_point now) {
+    const std::scoped_lock lock{mutex_};
+    return digest_locked(now);
+}
+
+std::vector<wire::suspect_entry> suspect_registry::records_unlike(const std::vector<std::uint16_t>& digest,
+                                                                  std::size_t max_records, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    const std::vector<std::uint16_t>& own = digest_locked(now);
+    std::vector<wire::suspect_entry> found;
+    if (digest.size() != own.size()) {
+        return found;
+    }
+    // What is refused, or soon may be, comes first.
+    append_records_unlike(digest, 0, suspect_table::repeated_groups, max_records, now, found);
+    append_records_unlike(digest, suspect_table::repeated_groups, suspect_table::digest_groups,
+                          max_records - found.size(), now, found);
+    return found;
+}
+
+/// Appends records of the groups from `first` to before `last` that differ from a digest.
+void suspect_registry::append_records_unlike(const std::vector<std::uint16_t>& digest, std::size_t first,
+                                             std::size_t last, std::size_t max_records, time_point now,
+                                             std::vector<wire::suspect_entry>& found) {
+    std::vector<wire::suspect_entry> records;
+    for (std::size_t group = first; group < last; ++group) {
+        if (digest_locked(now)[group] != digest[group]) {
+            std::ranges::transform(table_.records_of_group(group, now), std::back_inserter(records),
+                                   [now](const auto& record) { return to_wire(record, now); });
+        }
+    }
+    if (records.size() > max_records) {
+        // Begins elsewhere each time, so that all records get their turn.
+        const auto begin = static_cast<std::ptrdiff_t>(sent_records_ % records.size());
+        std::ranges::rotate(records, records.begin() + begin);
+        records.resize(max_records);
+        sent_records_ += max_records;
+    }
+    std::ranges::copy(records, std::back_inserter(found));
+}
+
 void suspect_registry::expire(time_point now) {
     const std::scoped_lock lock{mutex_};
     table_.expire(now);
     served_parts_.expire(now);
+    digest_.reset();
 }
 
 } // namespace citronwick
--- a/packages/policy/src/suspect_table.cpp
+++ b/packages/policy/src/suspect_table.cpp
@@ -1,7 +1,10 @@
 #include "citronwick/policy/suspect_table.hpp"
 
+#include "citronwick/core/hash.hpp"
+
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <ranges>
 
 namespace citronwick {
@@ -10,56 +13,87 @@
 
 using namespace std::chrono_literals;
 
-/// Time after the last new crash or successful run at which an entry expires.
+/// Time after its last crash or answer at which a suspect is forgotten.
 constexpr duration retention = 10min;
 constexpr std::size_t max_entries = 16'384;
-/// Crashes kept for one suspect; no limit is higher.
-constexpr std::size_t max_crashes = 16;
+/// Crashes kept for one suspect: those with the lowest identifiers, so that all
+/// routers keep the same ones, from the whole time of the crashes.
+constexpr std::size_t max_crashes = 64;
 /// Shortest time between two crashes that count separately against a prompt part.
 constexpr duration crash_separation = 500ms;
+/// One of so many crashes of a part may be missing from the suspect that explains the
+/// others, as records get lost.
+constexpr std::size_t crashes_per_lost_record = 8;
+/// Stands in the digest for the fact that no crash counts against a suspect.
+constexpr std::uint64_t served_fact = std::numeric_limits<std::uint64_t>::max();
+
+/// Group of a suspect in the digest: those of several crashes form the first half.
+std::size_t group_of(suspect_table::fingerprint suspect, std::size_t crashes) {
+    return suspect % suspect_table::repeated_groups + (crashes > 1 ? 0 : suspect_table::repeated_groups);
+}
 
 } // namespace
 
+std::size_t suspect_table::entry::counted_crashes() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        crashes | std::views::values, [this](time_point crashed_at) { return counts(crashed_at); }));
+}
+
 std::uint8_t suspect_table::record_crash(fingerprint request, crash_id crash, time_point now) {
     merge(request, crash, now, now);
     return crashes(request, now);
 }
 
 bool suspect_table::merge(fingerprint request, crash_id crash, time_point crashed_at, time_point now) {
+    if (now - crashed_at >= retention) {
+        return false;
+    }
     entry& known = entry_of(request);
     if (now - known.updated_at >= retention) {
         known = {};
     }
-    const bool is_new = known.crashes.size() < max_crashes && known.crashes.emplace(crash, crashed_at).second;
-    if (is_new) {
-        known.updated_at = now;
+    if (!known.crashes.emplace(crash, crashed_at).second) {
+        return false;
+    }
+    known.updated_at = std::max(known.updated_at, crashed_at);
+    if (known.crashes.size() > max_crashes) {
+        const auto surplus = std::prev(known.crashes.end());
+        const bool is_new_one = surplus->first == crash;
+        known.crashes.erase(surplus);
+        return !is_new_one;
     }
-    return is_new;
+    return true;
 }
 
-bool suspect_table::record_served(fingerprint request, time_point now) {
+bool suspect_table::record_served(fingerprint request, time_point served_at) {
     const auto found = entries_.find(request);
-    if (found == entries_.end() || found->second.was_served) {
+    if (found == entries_.end()) {
         return false;
     }
-    found->second.was_served = true;
-    found->second.updated_at = now;
-    return true;
+    entry& known = found->second;
+    const std::size_t before = known.counted_crashes();
+    known.served_at = std::max(known.served_at.value_or(served_at), served_at);
+    known.updated_at = std::max(known.updated_at, served_at);
+    return known.counted_crashes() < before;
 }
 
-std::uint8_t suspect_table::crashes(fingerprint request, time_point now) const {
+const suspect_table::entry* suspect_table::find(fingerprint request, time_point now) const {
     const auto found = entries_.find(request);
-    const bool is_suspect =
-        found != entries_.end() && !found->second.was_served && now - found->second.updated_at < retention;
-    return is_suspect ? static_cast<std::uint8_t>(found->second.crashes.size()) : std::uint8_t{0};
+    const bool is_known = found != entries_.end() && now - found->second.updated_at < retention;
+    return is_known ? &found->second : nullptr;
+}
+
+std::uint8_t suspect_table::crashes(fingerprint request, time_point now) const {
+    const entry* const known = find(request, now);
+    return known == nullptr ? std::uint8_t{0} : static_cast<std::uint8_t>(known->counted_crashes());
 }
 
 suspect_table::suspicion suspect_table::suspicion_of(fingerprint suspect, time_point now) const {
-    const auto found = entries_.find(suspect);
-    if (found == entries_.end()) {
+    const entry* const known = find(suspect, now);
+    if (known == nullptr) {
         return {};
     }
-    return {found->second.crashes.size(), separate_crashes(suspect, now), found->second.was_served};
+    return {known->crashes.size(), separate_crashes(suspect, now), known->counted_crashes() == 0};
 }
 
 bool suspect_table::was_suspected_at(fingerprint request, time_point then) const {
@@ -69,13 +103,15 @@
                                [then](time_point crashed_at) { return crashed_at <= then; });
 }
 
-/// Number of crashes of a suspect that are far enough apart in time.
+/// Number of crashes that count against a suspect and are far enough apart in time.
 std::size_t suspect_table::separate_crashes(fingerprint request, time_point now) const {
-    if (crashes(request, now) == 0) {
+    const entry* const known = find(request, now);
+    if (known == nullptr) {
         return 0;
     }
     std::vector<time_point> times;
-    std::ranges::copy(entries_.at(request).crashes | std::views::values, std::back_inserter(times));
+    std::ranges::copy_if(known->crashes | std::views::values, std::back_inserter(times),
+                         [known](time_point crashed_at) { return known->counts(crashed_at); });
     std::ranges::sort(times);
     std::size_t count = 0;
     time_point counted_at;
@@ -88,39 +124,82 @@
     return count;
 }
 
+/// Whether another suspect may have caused the crashes that count against this one.
+bool suspect_table::explains(fingerprint other, const entry& suspect, std::uint8_t limit,
+                             time_point now) const {
+    const entry* const known = find(other, now);
+    if (known == nullptr || known->counted_crashes() < limit) {
+        return false;
+    }
+    const auto unexplained = std::ranges::count_if(suspect.crashes, [&](const auto& crash) {
+        return suspect.counts(crash.second) && !known->crashes.contains(crash.first);
+    });
+    return static_cast<std::size_t>(unexplained) <= suspect.counted_crashes() / crashes_per_lost_record;
+}
+
 std::optional<suspect_table::fingerprint>
 suspect_table::refused_part(std::span<const fingerprint> parts, std::uint8_t limit, time_point now) const {
     const auto is_refused = [&](fingerprint part) {
-        if (separate_crashes(part, now) < limit) {
-            return false;
-        }
-        const auto to_explain = entries_.at(part).crashes | std::views::keys;
-        return std::ranges::none_of(entries_, [&](const auto& each) {
-            return std::ranges::find(parts, each.first) == parts.end() && crashes(each.first, now) >= limit &&
-                   std::ranges::includes(each.second.crashes | std::views::keys, to_explain);
-        });
+        return separate_crashes(part, now) >= limit &&
+               std::ranges::none_of(entries_ | std::views::keys, [&](fingerprint other) {
+                   return std::ranges::find(parts, other) == parts.end() &&
+                          explains(other, entries_.at(part), limit, now);
+               });
     };
     const auto found = std::ranges::find_if(parts, is_refused);
     return found == parts.end() ? std::nullopt : std::optional{*found};
 }
 
-std::vector<suspect_table::crash_record> suspect_table::next_refused(fingerprint previous, std::uint8_t limit,
-                                                                     time_point now) const {
+std::vector<suspect_table::record> suspect_table::next_refused(fingerprint previous, std::uint8_t limit,
+                                                               time_point now) const {
     const auto is_refused = [&](const auto& each) { return crashes(each.first, now) >= limit; };
     const auto after = entries_.upper_bound(previous);
     auto found = std::find_if(after, entries_.end(), is_refused);
     if (found == entries_.end()) {
         found = std::find_if(entries_.begin(), after, is_refused);
     }
-    std::vector<crash_record> records;
+    std::vector<record> records;
     if (found != entries_.end() && is_refused(*found)) {
         std::ranges::transform(found->second.crashes, std::back_inserter(records), [&](const auto& crash) {
-            return crash_record{found->first, crash.first, crash.second};
+            return record{found->first, crash.first, crash.second};
         });
     }
     return records;
 }
 
+std::array<std::uint16_t, suspect_table::digest_groups> suspect_table::digest(time_point now) const {
+    std::array<std::uint16_t, digest_groups> hashes{};
+    for (const auto& [suspect, known] : entries_) {
+        if (now - known.updated_at >= retention) {
+            continue;
+        }
+        std::uint16_t& hash = hashes.at(group_of(suspect, known.crashes.size()));
+        for (const crash_id crash : known.crashes | std::views::keys) {
+            hash ^= static_cast<std::uint16_t>(hash_combine(suspect, crash));
+        }
+        if (known.counted_crashes() == 0) {
+            hash ^= static_cast<std::uint16_t>(hash_combine(suspect, served_fact));
+        }
+    }
+    return hashes;
+}
+
+std::vector<suspect_table::record> suspect_table::records_of_group(std::size_t group, time_point now) const {
+    std::vector<record> records;
+    for (const auto& [suspect, known] : entries_) {
+        if (group_of(suspect, known.crashes.size()) != group || now - known.updated_at >= retention) {
+            continue;
+        }
+        for (const auto& [crash, crashed_at] : known.crashes) {
+            records.push_back({suspect, crash, crashed_at});
+        }
+        if (known.served_at) {
+            records.push_back({suspect, 0, *known.served_at});
+        }
+    }
+    return records;
+}
+
 suspect_table::entry& suspect_table::entry_of(fingerprint request) {
     if (entries_.size() >= max_entries && !entries_.contains(request)) {
         entries_.erase(
--- a/packages/policy/tests/suspects.tests.cpp
+++ b/packages/policy/tests/suspects.tests.cpp
@@ -79,6 +79,65 @@
     CHECK(table.was_suspected_at(1, start + 1s));
 }
 
+TEST_CASE("a part that crashes many upstreams within a second is refused once it goes on") {
+    const time_point start{1h};
+    constexpr std::uint8_t limit = 3;
+    const std::vector<std::uint64_t> parts{1, 2};
+    suspect_table table;
+    for (std::uint32_t crash = 1; crash <= 200; ++crash) {
+        table.record_crash(1, crash * 7919 % 1009, start + crash * 10ms);
+    }
+    CHECK(table.refused_part(parts, limit, start + 2s));
+}
+
+TEST_CASE("a sound part with more crashes than are kept is served without the one beside it that crashes "
+          "upstreams") {
+    const time_point start{1h};
+    constexpr std::uint8_t limit = 3;
+    constexpr std::uint64_t sound = 1;
+    constexpr std::uint64_t crashing = 2;
+    suspect_table table;
+    for (std::uint32_t crash = 1; crash <= 40; ++crash) {
+        table.record_crash(crashing, crash, start + crash * 100ms);
+    }
+    // Routers hear of the crashes of two parts in different orders.
+    for (std::uint32_t crash = 40; crash >= 1; --crash) {
+        table.merge(sound, crash, start + crash * 100ms, start + 5s);
+    }
+    const time_point now = start + 5s;
+    CHECK_FALSE(table.refused_part(std::vector<std::uint64_t>{sound, 7}, limit, now));
+    CHECK(table.refused_part(std::vector<std::uint64_t>{sound, crashing}, limit, now));
+    SUBCASE("also if one record was lost") {
+        table.merge(sound, 41, now, now);
+        CHECK_FALSE(table.refused_part(std::vector<std::uint64_t>{sound, 7}, limit, now));
+        for (std::uint32_t crash = 42; crash <= 50; ++crash) {
+            table.merge(sound, crash, now, now);
+        }
+        CHECK(table.refused_part(std::vector<std::uint64_t>{sound, 7}, limit, now) == sound);
+    }
+}
+
+TEST_CASE("routers that heard of the same crashes in any order keep the same ones") {
+    const time_point start{1h};
+    suspect_table forwards;
+    suspect_table backwards;
+    for (std::uint32_t crash = 1; crash <= 100; ++crash) {
+        forwards.record_crash(1, crash, start);
+        backwards.record_crash(1, 101 - crash, start);
+    }
+    CHECK(forwards.digest(start) == backwards.digest(start));
+    backwards.record_served(1, start + 1s);
+    CHECK(forwards.digest(start) != backwards.digest(start));
+    for (std::size_t group = 0; group < suspect_table::digest_groups; ++group) {
+        for (const auto& record : backwards.records_of_group(group, start + 1s)) {
+            record.crash == 0
+                ? static_cast<void>(forwards.record_served(record.suspect, record.at))
+                : static_cast<void>(forwards.merge(record.suspect, record.crash, record.at, start));
+        }
+    }
+    CHECK(forwards.digest(start) == backwards.digest(start));
+}
+
 TEST_CASE("the table of suspects is bounded, and the newest entries stay") {
     const time_point start{1h};
     suspect_table table;
