Tell all routers of a crash at once, and repair what messages lost by digests

Callers saw 502 for requests that crash upstreams, from routers that did not know of three crashes elsewhere. Cause: a router sent each crash once, to three others, with its next status message of two a second; what was repeated was one suspect a second. Of 91 routers some never hear such a rumour, and routers that start or were cut off wait until each refused suspect has had its turn. Class: news without a way to find out that it is missing.

Now the observer reports to the coordinators of all failure domains, which distribute it down the tree of their domain at the next tick of 50 ms, as rate limits are; in a small fleet it tells all. Each router sends a digest of 16 groups with its queries to its coordinator, coordinators compare theirs each second, and whoever finds a difference sends what it knows, refused suspects first. This holds for clearances too, whose loss had sound requests refused.

--- a/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/permit_exchange.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_FLEET_PERMIT_EXCHANGE_HPP_INCLUDED
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/fleet/coordinator_network.hpp"
 #include "citronwick/fleet/message_number.hpp"
 #include "citronwick/policy/permit_pool.hpp"
 #include "citronwick/policy/permit_shares.hpp"
@@ -17,20 +18,6 @@
 
 class upstream_limits;
 
-/// Callbacks by which `permit_exchange` reads who the other routers are, and sends.
-struct permit_network {
-    std::function<std::uint64_t(time_point)> coordinator; ///< of this failure domain
-    /// Routers that may send requests, including this one.
-    std::function<std::size_t(time_point)> active_routers;
-    /// Routers to which this one reports its observations.
-    std::function<std::vector<std::uint64_t>(time_point)> report_targets;
-    /// Possible coordinators of the other failure domains.
-    std::function<std::vector<std::uint64_t>(time_point)> other_coordinators;
-    std::function<void(const wire::gossip&, std::uint64_t to, time_point)> send;
-    /// Sends a list on its way from its coordinator to all routers of the failure domain.
-    std::function<void(const wire::gossip&, const wire::limit_list_id&, time_point)> relay;
-};
-
 /// Shares the upstreams' rate limits between the routers.
 ///
 /// One router of each failure domain, its watcher, is its permit coordinator. It
@@ -42,7 +29,7 @@
 public:
     using reply_callback = std::function<void(permit_decision)>;
 
-    permit_exchange(std::uint64_t self, upstream_limits& limits, permit_network network);
+    permit_exchange(std::uint64_t self, upstream_limits& limits, coordinator_network network);
 
     /// Sets this router's incarnation, which its lists name.
     /// @param incarnation in 32 bits, see `shorten_sequence_number`
@@ -83,7 +70,7 @@
     std::uint64_t self_;
     std::uint32_t incarnation_ = 0;
     upstream_limits& limits_;
-    permit_network network_;
+    coordinator_network network_;
     permit_pool pool_;
     permit_shares shares_;
     std::map<std::uint16_t, pending_request> pending_; ///< by nonce
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/fleet/permit_exchange.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_outage.hpp"
+#include "citronwick/fleet/suspect_exchange.hpp"
 #include "citronwick/fleet/watcher_selector.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
 #include "citronwick/policy/token_bucket.hpp"
@@ -111,7 +112,7 @@
     void relay_changes(const wire::gossip& message, std::uint64_t watcher, time_point now);
     void relay_table(const wire::gossip& message, time_point now);
     void send_table(const wire::gossip& message, std::uint64_t to);
-    permit_network make_permit_network();
+    coordinator_network make_coordinator_network();
     void send(const wire::gossip& message, const endpoint& to, time_point now);
     wire::store_position position() const;
     void add_era(wire::gossip& message) const;
@@ -124,7 +125,6 @@
 
     const routing_settings& settings_;
     upstream_observations& observations_;
-    suspect_registry& suspects_;
     peer_callbacks callbacks_;
     wire::envelope envelope_;
     membership members_;
@@ -132,6 +132,7 @@
     watcher_selector watcher_selector_;
     load_exchange loads_;
     permit_exchange permits_;
+    suspect_exchange suspects_;
     token_bucket budget_;
     bool has_key_ = false;
     bool is_registered_ = false;
--- a/packages/fleet/src/permit_exchange.cpp
+++ b/packages/fleet/src/permit_exchange.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-permit_exchange::permit_exchange(std::uint64_t self, upstream_limits& limits, permit_network network)
+permit_exchange::permit_exchange(std::uint64_t self, upstream_limits& limits, coordinator_network network)
     : self_{self}, limits_{limits}, network_{std::move(network)} {}
 
 bool permit_exchange::is_coordinator(time_point now) const {
@@ -118,12 +118,12 @@
     if (message.limits.empty()) {
         return;
     }
-    if (message.limit_list_ids.empty()) {
+    if (message.list_ids.empty()) {
         limits_.merge(message.limits, true, now);
         return;
     }
     limits_.merge(message.limits, false, now);
-    const wire::limit_list_id& list = message.limit_list_ids.front();
+    const wire::list_id& list = message.list_ids.front();
     const message_number number{wire::list_incarnation_of(message), list.number};
     message_number& newest = newest_list_[list.coordinator];
     if (number.is_newer_than(newest)) {
@@ -173,14 +173,14 @@
     wire::gossip list;
     list.limits = limits_.all(now);
     if (!list.limits.empty()) {
-        list.limit_list_ids.push_back({self_, ++list_number_});
+        list.list_ids.push_back({self_, ++list_number_});
         list.list_incarnations.push_back(incarnation_);
-        network_.relay(list, list.limit_list_ids.front(), now);
+        network_.relay(list, list.list_ids.front(), now);
     }
     wire::gossip domain;
     domain.limits = limits_.of_domain(now);
     if (!domain.limits.empty()) {
-        domain.limit_list_ids.push_back({self_, 0});
+        domain.list_ids.push_back({self_, 0});
         for (const std::uint64_t other : network_.other_coordinators(now)) {
             network_.send(domain, other, now);
         }
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -1,6 +1,5 @@
 #include "citronwick/fleet/router_peers.hpp"
 
-#include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/core/store_position.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
@@ -39,11 +38,12 @@
 router_peers::router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                            upstream_observations& observations, suspect_registry& suspects,
                            upstream_limits& limits, peer_callbacks callbacks)
-    : settings_{settings}, observations_{observations}, suspects_{suspects}, callbacks_{std::move(callbacks)},
+    : settings_{settings}, observations_{observations}, callbacks_{std::move(callbacks)},
       envelope_{random_id()}, members_{self_record(settings)},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
-      permits_{members_.self_hash(), limits, make_permit_network()},
+      permits_{members_.self_hash(), limits, make_coordinator_network()},
+      suspects_{members_.self_hash(), suspects, make_coordinator_network()},
       budget_{static_cast<double>(settings.control_bytes_per_second),
               burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
@@ -66,6 +66,7 @@
     members_.set_incarnation(incarnation);
     loads_.set_incarnation(shorten_sequence_number(incarnation));
     permits_.set_incarnation(shorten_sequence_number(incarnation));
+    suspects_.set_incarnation(shorten_sequence_number(incarnation));
     is_registered_ = true;
 }
 
@@ -125,7 +126,7 @@
                         members_.is_full_mesh() ? upstream_observations::relay::none
                                                 : upstream_observations::relay::once,
                         now);
-    suspects_.merge(message.suspects, now);
+    suspects_.handle_message(from.sender, message, now);
     for (const wire::freshness_answer& answer : message.freshness_answers) {
         callbacks_.on_freshness_answer(boot_time{answer.asked_at}, std::chrono::milliseconds{answer.age},
                                        {answer.revision, wire::era_of(message)});
@@ -138,36 +139,36 @@
     permits_.handle_message(from.sender, message, now);
 }
 
-permit_network router_peers::make_permit_network() {
+coordinator_network router_peers::make_coordinator_network() {
     const auto send_to = [this](const wire::gossip& message, std::uint64_t to, time_point now) {
         if (const auto address = members_.address_of(to)) {
             send(message, *address, now);
         }
     };
-    return {
-        .coordinator = [this](time_point now) { return watcher(now); },
-        .active_routers = [this](time_point now) { return members_.active_count(now) + 1; },
-        .report_targets =
-            [this](time_point now) {
-                if (!members_.is_full_mesh()) {
-                    return std::vector{watcher(now)};
-                }
-                std::vector<std::uint64_t> all;
-                std::ranges::transform(members_.live(now), std::back_inserter(all), &member::hash);
-                return all;
-            },
-        .other_coordinators =
-            [this](time_point now) {
-                return members_.assigned_in_other_domains(watcher_selector::role(), aggregators_per_domain,
-                                                          now);
-            },
-        .send = send_to,
-        .relay =
-            [this, send_to](const wire::gossip& message, const wire::limit_list_id& list, time_point now) {
-                for (const std::uint64_t child : children(list.coordinator, list.number, now)) {
-                    send_to(message, child, now);
-                }
-            }};
+    return {.coordinator = [this](time_point now) { return watcher(now); },
+            .active_routers = [this](time_point now) { return members_.active_count(now) + 1; },
+            .report_targets =
+                [this](time_point now) {
+                    if (!members_.is_full_mesh()) {
+                        return std::vector{watcher(now)};
+                    }
+                    std::vector<std::uint64_t> all;
+                    std::ranges::transform(members_.live(now), std::back_inserter(all), &member::hash);
+                    return all;
+                },
+            .other_coordinators =
+                [this](time_point now) {
+                    return members_.assigned_in_other_domains(watcher_selector::role(),
+                                                              aggregators_per_domain, now);
+                },
+            .is_full_mesh = [this] { return members_.is_full_mesh(); },
+            .send = send_to,
+            .relay =
+                [this, send_to](const wire::gossip& message, const wire::list_id& list, time_point now) {
+                    for (const std::uint64_t child : children(list.coordinator, list.number, now)) {
+                        send_to(message, child, now);
+                    }
+                }};
 }
 
 void router_peers::request_permit(std::uint32_t upstream, double saving_ms,
@@ -189,7 +190,6 @@
     status_sent_at_ = now;
     wire::gossip message = load_message(now);
     add_service_span(message, now);
-    message.suspects = suspects_.take_updates(now);
     observations_.add_updates(message);
     if (is_leaving_) {
         message.members.push_back(members_.self());
@@ -269,6 +269,7 @@
     send_updates(now);
     exchange_tables(now);
     permits_.tick(now);
+    suspects_.tick(now);
 }
 
 /// Routers to which this one relays messages that a root distributes in its
--- a/packages/fleet/src/router_peers_store.cpp
+++ b/packages/fleet/src/router_peers_store.cpp
@@ -178,6 +178,7 @@
     watcher_queried_at_ = now;
     wire::gossip message;
     message.freshness_queries.push_back({static_cast<std::int64_t>(boot_now())});
+    suspects_.add_digest(message, now);
     send(message, *address, now);
 }
 
--- a/packages/fleet/tests/permit_exchange.tests.cpp
+++ b/packages/fleet/tests/permit_exchange.tests.cpp
@@ -16,7 +16,7 @@
 wire::gossip limit_list(std::uint32_t incarnation, std::uint32_t number) {
     wire::gossip message;
     message.limits.push_back({.upstream = 7, .per_second = 2.0F, .unlimited_age = wire::no_age});
-    message.limit_list_ids.push_back({coordinator, number});
+    message.list_ids.push_back({coordinator, number});
     message.list_incarnations.push_back(incarnation);
     return message;
 }
@@ -26,9 +26,9 @@
 TEST_CASE("lists of a coordinator that has restarted are relayed, although their numbers begin anew") {
     upstream_limits limits;
     std::size_t relayed = 0;
-    permit_network network;
+    coordinator_network network;
     network.coordinator = [](time_point) { return coordinator; };
-    network.relay = [&](const wire::gossip&, const wire::limit_list_id&, time_point) { ++relayed; };
+    network.relay = [&](const wire::gossip&, const wire::list_id&, time_point) { ++relayed; };
     permit_exchange exchange{self, limits, network};
     exchange.handle_message(coordinator, limit_list(1, 100), start);
     exchange.handle_message(coordinator, limit_list(1, 100), start);
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -73,11 +73,11 @@
     std::uint64_t generation = 0;
 };
 
-/// Request that was on an upstream when it crashed.
+/// Request or prompt part that was on an upstream when it crashed.
 struct suspect_entry {
-    std::uint64_t fingerprint = 0; ///< hash of team and body
-    std::uint32_t crash = 0;       ///< identifies the crash; 0 states that the request was served
-    std::uint16_t age = 0;         ///< time since the crash, in units of `crash_age_unit`
+    std::uint64_t fingerprint = 0;
+    std::uint32_t crash = 0; ///< identifies the crash; 0 states that the suspect was served
+    std::uint16_t age = 0;   ///< time since then, in units of `crash_age_unit`
 };
 
 constexpr std::chrono::milliseconds crash_age_unit{20};
@@ -158,7 +158,7 @@
     std::uint32_t upstream = 0;
 };
 
-/// Rate limit of one upstream. Without a `limit_list_id` in the message, these are
+/// Rate limit of one upstream. Without a `list_id` in the message, these are
 /// the sender's own observations.
 struct limit_entry {
     std::uint32_t upstream = 0;
@@ -170,8 +170,8 @@
 
 constexpr std::uint16_t no_age = 65'535;
 
-/// Identifies a list of limits that a permit coordinator distributes in its failure domain.
-struct limit_list_id {
+/// Identifies a list of limits or suspects that a coordinator distributes in its failure domain.
+struct list_id {
     std::uint64_t coordinator = 0; ///< hash of its name
     std::uint32_t number = 0;      ///< increases with each list; 0 in lists for other coordinators
 };
@@ -232,7 +232,7 @@
     std::vector<outcome_entry> outcomes;
     std::vector<prefix_entry> prefixes;
     std::vector<limit_entry> limits;
-    std::vector<limit_list_id> limit_list_ids; ///< at most one
+    std::vector<list_id> list_ids; ///< of the limits or suspects, at most one
     std::vector<permit_request> permit_requests;
     std::vector<permit_reply> permit_replies;
     std::vector<permit_count> rejected_permits; ///< by the sending coordinator, since its last message
@@ -240,12 +240,15 @@
     /// Era of all revisions in this message, at most one; empty if the store names none.
     std::vector<std::uint32_t> store_era;
     std::vector<served_span> served_spans; ///< as the sender knows, at most one
-    /// Incarnation of the router that numbered the load table or the list of limits, in
-    /// 32 bits; at most one.
+    /// Incarnation of the router that numbered the load table or the list, in 32 bits; at
+    /// most one.
     std::vector<std::uint32_t> list_incarnations;
+    /// Hash of each group of suspects that the sender knows. A receiver whose hashes
+    /// differ sends what it knows of those groups.
+    std::vector<std::uint16_t> suspect_digest;
 };
 
-/// Incarnation that numbered the load table or list of limits in a message, 0 if unknown.
+/// Incarnation that numbered the load table or list in a message, 0 if unknown.
 inline std::uint32_t list_incarnation_of(const gossip& message) {
     return message.list_incarnations.empty() ? 0 : message.list_incarnations.front();
 }
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -164,7 +164,7 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, limit_list_id& id) {
+void serialize(Archive& archive, list_id& id) {
     archive(id.coordinator, id.number);
 }
 
@@ -208,14 +208,14 @@
 
 template <class Archive>
 void serialize(Archive& archive, gossip& message) {
-    serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
-                      message.slot_replies, message.reports, message.leaving, message.documents,
-                      message.suspects, message.load, message.store_positions, message.freshness_queries,
-                      message.freshness_answers, message.outcomes, message.prefixes, message.changes,
-                      message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
-                      message.load_table, message.limits, message.limit_list_ids, message.permit_requests,
-                      message.permit_replies, message.rejected_permits, message.given_permits,
-                      message.store_era, message.served_spans, message.list_incarnations);
+    serialize_present(
+        archive, message.members, message.usage, message.counts, message.slot_requests, message.slot_replies,
+        message.reports, message.leaving, message.documents, message.suspects, message.load,
+        message.store_positions, message.freshness_queries, message.freshness_answers, message.outcomes,
+        message.prefixes, message.changes, message.watcher_positions, message.load_table_ids,
+        message.load_table_upstreams, message.load_table, message.limits, message.list_ids,
+        message.permit_requests, message.permit_replies, message.rejected_permits, message.given_permits,
+        message.store_era, message.served_spans, message.list_incarnations, message.suspect_digest);
 }
 
 template <class Archive>
