Count crashes that come after an answer against the suspect again

A part of a prompt, or a request, that had been a suspect by chance and was answered once was served for ten minutes, whatever it crashed afterwards. Cause: an answer cleared the suspect for good, though it only refutes the crashes before the request was sent. Class: evidence that is applied beyond what it proves, as where the crash of another process is counted.

An answer now has its time, and only later crashes count. The check of crashes reported after an answer used a crash that also happened after it; it is replaced by one that happened before, and a test for the other case (failed on: 0 crashes for 1 and for 2).

--- a/packages/policy/include/citronwick/policy/suspect_table.hpp
+++ b/packages/policy/include/citronwick/policy/suspect_table.hpp
@@ -102,7 +102,7 @@
         std::optional<time_point> served_at;
         time_point updated_at; ///< time of its last crash or answer
 
-        bool counts(time_point) const { return !served_at; }
+        bool counts(time_point crashed_at) const { return !served_at || crashed_at > *served_at; }
         std::size_t counted_crashes() const;
     };
 
--- a/packages/policy/tests/suspects.tests.cpp
+++ b/packages/policy/tests/suspects.tests.cpp
@@ -37,10 +37,21 @@
     CHECK(table.record_served(7, start + 1s));
     CHECK_FALSE(table.record_served(7, start + 1s));
     CHECK(table.crashes(7, start + 1s) == 0);
-    table.merge(7, 3, start + 2s, start + 2s);
+    table.merge(7, 3, start + 500ms, start + 2s);
     CHECK(table.crashes(7, start + 2s) == 0);
 }
 
+TEST_CASE("a request that was served and then begins to crash upstreams is refused") {
+    const time_point start{1h};
+    suspect_table table;
+    table.record_crash(7, 1, start);
+    table.record_served(7, start + 1s);
+    table.record_crash(7, 2, start + 2s);
+    CHECK(table.crashes(7, start + 2s) == 1);
+    table.merge(7, 3, start + 3s, start + 3s);
+    CHECK(table.crashes(7, start + 3s) == suspect_table::crash_limit);
+}
+
 TEST_CASE("a part that only ever occurred beside the crashing one is served without it") {
     const time_point start{1h};
     constexpr std::uint64_t crashing = 1;
