Keep each stream at the software version that began it

Callers got answers of 200 whose text came from two software versions: within one answer, when an engine crashed and the router went on at another one; over two attempts, when the caller took the stream up; and the same after all routers were killed. Cause: the version in the engines' entries was not read, nor the field Resumes, so a stream went on wherever it was placed. Class: a choice that must be made once a stream is made again for each attempt, by whoever comes along and with nothing to go by.

The version is now a function of the identifier of the attempt that began the stream: it falls into one of 64 slots, and the store holds which version each slot belongs to (one key a service, written by the watcher on a change, by compare-and-swap). So a router that has just started knows it too. A slot that moves is unsettled until no stream can run that began before; streams in it go on only if a router saw them begin (all are asked, 80 ms). What can go on nowhere is refused at once with 503, not run. Streams that no caller can take up use all versions as before.

--- /dev/null
+++ b/packages/fleet/include/citronwick/fleet/begun_streams.hpp
@@ -0,0 +1,41 @@
+#ifndef CITRONWICK_FLEET_BEGUN_STREAMS_HPP_INCLUDED
+#define CITRONWICK_FLEET_BEGUN_STREAMS_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string_view>
+
+namespace citronwick {
+
+/// Remembers for a while at which version this router saw streams begin or go on.
+/// Thread-safe: traffic threads record, the control thread answers other routers.
+class begun_streams {
+public:
+    /// Identifies a stream of a service by the attempt that brought its first event.
+    static std::uint64_t key(std::string_view service, std::string_view attempt);
+
+    /// @param version short hash of its name
+    void record(std::uint64_t key, std::uint32_t version, time_point now);
+
+    std::optional<std::uint32_t> version_of(std::uint64_t key, time_point now) const;
+
+    /// Removes expired streams.
+    void expire(time_point now);
+
+private:
+    struct entry {
+        std::uint32_t version = 0;
+        time_point recorded_at;
+    };
+
+    mutable std::mutex mutex_;
+    std::map<std::uint64_t, entry> entries_;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -17,6 +17,7 @@
     std::optional<std::chrono::milliseconds> time_left{}; ///< until the caller's deadline
     std::string team_key;
     std::string last_event_id; ///< last event received before a resume, empty for a new stream
+    std::string resumes;       ///< attempt that brought the first event of the stream that is resumed
     prompt text;               ///< empty unless the request asks for text generation
 };
 
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/fleet/permit_exchange.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_outage.hpp"
+#include "citronwick/fleet/stream_exchange.hpp"
 #include "citronwick/fleet/suspect_exchange.hpp"
 #include "citronwick/fleet/watcher_selector.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
@@ -22,6 +23,7 @@
 
 namespace citronwick {
 
+class begun_streams;
 class upstream_observations;
 class suspect_registry;
 class upstream_limits;
@@ -50,7 +52,7 @@
 public:
     router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                  upstream_observations& observations, suspect_registry& suspects, upstream_limits& limits,
-                 peer_callbacks callbacks);
+                 const begun_streams& streams, peer_callbacks callbacks);
 
     /// Binds the fleet channel.
     io_result<endpoint> open(const endpoint& listen);
@@ -86,12 +88,21 @@
     void request_permit(std::uint32_t upstream, double saving_ms, permit_exchange::reply_callback reply,
                         time_point now);
 
+    /// Asks the other routers at which version they saw a stream begin.
+    /// @param key see `begun_streams::key`
+    /// @param reply called with the short hash of the version, or never if nobody knows it
+    void ask_stream_version(std::uint64_t key, stream_exchange::reply_callback reply, time_point now);
+
     /// Announces that this router is leaving.
     void leave(time_point now);
 
     /// Whether this router watches the store for its failure domain.
     bool is_watcher(time_point now) const;
 
+    /// Number of failure domains whose watcher precedes this one in an order that all
+    /// routers share.
+    std::size_t watcher_rank(time_point now) const;
+
     /// Number of live routers, including this one.
     std::size_t live_routers(time_point now) const;
 
@@ -114,6 +125,7 @@
     void send_table(const wire::gossip& message, std::uint64_t to);
     coordinator_network make_coordinator_network();
     void send(const wire::gossip& message, const endpoint& to, time_point now);
+    void send_to(const wire::gossip& message, std::uint64_t router, time_point now);
     wire::store_position position() const;
     void add_era(wire::gossip& message) const;
     void add_service_span(wire::gossip& message, time_point now) const;
@@ -133,6 +145,7 @@
     load_exchange loads_;
     permit_exchange permits_;
     suspect_exchange suspects_;
+    stream_exchange streams_;
     token_bucket budget_;
     bool has_key_ = false;
     bool is_registered_ = false;
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -15,6 +15,7 @@
 
 struct kv_call_counts;
 struct permit_decision;
+class begun_streams;
 class platform_adapter;
 class upstream_observations;
 class suspect_registry;
@@ -54,6 +55,7 @@
 
     upstream_observations& observations();
     suspect_registry& suspects();
+    begun_streams& streams();
     upstream_limits& limits();
     const upstream_limits& limits() const;
 
@@ -64,6 +66,12 @@
     ///        does not answer
     void request_permit(std::uint64_t upstream, double saving_ms, std::function<void(permit_decision)> reply);
 
+    /// Asks the other routers at which version they saw a stream begin.
+    /// @param key see `begun_streams::key`
+    /// @param reply called on the control thread with the short hash of the version, or
+    ///        never if no router knows it
+    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply);
+
     /// Records that a connection broke while the upstream was running a request.
     /// @param suspects the request and the parts of its prompt that may have caused it
     void report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream);
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/core/store_position.hpp"
 #include "citronwick/core/time.hpp"
 #include "citronwick/fleet/upstream_entry.hpp"
+#include "citronwick/policy/version_slots.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -41,7 +42,9 @@
     std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
     std::size_t live_routers = 1;                                               ///< including this one
     std::size_t known_routers = 1; ///< registered routers, including this one
-    store_position position{};     ///< of the store, up to which this view includes all changes
+    /// Assignment of resumable streams to software versions, by service.
+    std::map<std::string, std::shared_ptr<const version_slots>, std::less<>> stream_versions;
+    store_position position{}; ///< of the store, up to which this view includes all changes
 
     /// Whether an incarnation is an upstream of the service that accepts new requests.
     /// @param upstream its hash
--- a/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
@@ -14,6 +14,7 @@
     std::string service;
     endpoint address;
     std::string failure_domain;
+    std::string version;           ///< of its software; streams of several do not fit together
     std::uint32_t slots = 1;       ///< requests that it runs concurrently
     std::uint64_t incarnation = 0; ///< changes with each start
     bool leaving = false;          ///< accepts no new requests
--- /dev/null
+++ b/packages/fleet/src/begun_streams.cpp
@@ -0,0 +1,41 @@
+#include "citronwick/fleet/begun_streams.hpp"
+
+#include "citronwick/core/hash.hpp"
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time after which no caller takes a stream up any more.
+constexpr duration lifetime = 60s;
+/// Beyond that, new streams are not remembered until others have expired.
+constexpr std::size_t max_entries = 32'768;
+
+} // namespace
+
+std::uint64_t begun_streams::key(std::string_view service, std::string_view attempt) {
+    return hash_combine(hash64(service), hash64(attempt));
+}
+
+void begun_streams::record(std::uint64_t key, std::uint32_t version, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    if (entries_.size() < max_entries || entries_.contains(key)) {
+        entries_[key] = {version, now};
+    }
+}
+
+std::optional<std::uint32_t> begun_streams::version_of(std::uint64_t key, time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    const auto found = entries_.find(key);
+    const bool is_known = found != entries_.end() && now - found->second.recorded_at < lifetime;
+    return is_known ? std::optional{found->second.version} : std::nullopt;
+}
+
+void begun_streams::expire(time_point now) {
+    const std::scoped_lock lock{mutex_};
+    std::erase_if(entries_, [now](const auto& each) { return now - each.second.recorded_at >= lifetime; });
+}
+
+} // namespace citronwick
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -37,13 +37,15 @@
 
 router_peers::router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                            upstream_observations& observations, suspect_registry& suspects,
-                           upstream_limits& limits, peer_callbacks callbacks)
+                           upstream_limits& limits, const begun_streams& streams, peer_callbacks callbacks)
     : settings_{settings}, observations_{observations}, callbacks_{std::move(callbacks)},
       envelope_{random_id()}, members_{self_record(settings)},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
+      streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
+                               time_point now) { send_to(message, to, now); }},
       budget_{static_cast<double>(settings.control_bytes_per_second),
               burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
@@ -137,14 +139,16 @@
     }
     answer_queries(message, *address, now);
     permits_.handle_message(from.sender, message, now);
+    streams_.handle_message(from.sender, message, now);
+}
+
+void router_peers::send_to(const wire::gossip& message, std::uint64_t router, time_point now) {
+    if (const auto address = members_.address_of(router)) {
+        send(message, *address, now);
+    }
 }
 
 coordinator_network router_peers::make_coordinator_network() {
-    const auto send_to = [this](const wire::gossip& message, std::uint64_t to, time_point now) {
-        if (const auto address = members_.address_of(to)) {
-            send(message, *address, now);
-        }
-    };
     return {.coordinator = [this](time_point now) { return watcher(now); },
             .active_routers = [this](time_point now) { return members_.active_count(now) + 1; },
             .report_targets =
@@ -162,9 +166,10 @@
                                                               aggregators_per_domain, now);
                 },
             .is_full_mesh = [this] { return members_.is_full_mesh(); },
-            .send = send_to,
+            .send = [this](const wire::gossip& message, std::uint64_t to,
+                           time_point now) { send_to(message, to, now); },
             .relay =
-                [this, send_to](const wire::gossip& message, const wire::list_id& list, time_point now) {
+                [this](const wire::gossip& message, const wire::list_id& list, time_point now) {
                     for (const std::uint64_t child : children(list.coordinator, list.number, now)) {
                         send_to(message, child, now);
                     }
@@ -176,6 +181,19 @@
     permits_.request(upstream, saving_ms, std::move(reply), now);
 }
 
+void router_peers::ask_stream_version(std::uint64_t key, stream_exchange::reply_callback reply,
+                                      time_point now) {
+    std::vector<std::uint64_t> routers;
+    std::ranges::transform(members_.live(now), std::back_inserter(routers), &member::hash);
+    streams_.ask(key, routers, std::move(reply), now);
+}
+
+std::size_t router_peers::watcher_rank(time_point now) const {
+    const auto others = members_.assigned_in_other_domains(watcher_selector::role(), 1, now);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(others, [this](std::uint64_t other) { return other < members_.self_hash(); }));
+}
+
 /// Message that reports this router's load and its store position.
 wire::gossip router_peers::load_message(time_point now) {
     load_sent_at_ = now;
@@ -270,6 +288,7 @@
     exchange_tables(now);
     permits_.tick(now);
     suspects_.tick(now);
+    streams_.expire(now);
 }
 
 /// Routers to which this one relays messages that a root distributes in its
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/snapshot.hpp"
+#include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/router_peers.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
@@ -14,6 +15,8 @@
 #include "citronwick/policy/key_freshness.hpp"
 #include "declared_fleet.hpp"
 #include "fleet_registration.hpp"
+#include "version_assignment.hpp"
+#include "versioned_services.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -39,6 +42,11 @@
 /// Subtracted from the key lifetime, to allow for the time that a request takes
 /// to reach its upstream.
 constexpr duration key_margin = 200ms;
+/// Interval at which the watchers compare the assignment of streams with the upstreams.
+constexpr duration version_check_interval = 200ms;
+/// Time that each watcher leaves the one before it to write a change of that assignment.
+constexpr duration writer_delay = 1s;
+constexpr const char* version_keys = "stream-versions/";
 constexpr const char* control_thread_name = "control";
 
 std::string to_milliseconds(duration value) {
@@ -54,10 +62,12 @@
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
                  store_calls_},
           follower_{context_.get_executor(), store_, settings_.lapse_grace, make_store_listener()},
-          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_,
+          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_, streams_,
                  make_peer_callbacks()},
-          declared_{adapter, suspects_}, freshness_{settings_.key_lifetime - key_margin},
-          view_{std::make_shared<const routing_view>()} {}
+          declared_{adapter, suspects_},
+          versions_{context_.get_executor(), store_, layout_.own_prefix + version_keys,
+                    [this] { publish(clock::now()); }},
+          freshness_{settings_.key_lifetime - key_margin}, view_{std::make_shared<const routing_view>()} {}
 
     io_result<endpoint> start() {
         const auto bound = peers_.open(settings_.fleet_listen);
@@ -96,6 +106,7 @@
     upstream_observations& observations() { return observations_; }
     suspect_registry& suspects() { return suspects_; }
     upstream_limits& limits() { return limits_; }
+    begun_streams& streams() { return streams_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
 
@@ -122,6 +133,12 @@
         });
     }
 
+    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+        asio::post(context_, [this, key, reply = std::move(reply)]() mutable {
+            peers_.ask_stream_version(key, std::move(reply), clock::now());
+        });
+    }
+
     void report_refusing_upstream(std::uint64_t upstream) {
         asio::post(context_,
                    [this, upstream] { declared_.record_refusing_upstream(upstream, clock::now()); });
@@ -193,11 +210,13 @@
     void apply_listing(const kv_listing& listing, std::optional<time_point> usable_until) {
         const auto now = clock::now();
         registration_->begin_listing(listing.position);
+        versions_.begin_listing();
         for (const kv_item& item : listing.items) {
             apply_change({item.key, item.value, item.position}, usable_until, now);
         }
         declared_.retain_listed(listing, usable_until, now);
         registration_->end_listing();
+        versions_.end_listing();
         log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
                                   {"position", to_text(listing.position)},
                                   {"may_have_lapsed", usable_until ? "yes" : "no"}});
@@ -215,17 +234,19 @@
     }
 
     void apply_change(const kv_change& change, std::optional<time_point> usable_until, time_point now) {
-        if (!declared_.apply(change, usable_until, now)) {
+        if (!declared_.apply(change, usable_until, now) && !versions_.apply(change, now)) {
             registration_->apply(change);
         }
     }
 
     void publish(time_point now) {
+        versions_checked_at_ = {};
         auto next = std::make_shared<routing_view>();
         next->config = declared_.config();
         next->upstreams = declared_.usable();
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
+        next->stream_versions = versions_.slots();
         next->position = follower_.position();
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
@@ -261,6 +282,7 @@
         follower_.set_watcher(peers_.is_watcher(now));
         check_freshness();
         peers_.tick(now);
+        check_versions(now);
         gossip_bytes_.store(peers_.sent_bytes(), std::memory_order_relaxed);
         if (now - calls_logged_at_ >= calls_log_interval) {
             calls_logged_at_ = now;
@@ -271,6 +293,19 @@
             observations_.expire(declared_.hashes(), now);
             limits_.expire(declared_.hashes(), now);
             suspects_.expire(now);
+            streams_.expire(now);
+        }
+    }
+
+    void check_versions(time_point now) {
+        if (now - versions_checked_at_ < version_check_interval || !peers_.is_watcher(now)) {
+            return;
+        }
+        versions_checked_at_ = now;
+        if (const auto config = declared_.config()) {
+            const auto services =
+                versioned_services(*config, declared_.usable(), observations_, settings_.key_lifetime, now);
+            versions_.tick(services, static_cast<int>(peers_.watcher_rank(now)) * writer_delay, now);
         }
     }
 
@@ -307,15 +342,18 @@
     upstream_observations observations_;
     suspect_registry suspects_;
     upstream_limits limits_;
+    begun_streams streams_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
     store_follower follower_;
     router_peers peers_;
     std::optional<fleet_registration> registration_;
     declared_fleet declared_;
+    version_assignment versions_;
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_load>> loads_;
     time_point last_expiry_;
+    time_point versions_checked_at_;
     time_point calls_logged_at_;
     bool staleness_logged_ = false;
     std::atomic<std::int64_t> confirmed_at_{0}; ///< nanoseconds of `boot_time`, 0 for never
@@ -367,6 +405,14 @@
     return state_->suspects();
 }
 
+begun_streams& routing_plane::streams() {
+    return state_->streams();
+}
+
+void routing_plane::ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+    state_->ask_stream_version(key, std::move(reply));
+}
+
 upstream_limits& routing_plane::limits() {
     return state_->limits();
 }
--- /dev/null
+++ b/packages/fleet/src/stream_exchange.cpp
@@ -0,0 +1,52 @@
+#include "citronwick/fleet/stream_exchange.hpp"
+
+#include "citronwick/fleet/begun_streams.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronwick {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time after which an unanswered question is forgotten.
+constexpr duration question_lifetime = 1s;
+
+} // namespace
+
+stream_exchange::stream_exchange(const begun_streams& streams, sender send)
+    : streams_{streams}, send_{std::move(send)} {}
+
+void stream_exchange::ask(std::uint64_t key, const std::vector<std::uint64_t>& routers, reply_callback reply,
+                          time_point now) {
+    questions_[key].push_back({std::move(reply), now});
+    wire::gossip message;
+    message.stream_queries.push_back(key);
+    std::ranges::for_each(routers, [&](std::uint64_t router) { send_(message, router, now); });
+}
+
+void stream_exchange::handle_message(std::uint64_t sender, const wire::gossip& message, time_point now) {
+    wire::gossip answer;
+    for (const std::uint64_t key : message.stream_queries) {
+        if (const auto version = streams_.version_of(key, now)) {
+            answer.stream_versions.push_back({key, *version});
+        }
+    }
+    if (!answer.stream_versions.empty()) {
+        send_(answer, sender, now);
+    }
+    for (const wire::stream_version& each : message.stream_versions) {
+        if (auto found = questions_.extract(each.key)) {
+            std::ranges::for_each(found.mapped(), [&](const question& asked) { asked.reply(each.version); });
+        }
+    }
+}
+
+void stream_exchange::expire(time_point now) {
+    std::erase_if(questions_,
+                  [now](const auto& each) { return now - each.second.back().asked_at >= question_lifetime; });
+}
+
+} // namespace citronwick
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -14,14 +14,14 @@
 
 /// Properties of one upstream that the placement of a routed request takes into account.
 struct routed_candidate {
-    std::uint64_t hash = 0;           ///< hash of identifier and incarnation
-    double in_flight = 0.0;           ///< concurrent requests from all routers
-    double slots = 1.0;               ///< requests that the upstream runs concurrently
-    double backlog_tokens = 0.0;      ///< prompt tokens waiting for prefill
-    double uncached_tokens = 0.0;     ///< prompt tokens of this request that the upstream must prefill
-    bool usable = true;               ///< not leaving, unreachable, ejected or already tried
-    bool rate_limited = false;        ///< named a rate limit, which keeps its load low
-    double permit_price_ms = 0.0;     ///< saving below which it gets no permit, if rate-limited
+    std::uint64_t hash = 0;       ///< hash of identifier and incarnation
+    double in_flight = 0.0;       ///< concurrent requests from all routers
+    double slots = 1.0;           ///< requests that the upstream runs concurrently
+    double backlog_tokens = 0.0;  ///< prompt tokens waiting for prefill
+    double uncached_tokens = 0.0; ///< prompt tokens of this request that the upstream must prefill
+    bool usable = true;           ///< not of another version, leaving, unreachable, ejected or already tried
+    bool rate_limited = false;    ///< named a rate limit, which keeps its load low
+    double permit_price_ms = 0.0; ///< saving below which it gets no permit, if rate-limited
     bool same_failure_domain = false; ///< as this router
 };
 
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 #include <vector>
 
 namespace citronwick {
@@ -99,9 +100,9 @@
 std::optional<std::size_t> first_ranked_engine(std::uint64_t affinity,
                                                std::span<const routed_candidate> engines) {
     const auto first = std::ranges::max_element(engines, {}, [affinity](const routed_candidate& engine) {
-        return rendezvous_score(affinity, engine.hash);
+        return std::pair{engine.usable, rendezvous_score(affinity, engine.hash)};
     });
-    if (first == engines.end()) {
+    if (first == engines.end() || !first->usable) {
         return std::nullopt;
     }
     return static_cast<std::size_t>(first - engines.begin());
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -28,6 +28,10 @@
     }
     // Connecting may have taken long. A request is sent only while its key is
     // confirmed and the upstream accepts requests.
+    if (route_->kind == request_kind::resumable_stream && !state_.response_started &&
+        !context_.plane.keys_are_fresh(boot_now())) {
+        co_return exchange_result{attempt_outcome::not_sent, "the versions are not confirmed any more"};
+    }
     if (team_ != nullptr && !route_->anonymous) {
         refusal_before_send_ = check_key_freshness();
         if (refusal_before_send_) {
@@ -139,6 +143,7 @@
 task<bool> route_exchange::relay_events(upstream_connection& connection, std::string events) {
     if (!state_.response_started) {
         state_.response_started = true;
+        record_stream();
         auto head = make_response_head(connection);
         if (!co_await caller_.begin_relay(std::move(head))) {
             co_return false;
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -144,6 +144,12 @@
         co_return false;
     }
     view_ = context_.plane.view();
+    co_await choose_version();
+    if (refusal_before_send_) {
+        next_step_ = state_.may_have_run_before ? next_step::fail_as_unknown : next_step::refuse;
+        last_attempt_detail_ = refusal_before_send_->detail;
+        co_return false;
+    }
     co_await place(started);
     refuse_if_late(clock::now());
     record_capacity(clock::now());
@@ -157,6 +163,7 @@
         {{"request", caller_.request_id()},
          {"service", service_->name},
          {"upstream", placement_->upstream.entry.id},
+         {"software", placement_->upstream.entry.version},
          {"reason", std::string{placement_->reason}},
          {"prefix",
           std::to_string(placement_request_.prefixes.empty() ? 0 : placement_request_.prefixes.back().key)},
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -18,6 +18,7 @@
 class upstream_connection;
 class upstream_exchange;
 struct route_context;
+struct version_decision;
 
 /// Processes one routed request.
 ///
@@ -26,8 +27,9 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp, what concerns crashes of upstreams in route_crashes.cpp, and
-/// the choice of an upstream in route_permits.cpp.
+/// route_delivery.cpp, what concerns crashes of upstreams in route_crashes.cpp, the
+/// software version of streams in route_versions.cpp, and the choice of an upstream in
+/// route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request);
@@ -42,6 +44,15 @@
     void log_suspicions(time_point now) const;
     void record_served(time_point now);
     void report_broken_connection(time_point now);
+    bool takes_up_stream() const;
+    std::string_view stream_origin() const;
+    task<void> choose_version();
+    task<std::optional<std::string>> ask_routers();
+    std::optional<std::string> name_of_version(std::optional<std::uint32_t> hash) const;
+    void refuse_if_version_is_gone();
+    void refuse_stream(std::string detail, bool has_events);
+    void record_stream();
+    void log_version(const version_decision& decision) const;
     task<void> place(time_point started);
     bool may_use_scarce_capacity(time_point now);
     void refuse_if_late(time_point now);
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -40,6 +40,10 @@
             .same_failure_domain = upstream.entry.failure_domain == failure_domain};
 }
 
+bool has_version(const routed_upstream& upstream, const routed_placement_request& request) {
+    return !request.version || upstream.entry.version == *request.version;
+}
+
 /// If no engine is known to have a prompt's shared prefix cached, treats the engine
 /// that ranks first for it as if it had, so that all routers choose the same engine.
 void assume_cached_on_first_ranked(const routed_placement_request& request, std::uint64_t affinity,
@@ -48,8 +52,9 @@
         return;
     }
     const auto unshared_tokens = static_cast<double>(request.prompt_tokens - request.prefixes.back().tokens);
-    const bool is_cached = std::ranges::any_of(
-        candidates, [&](const routed_candidate& each) { return each.uncached_tokens <= unshared_tokens; });
+    const bool is_cached = std::ranges::any_of(candidates, [&](const routed_candidate& each) {
+        return each.usable && each.uncached_tokens <= unshared_tokens;
+    });
     const auto first_ranked = first_ranked_engine(affinity, candidates);
     if (!is_cached && first_ranked) {
         candidates[*first_ranked].uncached_tokens = unshared_tokens;
@@ -78,6 +83,7 @@
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
         candidates.push_back(
             make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
+        candidates.back().usable = has_version(upstreams[index], request);
         candidates.back().rate_limited = limited[index].per_second.has_value();
         candidates.back().permit_price_ms = limited[index].permit_price_ms;
     }
@@ -89,7 +95,7 @@
             const bool was_tried = std::ranges::find(request.tried, hashes[index]) != request.tried.end();
             const bool may_send = !candidates[index].rate_limited ||
                                   (request.may_use_limited && limited[index].may_request_permit);
-            candidates[index].usable = !was_tried && may_send &&
+            candidates[index].usable = has_version(upstreams[index], request) && !was_tried && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
         }
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -24,9 +24,10 @@
     std::uint64_t request_hash = 0;      ///< hash of the request identifier
     std::vector<shared_prefix> prefixes; ///< of the prompt, shortest first
     std::uint32_t prompt_tokens = 0;
-    std::vector<std::uint64_t> tried; ///< hashes of upstreams that earlier attempts used
-    bool may_use_limited = true;      ///< whether upstreams with a rate limit may be chosen
-    bool has_permit = false;          ///< for the chosen upstream, which has a rate limit
+    std::optional<std::string> version{}; ///< of the upstreams that may be chosen, none for any
+    std::vector<std::uint64_t> tried;     ///< hashes of upstreams that earlier attempts used
+    bool may_use_limited = true;          ///< whether upstreams with a rate limit may be chosen
+    bool has_permit = false;              ///< for the chosen upstream, which has a rate limit
 };
 
 /// Upstream chosen for a request, and the estimates behind the choice.
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -9,6 +9,7 @@
 #include "route_exchange.hpp"
 
 #include <boost/json/array.hpp>
+#include <set>
 
 namespace citronwick {
 
@@ -48,11 +49,21 @@
     return {{"id", upstream.entry.id},
             {"address", to_text(upstream.entry.address)},
             {"failure_domain", upstream.entry.failure_domain},
+            {"version", upstream.entry.version},
             {"incarnation", upstream.entry.incarnation},
             {"own_in_flight", upstream.load->in_flight.load(std::memory_order_relaxed)},
             {"elsewhere_in_flight", upstream.load->remote_in_flight.load(std::memory_order_relaxed)}};
 }
 
+/// Number of versions that begin streams, and of slots in which earlier ones may have.
+json::object to_json(const version_slots& slots) {
+    std::set<std::string> versions;
+    for (std::size_t index = 0; index < version_slots::slot_count; ++index) {
+        versions.insert(slots.at(index).version);
+    }
+    return {{"versions", versions.size()}, {"unsettled", slots.unsettled().count()}};
+}
+
 json::object to_json(const routing_plane& plane) {
     const auto view = plane.view();
     const auto age = plane.key_age(boot_now());
@@ -64,11 +75,16 @@
         }
         services[service] = std::move(list);
     }
+    json::object stream_versions;
+    for (const auto& [service, slots] : view->stream_versions) {
+        stream_versions[service] = to_json(*slots);
+    }
     return {{"version", view->config ? view->config->version() : 0},
             {"revision", view->position.revision},
             {"era", view->position.era},
             {"live_routers", view->live_routers},
             {"key_age_ms", age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1},
+            {"stream_versions", std::move(stream_versions)},
             {"services", std::move(services)}};
 }
 
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -208,6 +208,12 @@
     std::uint16_t end_age = 0; ///< milliseconds since the latest service known
 };
 
+/// Software version at which the sender saw a stream begin.
+struct stream_version {
+    std::uint64_t key = 0;     ///< identifies the stream
+    std::uint32_t version = 0; ///< short hash of its name
+};
+
 /// One datagram of the fleet channel.
 struct gossip {
     std::vector<member_record> members;
@@ -246,6 +252,8 @@
     /// Hash of each group of suspects that the sender knows. A receiver whose hashes
     /// differ sends what it knows of those groups.
     std::vector<std::uint16_t> suspect_digest;
+    std::vector<std::uint64_t> stream_queries; ///< streams whose version the sender asks for
+    std::vector<stream_version> stream_versions;
 };
 
 /// Incarnation that numbered the load table or list in a message, 0 if unknown.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -188,6 +188,11 @@
     archive(span.length, span.end_age);
 }
 
+template <class Archive>
+void serialize(Archive& archive, stream_version& entry) {
+    archive(entry.key, entry.version);
+}
+
 /// Serializes only the lists that are not empty, preceded by a bit mask of them.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
@@ -208,14 +213,15 @@
 
 template <class Archive>
 void serialize(Archive& archive, gossip& message) {
-    serialize_present(
-        archive, message.members, message.usage, message.counts, message.slot_requests, message.slot_replies,
-        message.reports, message.leaving, message.documents, message.suspects, message.load,
-        message.store_positions, message.freshness_queries, message.freshness_answers, message.outcomes,
-        message.prefixes, message.changes, message.watcher_positions, message.load_table_ids,
-        message.load_table_upstreams, message.load_table, message.limits, message.list_ids,
-        message.permit_requests, message.permit_replies, message.rejected_permits, message.given_permits,
-        message.store_era, message.served_spans, message.list_incarnations, message.suspect_digest);
+    serialize_present(archive, message.members, message.usage, message.counts, message.slot_requests,
+                      message.slot_replies, message.reports, message.leaving, message.documents,
+                      message.suspects, message.load, message.store_positions, message.freshness_queries,
+                      message.freshness_answers, message.outcomes, message.prefixes, message.changes,
+                      message.watcher_positions, message.load_table_ids, message.load_table_upstreams,
+                      message.load_table, message.limits, message.list_ids, message.permit_requests,
+                      message.permit_replies, message.rejected_permits, message.given_permits,
+                      message.store_era, message.served_spans, message.list_incarnations,
+                      message.suspect_digest, message.stream_queries, message.stream_versions);
 }
 
 template <class Archive>
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -148,9 +148,9 @@
 }
 
 void routed_fleet::register_worker(const node& worker, const std::string& service, const std::string& state,
-                                   std::int64_t incarnation) {
+                                   std::int64_t incarnation, const std::string& version) {
     const json::object entry{{"service", service},   {"address", to_text(worker.address())},
-                             {"zone", domain},       {"version", "v1"},
+                             {"zone", domain},       {"version", version},
                              {"slots", 8},           {"state", state},
                              {"coldRemainingMs", 0}, {"seq", 1},
                              {"born", incarnation}};
@@ -169,7 +169,10 @@
 bool routed_fleet::wait_ready(std::chrono::milliseconds timeout) {
     const auto is_ready = [this](const node& router) {
         const auto seen = view(router);
-        return integer_member(seen, "version") == version_ && integer_member(seen, "key_age_ms") >= 0 &&
+        const auto* const stream_versions = object_member(seen, "stream_versions");
+        return integer_member(seen, "version") == version_ && stream_versions != nullptr &&
+               (options_.engines == 0 || !stream_versions->empty()) &&
+               integer_member(seen, "key_age_ms") >= 0 &&
                integer_member(seen, "live_routers") == static_cast<std::int64_t>(routers_.size());
     };
     return wait_until([&] { return std::ranges::all_of(routers_, is_ready); }, timeout);
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -55,7 +55,7 @@
 
     /// Writes a worker's entry to the store.
     void register_worker(const node& worker, const std::string& service, const std::string& state = "ready",
-                         std::int64_t incarnation = 1);
+                         std::int64_t incarnation = 1, const std::string& version = "v1");
     void unregister_worker(const node& worker);
 
     /// Writes or removes a key of the store directly.
@@ -65,8 +65,8 @@
     /// Writes all keys again, as operators and workers do after the store lost them.
     void write_keys_again();
 
-    /// Waits until every router has the latest declaration, confirmed team keys
-    /// and all routers in its view.
+    /// Waits until every router has the latest declaration, confirmed team keys, the
+    /// assignment of streams to versions and all routers in its view.
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds{10});
 
     void start_router();
