Send nothing new to an upstream that says in a response that it is leaving

A leaving upstream now says so in its responses (Server-Leaving), also where its entry does not, or the store is away.

The mark belongs to the incarnation and stays: entries that still say ready, or lapse and come back, do not undo it. It is this router's own knowledge, as the rule asks; other routers go by the entry.

Evidence: the stand-in worker answers with the field and stays registered as ready.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -42,6 +42,7 @@
     std::string attempt_id;  ///< of the request that it responds to, empty if absent
     bool is_signed = false;  ///< carries the upstream's proof that it ran the request
     bool is_not_run = false; ///< the upstream states that it did not run the request
+    bool is_leaving = false; ///< the upstream accepts no new requests
     bool is_encoded = false; ///< the body has a content encoding that was not requested
     std::optional<reported_load> load{};
     /// Requests a second that the upstream takes from all routers together; not a
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -76,6 +76,9 @@
     /// @param suspects the request and the parts of its prompt that may have caused it
     void report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream);
 
+    /// Records that an upstream said in a response that it is leaving.
+    void report_leaving_upstream(std::uint64_t upstream);
+
     /// Records that an upstream refuses connections after one broke.
     void report_refusing_upstream(std::uint64_t upstream);
 
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -50,6 +50,11 @@
     std::vector<ended_upstream> retain(const std::set<std::string>& ids, store_position position,
                                        std::optional<time_point> usable_until);
 
+    /// Records that an incarnation said itself that it is leaving. Holds whatever its
+    /// entry says, also if that lapses and comes back.
+    /// @return whether that was not known before
+    bool mark_leaving(std::uint64_t hash);
+
     /// Ends the lapse window of all missing entries.
     void close_lapse_window(time_point now);
 
@@ -84,9 +89,11 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
     };
+    void apply_mark(routed_upstream& upstream) const;
     bool is_older_than_removal(const upstream_entry& entry, store_position position) const;
 
     std::map<std::string, removal> removals_; ///< by identifier
+    std::set<std::uint64_t> said_leaving_;    ///< hashes of incarnations
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -67,6 +67,16 @@
     }
 }
 
+bool declared_fleet::record_leaving(std::uint64_t upstream) {
+    const upstream_entry* const entry = directory_.entry_of(upstream);
+    if (!directory_.mark_leaving(upstream)) {
+        return false;
+    }
+    log_info("upstream_says_leaving", {{"upstream", entry == nullptr ? "-" : entry->id},
+                                       {"upstream_hash", std::to_string(short_hash(upstream))}});
+    return true;
+}
+
 std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::usable() const {
     return directory_.usable();
 }
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -44,6 +44,10 @@
     /// process has ended.
     void record_refusing_upstream(std::uint64_t upstream, time_point now);
 
+    /// Records that an upstream said in a response that it is leaving.
+    /// @return whether that was not known before
+    bool record_leaving(std::uint64_t upstream);
+
     /// The configuration in force, null before the first one.
     std::shared_ptr<const routing_configuration> config() const { return config_; }
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -139,6 +139,14 @@
         });
     }
 
+    void report_leaving_upstream(std::uint64_t upstream) {
+        asio::post(context_, [this, upstream] {
+            if (declared_.record_leaving(upstream)) {
+                publish(clock::now());
+            }
+        });
+    }
+
     void report_refusing_upstream(std::uint64_t upstream) {
         asio::post(context_,
                    [this, upstream] { declared_.record_refusing_upstream(upstream, clock::now()); });
@@ -430,6 +438,10 @@
     state_->report_broken_connection(std::move(suspects), upstream);
 }
 
+void routing_plane::report_leaving_upstream(std::uint64_t upstream) {
+    state_->report_leaving_upstream(upstream);
+}
+
 void routing_plane::report_refusing_upstream(std::uint64_t upstream) {
     state_->report_refusing_upstream(upstream);
 }
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -35,6 +35,10 @@
                            (entry.incarnation == removed.incarnation && entry.sequence <= removed.sequence)));
 }
 
+void upstream_directory::apply_mark(routed_upstream& upstream) const {
+    upstream.entry.leaving = upstream.entry.leaving || said_leaving_.contains(upstream.hash);
+}
+
 std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, store_position position) {
     if (is_older_than_removal(entry, position)) {
         return std::nullopt;
@@ -42,6 +46,7 @@
     const auto found = entries_.find(entry.id);
     if (found == entries_.end()) {
         entries_[entry.id] = {{entry, upstream_hash(entry), std::make_shared<upstream_load>()}, position};
+        apply_mark(entries_[entry.id].upstream);
         return std::nullopt;
     }
     tracked_entry& old = found->second;
@@ -62,6 +67,7 @@
     }
     ended_upstream ended{old.upstream.entry, "replaced by a new incarnation"};
     old.upstream = {entry, upstream_hash(entry), std::make_shared<upstream_load>()};
+    apply_mark(old.upstream);
     return ended;
 }
 
@@ -106,6 +112,15 @@
     return ended;
 }
 
+bool upstream_directory::mark_leaving(std::uint64_t hash) {
+    const auto found = std::ranges::find_if(
+        entries_, [hash](const auto& each) { return each.second.upstream.hash == hash; });
+    if (found != entries_.end()) {
+        found->second.upstream.entry.leaving = true;
+    }
+    return said_leaving_.insert(hash).second;
+}
+
 void upstream_directory::close_lapse_window(time_point now) {
     for (tracked_entry& each : entries_ | std::views::values) {
         if (each.usable_until) {
--- a/packages/fleet/tests/upstream_directory.tests.cpp
+++ b/packages/fleet/tests/upstream_directory.tests.cpp
@@ -40,6 +40,21 @@
     CHECK(usable(directory) == 1);
 }
 
+TEST_CASE("an upstream that said that it is leaving is unusable, also if its entry lapses and comes back") {
+    upstream_directory directory;
+    directory.put(worker("a"), {10});
+    CHECK(directory.mark_leaving(upstream_hash(worker("a"))));
+    CHECK_FALSE(directory.mark_leaving(upstream_hash(worker("a"))));
+    CHECK(usable(directory) == 0);
+    directory.put(worker("a"), {11});
+    CHECK(usable(directory) == 0);
+    directory.remove("a", {12}, std::nullopt, "test");
+    directory.put(worker("a"), {13});
+    CHECK(usable(directory) == 0);
+    CHECK(directory.put(worker("a", 2), {14}));
+    CHECK(usable(directory) == 1);
+}
+
 TEST_CASE("entries and removals older than the known revision are ignored") {
     upstream_directory directory;
     directory.put(worker("a", 2), {20});
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -63,6 +63,9 @@
     if (exchange.has_response()) {
         limits.record_response(upstream, placement_->upstream.entry.id, exchange.traits().rate_limit, now,
                                clock::now());
+        if (exchange.traits().is_leaving) {
+            context_.plane.report_leaving_upstream(upstream);
+        }
     }
     if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::failed_run) {
         const auto outcome_before = result.outcome;
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -42,6 +42,7 @@
         cut_after_events_ = integer_member(fault_settings, "cut_after");
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
+        says_leaving_ = !string_member(fault_settings, "leaving").empty();
         co_return co_await send_response(stream, http::status::ok, "{}");
     }
     if (target == "/standin/runs") {
@@ -80,6 +81,9 @@
     if (!limit_.empty()) {
         header.set("Server-Limit", limit_);
     }
+    if (says_leaving_) {
+        header.set("Server-Leaving", "1");
+    }
     return header;
 }
 
