Send nothing to an upstream that refused a request until the time that it named

It is excluded from placement until then now, and checked again right before sending. If all upstreams of a service that may be chosen have asked for a pause, the request is refused at once, and Retry-After is the time until the first of them ends.

Not shared with other routers, since the upstream addresses this one.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -48,6 +48,8 @@
     /// Requests a second that the upstream takes from all routers together; not a
     /// finite number, or negative, if what it names is unusable. Empty if it names none.
     std::optional<double> rate_limit{};
+    /// Time for which a refusal asks for no further requests; empty if it names none.
+    std::optional<std::chrono::milliseconds> retry_after{};
     std::optional<std::chrono::milliseconds> idle_timeout{}; ///< of the connection
 };
 
--- a/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
@@ -17,7 +17,8 @@
 
 struct permit_decision;
 
-/// Rate limits of the upstreams, as this router's responses and other routers tell.
+/// Rate limits of the upstreams, as this router's responses and other routers tell, and
+/// the pauses that they ask this router for.
 /// Shared by the traffic threads; the control thread exchanges it with other routers.
 /// Every change is logged.
 class upstream_limits {
@@ -31,6 +32,13 @@
     void record_response(std::uint64_t upstream, const std::string& id, std::optional<double> limit,
                          time_point sent_at, time_point now);
 
+    /// Records that an upstream refused a request and wants no others from this router
+    /// for a while.
+    void record_pause(std::uint64_t upstream, const std::string& id, duration pause, time_point now);
+
+    /// End of the pause that the upstream asked this router for, none if it is over.
+    std::optional<time_point> paused_until(std::uint64_t upstream, time_point now) const;
+
     /// Requests a second that the upstream takes; empty if no limit holds.
     std::optional<double> limit_of(std::uint64_t upstream) const;
 
@@ -41,6 +49,7 @@
     struct summary {
         std::optional<double> per_second; ///< empty if no limit holds
         bool may_request_permit = true;
+        bool is_paused = false;       ///< it wants no requests from this router now
         double permit_price_ms = 0.0; ///< estimated from the coordinator's last decision
     };
 
@@ -83,6 +92,7 @@
         double price_at(time_point now) const;
     };
     std::map<std::uint32_t, permit_terms> permit_terms_;
+    std::map<std::uint64_t, time_point> paused_until_; ///< by upstream
     bool report_is_urgent_ = false;
     time_point reported_at_;
     std::uint64_t changes_ = 0;
--- a/packages/fleet/src/upstream_limits.cpp
+++ b/packages/fleet/src/upstream_limits.cpp
@@ -96,6 +96,22 @@
               {"source", source}});
 }
 
+void upstream_limits::record_pause(std::uint64_t upstream, const std::string& id, duration pause,
+                                   time_point now) {
+    const std::scoped_lock lock{mutex_};
+    time_point& until = paused_until_[upstream];
+    if (now + pause > until) {
+        until = now + pause;
+        log_info("upstream_pauses", {{"upstream", id}, {"pause_ms", std::to_string(pause / 1ms)}});
+    }
+}
+
+std::optional<time_point> upstream_limits::paused_until(std::uint64_t upstream, time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    const auto found = paused_until_.find(upstream);
+    return found != paused_until_.end() && now < found->second ? std::optional{found->second} : std::nullopt;
+}
+
 std::optional<double> upstream_limits::limit_of(std::uint64_t upstream) const {
     const std::scoped_lock lock{mutex_};
     return known_.limit_of(short_hash(upstream));
@@ -122,12 +138,15 @@
     std::vector<summary> found;
     std::ranges::transform(upstreams, std::back_inserter(found), [&](std::uint64_t upstream) {
         const std::uint32_t name = short_hash(upstream);
-        const auto limit = known_.limit_of(name);
+        const auto pause = paused_until_.find(upstream);
         const auto terms = permit_terms_.find(name);
-        if (!limit || terms == permit_terms_.end()) {
-            return summary{limit};
+        summary known{.per_second = known_.limit_of(name),
+                      .is_paused = pause != paused_until_.end() && now < pause->second};
+        if (known.per_second && terms != permit_terms_.end()) {
+            known.may_request_permit = now >= terms->second.rejected_until;
+            known.permit_price_ms = terms->second.price_at(now);
         }
-        return summary{limit, now >= terms->second.rejected_until, terms->second.price_at(now)};
+        return known;
     });
     return found;
 }
@@ -198,6 +217,7 @@
     known_.expire(names, now);
     own_.expire(names, now);
     domain_.expire(names, now);
+    std::erase_if(paused_until_, [now](const auto& each) { return now >= each.second; });
     std::erase_if(permit_terms_, [now](const auto& each) {
         return now >= each.second.rejected_until && now >= each.second.full_at;
     });
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -18,6 +18,7 @@
 
 /// Largest event of a stream; bytes without an event boundary may come without end.
 constexpr std::size_t max_event_bytes = 1'048'576;
+constexpr unsigned unavailable = 503;
 
 } // namespace
 
@@ -48,6 +49,9 @@
         co_return exchange_result{attempt_outcome::not_sent, "the upstream named a limit meanwhile"};
     }
     const auto now = clock::now();
+    if (limits.paused_until(upstream, now)) {
+        co_return exchange_result{attempt_outcome::not_sent, "the upstream asked for a pause meanwhile"};
+    }
     if (remaining_time(now) <= 0ms) {
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
     }
@@ -63,6 +67,10 @@
     if (exchange.has_response()) {
         limits.record_response(upstream, placement_->upstream.entry.id, exchange.traits().rate_limit, now,
                                clock::now());
+        if (connection.status() == unavailable && exchange.traits().retry_after) {
+            limits.record_pause(upstream, placement_->upstream.entry.id, *exchange.traits().retry_after,
+                                clock::now());
+        }
         if (exchange.traits().is_leaving) {
             context_.plane.report_leaving_upstream(upstream);
         }
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -153,6 +153,7 @@
     co_await place(started);
     refuse_if_late(clock::now());
     record_capacity(clock::now());
+    refuse_if_paused(clock::now());
     if (!placement_) {
         last_attempt_detail_ = "the service has no upstream left to try";
         next_step_ = state_.may_have_run_before ? next_step::fail_as_unknown : next_step::refuse;
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -56,6 +56,7 @@
     task<void> place(time_point started);
     bool may_use_scarce_capacity(time_point now);
     void refuse_if_late(time_point now);
+    void refuse_if_paused(time_point now);
     void record_capacity(time_point now);
     task<void> run_attempts();
     task<bool> run_attempt();
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -126,6 +126,32 @@
     placement_.reset();
 }
 
+/// Refuses a request at once if all upstreams that could take it have asked for a
+/// pause, until the first of these ends.
+void route_exchange::refuse_if_paused(time_point now) {
+    const auto found = view_->upstreams.find(service_->name);
+    if (placement_ || refusal_before_send_ || state_.may_have_run_before || found == view_->upstreams.end()) {
+        return;
+    }
+    std::optional<time_point> first_end;
+    for (const routed_upstream& each : found->second) {
+        const auto end = context_.plane.limits().paused_until(each.hash, now);
+        const bool may_be_chosen =
+            !placement_request_.version || each.entry.version == *placement_request_.version;
+        if (may_be_chosen && !end &&
+            std::ranges::find(placement_request_.tried, each.hash) == placement_request_.tried.end()) {
+            return;
+        }
+        if (may_be_chosen && end) {
+            first_end = std::min(first_end.value_or(*end), *end);
+        }
+    }
+    if (first_end) {
+        refusal_before_send_ = problem{503, "upstreams-paused", "all upstreams asked for a pause",
+                                       outcome::not_run, return_time(*first_end - now)};
+    }
+}
+
 /// While upstreams of the service have rate limits, records whether it had capacity
 /// for the request, and prepares its refusal if it had none.
 void route_exchange::record_capacity(time_point now) {
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -93,8 +93,9 @@
     for (const exclusion_rules& level : exclusion_levels) {
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             const bool was_tried = std::ranges::find(request.tried, hashes[index]) != request.tried.end();
-            const bool may_send = !candidates[index].rate_limited ||
-                                  (request.may_use_limited && limited[index].may_request_permit);
+            const bool may_send =
+                !limited[index].is_paused && (!candidates[index].rate_limited ||
+                                              (request.may_use_limited && limited[index].may_request_permit));
             candidates[index].usable = has_version(upstreams[index], request) && !was_tried && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -42,6 +42,7 @@
         cut_after_events_ = integer_member(fault_settings, "cut_after");
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
+        retry_after_ = string_member(fault_settings, "retry_after");
         says_leaving_ = !string_member(fault_settings, "leaving").empty();
         co_return co_await send_response(stream, http::status::ok, "{}");
     }
@@ -109,6 +110,9 @@
         http_response refusal{http::status::service_unavailable, 11};
         refusal.set(attempt_header, request[attempt_header]);
         refusal.set("Citronwick-Not-Run", "1");
+        if (!retry_after_.empty()) {
+            refusal.set("Retry-After", retry_after_);
+        }
         refusal.prepare_payload();
         auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
         co_return !error;
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -40,6 +40,7 @@
     std::int64_t cut_after_events_ = 0; ///< events before a stream is cut, 0 for never
     std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
     std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
+    std::string retry_after_;           ///< seconds that it names when it sheds a request, empty for none
     bool says_leaving_ = false;         ///< in its responses
     std::string limit_;                 ///< rate limit that it names in its responses, empty for none
     boost::json::object runs_;          ///< by attempt id
