Take a stream of a route that leads to two services up at the service that began it

A route may divide its requests between services, by the attempt's identifier. A caller that took a stream up came with a new identifier, so half of such streams went on at the other service, whose text is not the same. Found by reading, when the cause of the streams of two versions was looked for elsewhere: the same choice, made anew for each attempt. The service of a stream is now chosen by the attempt that began it, which Resumes names.

What remains: if the operator moves the weights while streams run, a taken-up stream may change its service; then its version is that of the other service's slot.

--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -84,7 +84,7 @@
         return refusal;
     }
     placement_request_.request_hash = hash64(caller_.request_id());
-    const auto* const chosen = choose_service(*route_, placement_request_.request_hash);
+    const auto* const chosen = choose_service(*route_, hash64(stream_origin()));
     service_ = chosen == nullptr ? nullptr : config_->find_service(chosen->service);
     if (service_ == nullptr) {
         return problem{503, "unknown-service", "the route's service is not declared", outcome::not_run, 1s};
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -130,6 +130,11 @@
     json::array routes{make_route("/read/", "safe", "desk", 2), make_route("/book/", "unsafe", "desk", 1),
                        make_route("/quote/stream/", "streaming", "bench", 2),
                        make_route("/guide/stream/", "streaming", "bench", 1)};
+    routes.push_back(make_route("/split/stream/", "streaming", "bench", 1));
+    routes.back().as_object()["resumeStreams"] = true;
+    routes.back().as_object()["trafficSplit"] =
+        json::array{json::object{{"service", "bench"}, {"weight", 1}},
+                    json::object{{"service", "other-bench"}, {"weight", 1}}};
     for (std::size_t index = 0; index < extra_routes; ++index) {
         const std::string path = "/more-" + std::to_string(index) + "/";
         routes.push_back(make_route(path.c_str(), "safe", "desk", 2));
@@ -139,6 +144,7 @@
         {"routes", std::move(routes)},
         {"services",
          json::array{json::object{{"name", "desk"}, {"connectionLimit", 96}},
+                     json::object{{"name", "other-bench"}, {"connectionLimit", 96}},
                      json::object{{"name", "bench"},
                                   {"connectionLimit", 96},
                                   {"engine", json::object{{"slots", 8}, {"kvCacheTokens", 90'000}}}}}},
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -31,7 +31,8 @@
 ///
 /// The declaration has the host "shop.example" with one route of each kind:
 /// /read/ (idempotent), /book/ (at most once), /quote/stream/ (resumable) and
-/// /guide/stream/ (at most once). The team "club" has the API key "club-key".
+/// /guide/stream/ (at most once), and /split/stream/ (resumable), which half of the
+/// requests reach "other-bench" by. The team "club" has the API key "club-key".
 class routed_fleet {
 public:
     explicit routed_fleet(routed_options options = {});
--- a/tests/integration/stream_versions.tests.cpp
+++ b/tests/integration/stream_versions.tests.cpp
@@ -130,3 +130,32 @@
     }
     CHECK(system.ask(system.routers()[1], "/quote/stream/new", "new").status == 200);
 }
+
+TEST_CASE("proof: a stream of a route that leads to two services is taken up at the service that began it") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    system.unregister_worker(system.engines()[1]);
+    system.register_worker(system.engines()[1], "other-bench", "ready", 2);
+    REQUIRE(wait_until([&] {
+        return std::ranges::all_of(system.routers(), [&](const node& router) {
+            return system.view(router).at("stream_versions").as_object().contains("other-bench");
+        });
+    }));
+    set_faults(system.engines(), cut_after_two);
+    for (int count = 0; count < streams; ++count) {
+        const std::string name = "s" + std::to_string(count);
+        system.ask(system.routers()[0], "/split/stream/" + name, name);
+    }
+    set_faults(system.engines(), "{}");
+    std::set<std::size_t> used;
+    for (int count = 0; count < streams; ++count) {
+        const std::string name = "s" + std::to_string(count);
+        const std::size_t began = runs_of(system.engines()[0], name) > 0 ? 0 : 1;
+        const auto answer = system.ask(system.routers()[1], "/split/stream/" + name, "t" + name,
+                                       {{"Resumes", name}, {"Last-Event-Id", "2"}});
+        CHECK(answer.status == 200);
+        CHECK(runs_of(system.engines()[began], "t" + name) == 1);
+        used.insert(began);
+    }
+    CHECK(used.size() == 2);
+}
