Test the assignment of streams to versions without a network

The assignment is written by whoever finds a change, followed by all, and must outlast the routers. Tests with a store in memory: a router that starts, slots that settle also if another router does it, no write without a change, a write left to another router first, a write that loses or fails, and a store that comes back with an older, missing or unreadable value. The header moves to the package's public ones, as tests see only these.

--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -10,12 +10,12 @@
 #include "citronwick/fleet/store_follower.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/fleet/version_assignment.hpp"
 #include "citronwick/io/counted_kv_client.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/key_freshness.hpp"
 #include "declared_fleet.hpp"
 #include "fleet_registration.hpp"
-#include "version_assignment.hpp"
 #include "versioned_services.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -1,4 +1,4 @@
-#include "version_assignment.hpp"
+#include "citronwick/fleet/version_assignment.hpp"
 
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
--- a/packages/fleet/src/versioned_services.hpp
+++ b/packages/fleet/src/versioned_services.hpp
@@ -2,7 +2,7 @@
 #define CITRONWICK_FLEET_VERSIONED_SERVICES_HPP_INCLUDED
 
 #include "citronwick/fleet/routing_view.hpp"
-#include "version_assignment.hpp"
+#include "citronwick/fleet/version_assignment.hpp"
 
 #include <chrono>
 #include <map>
--- /dev/null
+++ b/packages/fleet/tests/version_assignment.tests.cpp
@@ -0,0 +1,177 @@
+#include "citronwick/fleet/version_assignment.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace citronwick;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration settle_time = 10s;
+const std::string prefix = "versions/";
+const std::string key = prefix + "bench";
+
+/// Store of one key in memory.
+class one_key_store final : public kv_client {
+public:
+    task<io_result<std::optional<kv_entry>>> read(std::string /*key*/) override {
+        co_return std::optional<kv_entry>{};
+    }
+
+    task<io_result<swap_outcome>> compare_and_swap(std::string /*key*/, std::int64_t expected_revision,
+                                                   std::string value, std::int64_t /*lease*/) override {
+        ++calls;
+        if (!serves) {
+            co_return failure{"write", "store", "down"};
+        }
+        if (expected_revision != revision) {
+            co_return swap_outcome{.revision = revision, .current = kv_entry{text, 1, revision}};
+        }
+        text = std::move(value);
+        ++revision;
+        co_return swap_outcome{.succeeded = true, .revision = revision};
+    }
+
+    task<io_result<kv_lease>> grant_lease(std::chrono::seconds time_to_live) override {
+        co_return kv_lease{1, time_to_live};
+    }
+
+    task<io_result<bool>> wait_for_change(std::string /*key*/, std::int64_t /*after_revision*/,
+                                          std::chrono::milliseconds /*timeout*/) override {
+        co_return false;
+    }
+
+    std::uint64_t take_byte_count() override { return 0; }
+
+    kv_change last_change() const { return {key, text, {revision, 0}}; }
+
+    std::string text;
+    std::int64_t revision = 0;
+    int calls = 0;
+    bool serves = true;
+};
+
+/// A router's view of the assignment, with the store that it writes to.
+struct router {
+    explicit router(one_key_store& shared)
+        : store{shared}, versions{context.get_executor(), shared, prefix, [] {}} {
+        versions.begin_listing();
+        if (store.revision > 0) {
+            versions.apply(store.last_change(), now);
+        }
+        versions.end_listing();
+    }
+
+    void tick(const version_capacities& capacities, duration write_delay = 0s) {
+        versions.tick({{"bench", {capacities, settle_time}}}, write_delay, now);
+        context.restart();
+        context.run();
+    }
+
+    const version_slots& slots() const { return *versions.slots().at("bench"); }
+
+    one_key_store& store;
+    asio::io_context context;
+    version_assignment versions;
+    time_point now = clock::now();
+};
+
+} // namespace
+
+TEST_CASE("a router that starts knows from the store which versions may have begun a stream") {
+    one_key_store store;
+    router first{store};
+    first.tick({{"v1", 9.0}});
+    CHECK(first.slots().only_version() == "v1");
+    first.now += 1s;
+    first.tick({{"v2", 9.0}});
+    CHECK(first.slots().at(7).version == "v2");
+    const router second{store};
+    CHECK(second.slots() == first.slots());
+    CHECK(second.slots().at(7).earlier == std::set<std::string>{"v1"});
+}
+
+TEST_CASE("a slot is settled once no stream can run that began before it moved, also by another router") {
+    one_key_store store;
+    router first{store};
+    first.tick({{"v1", 9.0}});
+    first.now += 1s;
+    first.tick({{"v2", 9.0}});
+    router second{store};
+    second.now = first.now + settle_time / 2;
+    second.tick({{"v2", 9.0}});
+    CHECK(second.slots().unsettled().all());
+    second.now = first.now + settle_time + 1s;
+    second.tick({{"v2", 9.0}});
+    CHECK(second.slots().only_version() == "v2");
+}
+
+TEST_CASE("an assignment that needs no change is not written again") {
+    one_key_store store;
+    router first{store};
+    for (int count = 0; count < 20; ++count) {
+        first.tick({{"v1", 5.0}, {"v2", 4.0}});
+        first.now += 1s;
+    }
+    CHECK(store.calls == 1);
+}
+
+TEST_CASE("a change that another router should write first is left to it for a while") {
+    one_key_store store;
+    router second{store};
+    second.tick({{"v1", 9.0}}, 1s);
+    second.now += 900ms;
+    second.tick({{"v1", 9.0}}, 1s);
+    CHECK(store.calls == 0);
+    second.now += 200ms;
+    second.tick({{"v1", 9.0}}, 1s);
+    CHECK(store.calls == 1);
+}
+
+TEST_CASE("a write that lost against another router's, or failed, changes nothing by itself") {
+    one_key_store store;
+    router first{store};
+    router second{store};
+    first.tick({{"v1", 9.0}});
+    second.tick({{"v2", 9.0}});
+    CHECK(second.slots().only_version() == "v1");
+    store.serves = false;
+    second.now += 1s;
+    second.tick({{"v2", 9.0}});
+    CHECK(second.slots().only_version() == "v1");
+    store.serves = true;
+    second.now += 1s;
+    second.tick({{"v2", 9.0}});
+    CHECK(second.slots().at(0).version == "v2");
+    CHECK(second.slots().unsettled().all());
+}
+
+TEST_CASE("an assignment that a restored store lacks, holds older or unreadable is written again") {
+    one_key_store store;
+    router first{store};
+    first.tick({{"v1", 9.0}});
+    const kv_change old = store.last_change();
+    first.now += 1s;
+    first.tick({{"v2", 9.0}});
+    const version_slots newest = first.slots();
+    store.revision = 1;
+    first.versions.begin_listing();
+    SUBCASE("older") {
+        store.text = *old.value;
+        first.versions.apply({key, old.value, {1, 2}}, first.now);
+    }
+    SUBCASE("missing") {
+        store.revision = 0;
+    }
+    SUBCASE("unreadable") {
+        first.versions.apply({key, "{}", {1, 2}}, first.now);
+    }
+    first.versions.end_listing();
+    CHECK(first.slots() == newest);
+    first.now += 1s;
+    first.tick({{"v2", 9.0}});
+    CHECK(first.slots() == newest);
+    const router second{store};
+    CHECK(second.slots() == newest);
+}
