Ask an engine whose connection broke a second time whether it has crashed

Cause: an engine that ends closes its connections a moment before its listener. A router that asks in between is accepted and reset, which counts as no crash, so this crash was not counted. Routes probe 100 ms later and have no such gap.

An engine that accepted the question and broke it off is asked once more after 100 ms. A connection that the network resets is reset again, so it still counts as none.

--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -27,6 +27,7 @@
 constexpr int max_attempts = 3;
 constexpr int max_resumes = 2;
 constexpr std::chrono::milliseconds crash_check_timeout{200};
+constexpr std::chrono::milliseconds crash_check_pause{100};
 constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
 
 /// Result of one attempt on one upstream.
@@ -122,19 +123,35 @@
         return crashes >= suspect_table::crash_limit;
     }
 
-    /// Checks whether the upstream's process ended while it ran the request, and
-    /// records the crash.
-    task<void> check_for_crash(const upstream_view& upstream) {
+    enum class health_result : std::uint8_t { refused, broken, other };
+
+    task<health_result> check_health(const upstream_view& upstream) {
         constexpr std::uint64_t max_health_bytes = 65'536;
         http_connection connection{co_await asio::this_coro::executor, upstream.address, max_health_bytes};
         http_request health_request{http::verb::get, "/health", 11};
         const auto sent_at = clock::now();
         auto health_response = co_await connection.exchange(std::move(health_request), crash_check_timeout);
         const bool timed_out = clock::now() - sent_at >= crash_check_timeout;
+        if (health_response.has_value() || timed_out) {
+            co_return health_result::other;
+        }
+        co_return health_response.error().step == "connect" ? health_result::refused : health_result::broken;
+    }
+
+    /// Checks whether the upstream's process ended while it ran the request, and
+    /// records the crash.
+    task<void> check_for_crash(const upstream_view& upstream) {
+        auto result = co_await check_health(upstream);
+        if (result == health_result::broken) {
+            // A process that ends closes its listener a moment after its connections.
+            asio::steady_timer pause{co_await asio::this_coro::executor, crash_check_pause};
+            co_await pause.async_wait(use_tuple);
+            result = co_await check_health(upstream);
+        }
         // Only a refused connection shows that the upstream's process has ended: a
         // frozen process does not reply, and the network may reset a connection
         // that it had accepted.
-        if (health_response.has_value() || timed_out || health_response.error().step != "connect") {
+        if (result != health_result::refused) {
             co_return;
         }
         const auto crash_id = short_hash(hash64(random_id()));
