--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -13,6 +13,7 @@
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace citronwick {
