Agree on one assignment of streams after a store came back from a copy

Found by reading: a router that had not heard of the newest assignment may write its own on the copy that a restored store holds, under the same number. The others took the equal number for the state they knew, so two groups of routers would have placed the same stream at two versions for good. An equal number with another content counts as older now, and the newest state is written again under a higher one.

Evidence: the new test failed before (the two routers kept different slots) and passes now.

--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -98,13 +98,16 @@
     tracked& known = services_[service];
     known.revision = change.value ? change.position.revision : 0;
     auto parsed = change.value ? parse_slots(*change.value) : std::nullopt;
-    // A store that came back from a copy holds an earlier state.
-    const bool is_older = !parsed || (known.slots && parsed->number < known.number);
+    // A store that came back from a copy holds an earlier state, or one that a router
+    // wrote that did not know the newest.
+    const bool is_older =
+        !parsed || (known.slots && (parsed->number < known.number ||
+                                    (parsed->number == known.number && !(parsed->slots == *known.slots))));
     known.is_stored = !is_older;
     if (is_older) {
         log_warn("stream_versions_ignored",
                  {{"service", service},
-                  {"reason", parsed ? "older than known" : "missing or unreadable"},
+                  {"reason", parsed ? "not newer than known" : "missing or unreadable"},
                   {"position", citronwick::to_text(change.position)}});
         return true;
     }
--- a/packages/fleet/tests/version_assignment.tests.cpp
+++ b/packages/fleet/tests/version_assignment.tests.cpp
@@ -175,3 +175,25 @@
     const router second{store};
     CHECK(second.slots() == newest);
 }
+
+TEST_CASE("routers that disagree on one number after a restore end with one assignment") {
+    one_key_store store;
+    router first{store};
+    router stale{store};
+    first.tick({{"v1", 9.0}});
+    stale.versions.apply(store.last_change(), stale.now);
+    const kv_change copy = store.last_change();
+    first.now += 1s;
+    first.tick({{"v1", 5.0}, {"v2", 4.0}});
+    // The copy lacks that change, and a router that did not hear of it writes another one.
+    store.text = *copy.value;
+    store.revision = 1;
+    stale.now += 1s;
+    stale.tick({{"v2", 9.0}});
+    first.versions.apply(store.last_change(), first.now);
+    first.now += 1s;
+    first.tick({{"v1", 5.0}, {"v2", 4.0}});
+    stale.versions.apply(store.last_change(), stale.now);
+    CHECK(stale.slots() == first.slots());
+    CHECK(first.slots().at(63).version == "v1");
+}
