Publish no view in the middle of a listing of the store

Found by reading: a change of the assignment of streams published the routing view at once, also while a listing or a series of changes was being applied, so that traffic saw new entries beside old ones for a moment. Both publish at their end anyway; the assignment only publishes after its own write now.

--- a/packages/fleet/include/citronwick/fleet/version_assignment.hpp
+++ b/packages/fleet/include/citronwick/fleet/version_assignment.hpp
@@ -33,6 +33,7 @@
     using slots_by_service = std::map<std::string, std::shared_ptr<const version_slots>, std::less<>>;
 
     /// @param prefix of the keys, which end with the names of the services
+    /// @param on_change called after a write of this router; not by `apply`
     version_assignment(asio::any_io_executor executor, kv_client& store, std::string prefix,
                        std::function<void()> on_change);
 
--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -132,7 +132,6 @@
                                           {"slots", describe(slots)},
                                           {"unsettled", std::to_string(slots.unsettled().count())}});
     known.slots = std::move(slots);
-    on_change_();
 }
 
 /// The slots as they should be, none if they are.
@@ -194,6 +193,7 @@
     } else {
         services_[service].revision = 0;
     }
+    on_change_();
 }
 
 } // namespace citronwick
