--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -33,7 +33,7 @@
     if (rows == nullptr || rows->size() != version_slots::slot_count) {
         return std::nullopt;
     }
-    parsed_slots parsed{{}, static_cast<std::uint64_t>(integer_member(*document, "number"))};
+    parsed_slots parsed{version_slots{}, static_cast<std::uint64_t>(integer_member(*document, "number"))};
     for (std::size_t index = 0; index < rows->size(); ++index) {
         const json::array* const row = rows->at(index).if_array();
         const bool is_valid = row != nullptr && !row->empty() &&
--- a/packages/fleet/tests/suspect_exchange.tests.cpp
+++ b/packages/fleet/tests/suspect_exchange.tests.cpp
@@ -158,7 +158,7 @@
     exchange_network network{91};
     network.lose_share(0.1);
     for (std::uint32_t crash = 1; crash <= 3; ++crash) {
-        network.record_crash(crash * 20, 7, crash);
+        network.record_crash(std::uint64_t{crash} * 20, 7, crash);
     }
     for (std::uint64_t suspect = 100; suspect < 160; ++suspect) {
         network.record_crash(5, suspect, 1);
@@ -195,7 +195,7 @@
         network.cut(router);
     }
     for (std::uint32_t crash = 1; crash <= 3; ++crash) {
-        network.record_crash(30 + crash, 7, crash);
+        network.record_crash(std::uint64_t{30} + crash, 7, crash);
     }
     network.run_for(1s);
     network.heal();
