Explain the new refusals in citronctl explain

Three refusals are new, and two that say what crashes upstreams had no explanation; the tool printed their type alone. The texts are those of docs/OPERATIONS.md in short. Its tests pass; no behaviour of a router changes.

--- a/packages/ctl/src/request_timeline.cpp
+++ b/packages/ctl/src/request_timeline.cpp
@@ -52,6 +52,14 @@
         "the caller would have given up while the request waited in an engine; it did not run"},
     result_explanation{"upstreams-limited",
                        "the upstreams take no more requests than they named; it did not run"},
+    result_explanation{"upstreams-paused", "all upstreams asked this router for a pause; it did not run"},
+    result_explanation{"stream-not-resumable", "the version that began the stream is unknown or no longer "
+                                               "served; see its stream_taken_up line"},
+    result_explanation{"versions-not-confirmed", "the assignment of streams to versions could not be "
+                                                 "confirmed lately; it did not run"},
+    result_explanation{"crashes-upstreams", "upstreams crashed each time that this request ran"},
+    result_explanation{"prompt-part-crashes-upstreams",
+                       "upstreams crashed each time that a prompt with that part ran"},
     result_explanation{"deadline", "the deadline of the caller or of the route passed"},
     result_explanation{"unknown-route",
                        "no route of the declaration in force matches the path; see its version"},
