Log no line for a suspect that answers have cleared

After upstreams that crash together, each request with a popular part would have written a line for ten minutes, although nothing is decided by it: answers have refuted these crashes. The line is for requests that may crash an upstream. No other behaviour changes.

--- a/packages/traffic/src/route_crashes.cpp
+++ b/packages/traffic/src/route_crashes.cpp
@@ -36,19 +36,19 @@
     return std::nullopt;
 }
 
-/// Logs what is known about a request that is sent although it is a suspect, or holds one.
+/// Logs what is known about a request that is sent although it is a suspect, or holds one
+/// that no answer has cleared.
 void route_exchange::log_suspicions(time_point now) const {
     std::vector<std::uint64_t> suspects{fingerprint_};
     std::ranges::copy(part_fingerprints_, std::back_inserter(suspects));
     for (const std::uint64_t suspect : suspects) {
         const auto known = context_.plane.suspects().suspicion_of(suspect, now);
-        if (known.crashes > 0) {
+        if (known.crashes > 0 && !known.was_served) {
             log_info("suspect_sent", {{"request", caller_.request_id()},
                                       {"upstream", placement_->upstream.entry.id},
                                       {"fingerprint", std::to_string(suspect)},
                                       {"crashes", std::to_string(known.crashes)},
-                                      {"separate", std::to_string(known.separate_crashes)},
-                                      {"served", known.was_served ? "yes" : "no"}});
+                                      {"separate", std::to_string(known.separate_crashes)}});
         }
     }
 }
