Let engines fetch prompt parts that another engine has cached

Change: placement counts a token that a known, reachable engine has as a fifth of one that must be read, and names the source to the chosen engine. Engines that are leaving are sources too. Where no engine is known to have a prompt, the highest ranked other one is named: it had the prompt before the first one joined or before this router started. fetch_cost = 1.0 in [platform] switches it off. A prompt counts as readable by others 300 ms after it was sent.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_FLEET_REQUEST_DIALECT_HPP_INCLUDED
 #define CITRONWICK_FLEET_REQUEST_DIALECT_HPP_INCLUDED
 
+#include "citronwick/core/endpoint.hpp"
 #include "citronwick/policy/prompt.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -28,6 +29,7 @@
     std::chrono::milliseconds time_left{0};  ///< until the caller's deadline
     std::optional<std::uint32_t> priority{}; ///< 0 is the most urgent
     std::string last_event_id;               ///< last event received before a resume, empty for a new stream
+    std::optional<endpoint> fetch_from{};    ///< upstream from whose cache prompt parts are to be fetched
 };
 
 /// Load that an upstream reports with a response.
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -40,7 +40,9 @@
 struct routing_view {
     std::shared_ptr<const routing_configuration> config; ///< null before the first configuration
     std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
-    std::size_t live_routers = 1;                                               ///< including this one
+    /// Upstreams that accept no new requests but still run, by service.
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> leaving;
+    std::size_t live_routers = 1;  ///< including this one
     std::size_t known_routers = 1; ///< registered routers, including this one
     /// Assignment of resumable streams to software versions, by service.
     std::map<std::string, std::shared_ptr<const version_slots>, std::less<>> stream_versions;
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -64,6 +64,9 @@
     /// Upstreams that accept new requests, by service.
     std::map<std::string, std::vector<routed_upstream>, std::less<>> usable() const;
 
+    /// Upstreams that are listed but accept no new requests, by service.
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> leaving() const;
+
     /// Load of an upstream's incarnation, null if it is unknown.
     std::shared_ptr<upstream_load> load_of(std::uint64_t hash) const;
 
@@ -76,6 +79,8 @@
     std::size_t size() const { return entries_.size(); }
 
 private:
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> by_service(bool leaving) const;
+
     struct tracked_entry {
         routed_upstream upstream;
         store_position position{};
--- a/packages/fleet/include/citronwick/fleet/upstream_observations.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_observations.hpp
@@ -30,6 +30,7 @@
     /// What is known about one upstream with regard to a request.
     struct summary {
         std::uint32_t cached_tokens = 0;
+        std::uint32_t source_tokens = 0; ///< cached for long enough that other engines can fetch them
         bool is_reachable = true;
         bool is_outlier = false;
     };
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -81,6 +81,10 @@
     return directory_.usable();
 }
 
+std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::leaving() const {
+    return directory_.leaving();
+}
+
 /// Applies a new configuration. One that cannot be decoded is refused, and the
 /// previous one stays in force.
 void declared_fleet::apply_configuration(const kv_change& change) {
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -53,6 +53,7 @@
 
     /// Upstreams that accept new requests, by service.
     std::map<std::string, std::vector<routed_upstream>, std::less<>> usable() const;
+    std::map<std::string, std::vector<routed_upstream>, std::less<>> leaving() const;
 
     /// Hashes of all known incarnations.
     std::set<std::uint64_t> hashes() const { return directory_.hashes(); }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -256,6 +256,7 @@
         auto next = std::make_shared<routing_view>();
         next->config = declared_.config();
         next->upstreams = declared_.usable();
+        next->leaving = declared_.leaving();
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
         next->stream_versions = versions_.slots();
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -142,9 +142,18 @@
 }
 
 std::map<std::string, std::vector<routed_upstream>, std::less<>> upstream_directory::usable() const {
+    return by_service(false);
+}
+
+std::map<std::string, std::vector<routed_upstream>, std::less<>> upstream_directory::leaving() const {
+    return by_service(true);
+}
+
+std::map<std::string, std::vector<routed_upstream>, std::less<>>
+upstream_directory::by_service(bool leaving) const {
     std::map<std::string, std::vector<routed_upstream>, std::less<>> found;
     for (const tracked_entry& each : entries_ | std::views::values) {
-        if (!each.upstream.entry.leaving) {
+        if (each.upstream.entry.leaving == leaving) {
             found[each.upstream.entry.service].push_back(each.upstream);
         }
     }
--- a/packages/fleet/src/upstream_observations.cpp
+++ b/packages/fleet/src/upstream_observations.cpp
@@ -10,6 +10,9 @@
 
 /// Time after which an engine is expected to have dropped an unused prefix.
 constexpr duration prefix_lifetime = std::chrono::seconds{60};
+/// Time after the sending of a prompt at which the engine has processed it and others
+/// can fetch it.
+constexpr duration fetch_delay = std::chrono::milliseconds{300};
 /// Prefix entries in one message; keeps datagrams small.
 constexpr std::size_t entries_per_message = 96;
 /// Entries queued for sending; if there are more, the oldest are dropped.
@@ -57,8 +60,9 @@
     const auto outliers = health_.outliers(names, now);
     std::vector<summary> found;
     std::ranges::transform(names, std::back_inserter(found), [&](std::uint64_t name) {
-        return summary{prefixes_.cached_tokens(short_prefixes, name, now), !health_.is_unreachable(name, now),
-                       outliers.contains(name)};
+        const auto cached = prefixes_.cached_tokens(short_prefixes, name, now);
+        const auto source = cached == 0 ? 0 : prefixes_.cached_tokens(short_prefixes, name, now, fetch_delay);
+        return summary{cached, source, !health_.is_unreachable(name, now), outliers.contains(name)};
     });
     return found;
 }
--- a/packages/fleet/tests/upstream_directory.tests.cpp
+++ b/packages/fleet/tests/upstream_directory.tests.cpp
@@ -34,6 +34,7 @@
     CHECK(usable(directory) == 1);
     directory.put(worker("a", 1, true), {11});
     CHECK(usable(directory) == 0);
+    CHECK(directory.leaving().at("drafts").size() == 1);
     directory.put(worker("a"), {12});
     CHECK(usable(directory) == 0);
     CHECK(directory.put(worker("a", 2), {13}));
--- a/packages/fleet/tests/upstream_observations.tests.cpp
+++ b/packages/fleet/tests/upstream_observations.tests.cpp
@@ -64,3 +64,20 @@
     };
     CHECK(static_cast<std::size_t>(std::ranges::count_if(fleet, knows)) >= routers * 9 / 10);
 }
+
+TEST_CASE("others fetch a prefix only from an engine that has had time to process it") {
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+    upstream_observations observations;
+    const auto seen = [&](time_point now) { return observations.summaries({5}, {{17, 2'000}}, now).front(); };
+    observations.record_prompt({{17, 2'000}}, 5, start);
+    CHECK(seen(start).cached_tokens == 2'000);
+    CHECK(seen(start).source_tokens == 0);
+    CHECK(seen(start + milliseconds{300}).source_tokens == 2'000);
+    // A prefix that was forgotten has to be processed again.
+    observations.record_prompt({{17, 2'000}}, 5, start + seconds{70});
+    CHECK(seen(start + seconds{70}).source_tokens == 0);
+    // Later requests do not.
+    observations.record_prompt({{17, 2'000}}, 5, start + seconds{72});
+    CHECK(seen(start + seconds{72}).source_tokens == 2'000);
+}
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -18,7 +18,8 @@
     double in_flight = 0.0;       ///< concurrent requests from all routers
     double slots = 1.0;           ///< requests that the upstream runs concurrently
     double backlog_tokens = 0.0;  ///< prompt tokens waiting for prefill
-    double uncached_tokens = 0.0; ///< prompt tokens of this request that the upstream must prefill
+    double uncached_tokens = 0.0; ///< prompt tokens of this request that the upstream has not cached
+    double cached_tokens = 0.0;   ///< prompt tokens of this request that the upstream has cached
     bool usable = true;           ///< not of another version, leaving, unreachable, ejected or already tried
     bool rate_limited = false;    ///< named a rate limit, which keeps its load low
     double permit_price_ms = 0.0; ///< saving below which it gets no permit, if rate-limited
@@ -32,6 +33,9 @@
     double prefill_tokens_per_ms = 30.0; ///< assumed prefill speed of an engine
     double acceptable_wait_ms = 0.0;     ///< time to first token that still meets the latency target
     double load_tie_threshold = 0.0;     ///< difference in load per slot up to which plain upstreams tie
+    /// Cost of fetching a prompt token from another engine's cache, as a share of the
+    /// cost of prefilling it. From 1 on, nothing is fetched.
+    double fetch_cost = 0.2;
 };
 
 /// Adapts the parameters to the age of the load counts in a fleet of this size.
@@ -40,9 +44,22 @@
 /// requests meanwhile.
 placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers);
 
+/// An engine from whose cache others can fetch, also if it accepts no requests itself.
+struct cache_source {
+    std::uint64_t hash = 0;     ///< hash of identifier and incarnation
+    double cached_tokens = 0.0; ///< prompt tokens of the request that it has cached
+};
+
+/// Prompt tokens that the chosen engine fetches from another engine's cache.
+struct cache_fetch {
+    std::size_t source = 0; ///< index into the sources
+    double tokens = 0.0;
+};
+
 /// Result of a placement.
 struct routed_decision {
     std::optional<std::size_t> index; ///< index into the candidates; empty if no upstream is usable
+    std::optional<cache_fetch> fetch; ///< if another engine has enough that the chosen one lacks
     std::string_view reason;
     double expected_wait_ms = 0.0; ///< time to first token on an engine, load per slot on a plain upstream
     double queue_wait_ms = 0.0;    ///< part of it that the engine spends on other requests
@@ -55,7 +72,10 @@
 ///
 /// The cost is the prefill time for the prompt tokens that the engine has not
 /// cached, plus the cost of the time to first token, which includes the queued
-/// prompt tokens and the slowdown from concurrent requests. Waiting time up to
+/// prompt tokens and the slowdown from concurrent requests. Tokens that another
+/// engine has cached are fetched from it instead of prefilled where that costs less;
+/// among equal sources `affinity` and the chosen engine decide, so that the sources
+/// share the work. Waiting time up to
 /// `acceptable_wait_ms` has a low weight, so that a busy engine that holds the
 /// prefix is abandoned only if the response would be late: prefilling the prefix
 /// on another engine takes up space in that engine's cache too. Engines at the
@@ -64,7 +84,8 @@
 /// rendezvous score for `affinity`, so that routers make the same choice without
 /// communicating.
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
-                                const placement_parameters& parameters);
+                                const placement_parameters& parameters,
+                                std::span<const cache_source> sources = {});
 
 /// The engine that ranks first for `affinity` by rendezvous hashing. If no engine
 /// is known to hold a prompt's shared prefix, all routers assume that this one does.
--- a/packages/policy/include/citronwick/policy/prefix_directory.hpp
+++ b/packages/policy/include/citronwick/policy/prefix_directory.hpp
@@ -25,12 +25,15 @@
     bool record(std::uint64_t prefix, std::uint64_t upstream, time_point now);
 
     /// Whether the upstream is expected to have the prefix in its cache.
-    bool holds(std::uint64_t prefix, std::uint64_t upstream, time_point now) const;
+    /// @param min_age time since the upstream was sent the prefix, after which it counts
+    bool holds(std::uint64_t prefix, std::uint64_t upstream, time_point now,
+               duration min_age = duration::zero()) const;
 
     /// Length in tokens of the longest prefix that the upstream is expected to hold.
     /// @param prefixes prefixes of one prompt, shortest first
+    /// @param min_age time since the upstream was sent the prefix, after which it counts
     std::uint32_t cached_tokens(const std::vector<shared_prefix>& prefixes, std::uint64_t upstream,
-                                time_point now) const;
+                                time_point now, duration min_age = duration::zero()) const;
 
     /// Number of upstreams that are expected to hold the prefix.
     std::size_t holder_count(std::uint64_t prefix, time_point now) const;
@@ -41,6 +44,7 @@
 private:
     struct holder {
         std::uint64_t upstream = 0;
+        time_point held_since;
         time_point used_at;
     };
 
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/policy/engine_placement.hpp"
 
+#include "citronwick/core/hash.hpp"
 #include "citronwick/policy/rendezvous_ranking.hpp"
 
 #include <algorithm>
@@ -34,6 +35,9 @@
 /// always within the bound.
 constexpr double large_fleet_load_slack = 2.0;
 
+/// Fewest prompt tokens that are worth a fetch.
+constexpr double min_fetch_tokens = 256.0;
+
 struct estimate {
     std::size_t index = 0;
     double cost = 0.0;
@@ -43,14 +47,38 @@
     double score = 0.0; ///< rendezvous score; the highest wins among equal costs
 };
 
-/// Estimated time to first token on an engine.
-double estimated_wait_ms(const routed_candidate& engine, const placement_parameters& parameters) {
+/// Prompt tokens that an engine fetches if the best source offers `source_tokens`, 0 if
+/// that does not pay.
+/// @param cached_tokens prompt tokens that the engine has cached itself
+double tokens_to_fetch(double source_tokens, double cached_tokens, const placement_parameters& parameters) {
+    const double missing = source_tokens - cached_tokens;
+    return parameters.fetch_cost < 1.0 && missing >= min_fetch_tokens ? missing : 0.0;
+}
+
+/// Time to obtain the prompt tokens that an engine has not cached, by prefill and fetch.
+double prefill_ms(const routed_candidate& engine, double fetched, const placement_parameters& parameters) {
+    return (engine.uncached_tokens - fetched * (1.0 - parameters.fetch_cost)) /
+           parameters.prefill_tokens_per_ms;
+}
+
+/// Estimated time to first token on an engine, without that for the request's own prompt.
+double queue_wait_ms(const routed_candidate& engine, const placement_parameters& parameters) {
     const double occupancy = engine.in_flight / std::max(engine.slots, 1.0);
     const double queued = std::max(0.0, engine.in_flight + 1.0 - engine.slots);
-    return (engine.backlog_tokens + engine.uncached_tokens) / parameters.prefill_tokens_per_ms +
+    return engine.backlog_tokens / parameters.prefill_tokens_per_ms +
            full_engine_delay_ms * (occupancy + queued);
 }
 
+/// Chooses among the sources from which `target` can fetch the most tokens.
+std::size_t choose_source(std::uint64_t affinity, std::span<const cache_source> sources,
+                          std::uint64_t target) {
+    const std::uint64_t key = hash_combine(affinity, target);
+    const auto best = std::ranges::max_element(sources, {}, [key](const cache_source& each) {
+        return std::pair{each.cached_tokens, rendezvous_score(key, each.hash)};
+    });
+    return static_cast<std::size_t>(best - sources.begin());
+}
+
 /// Cost of a wait. The part within the acceptable wait has a low weight, because
 /// the response is in time anyway.
 double wait_cost(double wait, const placement_parameters& parameters) {
@@ -109,22 +137,27 @@
 }
 
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
-                                const placement_parameters& parameters) {
+                                const placement_parameters& parameters,
+                                std::span<const cache_source> sources) {
     const double bound = load_limit(engines, parameters);
+    const auto best_source = std::ranges::max_element(sources, {}, &cache_source::cached_tokens);
+    const double source_tokens = best_source == sources.end() ? 0.0 : best_source->cached_tokens;
     std::vector<estimate> estimates;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const routed_candidate& engine = engines[index];
         if (!engine.usable || engine.in_flight + 1.0 > bound) {
             continue;
         }
-        const double wait = estimated_wait_ms(engine, parameters);
-        const double prefill = engine.uncached_tokens / parameters.prefill_tokens_per_ms;
+        const double fetched = tokens_to_fetch(source_tokens, engine.cached_tokens, parameters);
+        const double queue_wait = queue_wait_ms(engine, parameters);
+        const double prefill = prefill_ms(engine, fetched, parameters);
+        const double wait = queue_wait + prefill;
         const double price = engine.rate_limited ? engine.permit_price_ms : 0.0;
         estimates.push_back({.index = index,
                              .cost = wait_cost(wait, parameters) + prefill_weight * prefill + price,
                              .price = price,
                              .wait_ms = wait,
-                             .queue_wait_ms = wait - prefill,
+                             .queue_wait_ms = queue_wait,
                              .score = rendezvous_score(affinity, engine.hash)});
     }
     double best_unlimited = std::numeric_limits<double>::infinity();
@@ -137,6 +170,11 @@
     if (decision.index) {
         const auto chosen = std::ranges::find(estimates, *decision.index, &estimate::index);
         decision.saving_ms = std::max(best_unlimited - (chosen->cost - chosen->price), 0.0);
+        const routed_candidate& engine = engines[chosen->index];
+        const double fetched = tokens_to_fetch(source_tokens, engine.cached_tokens, parameters);
+        if (fetched > 0.0) {
+            decision.fetch = cache_fetch{choose_source(affinity, sources, engine.hash), fetched};
+        }
     }
     return decision;
 }
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/policy/upstream_health.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <doctest/doctest.h>
 #include <functional>
@@ -110,6 +111,68 @@
     CHECK(place_on_engine(1, engines, tolerant).index == 6);
 }
 
+TEST_CASE("an engine without the prefix fetches it from one that has it") {
+    auto engines = make_upstreams(9);
+    engines[4].uncached_tokens = 500;
+    engines[4].cached_tokens = 7'500;
+    const std::array sources{cache_source{engines[4].hash, 7'500}};
+    SUBCASE("not if the one that has it is chosen") {
+        const auto decision = place_on_engine(1, engines, parameters, sources);
+        CHECK(decision.index == 4);
+        CHECK_FALSE(decision.fetch);
+    }
+    SUBCASE("if the one that has it is busy") {
+        engines[4].backlog_tokens = 30'000;
+        const auto decision = place_on_engine(1, engines, parameters, sources);
+        CHECK(decision.index != 4);
+        REQUIRE(decision.fetch);
+        CHECK(decision.fetch->source == 0);
+        CHECK(decision.fetch->tokens == 7'500);
+        CHECK(decision.expected_wait_ms < 8'000 / parameters.prefill_tokens_per_ms);
+    }
+    SUBCASE("if the one that has it accepts no requests") {
+        engines.erase(engines.begin() + 4);
+        const auto decision = place_on_engine(1, engines, parameters, sources);
+        REQUIRE(decision.fetch);
+        CHECK(decision.fetch->tokens == 7'500);
+    }
+    SUBCASE("not if fetching costs as much as prefill") {
+        engines[4].usable = false;
+        auto dear = parameters;
+        dear.fetch_cost = 1.0;
+        CHECK_FALSE(place_on_engine(1, engines, dear, sources).fetch);
+    }
+    SUBCASE("not if it lacks only a few tokens") {
+        engines[4].usable = false;
+        std::ranges::for_each(engines, [](routed_candidate& each) { each.cached_tokens = 7'400; });
+        CHECK_FALSE(place_on_engine(1, engines, parameters, sources).fetch);
+    }
+}
+
+TEST_CASE("a waiting holder is left sooner if its prefix can be fetched") {
+    auto engines = make_upstreams(9);
+    engines[4].uncached_tokens = 500;
+    engines[4].cached_tokens = 7'500;
+    engines[4].backlog_tokens = 6'000;
+    const std::array sources{cache_source{engines[4].hash, 7'500}};
+    CHECK(place_on_engine(1, engines, parameters).index == 4);
+    CHECK(place_on_engine(1, engines, parameters, sources).index != 4);
+}
+
+TEST_CASE("engines that have the most of a prompt share the fetches") {
+    auto engines = make_upstreams(9);
+    const std::array sources{cache_source{hash64("a"), 7'500}, cache_source{hash64("b"), 2'000},
+                             cache_source{hash64("c"), 7'500}};
+    std::set<std::size_t> used;
+    for (const std::uint64_t affinity : std::views::iota(0U, 100U)) {
+        const auto decision =
+            place_on_engine(hash64("subject" + std::to_string(affinity)), engines, parameters, sources);
+        REQUIRE(decision.fetch);
+        used.insert(decision.fetch->source);
+    }
+    CHECK(used == std::set<std::size_t>{0, 2});
+}
+
 TEST_CASE("without cache information, routers choose the same engine for a prompt and spread prompts over "
           "all engines") {
     const auto engines = make_upstreams(9);
--- a/packages/router/src/router_settings.cpp
+++ b/packages/router/src/router_settings.cpp
@@ -79,7 +79,8 @@
         .read("retry_share", routing.retries.share)
         .read("retry_extra", routing.retries.extra)
         .read("retry_window", routing.retries.window)
-        .read("load_multiple", routing.placement.load_multiple);
+        .read("load_multiple", routing.placement.load_multiple)
+        .read("fetch_cost", routing.placement.fetch_cost);
     reader.finish();
     const auto adapters = registry<platform_adapter>::instance().names();
     if (std::ranges::find(adapters, routing.platform) == adapters.end()) {
--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/core/time.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
     /// Counts a new connection to an upstream.
     void count_connection(std::string_view service);
 
+    /// Counts prompt tokens that an upstream is told to fetch from another one's cache.
+    void count_fetch(std::string_view service, std::uint32_t tokens);
+
     /// Renders the metrics page, with the control plane's current values.
     std::string page(const routing_plane& plane);
 
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
@@ -56,6 +57,9 @@
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
     }
     context_.plane.observations().record_prompt(placement_request_.prefixes, placement_->upstream.hash, now);
+    if (placement_->fetch_from) {
+        context_.counters.count_fetch(service_->name, placement_->fetched_tokens);
+    }
     std::optional<std::uint64_t> max_body_bytes;
     if (!is_stream(route_->kind)) {
         max_body_bytes = context_.settings.answer_bytes;
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -170,6 +170,8 @@
           std::to_string(placement_request_.prefixes.empty() ? 0 : placement_request_.prefixes.back().key)},
          {"in_flight", std::to_string(static_cast<int>(placement_->in_flight))},
          {"missing_tokens", std::to_string(placement_->uncached_tokens)},
+         {"fetch_from", placement_->fetch_from ? placement_->fetch_from->id : "-"},
+         {"fetch_tokens", std::to_string(placement_->fetched_tokens)},
          {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
          {"position", to_text(view_->position)}});
@@ -177,7 +179,8 @@
     placement_request_.tried.push_back(placement_->upstream.hash);
     exchange_result result;
     {
-        in_flight_guard in_flight{placement_->upstream.load, placement_->uncached_tokens};
+        in_flight_guard in_flight{placement_->upstream.load,
+                                  placement_->uncached_tokens - placement_->fetched_tokens};
         const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
         auto connection = context_.pool.acquire(placement_->upstream.entry.address, started, max_idle);
         active_connection_ = connection.get();
@@ -236,6 +239,9 @@
     if (!events_.last_event_id().empty()) {
         metadata.last_event_id = events_.last_event_id();
     }
+    if (placement_->fetch_from) {
+        metadata.fetch_from = placement_->fetch_from->address;
+    }
     context_.dialect.prepare_forward(forwarded, metadata);
     return forwarded;
 }
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -56,6 +56,16 @@
                                    .Name("citronwick_permits_total")
                                    .Help("Permits requested for rate-limited upstreams, by decision")
                                    .Register(registry);
+    Family<Counter>& fetched_tokens =
+        prometheus::BuildCounter()
+            .Name("citronwick_fetched_prompt_tokens_total")
+            .Help("Prompt tokens that upstreams were told to fetch from another one's cache, by service")
+            .Register(registry);
+    Family<Counter>& fetches =
+        prometheus::BuildCounter()
+            .Name("citronwick_prompt_fetches_total")
+            .Help("Requests sent with a source to fetch prompt tokens from, by service")
+            .Register(registry);
     Family<Gauge>& limited_upstreams = prometheus::BuildGauge()
                                            .Name("citronwick_rate_limited_upstreams")
                                            .Help("Upstreams that have named a rate limit")
@@ -120,6 +130,11 @@
         .Increment();
 }
 
+void route_metrics::count_fetch(std::string_view service, std::uint32_t tokens) {
+    families_->fetches.Add({{"service", std::string{service}}}).Increment();
+    families_->fetched_tokens.Add({{"service", std::string{service}}}).Increment(tokens);
+}
+
 std::string route_metrics::page(const routing_plane& plane) {
     const auto view = plane.view();
     const auto age = plane.key_age(boot_now());
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -37,18 +37,49 @@
             .slots = static_cast<double>(upstream.entry.slots),
             .backlog_tokens = static_cast<double>(backlog),
             .uncached_tokens = static_cast<double>(request.prompt_tokens - cached),
+            .cached_tokens = static_cast<double>(cached),
             .same_failure_domain = upstream.entry.failure_domain == failure_domain};
 }
 
+std::vector<std::uint64_t> hashes_of(const std::vector<routed_upstream>& upstreams) {
+    std::vector<std::uint64_t> hashes;
+    std::ranges::transform(upstreams, std::back_inserter(hashes), &routed_upstream::hash);
+    return hashes;
+}
+
 bool has_version(const routed_upstream& upstream, const routed_placement_request& request) {
     return !request.version || upstream.entry.version == *request.version;
 }
 
+/// Engines from which others can fetch parts of a prompt.
+struct source_list {
+    std::vector<cache_source> sources;
+    std::vector<const routed_upstream*> upstreams; ///< in the same order
+
+    void add(const routed_upstream& upstream, std::uint32_t tokens) {
+        sources.push_back({upstream.hash, static_cast<double>(tokens)});
+        upstreams.push_back(&upstream);
+    }
+
+    void add_reachable(const std::vector<routed_upstream>& from,
+                       const std::vector<upstream_observations::summary>& summaries) {
+        for (std::size_t index = 0; index < from.size(); ++index) {
+            if (summaries[index].is_reachable && summaries[index].source_tokens > 0) {
+                add(from[index], summaries[index].source_tokens);
+            }
+        }
+    }
+};
+
 /// If no engine is known to have a prompt's shared prefix cached, treats the engine
 /// that ranks first for it as if it had, so that all routers choose the same engine.
 void assume_cached_on_first_ranked(const routed_placement_request& request, std::uint64_t affinity,
-                                   std::vector<routed_candidate>& candidates) {
-    if (request.prefixes.empty()) {
+                                   const std::vector<routed_upstream>& upstreams,
+                                   std::vector<routed_candidate>& candidates, source_list& sources) {
+    if (!request.service->engine || request.prefixes.empty() ||
+        std::ranges::any_of(sources.sources, [&](const cache_source& each) {
+            return each.cached_tokens >= static_cast<double>(request.prefixes.back().tokens);
+        })) {
         return;
     }
     const auto unshared_tokens = static_cast<double>(request.prompt_tokens - request.prefixes.back().tokens);
@@ -56,9 +87,22 @@
         return each.usable && each.uncached_tokens <= unshared_tokens;
     });
     const auto first_ranked = first_ranked_engine(affinity, candidates);
-    if (!is_cached && first_ranked) {
-        candidates[*first_ranked].uncached_tokens = unshared_tokens;
+    if (is_cached || !first_ranked) {
+        return;
     }
+    routed_candidate& assumed = candidates[*first_ranked];
+    assumed.uncached_tokens = unshared_tokens;
+    assumed.cached_tokens = request.prefixes.back().tokens;
+    sources.add(upstreams[*first_ranked], request.prefixes.back().tokens);
+}
+
+/// The engine that ranks first for a prompt among all others. It may have the prompt
+/// cached although this router does not know, because the router has just started or
+/// because the chosen engine joined later.
+std::optional<std::size_t> first_ranked_other(std::size_t chosen, std::uint64_t affinity,
+                                              std::vector<routed_candidate> candidates) {
+    candidates[chosen].usable = false;
+    return first_ranked_engine(affinity, candidates);
 }
 
 } // namespace
@@ -72,10 +116,19 @@
         return std::nullopt;
     }
     const auto& upstreams = found->second;
-    std::vector<std::uint64_t> hashes;
-    std::ranges::transform(upstreams, std::back_inserter(hashes), &routed_upstream::hash);
+    const auto hashes = hashes_of(upstreams);
     const auto summaries = observations.summaries(hashes, request.prefixes, now);
     const auto limited = limits.summaries(hashes, now);
+    source_list sources;
+    const bool may_fetch =
+        request.service->engine && !request.prefixes.empty() && parameters.fetch_cost < 1.0;
+    if (may_fetch) {
+        sources.add_reachable(upstreams, summaries);
+        if (const auto leaving = view.leaving.find(request.service->name); leaving != view.leaving.end()) {
+            sources.add_reachable(leaving->second,
+                                  observations.summaries(hashes_of(leaving->second), request.prefixes, now));
+        }
+    }
     // In large fleets, a plain request has usually ended before other routers learn
     // of it, so the average load from other routers is used.
     const bool use_mean_load = !request.service->engine && parameters.load_tie_threshold > 0.0;
@@ -89,7 +142,7 @@
     }
     const std::uint64_t affinity =
         request.prefixes.empty() ? request.request_hash : request.prefixes.back().key;
-    assume_cached_on_first_ranked(request, affinity, candidates);
+    assume_cached_on_first_ranked(request, affinity, upstreams, candidates, sources);
     for (const exclusion_rules& level : exclusion_levels) {
         for (std::size_t index = 0; index < candidates.size(); ++index) {
             const bool was_tried = std::ranges::find(request.tried, hashes[index]) != request.tried.end();
@@ -101,18 +154,27 @@
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
         }
         const auto decision = request.service->engine
-                                  ? place_on_engine(affinity, candidates, parameters)
+                                  ? place_on_engine(affinity, candidates, parameters, sources.sources)
                                   : place_on_plain_upstream(affinity, candidates, parameters);
         if (decision.index) {
             const routed_candidate& chosen = candidates[*decision.index];
-            return routed_placement{upstreams[*decision.index],
-                                    static_cast<std::uint32_t>(chosen.uncached_tokens),
-                                    chosen.in_flight,
-                                    decision.expected_wait_ms,
-                                    decision.reason,
-                                    limited[*decision.index].per_second,
-                                    decision.saving_ms,
-                                    decision.queue_wait_ms};
+            routed_placement placement{.upstream = upstreams[*decision.index],
+                                       .uncached_tokens = static_cast<std::uint32_t>(chosen.uncached_tokens),
+                                       .in_flight = chosen.in_flight,
+                                       .expected_wait_ms = decision.expected_wait_ms,
+                                       .reason = decision.reason,
+                                       .rate_limit = limited[*decision.index].per_second,
+                                       .saving_ms = decision.saving_ms,
+                                       .queue_wait_ms = decision.queue_wait_ms};
+            if (decision.fetch) {
+                placement.fetch_from = sources.upstreams[decision.fetch->source]->entry;
+                placement.fetched_tokens = static_cast<std::uint32_t>(decision.fetch->tokens);
+            } else if (may_fetch &&
+                       summaries[*decision.index].cached_tokens < request.prefixes.back().tokens) {
+                const auto other = first_ranked_other(*decision.index, affinity, candidates);
+                placement.fetch_from = other ? std::optional{upstreams[*other].entry} : std::nullopt;
+            }
+            return placement;
         }
     }
     return std::nullopt;
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -37,9 +37,11 @@
     double in_flight = 0.0;            ///< estimated requests in flight on the upstream
     double expected_wait_ms = 0.0;
     std::string_view reason;
-    std::optional<double> rate_limit; ///< requests a second, if the upstream named a limit
-    double saving_ms = 0.0;           ///< see `routed_decision`
-    double queue_wait_ms = 0.0;       ///< see `routed_decision`
+    std::optional<double> rate_limit;           ///< requests a second, if the upstream named a limit
+    double saving_ms = 0.0;                     ///< see `routed_decision`
+    double queue_wait_ms = 0.0;                 ///< see `routed_decision`
+    std::optional<upstream_entry> fetch_from{}; ///< upstream whose cache holds prompt tokens that it lacks
+    std::uint32_t fetched_tokens = 0;           ///< part of the uncached tokens that it can fetch there
 };
 
 /// Chooses the upstream of a request from the current view and from observations
