Pause longer between failed renewals of a router's lease

Change: pauses double from 0.3 s to 5 s while the router is registered. Registration itself is repeated every 300 ms as before.

--- a/packages/fleet/src/fleet_registration.cpp
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/retry_delay.hpp"
 
 #include <boost/json/serialize.hpp>
 #include <utility>
@@ -19,6 +20,8 @@
 constexpr std::chrono::milliseconds renew_interval = 20s;
 constexpr std::chrono::milliseconds listing_poll_interval = 20ms;
 constexpr std::chrono::milliseconds retry_interval = 300ms;
+/// Pauses between failed renewals. The lease outlasts several of the longest.
+constexpr retry_delays renewal_delays{300ms, 5s};
 
 } // namespace
 
@@ -99,7 +102,7 @@
     return entry_is_own_ && has_fleet_key_;
 }
 
-task<void> fleet_registration::pause(std::chrono::milliseconds time) {
+task<void> fleet_registration::pause(duration time) {
     timer_.expires_after(time);
     co_await timer_.async_wait(use_tuple);
 }
@@ -113,14 +116,18 @@
         if (!has_fleet_key_) {
             succeeded = co_await create_fleet_key();
         }
-        if (succeeded && !entry_is_own_) {
-            succeeded = co_await create_entry();
-        } else if (succeeded) {
+        const bool renews = succeeded && entry_is_own_;
+        if (renews) {
             succeeded = co_await renew();
+        } else if (succeeded) {
+            succeeded = co_await create_entry();
         }
         const bool settled = succeeded && is_registered();
+        failed_renewals_ = renews && !succeeded ? failed_renewals_ + 1 : 0;
         if (!settled || !std::exchange(must_check_, false)) {
-            co_await pause(settled ? renew_interval : retry_interval);
+            co_await pause(settled                ? renew_interval
+                           : failed_renewals_ > 0 ? retry_delay(renewal_delays, failed_renewals_)
+                                                  : retry_interval);
         }
     }
 }
--- a/packages/fleet/src/fleet_registration.hpp
+++ b/packages/fleet/src/fleet_registration.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_FLEET_FLEET_REGISTRATION_HPP_INCLUDED
 #define CITRONWICK_FLEET_FLEET_REGISTRATION_HPP_INCLUDED
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/watched_kv_client.hpp"
 #include "citronwick/wire/messages.hpp"
 
@@ -48,7 +49,7 @@
     task<bool> create_fleet_key();
     task<bool> create_entry();
     task<bool> renew();
-    task<void> pause(std::chrono::milliseconds time);
+    task<void> pause(duration time);
     std::string entry_text() const;
     std::string router_key() const;
     bool is_registered() const;
@@ -67,6 +68,7 @@
     bool must_check_ = false; ///< whether to renew the lease without waiting
     bool entry_is_own_ = false;
     std::int64_t lease_ = 0;
+    int failed_renewals_ = 0; ///< in a row
 };
 
 } // namespace citronwick
