Send routers that missed changes of the store those changes

Change: each router keeps the newest changes it applied (256 KiB). A query names the position of the router that asks, and the answer brings what it lacks. Such a query delegates no part of the rate limits. Answers are not relayed.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -4,7 +4,9 @@
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
+#include "citronwick/fleet/missed_changes.hpp"
 #include "citronwick/fleet/permit_exchange.hpp"
+#include "citronwick/fleet/recent_changes.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_outage.hpp"
 #include "citronwick/fleet/stream_exchange.hpp"
@@ -35,6 +37,7 @@
     std::function<store_position()> position;         ///< up to which all changes of the store are known
     std::function<bool()> is_store_reachable;         ///< by this router
     std::function<std::optional<duration>()> key_age; ///< age of the newest confirmation
+    std::function<std::optional<time_point>(time_point now)> lapse_window_end; ///< see `store_outage`
     std::function<std::optional<service_span>()> known_service_span;
     std::function<void(service_span)> on_service_span;     ///< known to a peer
     std::function<const load_exchange::load_map&()> loads; ///< counters of the published upstreams
@@ -76,8 +79,8 @@
     /// Sends the messages that are due. To be called periodically.
     void tick(time_point now);
 
-    /// Forwards changes of the store to the other routers of this failure domain
-    /// if this router is their watcher.
+    /// Keeps changes of the store for routers that miss them, and forwards them to the
+    /// other routers of this failure domain if this router is their watcher.
     /// @param lapse_window_end set if missing entries may have lapsed until then
     void forward_changes(const kv_changes& seen, store_position previous,
                          std::optional<time_point> lapse_window_end, time_point now);
@@ -117,7 +120,10 @@
     void record_watcher_report(std::uint64_t sender, const wire::gossip& message);
     void notify_positions(const wire::gossip& message) const;
     void answer_queries(const wire::gossip& message, const endpoint& to, time_point now);
+    void add_missed_changes(const wire::gossip& query, wire::gossip& answer, time_point now) const;
+    void record_positions(std::uint64_t sender, const wire::gossip& message, time_point now);
     void query_watcher(time_point now);
+    void query(const endpoint& to, bool to_coordinator, time_point now);
     void send_updates(time_point now);
     void exchange_tables(time_point now);
     void relay_changes(const wire::gossip& message, std::uint64_t watcher, time_point now);
@@ -146,6 +152,8 @@
     permit_exchange permits_;
     suspect_exchange suspects_;
     stream_exchange streams_;
+    recent_changes recent_;
+    missed_changes missed_;
     token_bucket budget_;
     bool has_key_ = false;
     bool is_registered_ = false;
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -78,6 +78,9 @@
     /// When the store served the fleet, as this router knows.
     std::optional<service_span> known_service_span() const { return outage_.span(); }
 
+    /// See `store_outage::lapse_window_end`.
+    std::optional<time_point> lapse_window_end(time_point now) const { return outage_.lapse_window_end(now); }
+
     /// Requests a confirmation from the store.
     void request_confirmation();
 
--- a/packages/fleet/src/permit_exchange.cpp
+++ b/packages/fleet/src/permit_exchange.cpp
@@ -86,8 +86,7 @@
 }
 
 void permit_exchange::handle_message(std::uint64_t sender, const wire::gossip& message, time_point now) {
-    if (!message.freshness_queries.empty()) {
-        // Routers query only the router that they take for their coordinator.
+    if (!message.freshness_queries.empty() && message.freshness_queries.front().to_coordinator) {
         shares_.record_delegation(sender, now);
     }
     handle_lists(message, now);
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t aggregators_per_domain = 2;
 /// Routers to which each router relays larger changes and fleet tables.
 constexpr std::size_t tree_fanout = 3;
+/// Keys and values of changes that are kept for routers that miss them.
+constexpr std::size_t max_recent_bytes = 262'144;
 
 wire::member_record self_record(const routing_settings& settings) {
     return {.vm = settings.vm, .region = settings.region, .failure_domain = settings.failure_domain};
@@ -46,8 +48,8 @@
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
       streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
                                time_point now) { send_to(message, to, now); }},
-      budget_{static_cast<double>(settings.control_bytes_per_second),
-              burst_seconds * settings.control_bytes_per_second, clock::now()} {}
+      recent_{max_recent_bytes}, budget_{static_cast<double>(settings.control_bytes_per_second),
+                                         burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
 io_result<endpoint> router_peers::open(const endpoint& listen) {
     return channel_.open(listen);
@@ -124,6 +126,7 @@
         relay_table(message, now);
     }
     handle_changes(message, *address, now);
+    record_positions(from.sender, message, now);
     observations_.merge(message,
                         members_.is_full_mesh() ? upstream_observations::relay::none
                                                 : upstream_observations::relay::once,
--- a/packages/fleet/src/router_peers_store.cpp
+++ b/packages/fleet/src/router_peers_store.cpp
@@ -23,6 +23,8 @@
 /// Packed size up to which changes are forwarded; routers read larger ones from
 /// the store. Together with its header such a message fits in one datagram.
 constexpr std::size_t max_forwarded_bytes = 48'000;
+/// Watcher of changes that the receiver does not relay.
+constexpr std::uint64_t not_relayed = 0;
 /// Packed size up to which the watcher sends changes to all routers directly.
 constexpr std::size_t max_direct_bytes = 2'048;
 
@@ -61,6 +63,7 @@
         answer.load = loads_.local_load();
         answer.store_positions.push_back(position());
     }
+    add_missed_changes(message, answer, now);
     if (const auto age = callbacks_.key_age()) {
         std::ranges::transform(message.freshness_queries, std::back_inserter(answer.freshness_answers),
                                [&](const wire::freshness_query& query) {
@@ -73,6 +76,24 @@
     send(answer, to, now);
 }
 
+/// Adds the changes that the querying router has missed, unless they are too large for
+/// a datagram.
+void router_peers::add_missed_changes(const wire::gossip& query, wire::gossip& answer, time_point now) const {
+    const store_position own = callbacks_.position();
+    if (wire::era_of(query) != own.era) {
+        return;
+    }
+    const auto missed = recent_.since({query.freshness_queries.front().revision, own.era});
+    std::string packed = missed.empty() ? std::string{} : wire::pack_changes(missed);
+    if (packed.empty() || packed.size() > max_forwarded_bytes) {
+        return;
+    }
+    const auto lapse_end = callbacks_.lapse_window_end(now);
+    const duration lapse = lapse_end ? *lapse_end - now : duration::zero();
+    answer.changes = std::move(packed);
+    answer.watcher_positions.push_back({missed.back().revision, not_relayed, to_uint16_ms(lapse)});
+}
+
 wire::store_position router_peers::position() const {
     return {callbacks_.position().revision, callbacks_.is_store_reachable()};
 }
@@ -94,6 +115,7 @@
 
 void router_peers::forward_changes(const kv_changes& seen, store_position previous,
                                    std::optional<time_point> lapse_window_end, time_point now) {
+    recent_.record(seen, previous);
     if (!has_key_ || !is_registered_ || !is_watcher(now)) {
         return;
     }
@@ -160,12 +182,21 @@
         return;
     }
     const wire::watcher_position& position = message.watcher_positions.front();
-    if (callbacks_.on_changes(forwarded, previous, std::chrono::milliseconds{position.lapse_ms})) {
+    const bool are_new =
+        callbacks_.on_changes(forwarded, previous, std::chrono::milliseconds{position.lapse_ms});
+    if (are_new && position.watcher != not_relayed) {
         relay_changes(message, position.watcher, now);
     }
 }
 
 void router_peers::query_watcher(time_point now) {
+    if (const auto ahead = missed_.router_to_ask(callbacks_.position(), now)) {
+        if (const auto address = members_.address_of(*ahead)) {
+            log_info("missed_changes_queried",
+                     {{"position", to_text(callbacks_.position())}, {"router_hash", std::to_string(*ahead)}});
+            query(*address, *ahead == watcher(now), now);
+        }
+    }
     const auto age = callbacks_.key_age();
     const std::uint64_t queried = watcher(now);
     const auto address = members_.address_of(queried);
@@ -176,10 +207,32 @@
         return;
     }
     watcher_queried_at_ = now;
+    query(*address, true, now);
+}
+
+/// @param to_coordinator whether the receiver coordinates this router's failure domain
+void router_peers::query(const endpoint& to, bool to_coordinator, time_point now) {
     wire::gossip message;
-    message.freshness_queries.push_back({static_cast<std::int64_t>(boot_now())});
+    message.freshness_queries.push_back(
+        {static_cast<std::int64_t>(boot_now()), callbacks_.position().revision, to_coordinator});
+    add_era(message);
     suspects_.add_digest(message, now);
-    send(message, *address, now);
+    send(message, to, now);
+}
+
+/// Records up to which positions other routers have followed the store.
+void router_peers::record_positions(std::uint64_t sender, const wire::gossip& message, time_point now) {
+    const std::uint64_t era = wire::era_of(message);
+    const store_position own = callbacks_.position();
+    for (const wire::store_position& entry : message.store_positions) {
+        missed_.record_position(sender, {entry.revision, era}, own, now);
+    }
+    for (const wire::watcher_position& entry : message.watcher_positions) {
+        missed_.record_position(sender, {entry.revision, era}, own, now);
+    }
+    for (const wire::freshness_answer& answer : message.freshness_answers) {
+        missed_.record_position(sender, {answer.revision, era}, own, now);
+    }
 }
 
 /// Records what a message reveals about its sender's ability to watch the store.
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -181,6 +181,7 @@
         return {.position = [this] { return follower_.position(); },
                 .is_store_reachable = [this] { return follower_.is_store_reachable(clock::now()); },
                 .key_age = [this] { return freshness_.age(boot_now()); },
+                .lapse_window_end = [this](time_point now) { return follower_.lapse_window_end(now); },
                 .known_service_span = [this] { return follower_.known_service_span(); },
                 .on_service_span = [this](service_span span) { follower_.record_peer_span(span); },
                 .loads = [this]() -> const auto& { return loads_; },
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -129,13 +129,16 @@
 /// Revision up to which a router that watches the store has received its changes.
 struct watcher_position {
     std::int64_t revision = 0;
-    std::uint64_t watcher = 0;  ///< hash of the watching router's name
+    std::uint64_t watcher = 0;  ///< hash of the watching router's name; 0 if not to be relayed
     std::uint16_t lapse_ms = 0; ///< time for which missing entries may have lapsed in an outage
 };
 
-/// Asks for the age of the receiver's configuration.
+/// Asks for the age of the receiver's configuration, and for the changes that the
+/// querying router has missed.
 struct freshness_query {
-    std::int64_t asked_at = 0; ///< on the querying router's clock, echoed in the answer
+    std::int64_t asked_at = 0;   ///< on the querying router's clock, echoed in the answer
+    std::int64_t revision = 0;   ///< up to which the querying router has followed the store
+    bool to_coordinator = false; ///< whether the querying router takes the receiver for its coordinator
 };
 
 /// Answer to `freshness_query`.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -140,7 +140,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, freshness_query& query) {
-    archive(query.asked_at);
+    archive(query.asked_at, query.revision, query.to_coordinator);
 }
 
 template <class Archive>
