--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -36,7 +36,7 @@
   --routers R   Routers [default: 3].
   --callers C   Concurrent callers [default: 6].
 
-Exit codes: 0 every guarantee held, 1 one was violated, 2 bad usage.
+Exit codes: 0 every guarantee held, 1 one was violated, 2 bad usage, 3 a process did not start.
 )";
 
 constexpr std::chrono::milliseconds key_lifetime = 4s;
@@ -63,6 +63,18 @@
     std::atomic<std::int64_t> newest_incarnation{1}; ///< of the workers
 };
 
+/// Stops the callers at the end of a scope, also if a router could not be started again.
+class stop_on_exit {
+public:
+    explicit stop_on_exit(soak_run& run) : run_{run} {}
+    stop_on_exit(const stop_on_exit&) = delete;
+    stop_on_exit& operator=(const stop_on_exit&) = delete;
+    ~stop_on_exit() { run_.stopping = true; }
+
+private:
+    soak_run& run_;
+};
+
 constexpr std::array paths{"/read/1", "/book/1", "/quote/stream/1", "/guide/stream/1"};
 
 /// Sends requests to one router over a persistent connection until the run stops.
@@ -300,13 +312,15 @@
         threads.emplace_back([&run, caller] { run_caller(run, caller); });
     }
     {
-        const auto end = steady::now() + time;
-        std::jthread second_stream{[&run, end] { run_faults(run, 1, end); }};
-        run_faults(run, 0, end);
+        const stop_on_exit stopped{run};
+        {
+            const auto end = steady::now() + time;
+            std::jthread second_stream{[&run, end] { run_faults(run, 1, end); }};
+            run_faults(run, 0, end);
+        }
+        clear_faults(run);
+        check_recovery(run);
     }
-    clear_faults(run);
-    check_recovery(run);
-    run.stopping = true;
     threads.clear();
     run.checker.check_run_counts(run.fleet.plain_workers(), run.fleet.engines());
     return report(run);
@@ -316,14 +330,14 @@
 
 int main(int argc, char** argv) {
     const auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
-    constexpr int exit_usage = 2;
+    constexpr int exit_aborted = 3;
     try {
         return run_soak(static_cast<std::uint64_t>(options.at("--seed").asLong()),
                         std::chrono::seconds{options.at("--seconds").asLong()},
                         static_cast<std::size_t>(options.at("--routers").asLong()),
                         static_cast<std::size_t>(options.at("--callers").asLong()));
     } catch (const std::exception& error) {
-        std::cerr << error.what() << "\n";
-        return exit_usage;
+        std::cout << "event=soak_aborted reason=\"" << error.what() << "\"\n";
+        return exit_aborted;
     }
 }
