--- a/tests/integration/response_bounds.tests.cpp
+++ b/tests/integration/response_bounds.tests.cpp
@@ -66,3 +66,21 @@
     CHECK_FALSE(broken.error.empty());
     CHECK(broken.body != six_events);
 }
+
+TEST_CASE("proof: a slow but sound stream is relayed whole, and one that stalls ends at its deadline") {
+    routed_fleet system{{.routers = 1, .plain_workers = 1, .engines = 1}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    for (const std::string path : {"/guide/stream/1", "/quote/stream/1"}) {
+        set_faults(system.engines(), R"({"event_gap_ms":250})");
+        const auto slow = system.ask(router, path, "slow" + path);
+        CHECK(slow.body == six_events);
+        CHECK(slow.error.empty());
+        set_faults(system.engines(), R"({"event_gap_ms":60000})");
+        const auto started = citronwick::clock::now();
+        const auto stalled = system.ask(router, path, "stalled" + path);
+        CHECK(citronwick::clock::now() - started < 2500ms);
+        CHECK_MESSAGE((stalled.status == 504 || stalled.status == 502 || !stalled.error.empty()), path);
+        CHECK(stalled.body != six_events);
+    }
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -39,6 +39,8 @@
         const auto times = integer_member(fault_settings, "times");
         remaining_faults_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
+        const std::chrono::milliseconds gap{integer_member(fault_settings, "event_gap_ms")};
+        event_gap_ = gap > 0ms ? gap : default_event_gap;
         cut_after_events_ = integer_member(fault_settings, "cut_after");
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
@@ -221,7 +223,7 @@
     std::int64_t sent = 0;
     for (std::int64_t id = last_event_id.empty() ? 1 : std::stoll(last_event_id) + 1; id <= event_count_;
          ++id) {
-        co_await sleep_for(10ms);
+        co_await sleep_for(event_gap_);
         if (cut_after_events_ > 0 && sent == cut_after_events_) {
             // Sends part of an event before closing the connection.
             const std::string partial = format_event(id).substr(0, 8);
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -21,6 +21,8 @@
     endpoint address() const { return server_.address(); }
 
 private:
+    static constexpr std::chrono::milliseconds default_event_gap{10};
+
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
@@ -36,6 +38,7 @@
     std::string fault_mode_;            ///< active fault, empty for none
     std::int64_t remaining_faults_ = 0; ///< number of requests that it still affects
     std::chrono::milliseconds delay_{0};
+    std::chrono::milliseconds event_gap_{default_event_gap}; ///< before each event of a stream
     std::int64_t event_count_ = 6;
     std::int64_t cut_after_events_ = 0; ///< events before a stream is cut, 0 for never
     std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
