--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -83,6 +83,7 @@
 /// so that permits go to the requests that need them most. Ties are broken by the
 /// rendezvous score for `affinity`, so that routers make the same choice without
 /// communicating.
+/// @param sources engines that have a part of the prompt cached, in any order
 routed_decision place_on_engine(std::uint64_t affinity, std::span<const routed_candidate> engines,
                                 const placement_parameters& parameters,
                                 std::span<const cache_source> sources = {});
