--- a/packages/fleet/tests/missed_changes.tests.cpp
+++ b/packages/fleet/tests/missed_changes.tests.cpp
@@ -74,3 +74,12 @@
         CHECK_FALSE(missed.router_to_ask({count, 1}, now));
     }
 }
+
+TEST_CASE("another router is asked if the one that knew most does not answer") {
+    missed_changes missed;
+    const store_position own{10, 1};
+    missed.record_position(7, {12, 1}, own, start);
+    CHECK(missed.router_to_ask(own, start + 100ms) == 7);
+    missed.record_position(8, {12, 1}, own, start + 200ms);
+    CHECK(missed.router_to_ask(own, start + 300ms) == 8);
+}
