--- /dev/null
+++ b/review/support/json.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
