--- a/review/1/case.cpp
+++ b/review/1/case.cc
@@ -2,7 +2,7 @@
 // Citronwick-Not-Run. The router must not pass these statuses on: they promise the client
 // that the booking has not run, and the client sends it again.
 
-#include "../support/worker.hpp"
+#include "../support/worker.h"
 
 namespace {
 
--- a/review/3/case.cpp
+++ b/review/3/case.cc
@@ -2,7 +2,7 @@
 // router refuses its HEAD with a body, which a response to HEAD never has. The client then
 // takes that body for the beginning of the next answer on the connection.
 
-#include "../support/worker.hpp"
+#include "../support/worker.h"
 
 namespace {
 
--- a/review/4/case.cpp
+++ b/review/4/case.cc
@@ -1,7 +1,7 @@
 // A key is taken away from its tenant while the store is silent for a router. On a route that
 // allows anonymous requests the router goes on naming that tenant to the workers.
 
-#include "../support/worker.hpp"
+#include "../support/worker.h"
 
 namespace {
 
--- a/review/5/case.cpp
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
 // A worker answers before it has read a long body, keeps the connection and reads on. The
 // router closes the connection as soon as it has the answer, and the rest of the body is lost.
 
-#include "../support/worker.hpp"
+#include "../support/worker.h"
 
 namespace {
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,9 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/[1-5]/case.cpp; do
+for source in review/[1-5]/case.cc; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
-    ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers "$source" -x c++ review/support/json.cpp \
+    ${CXX:-g++} -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers "$source" -x c++ review/support/json.cc \
         -o "target/review/case-$number" -pthread
 done
--- a/review/support/fleet.hpp
+++ b/review/support/fleet.h
@@ -4,7 +4,7 @@
 // A small deployment on loopback: the platform's store, workers and routers.
 // The routers are the project's own programs, started as separate processes.
 
-#include "net.hpp"
+#include "net.h"
 
 #include <boost/json.hpp>
 #include <condition_variable>
--- a/review/support/worker.hpp
+++ b/review/support/worker.h
@@ -1,7 +1,7 @@
 #ifndef REVIEW_WORKER_HPP_INCLUDED
 #define REVIEW_WORKER_HPP_INCLUDED
 
-#include "fleet.hpp"
+#include "fleet.h"
 
 namespace review {
 
