--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,6 +1,5 @@
-// Clients ask with HEAD on kept connections. A key is taken away from one of them; the
-// router refuses its HEAD with a body, which a response to HEAD never has. The client then
-// takes that body for the beginning of the next answer on the connection.
+// A worker answers before it has read a long body, keeps the connection and reads on. The
+// router closes the connection as soon as it has the answer, and the rest of the body is lost.
 
 #include "../support/worker.h"
 
@@ -8,82 +7,103 @@
 
 using namespace review;
 
-constexpr int rounds = 20;
+constexpr int uploads = 6;
+constexpr std::size_t body_bytes = 4'000'000; // below bodyBytes
 
-/// One client with a connection that it keeps. Its requests use the key that its user has.
-struct client {
-    std::unique_ptr<connection> kept;
-    int broken = 0;
-    int answered = 0;
+struct ledger {
+    std::mutex mutex;
+    std::map<std::string, std::size_t> bytes_of; ///< of the body that arrived, by attempt
 };
 
-/// Sends a request and checks what comes back.
-void ask(record& log, client& self, const std::string& method, const std::string& key, std::uint16_t port) {
-    const std::string attempt = next_attempt();
-    if (!self.kept) {
-        self.kept = connection::open(port);
-    }
-    if (!self.kept ||
-        !self.kept->send(format(method + " /cufi504/fi50/2f HTTP/1.1", client_fields(attempt, 1000, key), "", false))) {
-        log("client could not send %s", attempt.c_str());
-        self.kept.reset();
-        return;
-    }
-    const auto answer = read_response(*self.kept, method, clock::now() + milliseconds{1500});
-    log("client sent %s %s with %s, got \"%s\"", method.c_str(), attempt.c_str(), key.c_str(),
-        answer.start_line.c_str());
-    if (answer.has_header && answer.status() == 0) {
-        ++self.broken;
-        log("MIXED: these bytes are no answer in the protocol (%s)", attempt.c_str());
-    }
-    const std::string echoed = answer.field("Citronwick-Attempt-Id");
-    if (answer.status() == 200 && echoed != attempt) {
-        ++self.broken;
-        log("MIXED: the answer to %s belongs to %s", attempt.c_str(), echoed.c_str());
-    }
-    self.answered += answer.status() != 0 ? 1 : 0;
-    if (!answer.is_whole || answer.status() == 0 || same_name(answer.field("Connection"), "close")) {
-        self.kept.reset();
-    }
-}
-
 int run(record& log, const std::string& directory) {
     auto& platform = *new store;
-    auto& workers = *new std::vector<std::unique_ptr<worker>>;
-    for (int index = 0; index < 3; ++index) {
-        workers.push_back(std::make_unique<worker>(
-            log, "i-desk" + std::to_string(index), "shop-desk",
-            [&log](worker& self, connection& from, const message& request) {
-                log("worker %s ran %s %s", self.id().c_str(), request.method().c_str(),
-                    request.field("Citronwick-Attempt-Id").c_str());
-                return self.answer(from, request, "200 OK", "status: ready for pickup");
-            }));
-        workers.back()->register_at(platform);
-    }
-    const std::vector<route_options> routes{{.prefix = "/cufi504/", .kind = "safe", .attempts = 2}};
-    platform.put("op/config", config_text(100, routes, {{"hule930", {"key-one", "key-two"}}}));
+    auto& seen = *new ledger;
+    // Reads requests itself, as it answers before the body is in.
+    auto& listener = *new int{open_bound(SOCK_STREAM)};
+    const int window = 4'096; // links have small windows
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    listen(listener, 64);
+    std::thread{[&] {
+        while (true) {
+            const int opened = accept(listener, nullptr, nullptr);
+            std::thread{[&log, &seen, opened] {
+                connection from{opened};
+                while (true) {
+                    message request;
+                    const auto far = clock::now() + std::chrono::minutes{1};
+                    if (!read_header(from, request, far)) {
+                        return;
+                    }
+                    const std::string attempt = request.field("Citronwick-Attempt-Id");
+                    const auto length = std::stoul(request.field("Content-Length"));
+                    const auto answer = [&] {
+                        log("worker answers %s", attempt.c_str());
+                        return from.send(format("HTTP/1.1 200 OK",
+                                                {{"Citronwick-Attempt-Id", attempt},
+                                                 {"Citronwick-Server-Stamp", "stamp.i-desk0"},
+                                                 {"Citronwick-Server-Load", "1,0,6"}},
+                                                "accepted"));
+                    };
+                    if (has_trouble() && !answer()) {
+                        return;
+                    }
+                    if (has_trouble()) {
+                        std::this_thread::sleep_for(milliseconds{300});
+                    }
+                    take(from, length, request.body, far);
+                    const auto arrived = request.body.empty() ? from.buffer.size() : request.body.size();
+                    log("worker has %zu of %zu bytes of the body of %s", arrived, length, attempt.c_str());
+                    {
+                        const std::scoped_lock lock{seen.mutex};
+                        seen.bytes_of[attempt] = arrived;
+                    }
+                    if (arrived < length || (!has_trouble() && !answer())) {
+                        return;
+                    }
+                }
+            }}.detach();
+        }
+    }}.detach();
+    platform.put("servers/i-desk0",
+                 entry_text("shop-desk", std::string{loopback} + ":" + std::to_string(port_of(listener)), "ready", 1));
+    platform.put("op/config", config_text(100, {{.prefix = "/puxa403/", .kind = "unsafe", .timeout_ms = 5000}}, {}));
     router front{directory, "front-busan-a-1", platform.address()};
     if (!front.wait_until_ready()) {
         return could_not_run;
     }
 
-    client desk;
-    for (int round = 0; round < rounds; ++round) {
-        if (round == rounds / 2 && has_trouble()) {
-            platform.put("op/config", config_text(107, routes, {{"hule930", {"key-one"}}}));
-            log("operator took key-two away, acknowledged");
-            std::this_thread::sleep_for(milliseconds{2500}); // configurationApplyMs and a little
+    std::vector<std::string> accepted;
+    for (int number = 0; number < uploads; ++number) {
+        const std::string attempt = next_attempt();
+        auto caller = connection::open(front.front());
+        if (!caller || !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 5000),
+                                            std::string(body_bytes, 'x')))) {
+            return could_not_run;
+        }
+        const auto answer = read_response(*caller, "POST", clock::now() + std::chrono::seconds{6});
+        log("client sent %s with %zu bytes, got %d%s", attempt.c_str(), body_bytes, answer.status(),
+            answer.has("Citronwick-Server-Stamp") ? " with a worker's stamp" : "");
+        if (answer.status() == 200) {
+            accepted.push_back(attempt);
+        }
+        std::this_thread::sleep_for(milliseconds{600});
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+
+    const std::scoped_lock lock{seen.mutex};
+    int broken = 0;
+    for (const std::string& attempt : accepted) {
+        if (seen.bytes_of[attempt] != body_bytes) {
+            ++broken;
+            log("UNASKED: %s ran with a changed body: %zu of %zu bytes", attempt.c_str(), seen.bytes_of[attempt],
+                body_bytes);
         }
-        // Two users share the connection of one client program.
-        ask(log, desk, "HEAD", "key-two", front.front());
-        ask(log, desk, "GET", "key-one", front.front());
-        std::this_thread::sleep_for(milliseconds{100});
     }
-    log("%d requests, %d answers in the protocol, %d others", 2 * rounds, desk.answered, desk.broken);
-    if (desk.answered < rounds) {
+    log("%zu of %d uploads answered 200, %d of them without their whole body", accepted.size(), uploads, broken);
+    if (accepted.empty()) {
         return could_not_run;
     }
-    return desk.broken > 0 ? rule_broken : rule_held;
+    return broken > 0 ? rule_broken : rule_held;
 }
 
 } // namespace
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,5 @@
-// A worker answers before it has read a long body, keeps the connection and reads on. The
-// router closes the connection as soon as it has the answer, and the rest of the body is lost.
+// A key is taken away from its tenant while the store is silent for a router. On a route that
+// allows anonymous requests the router goes on naming that tenant to the workers.
 
 #include "../support/worker.h"
 
@@ -7,100 +7,82 @@
 
 using namespace review;
 
-constexpr int uploads = 6;
-constexpr std::size_t body_bytes = 4'000'000; // below bodyBytes
+constexpr milliseconds revoke_bound{5000}; // revokeMs
+constexpr milliseconds cut_time{9000};     // for_s = 9.0
 
 struct ledger {
     std::mutex mutex;
-    std::map<std::string, std::size_t> bytes_of; ///< of the body that arrived, by attempt
+    std::map<std::string, std::string> tenant_of; ///< Citronwick-Tenant at the worker, by attempt
 };
 
 int run(record& log, const std::string& directory) {
     auto& platform = *new store;
     auto& seen = *new ledger;
-    // Reads requests itself, as it answers before the body is in.
-    auto& listener = *new int{open_bound(SOCK_STREAM)};
-    const int window = 4'096; // links have small windows
-    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-    listen(listener, 64);
-    std::thread{[&] {
-        while (true) {
-            const int opened = accept(listener, nullptr, nullptr);
-            std::thread{[&log, &seen, opened] {
-                connection from{opened};
-                while (true) {
-                    message request;
-                    const auto far = clock::now() + std::chrono::minutes{1};
-                    if (!read_header(from, request, far)) {
-                        return;
-                    }
-                    const std::string attempt = request.field("Citronwick-Attempt-Id");
-                    const auto length = std::stoul(request.field("Content-Length"));
-                    const auto answer = [&] {
-                        log("worker answers %s", attempt.c_str());
-                        return from.send(format("HTTP/1.1 200 OK",
-                                                {{"Citronwick-Attempt-Id", attempt},
-                                                 {"Citronwick-Server-Stamp", "stamp.i-desk0"},
-                                                 {"Citronwick-Server-Load", "1,0,6"}},
-                                                "accepted"));
-                    };
-                    if (has_trouble() && !answer()) {
-                        return;
-                    }
-                    if (has_trouble()) {
-                        std::this_thread::sleep_for(milliseconds{300});
-                    }
-                    take(from, length, request.body, far);
-                    const auto arrived = request.body.empty() ? from.buffer.size() : request.body.size();
-                    log("worker has %zu of %zu bytes of the body of %s", arrived, length, attempt.c_str());
-                    {
-                        const std::scoped_lock lock{seen.mutex};
-                        seen.bytes_of[attempt] = arrived;
-                    }
-                    if (arrived < length || (!has_trouble() && !answer())) {
-                        return;
-                    }
+    auto& workers = *new std::vector<std::unique_ptr<worker>>;
+    for (int index = 0; index < 3; ++index) {
+        workers.push_back(std::make_unique<worker>(
+            log, "i-desk" + std::to_string(index), "shop-desk",
+            [&log, &seen](worker& self, connection& from, const message& request) {
+                const std::string attempt = request.field("Citronwick-Attempt-Id");
+                const std::string tenant_name = request.field("Citronwick-Tenant");
+                {
+                    const std::scoped_lock lock{seen.mutex};
+                    seen.tenant_of[attempt] = tenant_name;
                 }
-            }}.detach();
-        }
-    }}.detach();
-    platform.put("servers/i-desk0",
-                 entry_text("shop-desk", std::string{loopback} + ":" + std::to_string(port_of(listener)), "ready", 1));
-    platform.put("op/config", config_text(100, {{.prefix = "/puxa403/", .kind = "unsafe", .timeout_ms = 5000}}, {}));
-    router front{directory, "front-busan-a-1", platform.address()};
+                log("worker %s ran %s for tenant \"%s\"", self.id().c_str(), attempt.c_str(), tenant_name.c_str());
+                return self.answer(from, request, "200 OK", "status: ready for pickup");
+            }));
+        workers.back()->register_at(platform);
+    }
+    const std::vector<route_options> routes{{.prefix = "/cufi504/", .kind = "safe", .attempts = 2, .anonymous = true}};
+    platform.put("op/config", config_text(100, routes, {{"hule930", {"key-one", "key-two"}}}));
+    router front{directory, "front-ulsan-c-1", platform.address()};
     if (!front.wait_until_ready()) {
         return could_not_run;
     }
 
-    std::vector<std::string> accepted;
-    for (int number = 0; number < uploads; ++number) {
+    int broken = 0;
+    int served = 0;
+    const auto ask = [&](std::optional<clock::time_point> acknowledged_at) {
         const std::string attempt = next_attempt();
+        const auto sent_at = clock::now();
         auto caller = connection::open(front.front());
-        if (!caller || !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 5000),
-                                            std::string(body_bytes, 'x')))) {
-            return could_not_run;
+        if (!caller || !caller->send(format("GET /cufi504/fi50/2f HTTP/1.1",
+                                            client_fields(attempt, 1000, "key-two"), "", false))) {
+            return;
         }
-        const auto answer = read_response(*caller, "POST", clock::now() + std::chrono::seconds{6});
-        log("client sent %s with %zu bytes, got %d%s", attempt.c_str(), body_bytes, answer.status(),
-            answer.has("Citronwick-Server-Stamp") ? " with a worker's stamp" : "");
-        if (answer.status() == 200) {
-            accepted.push_back(attempt);
-        }
-        std::this_thread::sleep_for(milliseconds{600});
-    }
-    std::this_thread::sleep_for(std::chrono::seconds{1});
-
-    const std::scoped_lock lock{seen.mutex};
-    int broken = 0;
-    for (const std::string& attempt : accepted) {
-        if (seen.bytes_of[attempt] != body_bytes) {
+        const auto answer = read_response(*caller, "GET", clock::now() + milliseconds{1500});
+        const std::scoped_lock lock{seen.mutex};
+        const auto found = seen.tenant_of.find(attempt);
+        log("client sent %s with key-two, got %d", attempt.c_str(), answer.status());
+        served += answer.status() == 200 ? 1 : 0;
+        if (acknowledged_at && sent_at - *acknowledged_at > revoke_bound && found != seen.tenant_of.end() &&
+            !found->second.empty()) {
             ++broken;
-            log("UNASKED: %s ran with a changed body: %zu of %zu bytes", attempt.c_str(), seen.bytes_of[attempt],
-                body_bytes);
+            log("UNASKED: %s ran for tenant \"%s\", which has not held the key for %.1f s", attempt.c_str(),
+                found->second.c_str(), std::chrono::duration<double>{sent_at - *acknowledged_at}.count());
         }
+    };
+    for (int number = 0; number < 10; ++number) {
+        ask({});
+        std::this_thread::sleep_for(milliseconds{100});
+    }
+    if (has_trouble()) {
+        platform.cut(true);
+        log("the store is silent for the router");
+    }
+    const auto cut_at = clock::now();
+    std::this_thread::sleep_for(milliseconds{300});
+    platform.put("op/config", config_text(107, routes, {{"hule930", {"key-one"}}}));
+    const auto acknowledged_at = clock::now();
+    log("operator took key-two away, acknowledged");
+    while (clock::now() - cut_at < cut_time) {
+        ask(acknowledged_at);
+        std::this_thread::sleep_for(milliseconds{200});
     }
-    log("%zu of %d uploads answered 200, %d of them without their whole body", accepted.size(), uploads, broken);
-    if (accepted.empty()) {
+    platform.cut(false);
+    log("%d requests served, %d for a tenant that does not hold the key", served, broken);
+    if (served < 10) {
         return could_not_run;
     }
     return broken > 0 ? rule_broken : rule_held;
