--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -372,6 +373,7 @@
     void start() {
         pid_ = fork();
         if (pid_ == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case, however that ends
             const int output = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(output, 1);
             dup2(output, 2);
@@ -502,12 +504,16 @@
     return value == nullptr || std::string{value} != "0";
 }
 
+constexpr unsigned time_limit_s = 110; // of 120 that a case may take
+
 enum exit_status : int { rule_held = 0, rule_broken = 1, could_not_run = 2 };
 
 /// Runs a case: `main` of each. Threads of stand-ins still run at the end, so what they use
 /// is never destroyed.
 inline int run_case(int argc, char** argv, int (*run)(record&, const std::string& directory)) {
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGALRM, [](int) { _exit(could_not_run); });
+    alarm(time_limit_s);
     int result = could_not_run;
     try {
         record& log = *new record{std::string{argc > 1 ? argv[1] : "."} + "/record.txt"};
