--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -12,6 +12,7 @@
 constexpr milliseconds drain_bound{2000};  // drainMs
 constexpr milliseconds stable_window{3000}; // stableWindowMs
 constexpr milliseconds linger{7000};       // for which the leaving worker still serves
+constexpr milliseconds down_time{3500};    // for_s = 3.5
 
 struct ledger {
     std::mutex mutex;
@@ -56,7 +57,9 @@
         log("the open connections of %s to the store go silent, new ones work", other.name().c_str());
     }
     std::this_thread::sleep_for(stable_window + milliseconds{2500});
-    if (has_trouble()) {
+    bool is_down = has_trouble();
+    const auto killed_at = clock::now();
+    if (is_down) {
         watcher.stop(SIGKILL);
         log("%s is killed", watcher.name().c_str());
     }
@@ -69,6 +72,11 @@
     int broken = 0;
     milliseconds latest{0};
     while (clock::now() - acknowledged_at < linger) {
+        if (is_down && clock::now() - killed_at >= down_time) {
+            is_down = false;
+            watcher.start();
+            log("%s is started again", watcher.name().c_str());
+        }
         const std::string attempt = next_attempt();
         const auto sent_at = clock::now();
         auto caller = connection::open(other.front(), other.ip());
