--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,7 @@
-// A router's open connections to the store go silent, while new ones work. Seconds later the
-// router that watches the store for the zone is killed, and a worker leaves. The first router
-// learns of it late, takes the time between for an outage of the store, doubts the removal,
-// and goes on sending requests to that worker.
+// Idle connections to the store go silent, while new ones work. Seconds later the routers that
+// watch the store for the zones are killed at once, and a worker leaves. The other routers
+// learn of it late, take the time between for an outage of the store, doubt the removal, and
+// go on sending requests to that worker.
 
 #include "../support/worker.h"
 
@@ -12,7 +12,7 @@
 constexpr milliseconds drain_bound{2000};  // drainMs
 constexpr milliseconds stable_window{3000}; // stableWindowMs
 constexpr milliseconds linger{7000};       // for which the leaving worker still serves
-constexpr milliseconds down_time{3500};    // for_s = 3.5
+constexpr milliseconds down_time{2000};    // for_s = 2.0
 
 struct ledger {
     std::mutex mutex;
@@ -36,32 +36,48 @@
         workers.back()->register_at(platform);
     }
     platform.put("op/config", config_text(100, {{.prefix = "/puxa403/", .kind = "unsafe"}}, {}));
+    // Machines by zone as in the site.
+    const std::vector<std::string> zones{"north-yard", "north-yard", "north-yard", "city-hall", "city-hall",
+                                         "pump-station"};
     std::vector<std::unique_ptr<router>> routers;
-    for (int index = 1; index <= 2; ++index) {
-        routers.push_back(std::make_unique<router>(directory, "front-busan-a-" + std::to_string(index),
-                                                   platform.address(), "127.0.0." + std::to_string(10 + index)));
+    for (std::size_t index = 0; index < zones.size(); ++index) {
+        routers.push_back(std::make_unique<router>(directory, "front-" + zones[index] + "-" + std::to_string(index),
+                                                   platform.address(), "127.0.0." + std::to_string(11 + index),
+                                                   zones[index]));
     }
     for (const auto& each : routers) {
         if (!each->wait_until_ready()) {
             return could_not_run;
         }
     }
-    std::this_thread::sleep_for(std::chrono::seconds{6}); // the routers find each other
-    const std::string watching = platform.last_watcher();
-    router& watcher = routers[0]->ip() == watching ? *routers[0] : *routers[1];
-    router& other = routers[0]->ip() == watching ? *routers[1] : *routers[0];
-    log("%s watches the store", watcher.name().c_str());
-
+    std::this_thread::sleep_for(std::chrono::seconds{9}); // the routers find each other
+    // A waiting watch lasts 5 s at most, so a router that made none since does not watch.
+    const auto recently = clock::now() - milliseconds{5500};
+    std::vector<router*> watchers;
+    std::vector<router*> others;
+    for (const auto& each : routers) {
+        (platform.watched_at(each->ip()) > recently ? watchers : others).push_back(each.get());
+    }
+    if (watchers.size() != 3) {
+        return could_not_run;
+    }
     if (has_trouble()) {
-        platform.silence_connections(other.ip());
-        log("the open connections of %s to the store go silent, new ones work", other.name().c_str());
+        for (const router* const each : others) {
+            platform.silence_connections(each->ip());
+            log("the open connections of %s to the store go silent, new ones work", each->name().c_str());
+        }
     }
     std::this_thread::sleep_for(stable_window + milliseconds{2500});
     bool is_down = has_trouble();
     const auto killed_at = clock::now();
     if (is_down) {
-        watcher.stop(SIGKILL);
-        log("%s is killed", watcher.name().c_str());
+        for (router* const each : watchers) {
+            each->send_signal(SIGKILL);
+            log("%s is killed", each->name().c_str());
+        }
+        for (router* const each : watchers) {
+            each->stop(SIGKILL);
+        }
     }
     std::this_thread::sleep_for(milliseconds{100});
     platform.remove("servers/i-desk0");
@@ -71,12 +87,15 @@
     int served = 0;
     int broken = 0;
     milliseconds latest{0};
-    while (clock::now() - acknowledged_at < linger) {
+    for (int number = 0; clock::now() - acknowledged_at < linger; ++number) {
         if (is_down && clock::now() - killed_at >= down_time) {
             is_down = false;
-            watcher.start();
-            log("%s is started again", watcher.name().c_str());
+            for (router* const each : watchers) {
+                each->start();
+                log("%s is started again", each->name().c_str());
+            }
         }
+        const router& other = *others[static_cast<std::size_t>(number) % others.size()];
         const std::string attempt = next_attempt();
         const auto sent_at = clock::now();
         auto caller = connection::open(other.front(), other.ip());
@@ -94,7 +113,7 @@
                 other.name().c_str(), static_cast<long long>(late.count()));
             broken += late > drain_bound ? 1 : 0;
         }
-        std::this_thread::sleep_for(milliseconds{20});
+        std::this_thread::sleep_for(milliseconds{10});
     }
     log("%d served; the last request to the leaving worker was sent %lld ms after its acknowledgement; %d later "
         "than drainMs",
--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -139,10 +139,10 @@
         changed_.notify_all();
     }
 
-    /// IP address of the router that made the last watch that waits.
-    std::string last_watcher() {
+    /// When a router last began a watch that waits.
+    clock::time_point watched_at(const std::string& ip) {
         const std::scoped_lock lock{mutex_};
-        return last_watcher_;
+        return watched_at_[ip];
     }
 
 private:
@@ -251,7 +251,7 @@
         const milliseconds wait{std::atoll(query_value(target, "waitMs").c_str())};
         constexpr milliseconds long_wait{1000};
         if (wait >= long_wait) {
-            last_watcher_ = from.peer();
+            watched_at_[from.peer()] = clock::now();
         }
         changed_.wait_for(lock, wait, [&] { return is_silent(from) || revision_ > after; });
         json::array events;
@@ -300,7 +300,7 @@
     std::int64_t revision_ = 10;
     bool is_cut_ = false;
     std::map<std::string, int> generations_; ///< by router: of the connections that are not silent
-    std::string last_watcher_;
+    std::map<std::string, clock::time_point> watched_at_; ///< by router
     server server_;
 };
 
@@ -386,8 +386,8 @@
 class router {
 public:
     router(const std::string& directory, const std::string& name, const std::string& store_address,
-           const std::string& ip = loopback)
-        : name_{name}, ip_{ip}, front_{free_port()}, ready_{free_port()}, fleet_{free_port()},
+           const std::string& ip = loopback, const std::string& zone = "busan-a")
+        : name_{name}, ip_{ip}, zone_{zone}, front_{free_port()}, ready_{free_port()}, fleet_{free_port()},
           settings_{directory + "/" + name + ".conf"}, log_{directory + "/" + name + ".log"} {
         write_settings(store_address);
         start();
@@ -446,7 +446,7 @@
         const std::map<std::string, std::string> values{
             {"nodeName", name_},
             {"region", "kr-south"},
-            {"zone", "busan-a"},
+            {"zone", zone_},
             {"ipAddress", ip_},
             {"listenAddresses.front", ip_ + ":" + std::to_string(front_)},
             {"listenAddresses.readyAddr", ip_ + ":" + std::to_string(ready_)},
@@ -474,6 +474,7 @@
 
     std::string name_;
     std::string ip_;
+    std::string zone_;
     std::uint16_t front_;
     std::uint16_t ready_;
     std::uint16_t fleet_;
