--- a/review/support/fleet.h
+++ b/review/support/fleet.h
@@ -125,13 +125,6 @@
         return remove_locked(key);
     }
 
-    /// Makes the store silent for all routers: calls get no answer. The operator is still served.
-    void cut(bool is_cut) {
-        const std::scoped_lock lock{mutex_};
-        is_cut_ = is_cut;
-        changed_.notify_all();
-    }
-
     /// Makes a router's connections that are open now silent for good. New ones work.
     void silence_connections(const std::string& ip) {
         const std::scoped_lock lock{mutex_};
@@ -199,7 +192,7 @@
                                 {{"Content-Type", "application/json"}}, text));
     }
 
-    bool is_silent(const connection& from) { return is_cut_ || from.mark != generations_[from.peer()]; }
+    bool is_silent(const connection& from) { return from.mark != generations_[from.peer()]; }
 
     json::object respond(const message& request, int& status, std::unique_lock<std::mutex>& lock,
                          const connection& from) {
@@ -298,7 +291,6 @@
     std::set<std::int64_t> leases_;
     std::int64_t last_lease_ = 0;
     std::int64_t revision_ = 10;
-    bool is_cut_ = false;
     std::map<std::string, int> generations_; ///< by router: of the connections that are not silent
     std::map<std::string, clock::time_point> watched_at_; ///< by router
     server server_;
@@ -406,11 +398,6 @@
         }
     }
 
-    /// Whether the process ended by itself; the status is kept.
-    bool has_ended() {
-        return pid_ <= 0 || waitpid(pid_, &status_, WNOHANG) == pid_;
-    }
-
     void stop(int signal) {
         if (pid_ > 0) {
             kill(pid_, signal);
@@ -439,7 +426,6 @@
     std::uint16_t front() const { return front_; }
     const std::string& name() const { return name_; }
     const std::string& ip() const { return ip_; }
-    pid_t pid() const { return pid_; }
 
 private:
     void write_settings(const std::string& store_address) const {
--- a/review/support/net.h
+++ b/review/support/net.h
@@ -311,13 +311,6 @@
     std::uint16_t port() const { return port_; }
     std::string address() const { return std::string{loopback} + ":" + std::to_string(port_); }
 
-    /// Stops listening: new connections are refused.
-    void stop_listening() {
-        const int closed = listener_.exchange(-1);
-        shutdown(closed, SHUT_RDWR);
-        close(closed);
-    }
-
 private:
     void accept_all() {
         while (true) {
@@ -338,7 +331,7 @@
     }
 
     handler handle_;
-    std::atomic<int> listener_;
+    int listener_;
     std::uint16_t port_ = 0;
 };
 
