Read event streams in every form that text/event-stream allows

Cause: the splitter compared lines with "id: ", so that "id:5" gave no position, and a stream without a known position was sent to another upstream from its beginning. Evidence: request_sent_elsewhere had an empty last_event although events had been relayed, and the second worker got no Last-Event-Id. Ruled out: that the id is lost with the incomplete event (streams with "id: 5" resumed), and that the worker ignores the position (it got none).

Change: the splitter parses the published format (LF, CR and CRLF, the optional space, comments, a byte order mark), and a stream goes on elsewhere only if the last event that was relayed has an id; otherwise the response ends broken. Chats use the same parser: "data:[DONE]" ends them, and token counts are found without the space.

--- a/packages/policy/include/citronwick/policy/attempt_policy.hpp
+++ b/packages/policy/include/citronwick/policy/attempt_policy.hpp
@@ -38,6 +38,7 @@
     attempt_outcome last_outcome = attempt_outcome::not_sent;
     bool may_have_run_before = false; ///< an earlier attempt may have run the request
     bool response_started = false;    ///< response bytes have been sent to the caller
+    bool stream_is_resumable = true;  ///< it is known after which of the relayed events to go on
     std::uint32_t sent = 0;           ///< upstreams that may have run the request
     std::uint32_t rejections = 0;     ///< upstreams that did not receive the request or did not run it
     std::uint32_t max_attempts = 1;   ///< upstreams that the route allows to run the request
--- a/packages/policy/src/attempt_policy.cpp
+++ b/packages/policy/src/attempt_policy.cpp
@@ -45,7 +45,8 @@
         state.last_outcome == attempt_outcome::not_sent || state.last_outcome == attempt_outcome::not_run;
     const bool attempts_left = state.sent < state.max_attempts;
     const bool rejections_left = !was_rejected || state.rejections <= max_rejections;
-    const bool response_allows = !state.response_started || state.kind == request_kind::resumable_stream;
+    const bool response_allows = !state.response_started ||
+                                 (state.kind == request_kind::resumable_stream && state.stream_is_resumable);
     return outcome_allows_retry(state) && attempts_left && rejections_left && response_allows &&
            state.time_left && state.caller_connected;
 }
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -10,6 +10,7 @@
 #include "citronwick/traffic/authentication.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/chat_request.hpp"
+#include "citronwick/traffic/event_field.hpp"
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
@@ -368,7 +369,7 @@
             }
             events.discard_pending();
             resumed.reset();
-            if (resumes_left-- > 0) {
+            if (events.is_resumable() && resumes_left-- > 0) {
                 const std::string& last_id = events.last_event_id();
                 resumed = co_await resume(upstream, last_id);
             }
@@ -396,9 +397,10 @@
             }
         }
         if (const auto usage = complete_events.find("\"usage\":{"); usage != std::string::npos) {
-            const auto line = complete_events.rfind("data: ", usage) + std::string_view{"data: "}.size();
-            count_tokens(
-                std::string_view{complete_events}.substr(line, complete_events.find('\n', line) - line));
+            const std::string_view text{complete_events};
+            const auto line_begin = text.find_last_of("\r\n", usage) + 1; // zero if there is none
+            const auto line_end = text.find_first_of("\r\n", usage);
+            count_tokens(parse_event_field(text.substr(line_begin, line_end - line_begin)).value);
         }
         co_return co_await caller_.write_events(std::move(complete_events));
     }
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -1,37 +1,95 @@
 #include "citronwick/traffic/event_splitter.hpp"
 
+#include "citronwick/traffic/event_field.hpp"
+
+#include <utility>
+
 namespace citronwick {
 
 namespace {
 
-constexpr std::string_view boundary = "\n\n";
-constexpr std::string_view id_field = "id: ";
-constexpr std::string_view done_line = "data: [DONE]";
+constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+constexpr std::string_view done_data = "[DONE]";
 
 } // namespace
 
 std::string event_splitter::push(std::string_view bytes) {
     pending_ += bytes;
-    const auto last = pending_.rfind(boundary);
-    if (last == std::string::npos) {
-        return {};
+    if (is_first_line_ && has_output_ && pending_.starts_with(byte_order_mark)) {
+        // Within the caller's response it would be part of a field name.
+        pending_.erase(0, byte_order_mark.size());
+        scanned_ = 0;
     }
-    std::string complete = pending_.substr(0, last + boundary.size());
-    pending_.erase(0, complete.size());
-    scan_lines(complete);
+    auto end = pending_.find_first_of("\r\n", scanned_);
+    while (end != std::string::npos) {
+        end_line(end);
+        end = pending_.find_first_of("\r\n", scanned_);
+    }
+    std::string complete = pending_.substr(0, complete_bytes_);
+    pending_.erase(0, complete_bytes_);
+    line_begin_ -= complete_bytes_;
+    scanned_ = pending_.size();
+    complete_bytes_ = 0;
+    has_output_ = has_output_ || !complete.empty();
     return complete;
 }
 
-void event_splitter::scan_lines(std::string_view events) {
-    while (!events.empty()) {
-        const auto end = events.find('\n');
-        const std::string_view line = events.substr(0, end);
-        if (line.starts_with(id_field)) {
-            last_event_id_ = line.substr(id_field.size());
+/// @param end position of a line end character
+void event_splitter::end_line(std::size_t end) {
+    const bool is_cr = pending_[end] == '\r';
+    const bool continues_line_end = !is_cr && std::exchange(ended_with_cr_, false) && end == line_begin_;
+    if (!continues_line_end) {
+        std::string_view line = std::string_view{pending_}.substr(line_begin_, end - line_begin_);
+        if (std::exchange(is_first_line_, false) && line.starts_with(byte_order_mark)) {
+            line.remove_prefix(byte_order_mark.size());
+        }
+        if (line.empty()) {
+            end_event();
+        } else {
+            read_field(line);
         }
-        done_ = done_ || line == done_line;
-        events.remove_prefix(end == std::string_view::npos ? events.size() : end + 1);
+        ended_with_cr_ = is_cr;
+    }
+    line_begin_ = end + 1;
+    scanned_ = end + 1;
+    if (is_event_empty_) {
+        complete_bytes_ = end + 1;
+    }
+}
+
+void event_splitter::read_field(std::string_view line) {
+    is_event_empty_ = false;
+    const auto [name, value] = parse_event_field(line);
+    if (name == "data") {
+        event_has_data_ = true;
+        done_ = done_ || value == done_data;
+    } else if (name == "id" && value.find('\0') == std::string_view::npos) {
+        event_id_ = value;
+    }
+}
+
+void event_splitter::end_event() {
+    if (event_id_) {
+        last_event_id_ = *event_id_;
     }
+    if (event_has_data_ || event_id_) {
+        has_events_ = true;
+        last_event_has_id_ = event_id_ && !event_id_->empty();
+    }
+    is_event_empty_ = true;
+    event_has_data_ = false;
+    event_id_.reset();
+}
+
+void event_splitter::discard_pending() {
+    pending_.clear();
+    line_begin_ = 0;
+    scanned_ = 0;
+    ended_with_cr_ = false;
+    is_first_line_ = true;
+    is_event_empty_ = true;
+    event_has_data_ = false;
+    event_id_.reset();
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -263,6 +263,7 @@
     state_.last_outcome = result.outcome;
     state_.time_left = remaining_time(now) > 0ms;
     state_.caller_connected = !caller_disconnected;
+    state_.stream_is_resumable = events_.is_resumable();
     const bool may_have_run =
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::not_run;
     state_.sent += may_have_run ? 1 : 0;
@@ -287,7 +288,7 @@
                                             {"service", service_->name},
                                             {"after", std::string{to_text(result.outcome)}},
                                             {"sent", std::to_string(state_.sent)},
-                                            {"last_event", events_.last_event_id()}});
+                                            {"last_event", last_event_text()}});
     }
     return next_step_ == next_step::try_elsewhere;
 }
@@ -364,6 +365,11 @@
                                {"took_ms", milliseconds_text(elapsed)}});
 }
 
+/// Identifier of the last event that was relayed; "-" if it has none or no event was relayed.
+std::string route_exchange::last_event_text() const {
+    return events_.last_event_id().empty() || !events_.is_resumable() ? "-" : events_.last_event_id();
+}
+
 void route_exchange::log_request_end(std::string_view result) const {
     const auto elapsed = clock::now() - caller_.arrived();
     context_.counters.count_request(service_->name, result, elapsed);
@@ -371,6 +377,7 @@
                                {"route", route_->name},
                                {"service", service_->name},
                                {"result", std::string{result}},
+                               {"last_event", last_event_text()},
                                {"took_ms", milliseconds_text(elapsed)}});
 }
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -76,6 +76,7 @@
     time_point attempt_deadline(time_point now) const;
     std::chrono::milliseconds remaining_time(time_point now) const;
     void log_attempt(const exchange_result& result, duration elapsed) const;
+    std::string last_event_text() const;
     void log_request_end(std::string_view result) const;
 
     route_context& context_;
--- /dev/null
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -0,0 +1,104 @@
+#include "citronwick/traffic/event_splitter.hpp"
+
+#include "citronwick/traffic/event_field.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+
+using namespace citronwick;
+using namespace std::string_view_literals;
+
+namespace {
+
+/// Pushes a stream in pieces of one size.
+std::string push_in_pieces(event_splitter& splitter, std::string_view stream, std::size_t size) {
+    std::string events;
+    while (!stream.empty()) {
+        events += splitter.push(stream.substr(0, size));
+        stream.remove_prefix(std::min(size, stream.size()));
+    }
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("a field of an event has at most one space that is not part of its value") {
+    CHECK(parse_event_field("id: 5").value == "5");
+    CHECK(parse_event_field("id:5").value == "5");
+    CHECK(parse_event_field("id:  5").value == " 5");
+    CHECK(parse_event_field("id:5").name == "id");
+    CHECK(parse_event_field("id").name == "id");
+    CHECK(parse_event_field("id").value.empty());
+    CHECK(parse_event_field(": comment").name.empty());
+}
+
+// Guards against streams that begin anew within a response, or are held back to their end.
+TEST_CASE("events are recognized in every form that text/event-stream allows") {
+    constexpr std::array<std::string_view, 9> streams{
+        "id: 5\ndata: a\n\n",
+        "id:5\ndata:a\n\n",
+        "id:5\r\ndata:a\r\n\r\n",
+        "id: 5\rdata: a\r\r",
+        "id:5\r\ndata:a\n\r\n",
+        "\xEF\xBB\xBFid:5\ndata:a\n\n",
+        ": comment\n\nid:4\nid:5\ndata\n\n: comment\n\n",
+        "version:2\nid:5\ndata:a\ndata:b\nretry:10\n\n",
+        "data:a\nid:5\nid:6\0\n\n"sv,
+    };
+    for (const std::string_view stream : streams) {
+        CAPTURE(stream);
+        for (std::size_t size = 1; size <= stream.size(); ++size) {
+            event_splitter splitter;
+            CHECK(push_in_pieces(splitter, stream, size) == stream);
+            CHECK(splitter.pending_bytes() == 0);
+            CHECK(splitter.last_event_id() == "5");
+            CHECK(splitter.is_resumable());
+        }
+    }
+}
+
+TEST_CASE("a complete event is returned before the next one begins") {
+    event_splitter splitter;
+    CHECK(splitter.push("id:1\r\ndata:a\r\n\r") == "id:1\r\ndata:a\r\n\r");
+    CHECK(splitter.push("\nid:2\r\n") == "\n");
+    CHECK(splitter.pending_bytes() == 6);
+    CHECK(splitter.last_event_id() == "1");
+    CHECK(splitter.push("\r\n") == "id:2\r\n\r\n");
+    CHECK(splitter.last_event_id() == "2");
+}
+
+// Guards against the repetition of events whose position is not known.
+TEST_CASE("a stream whose last event has no id cannot be resumed") {
+    event_splitter splitter;
+    CHECK(splitter.is_resumable());
+    splitter.push(": comment\n\n");
+    CHECK(splitter.is_resumable());
+    splitter.push("data: a\n\n");
+    CHECK_FALSE(splitter.is_resumable());
+    splitter.push("id: 2\ndata: b\n\n");
+    CHECK(splitter.is_resumable());
+    splitter.push("data: c\n\n");
+    CHECK_FALSE(splitter.is_resumable());
+    splitter.push("id\ndata: d\n\n");
+    CHECK_FALSE(splitter.is_resumable());
+    splitter.push("id: 3\n\n");
+    CHECK(splitter.is_resumable());
+}
+
+TEST_CASE("an incomplete event leaves nothing behind in the stream that goes on") {
+    event_splitter splitter;
+    CHECK(splitter.push("id: 1\ndata: a\n\nid: 2\r") == "id: 1\ndata: a\n\n");
+    splitter.discard_pending();
+    CHECK(splitter.last_event_id() == "1");
+    CHECK(splitter.push("\xEF\xBB") == "");
+    CHECK(splitter.push("\xBFid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(splitter.last_event_id() == "2");
+}
+
+TEST_CASE("the final event is recognized with and without the optional space") {
+    for (const std::string_view stream : {"data: [DONE]\n\n", "data:[DONE]\n\n", "data:[DONE]\r\n\r\n"}) {
+        event_splitter splitter;
+        splitter.push(stream);
+        CHECK(splitter.done());
+    }
+}
--- a/tests/standin/engine.hpp
+++ b/tests/standin/engine.hpp
@@ -38,6 +38,7 @@
         bool stall = false;                ///< streams stop after their first event but stay open
         bool refuse = false;               ///< completion requests get status 503
         bool wrong_id = false;             ///< responses carry another request's identifier
+        bool compact_events = false;       ///< events without the optional spaces
     };
 
     /// A completion in progress.
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -31,6 +31,7 @@
     task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request, bool is_cut);
     task<bool> send(boost::beast::tcp_stream& stream, const http_request& request, http::status status,
                     std::string body);
+    std::string format_event(std::int64_t id) const;
     http::response_header<> make_header(const http_request& request) const;
     void record_run(const http_request& request);
 
@@ -41,6 +42,7 @@
     std::chrono::milliseconds event_gap_{default_event_gap}; ///< before each event of a stream
     std::int64_t event_count_ = 6;
     std::int64_t cut_after_events_ = 0; ///< events before a stream is cut, 0 for never
+    std::string event_format_;          ///< "compact", "crlf", "cr" or "unnumbered"; empty for the usual one
     std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
     std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
     std::string retry_after_;           ///< seconds that it names when it sheds a request, empty for none
