Reuse connections to the store only shortly after a response

Cause: routers that do not watch kept idle connections to the store for any time. When these had gone silent and the watchers died, a router's own call waited for its timeout of 1 s, once for each silent connection; the failed call then made the time since the last confirmation count as an outage of the store, so that the removal was not believed for 2 s more. Evidence: store_lost after the timeout, then store_outage_ended length_ms=2727 and upstream_entry_removed may_have_lapsed=yes on the next connection. Ruled out: that other routers knew of the removal (all that could were dead), and that the removal is doubted for another reason (with trouble off no call fails and there is no outage).

Change: a connection is reused only within 500 ms of its last response, which covers calls that follow on each other. The fault proxy can silence the connections of single routers, and the harness gives each router a source address and takes the store's timeout as an option.

--- a/packages/io/include/citronwick/io/http_connection.hpp
+++ b/packages/io/include/citronwick/io/http_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_IO_HTTP_CONNECTION_HPP_INCLUDED
 #define CITRONWICK_IO_HTTP_CONNECTION_HPP_INCLUDED
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/task.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,6 +42,11 @@
     /// Sends a request, connecting first if needed. The caller reads the response from `stream()`.
     task<io_result<void>> send(http_request request, std::chrono::milliseconds timeout);
 
+    /// Whether the connection is open and its last response came so recently that the
+    /// peer can be expected to answer on it. A connection that has been idle for longer
+    /// may have gone silent, which the next call would only notice by its timeout.
+    bool is_reusable(time_point now) const;
+
     void close();
     const endpoint& peer() const { return peer_; }
     boost::beast::tcp_stream& stream() { return stream_; }
@@ -59,6 +65,7 @@
     boost::beast::flat_buffer buffer_;
     byte_count bytes_;
     bool connected_ = false;
+    time_point answered_at_; ///< when the last response was complete
 };
 
 } // namespace citronwick
--- a/packages/io/src/http_connection.cpp
+++ b/packages/io/src/http_connection.cpp
@@ -10,6 +10,8 @@
 
 /// IPv4 and TCP headers of one packet, without options.
 constexpr std::uint64_t packet_header_bytes = 40;
+/// Covers calls that follow on each other, such as the pages of a listing.
+constexpr std::chrono::milliseconds max_idle_time{500};
 
 } // namespace
 
@@ -23,6 +25,10 @@
     return {std::move(step), to_text(peer_), detail, may_have_taken_effect};
 }
 
+bool http_connection::is_reusable(time_point now) const {
+    return connected_ && now - answered_at_ < max_idle_time;
+}
+
 void http_connection::close() {
     connected_ = false;
     buffer_.clear();
@@ -86,6 +92,7 @@
         }
     }
     stream_.expires_never();
+    answered_at_ = clock::now();
     if (!parser.get().keep_alive()) {
         close();
     }
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -77,6 +77,10 @@
     node router{.name = "entry-" + std::to_string(index),
                 .failure_domain = number == 0 ? domain : "domain-" + std::to_string(number)};
     router.log = file(router.name + ".log");
+    if (options_.proxies) {
+        // Tells routers apart at the proxies.
+        router.source_address = "127.0.1." + std::to_string(index + 1);
+    }
     start_process(router);
     routers_.push_back(std::move(router));
 }
@@ -90,12 +94,16 @@
     const std::string port_file = file(router.name + ".ports");
     std::filesystem::remove(port_file);
     std::ofstream{settings} << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
-                            << "failure_domain = \"" << router.failure_domain << "\"\n\n[listen]\n"
+                            << "failure_domain = \"" << router.failure_domain << "\"\n"
+                            << (router.source_address.empty()
+                                    ? ""
+                                    : "source_address = \"" + router.source_address + "\"\n")
+                            << "\n[listen]\n"
                             << "callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
                             << "fleet = \"127.0.0.1:0\"\nport_file = \"" << port_file << "\"\n\n[platform]\n"
                             << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
-                            << "store_timeout = \"500ms\"\nkey_lifetime = \"" << options_.key_lifetime.count()
-                            << "ms\"\n"
+                            << "store_timeout = \"" << options_.store_timeout.count()
+                            << "ms\"\nkey_lifetime = \"" << options_.key_lifetime.count() << "ms\"\n"
                             << options_.platform_settings
                             << "\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nformat = \""
                             << options_.log_format << "\"\n";
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -21,6 +21,7 @@
     std::size_t plain_workers = 2;
     std::size_t engines = 2;
     std::chrono::milliseconds key_lifetime{4'000};
+    std::chrono::milliseconds store_timeout{500};
     bool proxies = false;            ///< put fault proxies in front of the store and the workers
     std::string platform_settings{}; ///< lines added to the table [platform]
     std::string log_format = "key_value";
--- a/tests/integration/routes.tests.cpp
+++ b/tests/integration/routes.tests.cpp
@@ -25,6 +25,8 @@
 
 /// Time after which no request may reach a worker that leaves.
 constexpr auto drain_bound = 2s;
+/// Time after a disturbance of a router's connections from which the drain bound holds.
+constexpr auto stable_window = 3s;
 
 /// Number of response bytes that the store has sent.
 std::int64_t bytes_sent(const node& store) {
@@ -399,6 +401,44 @@
     }
 }
 
+// Guards against requests to a removed worker by routers whose connections to the store went
+// silent before their watcher died (DRAIN).
+TEST_CASE("proof: a router whose watcher died and whose idle connections are silent drops a removed worker") {
+    routed_fleet system{{.routers = 3, .store_timeout = 1s, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    std::size_t killed = 0; // one of the three is the watcher
+    SUBCASE("the first router is killed") {
+        killed = 0;
+    }
+    SUBCASE("the second router is killed") {
+        killed = 1;
+    }
+    SUBCASE("the third router is killed") {
+        killed = 2;
+    }
+    boost::json::array survivors;
+    for (std::size_t index = 0; index < system.routers().size(); ++index) {
+        if (index != killed) {
+            survivors.emplace_back(system.routers()[index].source_address);
+        }
+    }
+    set_proxy_fault(system.store(),
+                    boost::json::serialize(boost::json::object{{"silenced_sources", survivors}}));
+    set_proxy_fault(system.store(), "{}");
+    std::this_thread::sleep_for(stable_window);
+    const node& leaving = system.plain_workers()[0];
+    system.routers()[killed].process->signal(SIGKILL);
+    system.unregister_worker(leaving);
+    std::this_thread::sleep_for(drain_bound);
+    for (std::size_t index = 0; index < system.routers().size(); ++index) {
+        for (int count = 0; count < 10 && index != killed; ++count) {
+            const std::string attempt = std::to_string(index) + "-" + std::to_string(count);
+            CHECK(system.ask(system.routers()[index], "/read/1", attempt).status == 200);
+            CHECK(runs_of(leaving, attempt) == 0);
+        }
+    }
+}
+
 TEST_CASE("proof: a stream whose resumption is answered with a failure ends broken, and at once") {
     routed_fleet fleet{{.routers = 1, .plain_workers = 1, .engines = 2}};
     REQUIRE(fleet.wait_ready());
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -60,10 +60,13 @@
                .delay = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")}};
     const auto sources = string_array_member(fault_settings, "refused_sources");
     faults_.refused_sources = {sources.begin(), sources.end()};
+    const auto silenced = string_array_member(fault_settings, "silenced_sources");
     for (const auto& pair : connections_) {
         boost::system::error_code ignored;
-        pair->blackholed = pair->blackholed || faults_.blackhole;
-        if (faults_.refuse || is_refused(pair->caller.remote_endpoint(ignored).address().to_string())) {
+        const std::string source = pair->caller.remote_endpoint(ignored).address().to_string();
+        const bool is_silenced = std::ranges::find(silenced, source) != silenced.end();
+        pair->blackholed = pair->blackholed || faults_.blackhole || is_silenced;
+        if (faults_.refuse || is_refused(source)) {
             pair->close();
         }
     }
