Relay status codes that the HTTP library has no name for

Cause: the heads of responses were built with http::int_to_status, which gives 0 for a code without a name. Evidence: attempt_ended names status 425, the caller's status line does not; so the upstream's header was read correctly, and the head of the response is built from it wrongly. On related paths the same conversion stood in the heads of relayed streams and in every response of the product's own interface.

Change: codes are set as numbers, and relayed responses keep the reason phrase. The stand-in plain service answers with any status; the soak draws such statuses and checks that no stamped response has a status below 200.

--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -89,7 +89,7 @@
 
     template <class Message>
     task<bool> write(Message& message);
-    task<bool> write_header(const http::fields& fields, unsigned status);
+    task<bool> write_header(http::response_header<> head);
     void start_watch();
     bool check_write(const boost::system::error_code& error);
 
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -41,7 +41,9 @@
 
     /// Header of the response being read.
     const http::response_header<>& header() const { return parser_->get(); }
+    /// Status code, which the HTTP library need not have a name for.
     unsigned status() const { return parser_->get().result_int(); }
+    std::string_view reason() const { return parser_->get().reason(); }
 
     /// Reads the next chunk of the body; empty at its end.
     task<io_result<std::string>> read_some(std::chrono::milliseconds idle_timeout);
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -54,7 +54,9 @@
 
 task<bool> caller::respond(complete_response content) {
     response_started_ = true;
-    http_response response{http::int_to_status(content.status), 11};
+    http_response response;
+    response.version(11);
+    response.result(content.status);
     response.set(request_id_header, request_id_);
     response.set(outcome_header, to_text(content.result));
     response.set(http::field::content_type, content.content_type);
@@ -78,12 +80,9 @@
     co_return co_await respond(std::move(response));
 }
 
-task<bool> caller::write_header(const http::fields& fields, unsigned status) {
+task<bool> caller::write_header(http::response_header<> head) {
     response_started_ = true;
-    http::response<http::empty_body> response{http::int_to_status(status), 11};
-    for (const auto& field : fields) {
-        response.insert(field.name(), field.name_string(), field.value());
-    }
+    http::response<http::empty_body> response{std::move(head)};
     response.keep_alive(keep_alive_);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer{response};
@@ -93,15 +92,17 @@
 }
 
 task<bool> caller::begin_stream(header_fields headers) {
-    http::fields fields;
-    fields.set(request_id_header, request_id_);
-    fields.set(http::field::content_type, "text/event-stream");
-    fields.set(http::field::cache_control, "no-cache");
-    fields.set(http::field::trailer, outcome_header);
+    http::response_header<> head;
+    head.version(11);
+    head.result(http::status::ok);
+    head.set(request_id_header, request_id_);
+    head.set(http::field::content_type, "text/event-stream");
+    head.set(http::field::cache_control, "no-cache");
+    head.set(http::field::trailer, outcome_header);
     for (const auto& [name, value] : headers) {
-        fields.set(name, value);
+        head.set(name, value);
     }
-    co_return co_await write_header(fields, static_cast<unsigned>(http::status::ok));
+    co_return co_await write_header(std::move(head));
 }
 
 task<bool> caller::relay(http_response response) {
@@ -113,7 +114,7 @@
 }
 
 task<bool> caller::begin_relay(http_response head) {
-    co_return co_await write_header(head, head.result_int());
+    co_return co_await write_header(std::move(head.base()));
 }
 
 task<bool> caller::end_relay() {
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -98,7 +98,10 @@
 }
 
 http_response route_exchange::make_response_head(const upstream_connection& connection) const {
-    http_response head{http::int_to_status(connection.status()), 11};
+    http_response head;
+    head.version(11);
+    head.result(connection.status());
+    head.reason(connection.reason());
     for (const auto& field : connection.header()) {
         head.insert(field.name(), field.name_string(), field.value());
     }
--- a/tests/integration/complete_responses.tests.cpp
+++ b/tests/integration/complete_responses.tests.cpp
@@ -2,6 +2,7 @@
 
 #include "chat.hpp"
 #include "fleet.hpp"
+#include "routed_fleet.hpp"
 #include "waiting.hpp"
 
 #include "citronwick/io/json_text.hpp"
@@ -227,6 +228,42 @@
     }
 }
 
+// Guards against failures that reach callers with status 000 (MIXED).
+TEST_CASE("proof: callers get an upstream's status also if the HTTP library has no name for it") {
+    SUBCASE("behind a route") {
+        routed_fleet system{{.routers = 1}};
+        REQUIRE(system.wait_ready());
+        for (const unsigned status : {404U, 418U, 425U, 500U, 520U, 529U, 599U}) {
+            CAPTURE(status);
+            const std::string text = std::to_string(status);
+            const std::string fault = R"({"mode":"status","status":)" + text + "}";
+            set_faults(system.plain_workers(), fault);
+            set_faults(system.engines(), fault);
+            for (const char* const path : {"/book/1", "/read/1", "/guide/stream/1"}) {
+                const auto answer = system.ask(system.routers()[0], path, path + text);
+                CHECK(answer.status == status);
+                CHECK(answer.body == "failed");
+                CHECK(answer.header("citronwick-server-stamp").starts_with("stamp."));
+            }
+        }
+    }
+    SUBCASE("of a plain service, also when the response is replayed") {
+        fleet system{{.routers = 1, .engines = 1, .service_workers = 1}};
+        REQUIRE(system.wait_ready());
+        for (const unsigned status : {418U, 425U, 520U, 529U}) {
+            CAPTURE(status);
+            set_fault(system.workers().front(), R"({"status":)" + std::to_string(status) + "}");
+            const call order{.method = "POST",
+                             .target = "/services/shop-desk/orders",
+                             .body = "a cup",
+                             .headers = {{"Authorization", "Bearer " + team_key("club")},
+                                         {"Idempotency-Key", "order-" + std::to_string(status)}}};
+            CHECK(http_call(system.routers().front().callers(), order).status == status);
+            CHECK(http_call(system.routers().front().callers(), order).status == status);
+        }
+    }
+}
+
 TEST_CASE("proof: a request refused while it waits never runs") {
     fleet system{{.routers = 1,
                   .engines = 1,
--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -70,6 +70,10 @@
     if (response.status == ok && response.header("citronwick-attempt-id") != request.attempt) {
         add_request_violation(request, "the response belongs to another request");
     }
+    constexpr unsigned first_final_status = 200;
+    if (response.status < first_final_status && !response.header("citronwick-server-stamp").empty()) {
+        add_request_violation(request, "a worker's response has another status than the worker gave");
+    }
     if (is_complete && !is_stream && !response.body.starts_with("done by ")) {
         add_request_violation(request, "the response does not come from a worker");
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -173,7 +173,7 @@
 void disturb_worker(soak_run& run, std::mt19937_64& random) {
     constexpr std::array faults{"lose_answer", "truncate", "garbage", "error",
                                 "shed",        "extra",    "status",  "silent"};
-    constexpr std::array statuses{408, 421, 429, 503, 400, 404};
+    constexpr std::array statuses{408, 421, 429, 503, 404, 418, 425, 520, 529};
     const node& worker = pick_worker(run, random);
     const auto drawn = random();
     const auto status = statuses.at(drawn / faults.size() % statuses.size());
--- a/tests/standin/plain_service.cpp
+++ b/tests/standin/plain_service.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/io/json_text.hpp"
 
+#include <boost/beast/http/write.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace citronwick::standin {
@@ -26,6 +27,7 @@
         response_delay_ = std::chrono::milliseconds{integer_member(fault_settings, "answer_delay_ms")};
         responses_to_drop_ = integer_member(fault_settings, "drop_answers");
         refuse_ = integer_member(fault_settings, "refuse") != 0;
+        status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         json::object response{{"ok", true}};
         co_return co_await send_json(stream, std::move(response));
     }
@@ -62,6 +64,16 @@
     auto body =
         json::serialize(json::object{{"order", key}, {"run", count}, {"team", request["Citronwick-Team"]}});
     std::string id{request["X-Request-Id"]};
+    if (status_ != 0) {
+        http_response response;
+        response.version(11);
+        response.result(status_);
+        response.set("X-Request-Id", id);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        auto [error, size] = co_await http::async_write(stream, response, use_tuple);
+        co_return !error;
+    }
     co_return co_await send_response(stream, http::status::created, std::move(body), "application/json", "",
                                      std::move(id));
 }
--- a/tests/standin/plain_service.hpp
+++ b/tests/standin/plain_service.hpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds response_delay_{0};
     std::int64_t responses_to_drop_ = 0; ///< number of requests to run without a response
     bool refuse_ = false;
+    unsigned status_ = 0; ///< of responses to requests that ran, 0 for the usual one
     double start_time_;
     standin_server server_;
 };
