End a chat only once its final event is complete

Found when reading the diff of: event_splitter took the line "data: [DONE]" for the end of a chat before the blank line behind it had arrived, so that a chunk boundary between the two would have cut the final event off.

Change: the final event counts when it is complete, like its id. The test of the final event pushes its lines one by one; without this change its first check after the data line fails by reading, it was not run so.

--- a/packages/traffic/include/citronwick/traffic/event_splitter.hpp
+++ b/packages/traffic/include/citronwick/traffic/event_splitter.hpp
@@ -17,7 +17,7 @@
     /// @return the events that are now complete, empty if none
     std::string push(std::string_view bytes);
 
-    /// Whether the final event, whose data is "[DONE]", has been seen.
+    /// Whether the final event, whose data is "[DONE]", is complete.
     bool done() const { return done_; }
 
     /// The `id` field of the last complete event that has one, empty if none.
@@ -37,6 +37,7 @@
     void end_line(std::size_t end);
     void read_field(std::string_view line);
     void end_event();
+    void begin_event();
 
     std::string pending_;
     std::size_t line_begin_ = 0;     ///< in `pending_`, of the line that is not complete yet
@@ -46,6 +47,7 @@
     bool is_first_line_ = true;      ///< of a response, which may begin with a byte order mark
     bool is_event_empty_ = true;     ///< no line of the current event is complete
     bool event_has_data_ = false;
+    bool event_is_final_ = false;
     std::optional<std::string> event_id_;
 
     std::string last_event_id_;
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -62,7 +62,7 @@
     const auto [name, value] = parse_event_field(line);
     if (name == "data") {
         event_has_data_ = true;
-        done_ = done_ || value == done_data;
+        event_is_final_ = event_is_final_ || value == done_data;
     } else if (name == "id" && value.find('\0') == std::string_view::npos) {
         event_id_ = value;
     }
@@ -76,8 +76,14 @@
         has_events_ = true;
         last_event_has_id_ = event_id_ && !event_id_->empty();
     }
+    done_ = done_ || event_is_final_;
+    begin_event();
+}
+
+void event_splitter::begin_event() {
     is_event_empty_ = true;
     event_has_data_ = false;
+    event_is_final_ = false;
     event_id_.reset();
 }
 
@@ -87,9 +93,7 @@
     scanned_ = 0;
     ended_with_cr_ = false;
     is_first_line_ = true;
-    is_event_empty_ = true;
-    event_has_data_ = false;
-    event_id_.reset();
+    begin_event();
 }
 
 } // namespace citronwick
--- a/packages/traffic/tests/event_splitter.tests.cpp
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -98,7 +98,9 @@
 TEST_CASE("the final event is recognized with and without the optional space") {
     for (const std::string_view stream : {"data: [DONE]\n\n", "data:[DONE]\n\n", "data:[DONE]\r\n\r\n"}) {
         event_splitter splitter;
-        splitter.push(stream);
+        CHECK(splitter.push(stream.substr(0, stream.find('\n') + 1)).empty());
+        CHECK_FALSE(splitter.done());
+        CHECK(splitter.push(stream.substr(stream.find('\n') + 1)) == stream);
         CHECK(splitter.done());
     }
 }
