--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -175,7 +175,7 @@
                                 "shed",        "extra",    "status",  "silent"};
     constexpr std::array statuses{408, 421, 429, 503, 404, 418, 425, 520, 529};
     const node& worker = pick_worker(run, random);
-    const auto drawn = random();
+    const auto drawn = random(); // for fault and status, so that a seed keeps its sequence of faults
     const auto status = statuses.at(drawn / faults.size() % statuses.size());
     set_fault(worker, std::string{R"({"mode":")"} + faults.at(drawn % faults.size()) + R"(","times":)" +
                           std::to_string(1 + random() % 10) + R"(,"status":)" + std::to_string(status) + "}");
@@ -186,9 +186,10 @@
 void cut_streams(soak_run& run, std::mt19937_64& random) {
     const node& worker = run.fleet.engines()[random() % run.fleet.engines().size()];
     constexpr std::array formats{"", "compact", "crlf", "cr"};
-    const auto drawn = random();
-    set_fault(worker, R"({"cut_after":)" + std::to_string(1 + drawn % 5) + R"(,"event_format":")" +
-                          formats.at(drawn / 5 % formats.size()) + "\"}");
+    constexpr std::uint64_t max_events = 5;
+    const auto drawn = random(); // for both settings, so that a seed keeps its sequence of faults
+    set_fault(worker, R"({"cut_after":)" + std::to_string(1 + drawn % max_events) + R"(,"event_format":")" +
+                          formats.at(drawn / max_events % formats.size()) + "\"}");
     std::this_thread::sleep_for(pick_time(random, 200, 1'500));
     set_fault(worker, "{}");
 }
