Restore the store in a proof only after the routers have read the removal

The removal was written right before the store came back from its copy. In the logs of failed runs (positions 1:13 at the restoration, the removal has 1:14) no router has read it, since watchers pause 100 ms after a change: the store had lost a change that nobody knew, which no router can keep.

The proof now waits until every router logs upstream_entry_removed, as it waited for the declaration before, and requires that this happens; what it checks after the restoration is unchanged.

--- a/tests/integration/restored_store.tests.cpp
+++ b/tests/integration/restored_store.tests.cpp
@@ -55,6 +55,12 @@
     fleet.declare({"club-key"});
     fleet.unregister_worker(fleet.plain_workers()[0]);
     REQUIRE(fleet.wait_ready());
+    // A removal that the store loses before any router has read it cannot be kept.
+    REQUIRE(wait_until([&] {
+        return std::ranges::none_of(fleet.routers(), [](const node& router) {
+            return find_log_lines(router, "event=upstream_entry_removed").empty();
+        });
+    }));
     set_fault(fleet.store(), R"({"restore":1})");
     for (int count = 0; count < 60; ++count) {
         const node& router = fleet.routers()[static_cast<std::size_t>(count) % 3];
