Let the harness start processes under limits and with failing output

Child processes can be started with a limit on descriptors or threads, and with a standard output that is not read or whose reader is gone. Routed fleets pass these on, and lines for the table [limits]. No test uses them yet.

--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -3,34 +3,71 @@
 #include "waiting.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 namespace citronwick::harness {
 
-child_process::child_process(std::vector<std::string> command, const std::string& log) {
+namespace {
+
+void set_limit(__rlimit_resource resource, const std::optional<std::size_t>& limit) {
+    if (limit) {
+        const rlimit both{*limit, *limit};
+        ::setrlimit(resource, &both);
+    }
+}
+
+/// Exit code of a child whose program could not be executed.
+constexpr int exec_failed = 127;
+
+} // namespace
+
+child_process::child_process(std::vector<std::string> command, const std::string& log,
+                             const process_options& options) {
     std::vector<char*> arguments;
     std::ranges::transform(command, std::back_inserter(arguments),
                            [](std::string& argument) { return argument.data(); });
     arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                     0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    const int error = posix_spawn(&id_, arguments.front(), &actions, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    if (error != 0) {
+    const int log_file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    std::array<int, 2> pipe_ends{-1, -1};
+    if (options.output != output_target::log && ::pipe2(pipe_ends.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("cannot create a pipe");
+    }
+    id_ = ::fork();
+    if (id_ == 0) {
+        // Signals ignored by the test program would stay ignored in the child.
+        ::signal(SIGPIPE, SIG_DFL);
+        ::dup2(options.output == output_target::log ? log_file : pipe_ends.at(1), STDOUT_FILENO);
+        ::dup2(log_file, STDERR_FILENO);
+        set_limit(RLIMIT_NOFILE, options.max_descriptors);
+        set_limit(RLIMIT_NPROC, options.max_processes);
+        ::execv(arguments.front(), arguments.data());
+        ::_exit(exec_failed);
+    }
+    ::close(log_file);
+    if (options.output != output_target::log) {
+        ::close(pipe_ends.at(1));
+        if (options.output == output_target::unread_pipe) {
+            unread_output_ = pipe_ends.at(0);
+        } else {
+            ::close(pipe_ends.at(0));
+        }
+    }
+    if (id_ < 0) {
         throw std::runtime_error("cannot start " + command.front());
     }
 }
 
 child_process::~child_process() {
     kill();
+    if (unread_output_ >= 0) {
+        ::close(unread_output_);
+    }
 }
 
 void child_process::signal(int number) const {
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -2,6 +2,8 @@
 #define CITRONWICK_TESTS_HARNESS_CHILD_PROCESS_HPP_INCLUDED
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -9,11 +11,26 @@
 
 namespace citronwick::harness {
 
+/// Where the standard output of a child process goes.
+enum class output_target : std::uint8_t {
+    log,            ///< appended to its log
+    unread_pipe,    ///< a pipe that is kept open and never read
+    abandoned_pipe, ///< a pipe whose reading end is closed
+};
+
+/// How a child process is started. Standard error is always appended to its log.
+struct process_options {
+    output_target output = output_target::log;
+    std::optional<std::size_t> max_descriptors{}; ///< RLIMIT_NOFILE
+    std::optional<std::size_t> max_processes{};   ///< RLIMIT_NPROC
+};
+
 /// A child process, killed with SIGKILL when the object is destroyed.
 class child_process {
 public:
-    /// @param log file to which standard output and standard error are appended
-    child_process(std::vector<std::string> command, const std::string& log);
+    /// @param log file to which the output is appended
+    child_process(std::vector<std::string> command, const std::string& log,
+                  const process_options& options = {});
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
     ~child_process();
@@ -33,6 +50,7 @@
 
 private:
     pid_t id_ = 0;
+    int unread_output_ = -1; ///< reading end of a pipe
     std::optional<int> exit_code_;
 };
 
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -25,7 +25,9 @@
     bool proxies = false;            ///< put fault proxies in front of the store and the workers
     std::string platform_settings{}; ///< lines added to the table [platform]
     std::string log_format = "key_value";
-    std::size_t failure_domains = 1; ///< over which the routers are spread
+    std::size_t failure_domains = 1;  ///< over which the routers are spread
+    std::string limit_settings{};     ///< lines of the table [limits]
+    process_options router_process{}; ///< how the routers are started
 };
 
 /// Runs routers, workers and the metadata store as processes on this machine.
