Log why a caller's connection ended, and count the causes

A connection that ended without a complete response left no line that said why, so that a lost request could not be told from a caller that had left. Each connection now ends with a cause, the identifier of its last request, the number of requests that it served and the bytes written of the last response. The line is written at the level info if a request was left unfinished and at debug otherwise, and once a connection, so that normal load gets no further lines.

--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -56,6 +56,15 @@
     /// Whether writing of a response has begun.
     bool response_started() const { return response_started_; }
 
+    /// Whether the response was written to its end.
+    bool response_complete() const { return response_complete_; }
+
+    /// Bytes of the response that the kernel took.
+    std::size_t bytes_written() const { return bytes_written_; }
+
+    /// Error that ended the writing of the response, if any.
+    const boost::system::error_code& write_error() const { return write_error_; }
+
     task<bool> respond(complete_response content);
     task<bool> refuse(problem refusal);
 
@@ -91,12 +100,16 @@
     task<bool> write(Message& message);
     task<bool> write_header(http::response_header<> head);
     void start_watch();
-    bool check_write(const boost::system::error_code& error);
+    bool record_write(const boost::system::error_code& error, std::size_t bytes);
+    bool record_last_write(const boost::system::error_code& error, std::size_t bytes);
 
     boost::beast::tcp_stream& stream_;
     std::string request_id_;
     bool keep_alive_;
     bool response_started_ = false;
+    bool response_complete_ = false;
+    std::size_t bytes_written_ = 0;
+    boost::system::error_code write_error_;
     std::chrono::milliseconds write_timeout_;
     time_point arrived_;
     std::shared_ptr<disconnect_watch> watch_;
--- a/packages/traffic/include/citronwick/traffic/metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/metrics.hpp
@@ -28,6 +28,9 @@
     void count_prompt_tokens(std::string_view service, double prompt_tokens, double cached_tokens);
     void observe_queue_wait(std::string_view service, duration waited);
 
+    /// Counts the end of a caller's connection, by its cause.
+    void count_connection_end(std::string_view cause);
+
     /// Renders the metrics page, with the current values of the control thread.
     std::string page(const control_plane& control);
 
--- a/packages/traffic/include/citronwick/traffic/request_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/request_server.hpp
@@ -11,6 +11,7 @@
 namespace citronwick {
 
 class caller;
+enum class connection_end : std::uint8_t;
 
 /// Size and time limits on the requests of a connection.
 struct request_limits {
@@ -33,6 +34,9 @@
 
     /// Handles one request and responds to its caller.
     virtual task<void> serve(caller& from, http_request request) = 0;
+
+    /// Counts the end of a caller's connection.
+    virtual void count_connection_end(connection_end cause) = 0;
 };
 
 /// Creates the server of the traffic thread that runs the executor.
--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -39,6 +39,9 @@
     /// Counts prompt tokens that an upstream is told to fetch from another one's cache.
     void count_fetch(std::string_view service, std::uint32_t tokens);
 
+    /// Counts the end of a caller's connection, by its cause.
+    void count_connection_end(std::string_view cause);
+
     /// Renders the metrics page, with the control plane's current values.
     std::string page(const routing_plane& plane);
 
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -38,18 +38,26 @@
     }
 }
 
-bool caller::check_write(const boost::system::error_code& error) {
+bool caller::record_write(const boost::system::error_code& error, std::size_t bytes) {
+    bytes_written_ += bytes;
     if (error) {
         keep_alive_ = false;
+        write_error_ = error;
     }
     return !error;
 }
 
+/// Records the write after which the response is complete.
+bool caller::record_last_write(const boost::system::error_code& error, std::size_t bytes) {
+    response_complete_ = record_write(error, bytes);
+    return response_complete_;
+}
+
 template <class Message>
 task<bool> caller::write(Message& message) {
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await http::async_write(stream_, message, use_tuple);
-    co_return check_write(error);
+    co_return record_last_write(error, size);
 }
 
 task<bool> caller::respond(complete_response content) {
@@ -88,7 +96,7 @@
     http::response_serializer<http::empty_body> serializer{response};
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
-    co_return check_write(error);
+    co_return record_write(error, size);
 }
 
 task<bool> caller::begin_stream(header_fields headers) {
@@ -121,14 +129,14 @@
     const auto last = http::make_chunk_last();
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
-    co_return check_write(error);
+    co_return record_last_write(error, size);
 }
 
 task<bool> caller::write_events(std::string events) {
     const auto chunk = http::make_chunk(asio::buffer(events));
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, chunk, use_tuple);
-    co_return check_write(error);
+    co_return record_write(error, size);
 }
 
 task<bool> caller::end_stream(outcome result) {
@@ -137,7 +145,7 @@
     const auto last = http::make_chunk_last(trailer);
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
-    co_return check_write(error);
+    co_return record_last_write(error, size);
 }
 
 void caller::on_disconnect(std::function<void()> function) {
--- a/packages/traffic/src/chat_server.cpp
+++ b/packages/traffic/src/chat_server.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/chat_handler.hpp"
+#include "citronwick/traffic/connection_end.hpp"
 #include "citronwick/traffic/service_handler.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
@@ -60,6 +61,10 @@
         }
     }
 
+    void count_connection_end(connection_end cause) override {
+        shared_->context.counters.count_connection_end(to_text(cause));
+    }
+
 private:
     std::shared_ptr<shared_state> shared_;
     thread_context thread_;
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
+#include "citronwick/traffic/connection_record.hpp"
 #include "citronwick/traffic/http_framing.hpp"
 
 #include <atomic>
@@ -149,19 +150,30 @@
         socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
         beast::tcp_stream stream{std::move(socket)};
         beast::flat_buffer buffer;
-        while (co_await serve_request(assigned, stream, buffer)) {
+        connection_record record;
+        while (co_await serve_request(assigned, stream, buffer, record)) {
         }
         stream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+        record.log();
+        assigned.server->count_connection_end(record.end());
     }
 
     /// Reads and serves one request.
     /// @return whether to keep the connection open for another
-    task<bool> serve_request(worker& assigned, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    task<bool> serve_request(worker& assigned, beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                             connection_record& record) {
         const request_limits limits = assigned.server->limits();
+        if (buffer.size() == 0) {
+            const auto idle_error = co_await wait_for_request(assigned, stream, buffer, limits);
+            if (idle_error) {
+                record.end_while_idle(idle_error);
+                co_return false;
+            }
+        }
         http::request_parser<http::string_body> parser;
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
-        auto read_error = co_await read_header(assigned, stream, buffer, parser, limits);
+        auto read_error = co_await read_header(stream, buffer, parser, limits);
         const auto arrived = clock::now();
         std::optional<problem> refusal;
         if (!read_error) {
@@ -174,14 +186,17 @@
             if (!refusal && !read_error) {
                 auto request = parser.release();
                 const bool keep_open =
-                    co_await dispatch(*assigned.server, stream, std::move(request), arrived);
+                    co_await dispatch(*assigned.server, stream, std::move(request), arrived, record);
                 co_return keep_open;
             }
         }
         if (!refusal && should_respond(read_error)) {
             refusal = make_refusal(read_error);
         }
-        if (refusal) {
+        if (!refusal) {
+            record.end_within_request(read_error);
+        } else {
+            record.end_with_refusal(refusal->detail);
             log_info("request_unreadable",
                      {{"status", std::to_string(refusal->status)}, {"detail", refusal->detail}});
             caller from{stream, random_id(), false, settings_.caller_write_timeout, arrived};
@@ -191,19 +206,19 @@
         co_return false;
     }
 
-    task<boost::system::error_code> read_header(worker& assigned, beast::tcp_stream& stream,
-                                                beast::flat_buffer& buffer,
+    /// Waits for the first bytes of the next request.
+    static task<boost::system::error_code> wait_for_request(worker& assigned, beast::tcp_stream& stream,
+                                                            beast::flat_buffer& buffer,
+                                                            const request_limits& limits) {
+        assigned.idle.insert(&stream);
+        auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
+        assigned.idle.erase(&stream);
+        co_return error;
+    }
+
+    task<boost::system::error_code> read_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                                 http::request_parser<http::string_body>& parser,
                                                 const request_limits& limits) {
-        if (buffer.size() == 0) {
-            assigned.idle.insert(&stream);
-            auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
-            assigned.idle.erase(&stream);
-            if (error) {
-                co_return error == beast::error::timeout ? boost::system::error_code{asio::error::eof}
-                                                         : error;
-            }
-        }
         constexpr std::string_view header_end = "\r\n\r\n";
         const auto deadline = clock::now() + limits.read_timeout;
         while (view_of(buffer).find(header_end) == std::string_view::npos) {
@@ -271,14 +286,19 @@
     }
 
     task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
-                        time_point arrived) {
+                        time_point arrived, connection_record& record) {
         const bool keep_alive = request.keep_alive() && !shutting_down_;
         caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
         co_await server.serve(from, std::move(request));
         if (shutting_down_) {
             from.close_after_response();
         }
-        co_return from.keep_alive() && from.response_started();
+        record.count_request();
+        const bool keep_open = from.keep_alive() && from.response_complete();
+        if (!keep_open) {
+            record.end_after(from);
+        }
+        co_return keep_open;
     }
 
     /// Counts a request as in flight during its lifetime.
--- a/packages/traffic/src/metrics.cpp
+++ b/packages/traffic/src/metrics.cpp
@@ -15,6 +15,10 @@
 
 struct metrics::families {
     prometheus::Registry registry;
+    Family<Counter>& connection_ends = prometheus::BuildCounter()
+                                           .Name("citronwick_caller_connections_ended_total")
+                                           .Help("Connections of callers that ended, by cause")
+                                           .Register(registry);
     Family<Counter>& requests = prometheus::BuildCounter()
                                     .Name("citronwick_requests_total")
                                     .Help("Requests by service, outcome and reason")
@@ -85,6 +89,10 @@
         .Observe(std::chrono::duration<double>{waited}.count());
 }
 
+void metrics::count_connection_end(std::string_view cause) {
+    families_->connection_ends.Add({{"cause", std::string{cause}}}).Increment();
+}
+
 std::string metrics::page(const control_plane& control) {
     for (std::size_t kind = 0; kind < control_traffic_names.size(); ++kind) {
         families_->control_bytes.Add({{"kind", std::string{control_traffic_names.at(kind)}}})
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -32,6 +32,10 @@
 
 struct route_metrics::families {
     prometheus::Registry registry;
+    Family<Counter>& connection_ends = prometheus::BuildCounter()
+                                           .Name("citronwick_caller_connections_ended_total")
+                                           .Help("Connections of callers that ended, by cause")
+                                           .Register(registry);
     Family<Counter>& requests = prometheus::BuildCounter()
                                     .Name("citronwick_routed_requests_total")
                                     .Help("Requests by service and result")
@@ -135,6 +139,10 @@
     families_->fetched_tokens.Add({{"service", std::string{service}}}).Increment(tokens);
 }
 
+void route_metrics::count_connection_end(std::string_view cause) {
+    families_->connection_ends.Add({{"cause", std::string{cause}}}).Increment();
+}
+
 std::string route_metrics::page(const routing_plane& plane) {
     const auto view = plane.view();
     const auto age = plane.key_age(boot_now());
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/traffic/connection_end.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
@@ -41,6 +42,10 @@
         co_await exchange.run();
     }
 
+    void count_connection_end(connection_end cause) override {
+        context_.counters.count_connection_end(to_text(cause));
+    }
+
 private:
     route_context context_;
 };
