Close a caller's connection at a planned stop only after a response that says so

Whether a response ends its connection was decided when its request began. A request that was in flight when the signal came got a response without 'Connection: close', and the connection was then closed although the caller had been told that it stays open. Of pipelined requests that had been read all but the first were dropped.

The decision is now made when the response begins. If the response had begun before the signal, as that of a stream, the next request is awaited for half a second and answered. An idle connection that is closed gets a last look at what has arrived.

--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -13,6 +13,8 @@
 
 namespace citronwick {
 
+class caller_connection;
+
 /// Header fields added to a response.
 using header_fields = std::vector<std::pair<std::string, std::string>>;
 
@@ -34,7 +36,7 @@
 public:
     /// @param keep_alive whether the connection may serve another request
     /// @param arrived when the request's header was read
-    caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
+    caller(caller_connection& connection, std::string request_id, bool keep_alive,
            std::chrono::milliseconds write_timeout, time_point arrived);
     caller(const caller&) = delete;
     caller& operator=(const caller&) = delete;
@@ -47,7 +49,7 @@
 
     time_point arrived() const { return arrived_; }
 
-    /// Whether the connection may serve another request.
+    /// Whether the connection may serve another request. Final once a response has begun.
     bool keep_alive() const { return keep_alive_; }
 
     /// Makes the connection close after the response.
@@ -99,10 +101,12 @@
     template <class Message>
     task<bool> write(Message& message);
     task<bool> write_header(http::response_header<> head);
+    void begin_response();
     void start_watch();
     bool record_write(const boost::system::error_code& error, std::size_t bytes);
     bool record_last_write(const boost::system::error_code& error, std::size_t bytes);
 
+    caller_connection& connection_;
     boost::beast::tcp_stream& stream_;
     std::string request_id_;
     bool keep_alive_;
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -1,5 +1,7 @@
 #include "citronwick/traffic/caller.hpp"
 
+#include "citronwick/traffic/caller_connection.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -24,10 +26,11 @@
 
 } // namespace
 
-caller::caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
+caller::caller(caller_connection& connection, std::string request_id, bool keep_alive,
                std::chrono::milliseconds write_timeout, time_point arrived)
-    : stream_{stream}, request_id_{std::move(request_id)}, keep_alive_{keep_alive},
-      write_timeout_{write_timeout}, arrived_{arrived}, watch_{std::make_shared<disconnect_watch>()} {}
+    : connection_{connection}, stream_{connection.stream()}, request_id_{std::move(request_id)},
+      keep_alive_{keep_alive}, write_timeout_{write_timeout}, arrived_{arrived},
+      watch_{std::make_shared<disconnect_watch>()} {}
 
 caller::~caller() {
     watch_->notify = nullptr;
@@ -38,6 +41,11 @@
     }
 }
 
+void caller::begin_response() {
+    response_started_ = true;
+    keep_alive_ = keep_alive_ && !connection_.ends_after_response();
+}
+
 bool caller::record_write(const boost::system::error_code& error, std::size_t bytes) {
     bytes_written_ += bytes;
     if (error) {
@@ -61,7 +69,7 @@
 }
 
 task<bool> caller::respond(complete_response content) {
-    response_started_ = true;
+    begin_response();
     http_response response;
     response.version(11);
     response.result(content.status);
@@ -89,7 +97,7 @@
 }
 
 task<bool> caller::write_header(http::response_header<> head) {
-    response_started_ = true;
+    begin_response();
     http::response<http::empty_body> response{std::move(head)};
     response.keep_alive(keep_alive_);
     response.chunked(true);
@@ -114,7 +122,7 @@
 }
 
 task<bool> caller::relay(http_response response) {
-    response_started_ = true;
+    begin_response();
     response.version(11);
     response.keep_alive(keep_alive_);
     response.prepare_payload();
--- a/packages/traffic/src/connection_record.cpp
+++ b/packages/traffic/src/connection_record.cpp
@@ -14,12 +14,12 @@
 namespace {
 
 constexpr std::array<std::string_view, 12> names{
-    "closed-by-caller",   "reset-by-caller", "idle-timeout", "planned-stop",  "after-response",
-    "incomplete-request", "refused",         "caller-left",  "write-timeout", "write-error",
+    "closed-by-caller",    "reset-by-caller", "idle-timeout", "planned-stop",  "after-response",
+    "incomplete-request",  "refused",         "caller-left",  "write-timeout", "write-error",
     "incomplete-response", "exception"};
 
-constexpr std::array unfinished{connection_end::incomplete_request, connection_end::caller_left,
-                                connection_end::write_timeout,      connection_end::write_error,
+constexpr std::array unfinished{connection_end::incomplete_request,  connection_end::caller_left,
+                                connection_end::write_timeout,       connection_end::write_error,
                                 connection_end::incomplete_response, connection_end::exception};
 
 std::string message_of(const std::exception_ptr& exception) {
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
+#include "citronwick/traffic/caller_connection.hpp"
 #include "citronwick/traffic/connection_record.hpp"
 #include "citronwick/traffic/http_framing.hpp"
 
@@ -186,7 +187,7 @@
             if (!refusal && !read_error) {
                 auto request = parser.release();
                 const bool keep_open =
-                    co_await dispatch(*assigned.server, stream, std::move(request), arrived, record);
+                    co_await dispatch(*assigned.server, connection, std::move(request), arrived, record);
                 co_return keep_open;
             }
         }
@@ -199,23 +200,43 @@
             record.end_with_refusal(refusal->detail);
             log_info("request_unreadable",
                      {{"status", std::to_string(refusal->status)}, {"detail", refusal->detail}});
-            caller from{stream, random_id(), false, settings_.caller_write_timeout, arrived};
+            caller from{connection, random_id(), false, settings_.caller_write_timeout, arrived};
             co_await from.refuse(std::move(*refusal));
             co_await drain_input(stream);
         }
         co_return false;
     }
 
-    /// Waits for the first bytes of the next request.
-    static task<boost::system::error_code> wait_for_request(worker& assigned, beast::tcp_stream& stream,
-                                                            beast::flat_buffer& buffer,
-                                                            const request_limits& limits) {
+    /// Waits for the first bytes of the next request. During a shutdown the wait is short: the
+    /// caller may have been told earlier that the connection stays open.
+    task<boost::system::error_code> wait_for_request(worker& assigned, beast::tcp_stream& stream,
+                                                     beast::flat_buffer& buffer,
+                                                     const request_limits& limits) {
+        if (shutting_down_) {
+            constexpr std::chrono::milliseconds max_wait{500};
+            auto error =
+                co_await read_more(stream, buffer, clock::now() + std::min(limits.idle_timeout, max_wait));
+            co_return error == beast::error::timeout ? asio::error::operation_aborted : error;
+        }
         assigned.idle.insert(&stream);
         auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
         assigned.idle.erase(&stream);
+        if (error == asio::error::operation_aborted && shutting_down_) {
+            read_arrived(stream, buffer, error);
+        }
         co_return error;
     }
 
+    /// Reads what had arrived when the wait for it was cancelled.
+    static void read_arrived(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                             boost::system::error_code& error) {
+        boost::system::error_code read_error;
+        const std::size_t available = stream.socket().available(read_error);
+        if (available > 0) {
+            buffer.commit(stream.socket().read_some(buffer.prepare(available), error));
+        }
+    }
+
     task<boost::system::error_code> read_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                                 http::request_parser<http::string_body>& parser,
                                                 const request_limits& limits) {
@@ -285,14 +306,11 @@
         }
     }
 
-    task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
+    task<bool> dispatch(request_server& server, caller_connection& connection, http_request request,
                         time_point arrived, connection_record& record) {
-        const bool keep_alive = request.keep_alive() && !shutting_down_;
-        caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
+        const bool keep_alive = request.keep_alive();
+        caller from{connection, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
         co_await server.serve(from, std::move(request));
-        if (shutting_down_) {
-            from.close_after_response();
-        }
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
         if (!keep_open) {
@@ -318,6 +336,7 @@
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::unique_ptr<worker>> workers_;
+    std::size_t next_worker_ = 0; ///< used by the accepting thread only
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> requests_{0};
     std::atomic<bool> shutting_down_{false};
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -28,6 +28,7 @@
     std::size_t failure_domains = 1;  ///< over which the routers are spread
     std::string limit_settings{};     ///< lines of the table [limits]
     process_options router_process{}; ///< how the routers are started
+    std::chrono::milliseconds balancer_lag{300};
 };
 
 /// Runs routers, workers and the metadata store as processes on this machine.
--- /dev/null
+++ b/tests/integration/lost_requests.tests.cpp
@@ -0,0 +1,124 @@
+// No accepted request ends without a response.
+
+#include "kept_connection.hpp"
+#include "routed_fleet.hpp"
+#include "scripted_worker.hpp"
+#include "waiting.hpp"
+
+#include "citronwick/io/json_text.hpp"
+#include "citronwick/io/task.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/json/array.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <iterator>
+#include <thread>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string request_bytes(const std::string& method, const std::string& path, const std::string& attempt_id,
+                          std::string body = {},
+                          std::vector<std::pair<std::string, std::string>> headers = {}) {
+    std::vector<std::pair<std::string, std::string>> all_headers{{"Host", "shop.example"},
+                                                                 {"X-Api-Key", "club-key"},
+                                                                 {"Citronwick-Attempt-Id", attempt_id},
+                                                                 {"Citronwick-Deadline-Ms", "2900"}};
+    std::ranges::move(headers, std::back_inserter(all_headers));
+    return to_bytes(
+        {.method = method, .target = path, .body = std::move(body), .headers = std::move(all_headers)});
+}
+
+bool ends_connection(const reply& answer) {
+    return answer.header("Connection") == "close";
+}
+
+std::int64_t requests_in_flight(routed_fleet& system) {
+    return integer_member(system.view(system.routers().front()), "requests_in_flight");
+}
+
+std::int64_t unfinished_runs(const node& worker) {
+    const auto page =
+        parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body);
+    return page ? integer_member(*page, "unfinished") : -1;
+}
+
+/// Waits until the router sends requests to a worker.
+bool knows_worker(routed_fleet& system, const std::string& service) {
+    return wait_until([&] {
+        const auto seen = system.view(system.routers().front());
+        const auto* const services = object_member(seen, "services");
+        const auto* const list = services == nullptr ? nullptr : array_member(*services, service);
+        return list != nullptr && !list->empty();
+    });
+}
+
+/// Stops a router and waits until it has begun to drain.
+void begin_stop(const node& router) {
+    router.process->signal(SIGTERM);
+    REQUIRE(wait_until([&] { return http_call(router.addresses[1], {.target = "/readyz"}).status == 503; }));
+}
+
+} // namespace
+
+TEST_CASE("proof: a planned stop ends a connection only after a response that says so") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers().front();
+    set_faults(system.plain_workers(), R"({"delay_ms":1000})");
+    set_faults(system.engines(), R"({"event_gap_ms":200})");
+    struct row {
+        std::string method;
+        std::string path;
+    };
+    const std::vector<row> rows{
+        {"GET", "/read/1"}, {"POST", "/book/1"}, {"POST", "/quote/stream/1"}, {"POST", "/guide/stream/1"}};
+    std::deque<kept_connection> connections;
+    for (const row& each : rows) {
+        connections.emplace_back(router.address());
+        REQUIRE(connections.back().send(request_bytes(each.method, each.path, each.path)));
+    }
+    REQUIRE(wait_until([&] { return requests_in_flight(system) == std::ssize(rows); }));
+    begin_stop(router);
+    for (std::size_t index = 0; index < rows.size(); ++index) {
+        CAPTURE(rows[index].path);
+        auto& connection = connections[index];
+        const auto first = connection.read_reply();
+        CHECK(first.error.empty());
+        CHECK(first.status == 200);
+        if (!ends_connection(first)) {
+            const auto next = connection.ask(request_bytes("GET", "/read/2", "next" + std::to_string(index)));
+            CHECK(next.error.empty());
+            CHECK(next.status == 200);
+            CHECK(ends_connection(next));
+        }
+    }
+    CHECK(router.process->wait(10s) == 0);
+}
+
+TEST_CASE("proof: pipelined requests are answered in order, also when the router stops") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers().front();
+    set_faults(system.plain_workers(), R"({"delay_ms":500})");
+    kept_connection connection{router.address()};
+    REQUIRE(connection.send(request_bytes("GET", "/read/1", "one") + request_bytes("POST", "/book/2", "two") +
+                            request_bytes("GET", "/read/3", "three")));
+    REQUIRE(wait_until([&] { return requests_in_flight(system) == 1; }));
+    SUBCASE("without a stop") {}
+    SUBCASE("with a stop") {
+        begin_stop(router);
+    }
+    for (const std::string name : {"one", "two", "three"}) {
+        CAPTURE(name);
+        const auto answer = connection.read_reply();
+        CHECK(answer.error == "");
+        CHECK(answer.header("Citronwick-Attempt-Id") == name);
+        CHECK(answer.status == 200);
+    }
+}
