Serve the connections that wait to be accepted when the listener closes

Callers whose connection the kernel had accepted, but the router had not, got a reset when the listener closed: 40 of 40 at a router that had no processor time while they connected. Closing was also not awaited, so that a stop could end while a connection was still being accepted.

The waiting connections are now accepted before the listener is closed, on the thread that accepts, and the stop goes on when that is done.

--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -70,11 +71,11 @@
 
     void announce_shutdown() { shutting_down_ = true; }
 
+    /// Returns when the listener is closed. Closing it resets the connections that wait to be
+    /// accepted, so these are accepted before.
     void stop_accepting() {
-        asio::post(accept_context_, [this] {
-            boost::system::error_code ignored;
-            acceptor_.close(ignored);
-        });
+        auto close = asio::use_future([this] { accept_waiting_and_close(); });
+        asio::post(accept_context_, std::move(close)).wait();
     }
 
     void close_idle_connections() {
@@ -115,25 +116,46 @@
     };
 
     task<void> accept() {
-        std::size_t next_worker = 0;
         while (acceptor_.is_open()) {
-            worker& target = *workers_[next_worker++ % workers_.size()];
+            worker& target = next_worker();
             asio::ip::tcp::socket socket{target.context};
             auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
             if (error) {
                 continue;
             }
-            if (connections_ >= settings_.connections) {
-                log_warn("connection_refused", {{"reason", "too many connections"}});
-                continue;
+            admit(target, std::move(socket));
+        }
+    }
+
+    void accept_waiting_and_close() {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            worker& target = next_worker();
+            asio::ip::tcp::socket socket{target.context};
+            acceptor_.accept(socket, error);
+            if (!error) {
+                admit(target, std::move(socket));
             }
-            ++connections_;
-            asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
-                           [this](const std::exception_ptr& exception) {
-                               --connections_;
-                               log_failure(exception);
-                           });
         }
+        acceptor_.close(error);
+    }
+
+    /// The worker that gets the next connection.
+    worker& next_worker() { return *workers_[next_worker_++ % workers_.size()]; }
+
+    /// Serves an accepted connection on a worker unless there are too many.
+    void admit(worker& target, asio::ip::tcp::socket socket) {
+        if (connections_ >= settings_.connections) {
+            log_warn("connection_refused", {{"reason", "too many connections"}});
+            return;
+        }
+        ++connections_;
+        asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
+                       [this](const std::exception_ptr& exception) {
+                           --connections_;
+                           log_failure(exception);
+                       });
     }
 
     static void log_failure(const std::exception_ptr& exception) {
@@ -149,20 +171,20 @@
     task<void> serve_connection(worker& assigned, asio::ip::tcp::socket socket) {
         boost::system::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-        beast::tcp_stream stream{std::move(socket)};
-        beast::flat_buffer buffer;
+        caller_connection connection{std::move(socket), shutting_down_};
         connection_record record;
-        while (co_await serve_request(assigned, stream, buffer, record)) {
+        while (co_await serve_request(assigned, connection, record)) {
         }
-        stream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+        connection.stream().socket().shutdown(asio::socket_base::shutdown_both, ignored);
         record.log();
         assigned.server->count_connection_end(record.end());
     }
 
     /// Reads and serves one request.
     /// @return whether to keep the connection open for another
-    task<bool> serve_request(worker& assigned, beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                             connection_record& record) {
+    task<bool> serve_request(worker& assigned, caller_connection& connection, connection_record& record) {
+        beast::tcp_stream& stream = connection.stream();
+        beast::flat_buffer& buffer = connection.input();
         const request_limits limits = assigned.server->limits();
         if (buffer.size() == 0) {
             const auto idle_error = co_await wait_for_request(assigned, stream, buffer, limits);
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -101,6 +101,28 @@
     CHECK(router.process->wait(10s) == 0);
 }
 
+TEST_CASE("proof: connections that wait while the listener closes are served") {
+    constexpr auto balancer_lag = 1s;
+    routed_fleet system{{.routers = 1, .balancer_lag = balancer_lag}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers().front();
+    begin_stop(router);
+    router.process->signal(SIGSTOP);
+    std::deque<kept_connection> connections;
+    for (int count = 0; count < 40; ++count) {
+        connections.emplace_back(router.address());
+        REQUIRE(connections.back().send(request_bytes("GET", "/read/1", "w" + std::to_string(count))));
+    }
+    std::this_thread::sleep_for(balancer_lag + 500ms); // the listener is due to close
+    router.process->signal(SIGCONT);
+    for (auto& each : connections) {
+        const auto answer = each.read_reply();
+        CHECK(answer.error == "");
+        CHECK(answer.status == 200);
+    }
+    CHECK(router.process->wait(10s) == 0);
+}
+
 TEST_CASE("proof: pipelined requests are answered in order, also when the router stops") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
