Send no body after the header of a response to HEAD

Callers of HEAD requests that the router refused, such as for an unknown route, got the problem document as a body. On a kept connection they take it for the start of the next response, so that the next request got no usable one. Which requests have a response without body is now known to 'caller', which leaves it out, also of streams.

--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -55,6 +55,9 @@
     /// Makes the connection close after the response.
     void close_after_response() { keep_alive_ = false; }
 
+    /// Makes the response end after its header, as that to a HEAD request does.
+    void leave_out_body() { has_body_ = false; }
+
     /// Whether writing of a response has begun.
     bool response_started() const { return response_started_; }
 
@@ -98,8 +101,7 @@
         bool disconnected = false;
     };
 
-    template <class Message>
-    task<bool> write(Message& message);
+    task<bool> write(http_response& response);
     task<bool> write_header(http::response_header<> head);
     void begin_response();
     void start_watch();
@@ -110,6 +112,7 @@
     boost::beast::tcp_stream& stream_;
     std::string request_id_;
     bool keep_alive_;
+    bool has_body_ = true;
     bool response_started_ = false;
     bool response_complete_ = false;
     std::size_t bytes_written_ = 0;
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -61,10 +61,14 @@
     return response_complete_;
 }
 
-template <class Message>
-task<bool> caller::write(Message& message) {
+task<bool> caller::write(http_response& response) {
     stream_.expires_after(write_timeout_);
-    auto [error, size] = co_await http::async_write(stream_, message, use_tuple);
+    if (!has_body_) {
+        http::response_serializer<http::string_body> serializer{response};
+        auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
+        co_return record_last_write(error, size);
+    }
+    auto [error, size] = co_await http::async_write(stream_, response, use_tuple);
     co_return record_last_write(error, size);
 }
 
@@ -104,7 +108,7 @@
     http::response_serializer<http::empty_body> serializer{response};
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
-    co_return record_write(error, size);
+    co_return has_body_ ? record_write(error, size) : record_last_write(error, size);
 }
 
 task<bool> caller::begin_stream(header_fields headers) {
@@ -125,7 +129,9 @@
     begin_response();
     response.version(11);
     response.keep_alive(keep_alive_);
-    response.prepare_payload();
+    if (has_body_) {
+        response.prepare_payload();
+    }
     co_return co_await write(response);
 }
 
@@ -134,6 +140,9 @@
 }
 
 task<bool> caller::end_relay() {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     const auto last = http::make_chunk_last();
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
@@ -141,6 +150,9 @@
 }
 
 task<bool> caller::write_events(std::string events) {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     const auto chunk = http::make_chunk(asio::buffer(events));
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, chunk, use_tuple);
@@ -148,6 +160,9 @@
 }
 
 task<bool> caller::end_stream(outcome result) {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     http::fields trailer;
     trailer.set(outcome_header, to_text(result));
     const auto last = http::make_chunk_last(trailer);
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -332,6 +332,9 @@
                         time_point arrived, connection_record& record) {
         const bool keep_alive = request.keep_alive();
         caller from{connection, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
+        if (request.method() == http::verb::head) {
+            from.leave_out_body();
+        }
         co_await server.serve(from, std::move(request));
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -123,6 +123,25 @@
     CHECK(router.process->wait(10s) == 0);
 }
 
+TEST_CASE("proof: a connection stays usable after any response to HEAD") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    kept_connection connection{system.routers().front().address()};
+    int number = 0;
+    for (const std::string path : {"/read/1", "/nowhere/1", "/read/%2e%2e/x"}) {
+        CAPTURE(path);
+        const std::string attempt = "h" + std::to_string(number++);
+        REQUIRE(connection.send(request_bytes("HEAD", path, attempt)));
+        const auto head = connection.read_reply(true);
+        CHECK(head.error == "");
+        CHECK(head.status > 0);
+        const auto next = connection.ask(request_bytes("GET", "/read/1", attempt + "next"));
+        CHECK(next.error == "");
+        CHECK(next.status == 200);
+        CHECK(next.body.starts_with("done by "));
+    }
+}
+
 TEST_CASE("proof: pipelined requests are answered in order, also when the router stops") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
