Apply the caller write timeout to progress, not to a whole response

A caller that read a response of 12 MB steadily was cut off after caller_write_timeout, having got 5.4 MB of it (with a timeout of 500 ms). The timeout now holds for each part that the kernel takes. A caller that stops reading is cut off as before (contract: a caller that stops reading is disconnected).

--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -61,15 +61,19 @@
     return response_complete_;
 }
 
+/// Writes a whole response. The timeout holds for each part that the kernel takes, so that a caller
+/// may read a long response slowly, but not stop reading.
 task<bool> caller::write(http_response& response) {
-    stream_.expires_after(write_timeout_);
-    if (!has_body_) {
-        http::response_serializer<http::string_body> serializer{response};
-        auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
-        co_return record_last_write(error, size);
+    http::response_serializer<http::string_body> serializer{response};
+    serializer.split(!has_body_);
+    bool is_written = true;
+    while (is_written && !(has_body_ ? serializer.is_done() : serializer.is_header_done())) {
+        stream_.expires_after(write_timeout_);
+        auto [error, size] = co_await http::async_write_some(stream_, serializer, use_tuple);
+        is_written = record_write(error, size);
     }
-    auto [error, size] = co_await http::async_write(stream_, response, use_tuple);
-    co_return record_last_write(error, size);
+    response_complete_ = is_written;
+    co_return is_written;
 }
 
 task<bool> caller::respond(complete_response content) {
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -163,3 +163,35 @@
         CHECK(answer.status == 200);
     }
 }
+
+TEST_CASE("proof: a caller that reads a long response slowly gets all of it") {
+    constexpr std::size_t body_bytes = 12'000'000;
+    scripted_worker worker{"desk-long", [](asio::ip::tcp::socket& connection) {
+                               const auto header = read_request(connection);
+                               asio::write(connection, asio::buffer(response_header(header) +
+                                                                    "Content-Length: 12000000\r\n\r\n" +
+                                                                    std::string(body_bytes, 'x')));
+                           }};
+    routed_fleet system{{.routers = 1,
+                         .plain_workers = 0,
+                         .engines = 0,
+                         .limit_settings = "caller_write_timeout = \"500ms\"\n"}};
+    system.register_worker(worker.entry(), "desk");
+    REQUIRE(system.wait_ready());
+    REQUIRE(knows_worker(system, "desk"));
+    asio::io_context context{1};
+    asio::ip::tcp::socket caller{context};
+    caller.open(asio::ip::tcp::v4());
+    caller.set_option(asio::socket_base::receive_buffer_size{65'536});
+    caller.connect(to_tcp(system.routers().front().address()));
+    asio::write(caller, asio::buffer(request_bytes("GET", "/read/1", "long")));
+    std::string part(65'536, '\0');
+    std::size_t received = 0;
+    boost::system::error_code error;
+    while (!error && received < body_bytes) {
+        std::this_thread::sleep_for(10ms);
+        received += caller.read_some(asio::buffer(part), error);
+    }
+    CHECK(error == boost::system::error_code{});
+    CHECK(received >= body_bytes);
+}
