Notice that a caller left although its next request has arrived

While a request is served the router waits for input to see the caller disconnect. A pipelined request ended that wait: it was not started again, and looking at the input showed the request, never the end behind it. The worker went on with the stream of a caller that had left.

What arrives during a request is now received, up to 16 KiB, and kept for the next request, and the wait goes on. Without pipelined input nothing changes but that the one look at the input is a read.

--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -104,7 +104,7 @@
     task<bool> write(http_response& response);
     task<bool> write_header(http::response_header<> head);
     void begin_response();
-    void start_watch();
+    static void watch(const std::shared_ptr<disconnect_watch>& state, caller_connection& connection);
     bool record_write(const boost::system::error_code& error, std::size_t bytes);
     bool record_last_write(const boost::system::error_code& error, std::size_t bytes);
 
--- a/packages/traffic/include/citronwick/traffic/caller_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller_connection.hpp
@@ -23,6 +23,9 @@
     /// What was received and not yet parsed.
     boost::beast::flat_buffer& input() { return input_; }
 
+    /// Receives what has arrived, without waiting for more.
+    boost::system::error_code receive_input();
+
     /// Whether the response that begins now is the last one on this connection because the router
     /// is stopping. Requests that have already arrived are still served, up to a limit.
     bool ends_after_response();
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Input of later requests that is received while a request is served.
+constexpr std::size_t max_input_bytes = 16'384;
+
 constexpr const char* request_id_header = "Citronwick-Request";
 constexpr const char* outcome_header = "Citronwick-Outcome";
 
@@ -180,29 +183,29 @@
     if (watch_->disconnected && watch_->notify) {
         std::exchange(watch_->notify, nullptr)();
     } else if (!watch_->active && watch_->notify) {
-        start_watch();
+        watch(watch_, connection_);
     }
 }
 
-void caller::start_watch() {
-    watch_->active = true;
-    auto& socket = stream_.socket();
-    socket.async_wait(asio::socket_base::wait_read,
-                      [state = watch_, &socket](const boost::system::error_code& error) {
-                          state->active = false;
-                          if (error || state->detached) {
-                              return;
-                          }
-                          std::array<char, 1> byte{};
-                          boost::system::error_code peek_error;
-                          socket.non_blocking(true, peek_error);
-                          socket.receive(asio::buffer(byte), asio::socket_base::message_peek, peek_error);
-                          const bool closed = peek_error && peek_error != asio::error::would_block;
-                          state->disconnected = state->disconnected || closed;
-                          if (closed && state->notify) {
-                              std::exchange(state->notify, nullptr)();
-                          }
-                      });
+/// Waits for input. What arrives while a request is served belongs to the next one and is kept,
+/// since a disconnect shows only after it.
+void caller::watch(const std::shared_ptr<disconnect_watch>& state, caller_connection& connection) {
+    state->active = true;
+    connection.stream().socket().async_wait(
+        asio::socket_base::wait_read, [state, &connection](const boost::system::error_code& error) {
+            state->active = false;
+            if (error || state->detached) {
+                return;
+            }
+            const auto read_error = connection.receive_input();
+            const bool closed = read_error && read_error != asio::error::would_block;
+            state->disconnected = state->disconnected || closed;
+            if (closed && state->notify) {
+                std::exchange(state->notify, nullptr)();
+            } else if (!closed && connection.input().size() < max_input_bytes) {
+                watch(state, connection);
+            }
+        });
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -187,7 +187,7 @@
         beast::flat_buffer& buffer = connection.input();
         const request_limits limits = assigned.server->limits();
         if (buffer.size() == 0) {
-            const auto idle_error = co_await wait_for_request(assigned, stream, buffer, limits);
+            const auto idle_error = co_await wait_for_request(assigned, connection, limits);
             if (idle_error) {
                 record.end_while_idle(idle_error);
                 co_return false;
@@ -231,9 +231,10 @@
 
     /// Waits for the first bytes of the next request. During a shutdown the wait is short: the
     /// caller may have been told earlier that the connection stays open.
-    task<boost::system::error_code> wait_for_request(worker& assigned, beast::tcp_stream& stream,
-                                                     beast::flat_buffer& buffer,
+    task<boost::system::error_code> wait_for_request(worker& assigned, caller_connection& connection,
                                                      const request_limits& limits) {
+        beast::tcp_stream& stream = connection.stream();
+        beast::flat_buffer& buffer = connection.input();
         if (shutting_down_) {
             constexpr std::chrono::milliseconds max_wait{500};
             auto error =
@@ -244,21 +245,12 @@
         auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
         assigned.idle.erase(&stream);
         if (error == asio::error::operation_aborted && shutting_down_) {
-            read_arrived(stream, buffer, error);
+            const auto read_error = connection.receive_input();
+            co_return read_error ? error : read_error;
         }
         co_return error;
     }
 
-    /// Reads what had arrived when the wait for it was cancelled.
-    static void read_arrived(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                             boost::system::error_code& error) {
-        boost::system::error_code read_error;
-        const std::size_t available = stream.socket().available(read_error);
-        if (available > 0) {
-            buffer.commit(stream.socket().read_some(buffer.prepare(available), error));
-        }
-    }
-
     task<boost::system::error_code> read_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                                 http::request_parser<http::string_body>& parser,
                                                 const request_limits& limits) {
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -142,6 +142,24 @@
     }
 }
 
+TEST_CASE("proof: a caller that leaves is noticed although its next request has arrived") {
+    constexpr auto bound = 500ms;
+    routed_fleet system{{.routers = 1, .engines = 1}};
+    REQUIRE(system.wait_ready());
+    const node& engine = system.engines().front();
+    set_fault(engine, R"({"event_gap_ms":300})");
+    {
+        kept_connection connection{system.routers().front().address()};
+        REQUIRE(connection.send(request_bytes("POST", "/guide/stream/1", "first")));
+        REQUIRE(wait_until([&] { return runs_of(engine, "first") == 1; }));
+        REQUIRE(connection.send(request_bytes("POST", "/guide/stream/1", "second")));
+        std::this_thread::sleep_for(100ms); // it has arrived
+    }
+    std::this_thread::sleep_for(bound);
+    CHECK(requests_in_flight(system) == 0);
+    CHECK(wait_until([&] { return unfinished_runs(engine) == 1; }));
+}
+
 TEST_CASE("proof: pipelined requests are answered in order, also when the router stops") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
