Answer a request whose handling fails with an exception

An exception while a request was handled closed the caller's connection without a response, and the one log line did not name the request. Such a request is now answered 500 'internal-error' with the outcome 'unknown' unless its response had begun; the connection then ends, is counted with the cause 'exception', and its log line has the request and the text of the exception. No exception of the real program was seen; the tests use a server that throws. Both failed before (no response, no cause counted) and passed after.

--- a/packages/traffic/src/connection_record.cpp
+++ b/packages/traffic/src/connection_record.cpp
@@ -88,7 +88,9 @@
 }
 
 void connection_record::log() const {
-    const auto write = leaves_request_unfinished(end_) ? &log_info : &log_debug;
+    const auto write = end_ == connection_end::exception ? &log_warn
+                       : leaves_request_unfinished(end_) ? &log_info
+                                                         : &log_debug;
     write("connection_ended", {{"request", request_},
                                {"cause", std::string{to_text(end_)}},
                                {"requests_served", std::to_string(requests_)},
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -327,15 +327,33 @@
         if (request.method() == http::verb::head) {
             from.leave_out_body();
         }
-        co_await server.serve(from, std::move(request));
+        std::exception_ptr exception;
+        try {
+            co_await server.serve(from, std::move(request));
+        } catch (...) {
+            exception = std::current_exception();
+        }
+        if (exception) {
+            co_await report_exception(from);
+        }
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
         if (!keep_open) {
-            record.end_after(from);
+            record.end_after(from, exception);
         }
         co_return keep_open;
     }
 
+    /// Responds to a caller whose request could not be handled.
+    static task<void> report_exception(caller& from) {
+        from.on_disconnect(nullptr);
+        from.close_after_response();
+        if (!from.response_started()) {
+            problem refusal{500, "internal-error", "the request could not be handled", outcome::unknown};
+            co_await from.refuse(std::move(refusal));
+        }
+    }
+
     /// Counts a request as in flight during its lifetime.
     class in_flight_counter {
     public:
