Do not cut a long body off because its upstream reads slowly

A request with a body of 60 kB ended with 502 and 'Connection timed out' 1.5 s after its worker, with a small receive buffer, had stopped reading for 2 s. TCP_USER_TIMEOUT, which detects dead peers, also ends connections whose peer acknowledges everything and keeps its receive window closed.

The timeout is now off while a body of more than 16 KiB is sent, which need not fit into the window; the request's own timeouts bound the wait. It is set again with the next short request on that connection, so that normal requests make no further system calls. A dead upstream is then noticed by the keep-alive probes, or at the deadline of the request.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -73,6 +73,7 @@
         bool is_done = false;
     };
 
+    void adapt_ack_timeout(std::size_t body_bytes);
     failure close_with_failure(std::string step, const boost::system::error_code& error,
                                bool may_have_taken_effect);
 
@@ -82,6 +83,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
     bool open_ = false;
+    bool limits_ack_time_ = true; ///< whether unacknowledged data breaks the connection early
     bool was_used_ = false;
     bool is_head_request_ = false; ///< a response to HEAD has no body
 };
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -14,20 +14,28 @@
 
 /// Time without a TCP acknowledgement after which a connection counts as broken.
 constexpr std::chrono::milliseconds ack_timeout{1'500};
+/// Largest body that fits into the receive window of an upstream that does not read at the moment.
+constexpr std::size_t max_unread_body = 16'384;
 /// TCP keepalive probes of a connection that is idle in both directions.
 constexpr std::chrono::seconds keepalive_idle{2};
 constexpr std::chrono::seconds keepalive_interval{1};
 constexpr int keepalive_probes = 2;
 
+/// Sets the time after which unacknowledged data breaks a connection; 0 for the system's own.
+void set_ack_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout) {
+    namespace socket_option = boost::asio::detail::socket_option;
+    boost::system::error_code ignored;
+    socket.set_option(
+        socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{static_cast<int>(timeout.count())}, ignored);
+}
+
 /// Makes the kernel detect an unreachable peer. Without this, a connection to a
 /// VM that lost power stays open for minutes.
 void enable_dead_peer_detection(boost::asio::ip::tcp::socket& socket) {
     namespace socket_option = boost::asio::detail::socket_option;
     boost::system::error_code ignored;
     socket.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
-    socket.set_option(
-        socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{static_cast<int>(ack_timeout.count())},
-        ignored);
+    set_ack_timeout(socket, ack_timeout);
     socket.set_option(
         socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>{static_cast<int>(keepalive_idle.count())}, ignored);
     socket.set_option(
@@ -66,13 +74,25 @@
     boost::system::error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
     enable_dead_peer_detection(stream_->socket());
+    limits_ack_time_ = true;
     open_ = true;
     co_return io_result<void>{};
 }
 
+/// The acknowledgement timeout also ends connections whose peer is alive and keeps its receive
+/// window closed. While a long body is sent, the timeouts of the request bound the wait instead.
+void upstream_connection::adapt_ack_timeout(std::size_t body_bytes) {
+    const bool limits_ack_time = body_bytes <= max_unread_body;
+    if (limits_ack_time != limits_ack_time_) {
+        limits_ack_time_ = limits_ack_time;
+        set_ack_timeout(stream_->socket(), limits_ack_time ? ack_timeout : std::chrono::milliseconds{0});
+    }
+}
+
 void upstream_connection::start_send(http_request request, std::chrono::milliseconds timeout) {
     is_head_request_ = request.method() == http::verb::head;
     request.prepare_payload();
+    adapt_ack_timeout(request.body().size());
     pending_send_ = std::make_shared<pending_send>(std::move(request), stream_);
     stream_->expires_after(timeout);
     http::async_write(*stream_, pending_send_->request,
@@ -85,6 +105,7 @@
     is_head_request_ = request.method() == http::verb::head;
     request.set(http::field::host, to_text(peer_));
     request.prepare_payload();
+    adapt_ack_timeout(request.body().size());
     stream_->expires_after(timeout);
     auto [error, size] = co_await http::async_write(*stream_, request, use_tuple);
     if (error) {
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -182,6 +182,34 @@
     }
 }
 
+TEST_CASE("proof: a worker that pauses while it reads a long body gets the whole request") {
+    constexpr int small_buffer = 4'096;
+    static constexpr auto pause = 2s;
+    scripted_worker slow{
+        "desk-slow",
+        [](asio::ip::tcp::socket& connection) {
+            std::string rest;
+            const auto header = read_request_header(connection, rest);
+            std::this_thread::sleep_for(pause);
+            std::size_t left = std::stoul(field_of(header, "Content-Length")) - rest.size();
+            std::array<char, 4'096> part{};
+            while (left > 0) {
+                left -= connection.read_some(asio::buffer(part));
+            }
+            asio::write(connection, asio::buffer(response_header(header) + "Content-Length: 4\r\n\r\ndone"));
+        },
+        small_buffer};
+    routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+    system.register_worker(slow.entry(), "desk");
+    REQUIRE(system.wait_ready());
+    REQUIRE(knows_worker(system, "desk"));
+    kept_connection connection{system.routers().front().address()};
+    const auto answer = connection.ask(request_bytes("POST", "/book/1", "long", std::string(60'000, 'b')));
+    CHECK(answer.error == "");
+    CAPTURE(answer.body);
+    CHECK(answer.status == 200);
+}
+
 TEST_CASE("proof: a caller that reads a long response slowly gets all of it") {
     constexpr std::size_t body_bytes = 12'000'000;
     scripted_worker worker{"desk-long", [](asio::ip::tcp::socket& connection) {
