Accept any number of interim responses before the final one

A worker that sent five 102 responses before its answer made the request fail with 502 'only answers to other requests arrived': interim responses counted as answers to other requests, of which two are skipped, and the connection was not used again. They are now read over until the deadline and do not count.

--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -25,7 +25,7 @@
                                              time_point deadline) {
     connection_.start_send(std::move(request), time_until(deadline, clock::now()));
     for (int skipped_count = 0; skipped_count <= max_skipped_responses; ++skipped_count) {
-        auto read = co_await connection_.read_header(max_body_bytes, time_until(deadline, clock::now()));
+        auto read = co_await read_header(max_body_bytes, deadline);
         if (read.has_error()) {
             co_return exchange_result{attempt_outcome::may_have_run, to_text(read.error()), true};
         }
@@ -44,6 +44,17 @@
     co_return exchange_result{attempt_outcome::may_have_run, "only answers to other requests arrived"};
 }
 
+/// Reads the header of the next response that is not an interim one. Interim responses have no body.
+task<io_result<void>> upstream_exchange::read_header(std::optional<std::uint64_t> max_body_bytes,
+                                                     time_point deadline) {
+    while (true) {
+        auto read = co_await connection_.read_header(max_body_bytes, time_until(deadline, clock::now()));
+        if (read.has_error() || connection_.status() >= first_success || clock::now() >= deadline) {
+            co_return read;
+        }
+    }
+}
+
 bool upstream_exchange::should_skip_response() const {
     const bool is_interim = connection_.status() < first_success;
     const bool has_other_id = !traits_.attempt_id.empty() && traits_.attempt_id != attempt_id_;
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -43,6 +43,7 @@
     bool reusable() const { return !skipped_response_ && connection_.reusable(); }
 
 private:
+    task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes, time_point deadline);
     exchange_result classify() const;
     bool states_not_run() const;
     /// Whether the response is interim or belongs to another request.
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -66,6 +66,8 @@
 
 } // namespace
 
+// Guards against responses that promise an open connection which the stop then closes, so that
+// the caller's next request is lost (LOST).
 TEST_CASE("proof: a planned stop ends a connection only after a response that says so") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
@@ -101,6 +103,7 @@
     CHECK(router.process->wait(10s) == 0);
 }
 
+// Guards against connections that the kernel has accepted and the closing listener resets (LOST).
 TEST_CASE("proof: connections that wait while the listener closes are served") {
     constexpr auto balancer_lag = 1s;
     routed_fleet system{{.routers = 1, .balancer_lag = balancer_lag}};
@@ -123,6 +126,8 @@
     CHECK(router.process->wait(10s) == 0);
 }
 
+// Guards against bodies after the header of a response to HEAD, which the caller takes for the
+// next response (MIXED).
 TEST_CASE("proof: a connection stays usable after any response to HEAD") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
@@ -142,6 +147,7 @@
     }
 }
 
+// Guards against work for callers that left after they had sent more than one request (GONE).
 TEST_CASE("proof: a caller that leaves is noticed although its next request has arrived") {
     constexpr auto bound = 500ms;
     routed_fleet system{{.routers = 1, .engines = 1}};
@@ -182,6 +188,7 @@
     }
 }
 
+// Guards against sound requests that end because their worker reads slowly.
 TEST_CASE("proof: a worker that pauses while it reads a long body gets the whole request") {
     constexpr int small_buffer = 4'096;
     static constexpr auto pause = 2s;
@@ -210,6 +217,32 @@
     CHECK(answer.status == 200);
 }
 
+TEST_CASE("proof: any number of interim responses may come before the final one") {
+    scripted_worker worker{"desk-interim", [](asio::ip::tcp::socket& connection) {
+                               while (true) {
+                                   const auto header = read_request(connection);
+                                   std::string text;
+                                   for (int count = 0; count < 5; ++count) {
+                                       text += "HTTP/1.1 102 Processing\r\n\r\n";
+                                   }
+                                   text += response_header(header) + "Content-Length: 4\r\n\r\ndone";
+                                   asio::write(connection, asio::buffer(text));
+                               }
+                           }};
+    routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+    system.register_worker(worker.entry(), "desk");
+    REQUIRE(system.wait_ready());
+    REQUIRE(knows_worker(system, "desk"));
+    for (const std::string path : {"/read/1", "/book/1"}) {
+        CAPTURE(path);
+        const auto answer = system.ask(system.routers().front(), path, path);
+        CHECK(answer.error == "");
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "done");
+    }
+}
+
+// Guards against responses that are cut although their caller keeps reading.
 TEST_CASE("proof: a caller that reads a long response slowly gets all of it") {
     constexpr std::size_t body_bytes = 12'000'000;
     scripted_worker worker{"desk-long", [](asio::ip::tcp::socket& connection) {
