--- a/packages/traffic/include/citronwick/traffic/caller.hpp
+++ b/packages/traffic/include/citronwick/traffic/caller.hpp
@@ -13,6 +13,8 @@
 
 namespace citronwick {
 
+class caller_connection;
+
 /// Header fields added to a response.
 using header_fields = std::vector<std::pair<std::string, std::string>>;
 
@@ -34,7 +36,7 @@
 public:
     /// @param keep_alive whether the connection may serve another request
     /// @param arrived when the request's header was read
-    caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
+    caller(caller_connection& connection, std::string request_id, bool keep_alive,
            std::chrono::milliseconds write_timeout, time_point arrived);
     caller(const caller&) = delete;
     caller& operator=(const caller&) = delete;
@@ -47,15 +49,27 @@
 
     time_point arrived() const { return arrived_; }
 
-    /// Whether the connection may serve another request.
+    /// Whether the connection may serve another request. Final once a response has begun.
     bool keep_alive() const { return keep_alive_; }
 
     /// Makes the connection close after the response.
     void close_after_response() { keep_alive_ = false; }
 
+    /// Makes the response end after its header, as that to a HEAD request does.
+    void leave_out_body() { has_body_ = false; }
+
     /// Whether writing of a response has begun.
     bool response_started() const { return response_started_; }
 
+    /// Whether the response was written to its end.
+    bool response_complete() const { return response_complete_; }
+
+    /// Bytes of the response that the kernel took.
+    std::size_t bytes_written() const { return bytes_written_; }
+
+    /// Error that ended the writing of the response, if any.
+    const boost::system::error_code& write_error() const { return write_error_; }
+
     task<bool> respond(complete_response content);
     task<bool> refuse(problem refusal);
 
@@ -87,16 +101,22 @@
         bool disconnected = false;
     };
 
-    template <class Message>
-    task<bool> write(Message& message);
+    task<bool> write(http_response& response);
     task<bool> write_header(http::response_header<> head);
-    void start_watch();
-    bool check_write(const boost::system::error_code& error);
+    void begin_response();
+    static void watch(const std::shared_ptr<disconnect_watch>& state, caller_connection& connection);
+    bool record_write(const boost::system::error_code& error, std::size_t bytes);
+    bool record_last_write(const boost::system::error_code& error, std::size_t bytes);
 
+    caller_connection& connection_;
     boost::beast::tcp_stream& stream_;
     std::string request_id_;
     bool keep_alive_;
+    bool has_body_ = true;
     bool response_started_ = false;
+    bool response_complete_ = false;
+    std::size_t bytes_written_ = 0;
+    boost::system::error_code write_error_;
     std::chrono::milliseconds write_timeout_;
     time_point arrived_;
     std::shared_ptr<disconnect_watch> watch_;
--- a/packages/traffic/src/caller.cpp
+++ b/packages/traffic/src/caller.cpp
@@ -1,5 +1,7 @@
 #include "citronwick/traffic/caller.hpp"
 
+#include "citronwick/traffic/caller_connection.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -9,6 +11,9 @@
 
 namespace {
 
+/// Input of later requests that is received while a request is served.
+constexpr std::size_t max_input_bytes = 16'384;
+
 constexpr const char* request_id_header = "Citronwick-Request";
 constexpr const char* outcome_header = "Citronwick-Outcome";
 
@@ -24,10 +29,11 @@
 
 } // namespace
 
-caller::caller(boost::beast::tcp_stream& stream, std::string request_id, bool keep_alive,
+caller::caller(caller_connection& connection, std::string request_id, bool keep_alive,
                std::chrono::milliseconds write_timeout, time_point arrived)
-    : stream_{stream}, request_id_{std::move(request_id)}, keep_alive_{keep_alive},
-      write_timeout_{write_timeout}, arrived_{arrived}, watch_{std::make_shared<disconnect_watch>()} {}
+    : connection_{connection}, stream_{connection.stream()}, request_id_{std::move(request_id)},
+      keep_alive_{keep_alive}, write_timeout_{write_timeout}, arrived_{arrived},
+      watch_{std::make_shared<disconnect_watch>()} {}
 
 caller::~caller() {
     watch_->notify = nullptr;
@@ -38,22 +44,43 @@
     }
 }
 
-bool caller::check_write(const boost::system::error_code& error) {
+void caller::begin_response() {
+    response_started_ = true;
+    keep_alive_ = keep_alive_ && !connection_.ends_after_response();
+}
+
+bool caller::record_write(const boost::system::error_code& error, std::size_t bytes) {
+    bytes_written_ += bytes;
     if (error) {
         keep_alive_ = false;
+        write_error_ = error;
     }
     return !error;
 }
 
-template <class Message>
-task<bool> caller::write(Message& message) {
-    stream_.expires_after(write_timeout_);
-    auto [error, size] = co_await http::async_write(stream_, message, use_tuple);
-    co_return check_write(error);
+/// Records the write after which the response is complete.
+bool caller::record_last_write(const boost::system::error_code& error, std::size_t bytes) {
+    response_complete_ = record_write(error, bytes);
+    return response_complete_;
+}
+
+/// Writes a whole response. The timeout holds for each part that the kernel takes, so that a caller
+/// may read a long response slowly, but not stop reading.
+task<bool> caller::write(http_response& response) {
+    http::response_serializer<http::string_body> serializer{response};
+    serializer.split(!has_body_);
+    bool is_written = true;
+    while (is_written && !(has_body_ ? serializer.is_done() : serializer.is_header_done())) {
+        stream_.expires_after(write_timeout_);
+        auto [error, size] = co_await http::async_write_some(stream_, serializer, use_tuple);
+        is_written = record_write(error, size);
+    }
+    response_complete_ = is_written;
+    co_return is_written;
 }
 
 task<bool> caller::respond(complete_response content) {
-    response_started_ = true;
+    begin_response();
     http_response response;
     response.version(11);
     response.result(content.status);
@@ -81,14 +108,14 @@
 }
 
 task<bool> caller::write_header(http::response_header<> head) {
-    response_started_ = true;
+    begin_response();
     http::response<http::empty_body> response{std::move(head)};
     response.keep_alive(keep_alive_);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer{response};
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await http::async_write_header(stream_, serializer, use_tuple);
-    co_return check_write(error);
+    co_return has_body_ ? record_write(error, size) : record_last_write(error, size);
 }
 
 task<bool> caller::begin_stream(header_fields headers) {
@@ -106,10 +133,12 @@
 }
 
 task<bool> caller::relay(http_response response) {
-    response_started_ = true;
+    begin_response();
     response.version(11);
     response.keep_alive(keep_alive_);
-    response.prepare_payload();
+    if (has_body_) {
+        response.prepare_payload();
+    }
     co_return co_await write(response);
 }
 
@@ -118,26 +147,35 @@
 }
 
 task<bool> caller::end_relay() {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     const auto last = http::make_chunk_last();
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
-    co_return check_write(error);
+    co_return record_last_write(error, size);
 }
 
 task<bool> caller::write_events(std::string events) {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     const auto chunk = http::make_chunk(asio::buffer(events));
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, chunk, use_tuple);
-    co_return check_write(error);
+    co_return record_write(error, size);
 }
 
 task<bool> caller::end_stream(outcome result) {
+    if (!has_body_) {
+        co_return response_complete_;
+    }
     http::fields trailer;
     trailer.set(outcome_header, to_text(result));
     const auto last = http::make_chunk_last(trailer);
     stream_.expires_after(write_timeout_);
     auto [error, size] = co_await asio::async_write(stream_, last, use_tuple);
-    co_return check_write(error);
+    co_return record_last_write(error, size);
 }
 
 void caller::on_disconnect(std::function<void()> function) {
@@ -145,29 +183,29 @@
     if (watch_->disconnected && watch_->notify) {
         std::exchange(watch_->notify, nullptr)();
     } else if (!watch_->active && watch_->notify) {
-        start_watch();
+        watch(watch_, connection_);
     }
 }
 
-void caller::start_watch() {
-    watch_->active = true;
-    auto& socket = stream_.socket();
-    socket.async_wait(asio::socket_base::wait_read,
-                      [state = watch_, &socket](const boost::system::error_code& error) {
-                          state->active = false;
-                          if (error || state->detached) {
-                              return;
-                          }
-                          std::array<char, 1> byte{};
-                          boost::system::error_code peek_error;
-                          socket.non_blocking(true, peek_error);
-                          socket.receive(asio::buffer(byte), asio::socket_base::message_peek, peek_error);
-                          const bool closed = peek_error && peek_error != asio::error::would_block;
-                          state->disconnected = state->disconnected || closed;
-                          if (closed && state->notify) {
-                              std::exchange(state->notify, nullptr)();
-                          }
-                      });
+/// Waits for input. What arrives while a request is served belongs to the next one and is kept,
+/// since a disconnect shows only after it.
+void caller::watch(const std::shared_ptr<disconnect_watch>& state, caller_connection& connection) {
+    state->active = true;
+    connection.stream().socket().async_wait(
+        asio::socket_base::wait_read, [state, &connection](const boost::system::error_code& error) {
+            state->active = false;
+            if (error || state->detached) {
+                return;
+            }
+            const auto read_error = connection.receive_input();
+            const bool closed = read_error && read_error != asio::error::would_block;
+            state->disconnected = state->disconnected || closed;
+            if (closed && state->notify) {
+                std::exchange(state->notify, nullptr)();
+            } else if (!closed && connection.input().size() < max_input_bytes) {
+                watch(state, connection);
+            }
+        });
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -3,6 +3,8 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
+#include "citronwick/traffic/caller_connection.hpp"
+#include "citronwick/traffic/connection_record.hpp"
 #include "citronwick/traffic/http_framing.hpp"
 
 #include <atomic>
@@ -11,6 +13,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -68,11 +71,11 @@
 
     void announce_shutdown() { shutting_down_ = true; }
 
+    /// Returns when the listener is closed. Closing it resets the connections that wait to be
+    /// accepted, so these are accepted before.
     void stop_accepting() {
-        asio::post(accept_context_, [this] {
-            boost::system::error_code ignored;
-            acceptor_.close(ignored);
-        });
+        auto close = asio::use_future([this] { accept_waiting_and_close(); });
+        asio::post(accept_context_, std::move(close)).wait();
     }
 
     void close_idle_connections() {
@@ -113,25 +116,46 @@
     };
 
     task<void> accept() {
-        std::size_t next_worker = 0;
         while (acceptor_.is_open()) {
-            worker& target = *workers_[next_worker++ % workers_.size()];
+            worker& target = next_worker();
             asio::ip::tcp::socket socket{target.context};
             auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
             if (error) {
                 continue;
             }
-            if (connections_ >= settings_.connections) {
-                log_warn("connection_refused", {{"reason", "too many connections"}});
-                continue;
+            admit(target, std::move(socket));
+        }
+    }
+
+    void accept_waiting_and_close() {
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            worker& target = next_worker();
+            asio::ip::tcp::socket socket{target.context};
+            acceptor_.accept(socket, error);
+            if (!error) {
+                admit(target, std::move(socket));
             }
-            ++connections_;
-            asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
-                           [this](const std::exception_ptr& exception) {
-                               --connections_;
-                               log_failure(exception);
-                           });
         }
+        acceptor_.close(error);
+    }
+
+    /// The worker that gets the next connection.
+    worker& next_worker() { return *workers_[next_worker_++ % workers_.size()]; }
+
+    /// Serves an accepted connection on a worker unless there are too many.
+    void admit(worker& target, asio::ip::tcp::socket socket) {
+        if (connections_ >= settings_.connections) {
+            log_warn("connection_refused", {{"reason", "too many connections"}});
+            return;
+        }
+        ++connections_;
+        asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
+                       [this](const std::exception_ptr& exception) {
+                           --connections_;
+                           log_failure(exception);
+                       });
     }
 
     static void log_failure(const std::exception_ptr& exception) {
@@ -147,21 +171,32 @@
     task<void> serve_connection(worker& assigned, asio::ip::tcp::socket socket) {
         boost::system::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
-        beast::tcp_stream stream{std::move(socket)};
-        beast::flat_buffer buffer;
-        while (co_await serve_request(assigned, stream, buffer)) {
+        caller_connection connection{std::move(socket), shutting_down_};
+        connection_record record;
+        while (co_await serve_request(assigned, connection, record)) {
         }
-        stream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+        connection.stream().socket().shutdown(asio::socket_base::shutdown_both, ignored);
+        record.log();
+        assigned.server->count_connection_end(record.end());
     }
 
     /// Reads and serves one request.
     /// @return whether to keep the connection open for another
-    task<bool> serve_request(worker& assigned, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    task<bool> serve_request(worker& assigned, caller_connection& connection, connection_record& record) {
+        beast::tcp_stream& stream = connection.stream();
+        beast::flat_buffer& buffer = connection.input();
         const request_limits limits = assigned.server->limits();
+        if (buffer.size() == 0) {
+            const auto idle_error = co_await wait_for_request(assigned, connection, limits);
+            if (idle_error) {
+                record.end_while_idle(idle_error);
+                co_return false;
+            }
+        }
         http::request_parser<http::string_body> parser;
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
-        auto read_error = co_await read_header(assigned, stream, buffer, parser, limits);
+        auto read_error = co_await read_header(stream, buffer, parser, limits);
         const auto arrived = clock::now();
         std::optional<problem> refusal;
         if (!read_error) {
@@ -174,36 +209,51 @@
             if (!refusal && !read_error) {
                 auto request = parser.release();
                 const bool keep_open =
-                    co_await dispatch(*assigned.server, stream, std::move(request), arrived);
+                    co_await dispatch(*assigned.server, connection, std::move(request), arrived, record);
                 co_return keep_open;
             }
         }
         if (!refusal && should_respond(read_error)) {
             refusal = make_refusal(read_error);
         }
-        if (refusal) {
+        if (!refusal) {
+            record.end_within_request(read_error);
+        } else {
+            record.end_with_refusal(refusal->detail);
             log_info("request_unreadable",
                      {{"status", std::to_string(refusal->status)}, {"detail", refusal->detail}});
-            caller from{stream, random_id(), false, settings_.caller_write_timeout, arrived};
+            caller from{connection, random_id(), false, settings_.caller_write_timeout, arrived};
             co_await from.refuse(std::move(*refusal));
             co_await drain_input(stream);
         }
         co_return false;
     }
 
-    task<boost::system::error_code> read_header(worker& assigned, beast::tcp_stream& stream,
-                                                beast::flat_buffer& buffer,
+    /// Waits for the first bytes of the next request. During a shutdown the wait is short: the
+    /// caller may have been told earlier that the connection stays open.
+    task<boost::system::error_code> wait_for_request(worker& assigned, caller_connection& connection,
+                                                     const request_limits& limits) {
+        beast::tcp_stream& stream = connection.stream();
+        beast::flat_buffer& buffer = connection.input();
+        if (shutting_down_) {
+            constexpr std::chrono::milliseconds max_wait{500};
+            auto error =
+                co_await read_more(stream, buffer, clock::now() + std::min(limits.idle_timeout, max_wait));
+            co_return error == beast::error::timeout ? asio::error::operation_aborted : error;
+        }
+        assigned.idle.insert(&stream);
+        auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
+        assigned.idle.erase(&stream);
+        if (error == asio::error::operation_aborted && shutting_down_) {
+            const auto read_error = connection.receive_input();
+            co_return read_error ? error : read_error;
+        }
+        co_return error;
+    }
+
+    task<boost::system::error_code> read_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                                 http::request_parser<http::string_body>& parser,
                                                 const request_limits& limits) {
-        if (buffer.size() == 0) {
-            assigned.idle.insert(&stream);
-            auto error = co_await read_more(stream, buffer, clock::now() + limits.idle_timeout);
-            assigned.idle.erase(&stream);
-            if (error) {
-                co_return error == beast::error::timeout ? boost::system::error_code{asio::error::eof}
-                                                         : error;
-            }
-        }
         constexpr std::string_view header_end = "\r\n\r\n";
         const auto deadline = clock::now() + limits.read_timeout;
         while (view_of(buffer).find(header_end) == std::string_view::npos) {
@@ -270,15 +320,38 @@
         }
     }
 
-    task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
-                        time_point arrived) {
-        const bool keep_alive = request.keep_alive() && !shutting_down_;
-        caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
-        co_await server.serve(from, std::move(request));
-        if (shutting_down_) {
-            from.close_after_response();
+    task<bool> dispatch(request_server& server, caller_connection& connection, http_request request,
+                        time_point arrived, connection_record& record) {
+        const bool keep_alive = request.keep_alive();
+        caller from{connection, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
+        if (request.method() == http::verb::head) {
+            from.leave_out_body();
+        }
+        std::exception_ptr exception;
+        try {
+            co_await server.serve(from, std::move(request));
+        } catch (...) {
+            exception = std::current_exception();
+        }
+        if (exception) {
+            co_await report_exception(from);
+        }
+        record.count_request();
+        const bool keep_open = from.keep_alive() && from.response_complete();
+        if (!keep_open) {
+            record.end_after(from, exception);
+        }
+        co_return keep_open;
+    }
+
+    /// Responds to a caller whose request could not be handled.
+    static task<void> report_exception(caller& from) {
+        from.on_disconnect(nullptr);
+        from.close_after_response();
+        if (!from.response_started()) {
+            problem refusal{500, "internal-error", "the request could not be handled", outcome::unknown};
+            co_await from.refuse(std::move(refusal));
         }
-        co_return from.keep_alive() && from.response_started();
     }
 
     /// Counts a request as in flight during its lifetime.
@@ -298,6 +371,7 @@
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     std::vector<std::unique_ptr<worker>> workers_;
+    std::size_t next_worker_ = 0; ///< used by the accepting thread only
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> requests_{0};
     std::atomic<bool> shutting_down_{false};
