Wait after an accept that fails for lack of descriptors

Callers beyond the descriptors of a router waited in the backlog while the router spent its whole share of the processor: accept(2) leaves the connection in the backlog when it fails with EMFILE, ENFILE, ENOBUFS or ENOMEM, so that the next call failed at once too. The three accept loops (callers, operators, routers) called it again at once, and no line said so.

accept_failures tells failures of a single connection, which are retried at once, from all others, which are followed by a wait of 50 ms. It counts them and logs the sum at most once a second. Closing the listener ends the wait like a failed call.

Proof: "a router that cannot open descriptors does not spin", 100 callers and a limit of 64 descriptors.

--- a/packages/control/src/peer_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/control/peer_exchange.hpp"
 
 #include "citronwick/config/io_result_of.hpp"
+#include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -70,12 +71,15 @@
 }
 
 task<void> peer_exchange::serve() {
+    accept_failures failures{"peers"};
     while (acceptor_.is_open()) {
         asio::ip::tcp::socket socket{executor_};
         auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
-        if (!error) {
-            asio::co_spawn(executor_, serve_connection(std::move(socket)), asio::detached);
+        if (error) {
+            co_await failures.handle(error, clock::now());
+            continue;
         }
+        asio::co_spawn(executor_, serve_connection(std::move(socket)), asio::detached);
     }
 }
 
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/traffic/http_server.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/http_framing.hpp"
@@ -119,6 +120,7 @@
             asio::ip::tcp::socket socket{target.context};
             auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
             if (error) {
+                co_await accept_failures_.handle(error, clock::now());
                 continue;
             }
             if (connections_ >= settings_.connections) {
@@ -297,6 +299,7 @@
     request_server_factory make_server_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
+    accept_failures accept_failures_{"callers"};
     std::vector<std::unique_ptr<worker>> workers_;
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> requests_{0};
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/traffic/operator_server.hpp"
 
+#include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/http_connection.hpp"
 #include "citronwick/traffic/http_server.hpp"
 
@@ -48,9 +49,11 @@
         while (true) {
             asio::ip::tcp::socket socket{context_};
             auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
-            if (!error) {
-                asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            if (error) {
+                co_await accept_failures_.handle(error, clock::now());
+                continue;
             }
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
         }
     }
 
@@ -103,6 +106,7 @@
     http_server& traffic_server_;
     asio::io_context context_{1};
     asio::ip::tcp::acceptor acceptor_;
+    accept_failures accept_failures_{"operators"};
     std::atomic<bool> ready_{true};
     std::jthread thread_;
 };
--- /dev/null
+++ b/tests/integration/resource_limits.tests.cpp
@@ -0,0 +1,70 @@
+// Limits on what a process may use: descriptors and memory.
+
+#include "citronwick/core/time.hpp"
+#include "held_callers.hpp"
+#include "routed_fleet.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <sys/resource.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Processor time that a process has used.
+std::chrono::milliseconds processor_time(const node& target) {
+    constexpr std::size_t utime_after_name = 11;
+    std::ifstream file{"/proc/" + std::to_string(target.process->id()) + "/stat"};
+    const std::string text{std::istreambuf_iterator<char>{file}, {}};
+    std::istringstream fields{text.substr(text.rfind(')') + 1)};
+    std::string skipped;
+    for (std::size_t index = 0; index < utime_after_name; ++index) {
+        fields >> skipped;
+    }
+    std::int64_t user = 0;
+    std::int64_t system = 0;
+    fields >> user >> system;
+    return std::chrono::milliseconds{(user + system) * 1'000 / ::sysconf(_SC_CLK_TCK)};
+}
+
+/// Changes the number of descriptors that a process may open.
+void set_descriptor_limit(const node& target, rlim_t soft, rlim_t hard) {
+    const rlimit limit{soft, hard};
+    REQUIRE(::prlimit(target.process->id(), RLIMIT_NOFILE, &limit, nullptr) == 0);
+}
+
+} // namespace
+
+TEST_CASE("proof: a router that cannot open descriptors does not spin, and accepts callers once it can") {
+    constexpr rlim_t descriptors = 1'000;
+    constexpr rlim_t few_descriptors = 64;
+    constexpr std::size_t callers = 100;
+    routed_fleet system{
+        {.routers = 1, .plain_workers = 1, .engines = 1, .router_process = {.max_descriptors = descriptors}}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    set_descriptor_limit(router, few_descriptors, descriptors);
+    const held_callers held{router.address(), callers, ""};
+    const held_callers held_pages{router.addresses.at(1), 1, ""};
+    const auto used_before = processor_time(router);
+    constexpr std::chrono::milliseconds observed = 2s;
+    std::this_thread::sleep_for(observed);
+    CHECK(processor_time(router) - used_before < observed / 4);
+    const auto lines = find_log_lines(router, "accept_failed");
+    CHECK_FALSE(lines.empty());
+    CHECK(std::ranges::count_if(lines, [](const std::string& line) {
+              return line.find("listener=callers") != std::string::npos;
+          }) <= 5);
+    set_descriptor_limit(router, descriptors, descriptors);
+    CHECK(system.ask(router, "/read/1", "after").status == 200);
+}
