Refuse callers beyond the process's descriptors with a response

Callers above the limit of connections got a bare close; with fewer descriptors than callers they were not answered at all, and neither were the operators' pages, because callers could take each descriptor that the process may open.

Idle connections of other callers are not closed to make room: a request may be arriving on them.

Proof: "callers beyond the limit are refused whole and at once", 300 callers with a request each and a limit of 200 descriptors.

--- a/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
+++ b/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
@@ -17,6 +17,8 @@
     std::uint32_t body_bytes = 4'194'304;
     std::uint32_t answer_bytes = 16'777'216; ///< largest response body that is not streamed
     std::uint32_t connections = 4'096;
+    /// Descriptors that the process may open, unless the operating system allows fewer.
+    std::uint32_t descriptors = 1'048'576;
     std::chrono::milliseconds caller_idle_timeout{60'000};
     std::chrono::milliseconds caller_read_timeout{10'000};
     std::chrono::milliseconds caller_write_timeout{10'000};
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -5,6 +5,9 @@
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/http_framing.hpp"
+#include "citronwick/traffic/process_limits.hpp"
+#include "connection_refuser.hpp"
+#include "input_drain.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -52,7 +55,9 @@
 class http_server::state {
 public:
     state(const traffic_settings& settings, request_server_factory make_server)
-        : settings_{settings}, make_server_{std::move(make_server)}, acceptor_{accept_context_} {}
+        : settings_{settings}, make_server_{std::move(make_server)}, shares_{shares_in_force(settings)},
+          acceptor_{accept_context_},
+          refuser_{accept_context_.get_executor(), shares_.refusals, settings.caller_write_timeout} {}
 
     io_result<endpoint> start() {
         const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
@@ -123,8 +128,8 @@
                 co_await accept_failures_.handle(error, clock::now());
                 continue;
             }
-            if (connections_ >= settings_.connections) {
-                log_warn("connection_refused", {{"reason", "too many connections"}});
+            if (connections_ >= shares_.callers) {
+                refuser_.refuse(std::move(socket), clock::now());
                 continue;
             }
             ++connections_;
@@ -255,23 +260,6 @@
         co_return error;
     }
 
-    /// Reads and discards what a refused caller still sends. Closing the socket with
-    /// unread input would reset the connection and could discard the refusal.
-    static task<void> drain_input(beast::tcp_stream& stream) {
-        constexpr std::chrono::seconds drain_timeout{1};
-        std::array<char, 4096> discarded{};
-        boost::system::error_code ignored;
-        stream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
-        stream.expires_after(drain_timeout);
-        while (true) {
-            const auto space = asio::buffer(discarded);
-            auto [error, size] = co_await stream.async_read_some(space, use_tuple);
-            if (error) {
-                co_return;
-            }
-        }
-    }
-
     task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
                         time_point arrived) {
         const bool keep_alive = request.keep_alive() && !shutting_down_;
@@ -297,9 +285,11 @@
 
     const traffic_settings& settings_;
     request_server_factory make_server_;
+    descriptor_shares shares_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     accept_failures accept_failures_{"callers"};
+    connection_refuser refuser_;
     std::vector<std::unique_ptr<worker>> workers_;
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> requests_{0};
--- a/tests/harness/held_callers.cpp
+++ b/tests/harness/held_callers.cpp
@@ -1,5 +1,6 @@
 #include "held_callers.hpp"
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/task.hpp"
 
 #include <algorithm>
@@ -18,6 +19,7 @@
 
     asio::ip::tcp::socket socket;
     std::string received;
+    bool has_ended = false;
 };
 
 task<void> write_bytes(asio::ip::tcp::socket& socket, const std::string& bytes) {
@@ -25,16 +27,16 @@
     [[maybe_unused]] const auto result = co_await asio::async_write(socket, outgoing, use_tuple);
 }
 
-task<void> read_bytes(connection& from, std::size_t& reads) {
+task<void> read_bytes(connection& from) {
     std::array<char, 4096> buffer{};
     while (true) {
         const auto space = asio::buffer(buffer);
         auto [error, size] = co_await from.socket.async_read_some(space, use_tuple);
         if (error) {
+            from.has_ended = true;
             co_return;
         }
         from.received.append(buffer.data(), size);
-        ++reads;
     }
 }
 
@@ -43,7 +45,6 @@
 struct held_callers::connections {
     asio::io_context context{1};
     std::string bytes;
-    std::size_t reads = 0;
     std::vector<std::unique_ptr<connection>> all;
 };
 
@@ -55,9 +56,10 @@
         boost::system::error_code error;
         added.socket.connect(to_tcp(peer), error);
         if (error) {
+            added.has_ended = true;
             continue;
         }
-        asio::co_spawn(connections_->context, read_bytes(added, connections_->reads), asio::detached);
+        asio::co_spawn(connections_->context, read_bytes(added), asio::detached);
         if (!connections_->bytes.empty()) {
             asio::co_spawn(connections_->context, write_bytes(added.socket, connections_->bytes),
                            asio::detached);
@@ -68,13 +70,15 @@
 
 held_callers::~held_callers() = default;
 
-std::vector<std::string> held_callers::received(std::chrono::milliseconds quiet) {
-    std::size_t reads_before = 0;
-    do {
-        reads_before = connections_->reads;
+std::vector<std::string> held_callers::answers(std::chrono::milliseconds timeout) {
+    const auto deadline = clock::now() + timeout;
+    const auto is_answered = [](const auto& each) {
+        return each->has_ended || each->received.find("\r\n\r\n") != std::string::npos;
+    };
+    while (clock::now() < deadline && !std::ranges::all_of(connections_->all, is_answered)) {
         connections_->context.restart();
-        connections_->context.run_for(quiet);
-    } while (connections_->reads != reads_before);
+        connections_->context.run_one_until(deadline);
+    }
     std::vector<std::string> texts;
     std::ranges::transform(connections_->all, std::back_inserter(texts),
                            [](const auto& each) { return each->received; });
--- a/tests/harness/held_callers.hpp
+++ b/tests/harness/held_callers.hpp
@@ -21,8 +21,9 @@
     held_callers& operator=(const held_callers&) = delete;
     ~held_callers();
 
-    /// What each caller has received, read until nothing arrived on any of them for `quiet`.
-    std::vector<std::string> received(std::chrono::milliseconds quiet);
+    /// What each caller has received. Waits until each has the header of a response or its
+    /// connection has ended.
+    std::vector<std::string> answers(std::chrono::milliseconds timeout = std::chrono::seconds{20});
 
 private:
     struct connections;
--- a/tests/integration/resource_limits.tests.cpp
+++ b/tests/integration/resource_limits.tests.cpp
@@ -68,3 +68,27 @@
     set_descriptor_limit(router, descriptors, descriptors);
     CHECK(system.ask(router, "/read/1", "after").status == 200);
 }
+
+TEST_CASE("proof: callers beyond the limit are refused whole and at once, and those below it are served") {
+    constexpr std::size_t callers = 300;
+    constexpr rlim_t descriptors = 200;
+    const std::string request = "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+                                "Citronwick-Attempt-Id: a1\r\nCitronwick-Deadline-Ms: 2000\r\n\r\n";
+    routed_fleet system{
+        {.routers = 1, .plain_workers = 1, .engines = 1, .router_process = {.max_descriptors = descriptors}}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    held_callers held{router.address(), callers, request};
+    const auto answers = held.answers();
+    const auto served = std::ranges::count_if(
+        answers, [](const std::string& answer) { return answer.starts_with("HTTP/1.1 200"); });
+    const auto refused = std::ranges::count_if(answers, [](const std::string& answer) {
+        return answer.starts_with("HTTP/1.1 503") && answer.find("Retry-After: ") != std::string::npos &&
+               answer.find("Citronwick-Outcome: not-run") != std::string::npos;
+    });
+    CHECK(served > 0);
+    CHECK(refused > 0);
+    CHECK(served + refused == callers);
+    // Callers that stay connected take no descriptors that the operators' pages need.
+    CHECK(http_call(router.addresses.at(1), {.target = "/healthz", .timeout = 2s}).status == 200);
+}
