Log and count exceptions that nothing catches, and go on

An exception that left a handler ended the process, and one that ended a task was dropped (`asio::detached`): the loop that accepts callers, follows the store or gossips was gone, without a log line, while the process lived on.

Every thread now runs `run_event_loop`: the exception costs the operation it came from, is logged (`unhandled_exception` with thread and text) and counted. `spawn_logged` does this for tasks that nobody awaits, and `spawn_restarting` starts those that must not end again after 100 ms, also if the coroutine was destroyed because the handler of what it awaited threw. A loop that is started again keeps what is in its object (acceptor, sockets, timers, registrations) and makes only its local variables anew. Flags of work under way (a probe, a document, a write of versions, a crash probe) are taken back when it ends by an exception; they would have stopped that work for good. A connection is no longer counted as open once its coroutine is destroyed, which would have held up a planned stop.

The counter is `citronwick_unhandled_exceptions_total{source}` on /metrics of both kinds of router, and `unhandled_exceptions` in /debug/view. Nothing is added to the path of a request.

--- a/packages/control/src/control_plane_state.hpp
+++ b/packages/control/src/control_plane_state.hpp
@@ -16,13 +16,13 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/io/etcd_gateway_client.hpp"
+#include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 #include "citronwick/policy/token_bucket.hpp"
 #include "control_timing.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -82,14 +82,16 @@
         }
         members_.set_address(settings_.advertised_address);
         claims_.set_address(settings_.advertised_address);
-        spawn(channel_.run(
-            [this](const wire::header& from, const wire::gossip& message) { receive(from, message); }));
-        spawn(exchange_.serve());
-        spawn(gossip_loop());
-        spawn(probe_loop());
+        spawn("fleet_channel", [this] {
+            return channel_.run(
+                [this](const wire::header& from, const wire::gossip& message) { receive(from, message); });
+        });
+        spawn("peer_listener", [this] { return exchange_.serve(); });
+        spawn("gossip", [this] { return gossip_loop(); });
+        spawn("probes", [this] { return probe_loop(); });
         sync_.start();
-        spawn(view_loop());
-        thread_ = std::jthread{[this] { context_.run(); }};
+        spawn("views", [this] { return view_loop(); });
+        thread_ = std::jthread{[this] { run_event_loop(context_, control_timing::control_thread_name); }};
         pthread_setname_np(thread_.native_handle(), control_timing::control_thread_name);
         return bound;
     }
@@ -190,7 +192,9 @@
         }
     }
 
-    void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
+    void spawn(std::string name, std::function<task<void>()> start) {
+        spawn_restarting(context_.get_executor(), std::move(name), std::move(start));
+    }
 
     // Fleet channel
 
--- a/packages/control/src/document_sync.cpp
+++ b/packages/control/src/document_sync.cpp
@@ -5,9 +5,8 @@
 #include "citronwick/core/time.hpp"
 #include "citronwick/io/etcd_gateway_client.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -44,8 +43,8 @@
       config_store_{*config_service_, settings.key_prefix} {}
 
 void document_sync::start() {
-    asio::co_spawn(executor_, watch_configuration(), asio::detached);
-    asio::co_spawn(executor_, poll_vm_list(), asio::detached);
+    spawn_restarting(executor_, "configuration", [this] { return watch_configuration(); });
+    spawn_restarting(executor_, "vm_list", [this] { return poll_vm_list(); });
 }
 
 void document_sync::pull_if_newer(const endpoint& peer, const wire::document_version& version) {
@@ -53,7 +52,8 @@
     const bool is_known = index < pulling_.size();
     if (is_known && !pulling_.at(index) && version.generation > store_.generation(version.kind)) {
         pulling_.at(index) = true;
-        asio::co_spawn(executor_, pull(peer, version.kind), asio::detached);
+        spawn_logged(executor_, "document", pull(peer, version.kind),
+                     [this, index] { pulling_.at(index) = false; });
     }
 }
 
--- a/packages/control/src/peer_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -2,9 +2,8 @@
 
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -74,7 +73,7 @@
         asio::ip::tcp::socket socket{executor_};
         auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
         if (!error) {
-            asio::co_spawn(executor_, serve_connection(std::move(socket)), asio::detached);
+            spawn_logged(executor_, "peer_connection", serve_connection(std::move(socket)));
         }
     }
 }
--- a/packages/control/src/prober.cpp
+++ b/packages/control/src/prober.cpp
@@ -1,9 +1,7 @@
 #include "citronwick/control/prober.hpp"
 
 #include "citronwick/control/load_report.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "citronwick/io/spawn.hpp"
 
 namespace citronwick {
 
@@ -33,7 +31,8 @@
         kept.emplace(target.upstream, held);
         if (!held->busy) {
             held->busy = true;
-            asio::co_spawn(executor_, probe_upstream(held, target.upstream), asio::detached);
+            spawn_logged(executor_, "probe", probe_upstream(held, target.upstream),
+                         [held] { held->busy = false; });
         }
     }
     connections_ = std::move(kept);
--- a/packages/ctl/src/router_status.cpp
+++ b/packages/ctl/src/router_status.cpp
@@ -2,9 +2,9 @@
 
 #include "citronwick/io/http_connection.hpp"
 #include "citronwick/io/json_text.hpp"
+#include "citronwick/io/unhandled_exceptions.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <charconv>
 #include <ranges>
@@ -62,7 +62,12 @@
     }
     asio::io_context context{1};
     for (router_status& router : routers) {
-        asio::co_spawn(context, read_status(router, options.timeout), asio::detached);
+        asio::co_spawn(
+            context, read_status(router, options.timeout), [&router](const std::exception_ptr& exception) {
+                if (exception) {
+                    router.view = failure{"read view", to_text(router.address), describe(exception)};
+                }
+            });
     }
     context.run();
     return routers;
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -15,14 +15,14 @@
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/fleet/version_assignment.hpp"
 #include "citronwick/io/counted_kv_client.hpp"
+#include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 #include "citronwick/policy/key_freshness.hpp"
 #include "declared_fleet.hpp"
 #include "fleet_registration.hpp"
 #include "versioned_services.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <pthread.h>
@@ -84,12 +84,12 @@
                                                   .failure_domain = settings_.failure_domain,
                                                   .fleet_address = to_text(*bound)},
                               make_registration_listener());
-        spawn(peers_.receive());
-        spawn(follower_.run());
-        spawn(follower_.run_confirmations());
-        spawn(registration_->run());
-        spawn(tick_loop());
-        thread_ = std::jthread{[this] { context_.run(); }};
+        spawn("fleet_channel", [this] { return peers_.receive(); });
+        spawn("store_changes", [this] { return follower_.run(); });
+        spawn("store_confirmations", [this] { return follower_.run_confirmations(); });
+        spawn("registration", [this] { return registration_->run(); });
+        spawn("ticks", [this] { return tick_loop(); });
+        thread_ = std::jthread{[this] { run_event_loop(context_, plane_timing::control_thread_name); }};
         pthread_setname_np(thread_.native_handle(), plane_timing::control_thread_name);
         return bound;
     }
@@ -157,7 +157,9 @@
     }
 
 private:
-    void spawn(task<void> work) { asio::co_spawn(context_, std::move(work), asio::detached); }
+    void spawn(std::string name, std::function<task<void>()> start) {
+        spawn_restarting(context_.get_executor(), std::move(name), std::move(start));
+    }
 
     store_listener make_store_listener() {
         return {.on_listing =
--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -2,10 +2,9 @@
 
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <ranges>
@@ -173,7 +172,8 @@
         if (is_due && !known.is_writing) {
             known.is_writing = true;
             known.written_at = now;
-            asio::co_spawn(executor_, write(name, std::move(*next), known.number + 1), asio::detached);
+            spawn_logged(executor_, "stream_versions", write(name, std::move(*next), known.number + 1),
+                         [this, name] { services_[name].is_writing = false; });
         }
     }
 }
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -3,9 +3,8 @@
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/io/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -23,7 +22,8 @@
 
 void crash_probe::start(const asio::any_io_executor& executor, const routed_upstream& upstream) {
     if (in_progress_.insert(upstream.hash).second) {
-        asio::co_spawn(executor, run(upstream.entry.address, upstream.hash), asio::detached);
+        spawn_logged(executor, "crash_probe", run(upstream.entry.address, upstream.hash),
+                     [this, hash = upstream.hash] { in_progress_.erase(hash); });
     }
 }
 
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -1,13 +1,15 @@
 #include "citronwick/traffic/http_server.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
+#include "citronwick/io/unhandled_exceptions.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/http_framing.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -61,8 +63,8 @@
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(make_server_));
         }
-        asio::co_spawn(accept_context_, accept(), asio::detached);
-        accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
+        spawn_restarting(accept_context_.get_executor(), "caller_listener", [this] { return accept(); });
+        accept_thread_ = std::jthread{[this] { run_event_loop(accept_context_, "accept"); }};
         return bound;
     }
 
@@ -103,7 +105,8 @@
     /// A traffic thread with its event loop.
     struct worker {
         explicit worker(const request_server_factory& make_server)
-            : server{make_server(context.get_executor())}, runner{[this] { context.run(); }} {}
+            : server{make_server(context.get_executor())},
+              runner{[this] { run_event_loop(context, "traffic"); }} {}
 
         asio::io_context context{1};
         asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
@@ -127,22 +130,19 @@
             }
             ++connections_;
             asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
-                           [this](const std::exception_ptr& exception) {
-                               --connections_;
-                               log_failure(exception);
+                           [counted = std::move(counted)](const std::exception_ptr& exception) {
+                               if (exception) {
+                                   record_unhandled_exception("connection", exception);
+                               }
                            });
+            // Decrements also if the coroutine is destroyed and its handler never called.
+            std::unique_ptr<std::atomic<std::size_t>, decrement> counted{&connections_};
         }
     }
 
-    static void log_failure(const std::exception_ptr& exception) {
-        try {
-            if (exception) {
-                std::rethrow_exception(exception);
-            }
-        } catch (const std::exception& error) {
-            log_warn("connection_failed", {{"detail", error.what()}});
-        }
-    }
+    struct decrement {
+        void operator()(std::atomic<std::size_t>* count) const { --*count; }
+    };
 
     task<void> serve_connection(worker& assigned, asio::ip::tcp::socket socket) {
         boost::system::error_code ignored;
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -1,16 +1,18 @@
 #include "citronwick/traffic/operator_server.hpp"
 
+#include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/http_connection.hpp"
+#include "citronwick/io/spawn.hpp"
+#include "citronwick/io/unhandled_exceptions.hpp"
 #include "citronwick/traffic/http_server.hpp"
 
 #include <atomic>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 #include <thread>
 
 namespace citronwick {
@@ -36,8 +38,8 @@
         if (bound.has_error()) {
             return bound;
         }
-        asio::co_spawn(context_, accept(), asio::detached);
-        thread_ = std::jthread{[this] { context_.run(); }};
+        spawn_restarting(context_.get_executor(), "operator_listener", [this] { return accept(); });
+        thread_ = std::jthread{[this] { run_event_loop(context_, "operators"); }};
         return bound;
     }
 
@@ -49,7 +51,7 @@
             asio::ip::tcp::socket socket{context_};
             auto [error] = co_await acceptor_.async_accept(socket, use_tuple);
             if (!error) {
-                asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+                spawn_logged(context_.get_executor(), "operator_connection", serve(std::move(socket)));
             }
         }
     }
@@ -84,11 +86,12 @@
             response.result(ready ? http::status::ok : http::status::service_unavailable);
             response.body() = ready ? "ready\n" : "not ready\n";
         } else if (target == "/metrics") {
-            response.body() = pages_.metrics();
+            response.body() = pages_.metrics() + unhandled_exceptions_page();
         } else if (target == "/debug/view") {
             json::object page = pages_.view();
             page["connections"] = traffic_server_.open_connections();
             page["requests_in_flight"] = traffic_server_.requests_in_flight();
+            page["unhandled_exceptions"] = json::value_from(unhandled_exceptions());
             response.set(http::field::content_type, "application/json");
             response.body() = json::serialize(page);
         } else {
