--- a/packages/io/include/citronwick/io/http_connection.hpp
+++ b/packages/io/include/citronwick/io/http_connection.hpp
@@ -17,6 +17,10 @@
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
 
+/// Largest read buffer of a connection, and with it the longest trailer of a chunked body.
+/// The HTTP library stores lengths of fields in 16 bits and throws on longer ones.
+inline constexpr std::size_t max_read_buffer_bytes = 65'000;
+
 /// Bytes sent and received by a connection, including an estimate of the TCP/IP headers.
 struct byte_count {
     std::uint64_t sent = 0;
--- a/packages/io/src/http_connection.cpp
+++ b/packages/io/src/http_connection.cpp
@@ -17,7 +17,8 @@
 
 http_connection::http_connection(const asio::any_io_executor& executor, endpoint peer,
                                  std::uint64_t max_body_bytes)
-    : peer_{std::move(peer)}, max_body_bytes_{max_body_bytes}, stream_{executor} {}
+    : peer_{std::move(peer)}, max_body_bytes_{max_body_bytes}, stream_{executor},
+      buffer_{max_read_buffer_bytes} {}
 
 failure http_connection::close_with_failure(std::string step, const std::string& detail,
                                             bool may_have_taken_effect) {
--- a/packages/traffic/include/citronwick/traffic/http_framing.hpp
+++ b/packages/traffic/include/citronwick/traffic/http_framing.hpp
@@ -13,6 +13,9 @@
 /// @return description of the error, none if the header is unambiguous
 std::optional<std::string_view> find_header_error(std::string_view raw);
 
+/// Whether a line of a header is too long for the HTTP library.
+bool has_overlong_line(std::string_view raw);
+
 /// Finds parsed fields that leave the host or the length of the body ambiguous.
 /// @return description of the error, none if the fields are unambiguous
 std::optional<std::string_view> find_framing_error(const boost::beast::http::fields& fields);
--- a/packages/traffic/src/http_framing.cpp
+++ b/packages/traffic/src/http_framing.cpp
@@ -1,5 +1,7 @@
 #include "citronwick/traffic/http_framing.hpp"
 
+#include "citronwick/io/http_connection.hpp"
+
 #include <boost/beast/core/string.hpp>
 #include <iterator>
 
@@ -22,6 +24,17 @@
     return std::nullopt;
 }
 
+bool has_overlong_line(std::string_view raw) {
+    std::size_t begin = 0;
+    for (auto end = raw.find('\n'); end != std::string_view::npos; end = raw.find('\n', begin)) {
+        if (end - begin > max_read_buffer_bytes) {
+            return true;
+        }
+        begin = end + 1;
+    }
+    return false;
+}
+
 std::optional<std::string_view> find_framing_error(const http::fields& fields) {
     if (fields.count(http::field::host) != 1) {
         return "there must be one Host field";
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -35,6 +35,9 @@
         return {413, "body-too-large", "the request body is too large"};
     }
     if (error == beast::error::timeout) {
+    if (error == http::error::buffer_overflow) {
+        return {431, "header-too-large", "the trailer of the request is too large"};
+    }
         return {408, "request-timeout", "the request did not arrive in time"};
     }
     return {400, "bad-request", "the request is not well-formed HTTP: " + error.message()};
@@ -216,12 +219,15 @@
             }
         }
         const auto received = view_of(buffer);
-        if (const auto error =
-                find_header_error(received.substr(0, received.find(header_end) + header_end.size()))) {
+        const auto header = received.substr(0, received.find(header_end) + header_end.size());
+        if (const auto error = find_header_error(header)) {
             co_return http::make_error_code(http::error::bad_field);
         }
         auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
         co_return error;
+        if (has_overlong_line(header)) {
+            co_return http::make_error_code(http::error::header_limit);
+        }
     }
 
     static std::string_view view_of(const beast::flat_buffer& buffer) {
@@ -251,7 +257,10 @@
         }
         auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
         co_return error;
+        const std::size_t unlimited = buffer.max_size();
+        buffer.max_size(max_read_buffer_bytes);
     }
+        buffer.max_size(unlimited);
 
     /// Reads and discards what a refused caller still sends. Closing the socket with
     /// unread input would reset the connection and could discard the refusal.
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -58,7 +58,7 @@
 
     task<void> serve(asio::ip::tcp::socket socket) {
         boost::beast::tcp_stream stream{std::move(socket)};
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer{max_read_buffer_bytes};
         while (true) {
             http_request request;
             stream.expires_after(operator_timeout);
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -39,7 +39,8 @@
 } // namespace
 
 upstream_connection::upstream_connection(const asio::any_io_executor& executor, endpoint peer)
-    : peer_{std::move(peer)}, stream_{std::make_shared<boost::beast::tcp_stream>(executor)} {}
+    : peer_{std::move(peer)}, stream_{std::make_shared<boost::beast::tcp_stream>(executor)},
+      buffer_{max_read_buffer_bytes} {}
 
 failure upstream_connection::close_with_failure(std::string step, const boost::system::error_code& error,
                                                 bool may_have_taken_effect) {
--- a/packages/traffic/tests/http_framing.tests.cpp
+++ b/packages/traffic/tests/http_framing.tests.cpp
@@ -27,6 +27,13 @@
     CHECK(find_header_error(with_zero));
 }
 
+TEST_CASE("lines that are too long for the HTTP library are found") {
+    const std::string begin = "GET / HTTP/1.1\r\nHost: a\r\nX-Long: ";
+    CHECK_FALSE(has_overlong_line(begin + std::string(60'000, 'x') + "\r\n\r\n"));
+    CHECK(has_overlong_line(begin + std::string(65'600, 'x') + "\r\n\r\n"));
+    CHECK(has_overlong_line("GET /" + std::string(65'600, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+}
+
 TEST_CASE("ambiguous body lengths and hosts are rejected") {
     CHECK_FALSE(find_framing_error(make_fields({{"Host", "a"}})));
     CHECK_FALSE(find_framing_error(make_fields({{"Host", "a"}, {"Content-Length", "3"}})));
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -165,6 +165,15 @@
         co_await asio::async_write(stream, asio::buffer(garbage), use_tuple);
         co_return false;
     }
+    if (fault == "long_trailer") {
+        const std::string response =
+            "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: x\r\nCitronwick-Attempt-Id: " +
+            std::string{request[attempt_header]} +
+            "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Long: " + std::string(70'000, 'x') +
+            "\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(response), use_tuple);
+        co_return false;
+    }
     if (fault.starts_with("endless")) {
         co_return co_await send_endless(stream, request, fault);
     }
