proof: a request with a body that its method rules out gets an answer

Seen: a TRACE request with a body on a route was closed without a response, as sending it on throws (`invalid request body`): LOST for its caller.

It is refused with 400, not run.

--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/io/unhandled_exceptions.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/http_framing.hpp"
+#include "serve_or_refuse.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -283,7 +284,7 @@
                         time_point arrived) {
         const bool keep_alive = request.keep_alive() && !shutting_down_;
         caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
-        co_await server.serve(from, std::move(request));
+        co_await serve_or_refuse(server, from, std::move(request));
         if (shutting_down_) {
             from.close_after_response();
         }
