Do not resume a stream after an identifier that cannot be sent

An event of a stream with an identifier of more than 65,533 bytes made the resumption throw while the request was built (the HTTP library stores lengths in 16 bits): the stream ended without its error event. Such an event now counts as one without identifier: the stream is not resumed, and ends as broken.

--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
 constexpr std::string_view done_data = "[DONE]";
+/// Longest identifier that is sent to an upstream to resume a stream after its event.
+constexpr std::size_t max_id_bytes = 4'096;
 
 } // namespace
 
@@ -64,7 +66,8 @@
         event_has_data_ = true;
         event_is_final_ = event_is_final_ || value == done_data;
     } else if (name == "id" && value.find('\0') == std::string_view::npos) {
-        event_id_ = value;
+        // An event with an overlong identifier counts as one without.
+        event_id_ = value.size() <= max_id_bytes ? value : std::string_view{};
     }
 }
 
--- a/packages/traffic/tests/event_splitter.tests.cpp
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -104,3 +104,14 @@
         CHECK(splitter.done());
     }
 }
+
+TEST_CASE("a stream cannot be resumed after an event whose identifier is too long to be sent") {
+    event_splitter splitter;
+    splitter.push("id: 1\ndata: a\n\n");
+    CHECK(splitter.is_resumable());
+    splitter.push("id: " + std::string(70'000, 'x') + "\ndata: b\n\n");
+    CHECK_FALSE(splitter.is_resumable());
+    CHECK(splitter.last_event_id().empty());
+    splitter.push("id: 3\ndata: c\n\n");
+    CHECK(splitter.is_resumable());
+}
