--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -20,6 +20,7 @@
   file(GLOB tests CONFIGURE_DEPENDS tests/*.tests.cpp)
   if(tests)
     citronwick_test_program(${target}_tests ${target} ${tests})
+    target_include_directories(${target}_tests PRIVATE src)
   endif()
 endfunction()
 
--- a/packages/traffic/include/citronwick/traffic/admission.hpp
+++ b/packages/traffic/include/citronwick/traffic/admission.hpp
@@ -58,6 +58,7 @@
     void request_ended(const std::string& service);
 
 private:
+    class queue_place;
     struct waiter {
         asio::any_io_executor executor;
         std::shared_ptr<asio::steady_timer> timer;
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -1,14 +1,13 @@
 #include "citronwick/traffic/admission.hpp"
 
+#include "await_on.hpp"
 #include "citronwick/control/control_plane.hpp"
 #include "citronwick/core/registry.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/metrics.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 
 namespace citronwick {
@@ -98,12 +97,9 @@
     if (!decision.limit || upstream.owns_count) {
         co_return true;
     }
-    const auto traffic = co_await asio::this_coro::executor;
-    const auto control = control_.executor();
     auto reservation = control_.reserve_slot(upstream.hash, static_cast<std::uint32_t>(*decision.limit));
-    const auto reservation_result =
-        co_await asio::co_spawn(control, std::move(reservation), asio::use_awaitable);
-    co_await asio::post(traffic, asio::use_awaitable);
+    auto reserved = await_on(control_.executor(), std::move(reservation));
+    const auto reservation_result = co_await std::move(reserved);
     co_return reservation_result != slot_decision::denied;
 }
 
@@ -136,6 +132,22 @@
     }
 }
 
+/// Leaves the queue at the end of the wait, also if the coroutine is destroyed while it
+/// waits: the queue must not keep the timer of an event loop that is gone.
+class admission::queue_place {
+public:
+    queue_place(admission& owner, std::string service, fair_queue::ticket ticket)
+        : owner_{owner}, service_{std::move(service)}, ticket_{ticket} {}
+    queue_place(const queue_place&) = delete;
+    queue_place& operator=(const queue_place&) = delete;
+    ~queue_place() { owner_.leave_queue(service_, ticket_); }
+
+private:
+    admission& owner_;
+    std::string service_;
+    fair_queue::ticket ticket_;
+};
+
 task<boost::system::result<admitted_request, problem>> admission::admit(const admission_request& request) {
     const auto arrived_at = clock::now();
     const auto executor = co_await asio::this_coro::executor;
@@ -156,6 +168,7 @@
     if (!ticket) {
         co_return refusal(reason, false);
     }
+    const queue_place place_in_queue{*this, request.service, *ticket};
     const auto deadline = arrived_at + config->active.queue_timeout;
     while (clock::now() < deadline && reason == all_full_reason) {
         timer->expires_after(recheck_interval);
@@ -166,12 +179,10 @@
         auto attempt = co_await place(request);
         reason = attempt.reason;
         if (attempt.admitted) {
-            leave_queue(request.service, *ticket);
             counters_.observe_queue_wait(request.service, clock::now() - arrived_at);
             co_return std::move(*attempt.admitted);
         }
     }
-    leave_queue(request.service, *ticket);
     co_return refusal(reason, true);
 }
 
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -35,10 +35,10 @@
     if (error == http::error::body_limit) {
         return {413, "body-too-large", "the request body is too large"};
     }
-    if (error == beast::error::timeout) {
     if (error == http::error::buffer_overflow) {
         return {431, "header-too-large", "the trailer of the request is too large"};
     }
+    if (error == beast::error::timeout) {
         return {408, "request-timeout", "the request did not arrive in time"};
     }
     return {400, "bad-request", "the request is not well-formed HTTP: " + error.message()};
@@ -92,14 +92,15 @@
     }
 
     void stop() {
+        // The accepting thread uses the workers.
         accept_context_.stop();
+        if (accept_thread_.joinable()) {
+            accept_thread_.join();
+        }
         for (const auto& each : workers_) {
             each->context.stop();
         }
         workers_.clear();
-        if (accept_thread_.joinable()) {
-            accept_thread_.join();
-        }
     }
 
     std::size_t open_connections() const { return connections_.load(); }
@@ -133,14 +134,14 @@
                 continue;
             }
             ++connections_;
+            // Decrements also if the coroutine is destroyed and its handler never called.
+            std::unique_ptr<std::atomic<std::size_t>, decrement> counted{&connections_};
             asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
                            [counted = std::move(counted)](const std::exception_ptr& exception) {
                                if (exception) {
                                    record_unhandled_exception("connection", exception);
                                }
                            });
-            // Decrements also if the coroutine is destroyed and its handler never called.
-            std::unique_ptr<std::atomic<std::size_t>, decrement> counted{&connections_};
         }
     }
 
@@ -224,11 +225,11 @@
         if (const auto error = find_header_error(header)) {
             co_return http::make_error_code(http::error::bad_field);
         }
-        auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
-        co_return error;
         if (has_overlong_line(header)) {
             co_return http::make_error_code(http::error::header_limit);
         }
+        auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
+        co_return error;
     }
 
     static std::string_view view_of(const beast::flat_buffer& buffer) {
@@ -256,12 +257,12 @@
                 co_return write_error;
             }
         }
-        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
-        co_return error;
         const std::size_t unlimited = buffer.max_size();
         buffer.max_size(max_read_buffer_bytes);
-    }
+        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
         buffer.max_size(unlimited);
+        co_return error;
+    }
 
     /// Reads and discards what a refused caller still sends. Closing the socket with
     /// unread input would reset the connection and could discard the refusal.
--- a/packages/traffic/src/reply_waiter.hpp
+++ b/packages/traffic/src/reply_waiter.hpp
@@ -3,9 +3,8 @@
 
 #include "citronwick/core/time.hpp"
 #include "citronwick/io/task.hpp"
+#include "reply_slot.hpp"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,28 +13,18 @@
 namespace citronwick {
 
 /// Waits on a traffic thread for what the control thread hears from another router.
-/// @param ask starts the request; the callback that it gets may be called on any thread, or never
+/// @param ask starts the request; the callback that it gets may be called on any thread, or
+///        never, and may be kept for longer than the traffic thread lives
 /// @return none if no reply came in time
 template <class Reply>
 task<std::optional<Reply>> wait_for_reply(duration timeout,
                                           std::function<void(std::function<void(Reply)>)> ask) {
-    struct pending_reply {
-        pending_reply(const asio::any_io_executor& executor, duration timeout) : timer{executor, timeout} {}
-
-        asio::steady_timer timer;
-        std::optional<Reply> reply;
-    };
-    const auto executor = co_await asio::this_coro::executor;
-    const auto pending = std::make_shared<pending_reply>(executor, timeout);
-    ask([pending, executor](Reply reply) {
-        asio::post(executor, [pending, reply = std::move(reply)] {
-            pending->reply = reply;
-            // Also ends a wait that has not begun yet.
-            pending->timer.expires_at(time_point::min());
-        });
-    });
-    co_await pending->timer.async_wait(use_tuple);
-    co_return pending->reply;
+    asio::steady_timer timer{co_await asio::this_coro::executor, timeout};
+    const auto slot = std::make_shared<reply_slot<Reply>>(timer);
+    const slot_detacher<Reply> detacher{slot};
+    ask([slot](Reply reply) { slot->set(std::move(reply)); });
+    co_await timer.async_wait(use_tuple);
+    co_return slot->take();
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/service_handler.cpp
+++ b/packages/traffic/src/service_handler.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/traffic/service_handler.hpp"
 
+#include "await_on.hpp"
 #include "citronwick/control/claim_registry.hpp"
 #include "citronwick/control/control_plane.hpp"
 #include "citronwick/control/load_report.hpp"
@@ -10,7 +11,6 @@
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -267,13 +267,10 @@
 
     task<claim_result> acquire_claim() {
         auto& control = thread_.shared.control;
-        const auto executor = co_await asio::this_coro::executor;
         auto acquisition =
             control.claims().claim(admission_.service, claim_key_, fingerprint(), clock::now());
-        const auto control_executor = control.executor();
-        auto claim = co_await asio::co_spawn(control_executor, std::move(acquisition), asio::use_awaitable);
-        co_await asio::post(executor, asio::use_awaitable);
-        co_return claim;
+        auto acquired = await_on(control.executor(), std::move(acquisition));
+        co_return co_await std::move(acquired);
     }
 
     task<void> send_claimed(time_point send_deadline) {
@@ -296,11 +293,15 @@
 
     task<void> release_claim() {
         auto& control = thread_.shared.control;
-        const auto executor = co_await asio::this_coro::executor;
-        auto release = control.claims().release(admission_.service, claim_key_);
-        const auto control_executor = control.executor();
-        co_await asio::co_spawn(control_executor, std::move(release), asio::use_awaitable);
-        co_await asio::post(executor, asio::use_awaitable);
+        auto released =
+            await_on(control.executor(), release_claim(control.claims(), admission_.service, claim_key_));
+        co_await std::move(released);
+    }
+
+    static task<bool> release_claim(claim_registry& claims, std::string service, std::string key) {
+        auto release = claims.release(std::move(service), std::move(key));
+        co_await std::move(release);
+        co_return true;
     }
 
     /// Records the outcome on the control thread, for resends of the request.
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -233,8 +233,8 @@
          << (router.proxy ? "advertise = \"" + to_text(router.proxy->addresses.front()) + "\"\n" : "")
          << options_.fleet_settings << "\n\n[platform]\nkey_value = [\"" << to_text(key_value_.address())
          << "\"]\nvm_list = \"" << to_text(vm_list_.address()) << "\"\n"
-         << options_.platform_settings << "\n\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nlevel = \""
-         << options_.log_level << "\"\n"
+         << options_.platform_settings << "\n\n[shutdown]\nbalancer_lag = \"300ms\"\n"
+         << options_.shutdown_settings << "\n[log]\nlevel = \"" << options_.log_level << "\"\n"
          << options_.router_settings;
     return text.str();
 }
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -25,6 +25,7 @@
     std::string preset{};            ///< lines added to the preset "ordinary"
     std::string service{};           ///< lines added to the table of the plain service
     std::string router_settings{};   ///< further tables of the router settings
+    std::string shutdown_settings{}; ///< lines added to the table [shutdown]
     std::string platform_settings{}; ///< lines added to the table [platform]
     std::string fleet_settings{};    ///< lines added to the table [fleet]
     std::string declaration{};       ///< replaces the default declaration unless empty
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -105,9 +105,9 @@
                             << "store_timeout = \"" << options_.store_timeout.count()
                             << "ms\"\nkey_lifetime = \"" << options_.key_lifetime.count() << "ms\"\n"
                             << options_.platform_settings << "\n[limits]\n"
-                            << options_.limit_settings
-                            << "\n[shutdown]\nbalancer_lag = \"300ms\"\n\n[log]\nformat = \""
-                            << options_.log_format << "\"\n";
+                            << options_.limit_settings << "\n[shutdown]\nbalancer_lag = \"300ms\"\n"
+                            << options_.shutdown_settings << "\n[log]\nformat = \"" << options_.log_format
+                            << "\"\n";
     router.process = std::make_unique<child_process>(
         std::vector<std::string>{binary_path("citronwickd"), "--config", settings}, router.log,
         options_.router_process);
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -27,6 +27,7 @@
     std::string log_format = "key_value";
     std::size_t failure_domains = 1;  ///< over which the routers are spread
     std::string limit_settings{};     ///< lines of the table [limits]
+    std::string shutdown_settings{};  ///< lines added to the table [shutdown]
     process_options router_process{}; ///< how the routers are started
 };
 
