--- a/packages/control/src/peer_exchange.cpp
+++ b/packages/control/src/peer_exchange.cpp
@@ -3,9 +3,8 @@
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -79,7 +78,7 @@
             co_await failures.handle(error, clock::now());
             continue;
         }
-        asio::co_spawn(executor_, serve_connection(std::move(socket)), asio::detached);
+        spawn_logged(executor_, "peer_connection", serve_connection(std::move(socket)));
     }
 }
 
--- a/packages/traffic/src/connection_record.cpp
+++ b/packages/traffic/src/connection_record.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/traffic/connection_record.hpp"
 
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/unhandled_exceptions.hpp"
 #include "citronwick/traffic/caller.hpp"
 
 #include <algorithm>
@@ -22,16 +23,6 @@
                                 connection_end::write_timeout,       connection_end::write_error,
                                 connection_end::incomplete_response, connection_end::exception};
 
-std::string message_of(const std::exception_ptr& exception) {
-    try {
-        std::rethrow_exception(exception);
-    } catch (const std::exception& error) {
-        return error.what();
-    } catch (...) {
-        return "no exception of the standard library";
-    }
-}
-
 connection_end end_of(const caller& last) {
     if (last.response_complete()) {
         return connection_end::after_response;
@@ -60,7 +51,7 @@
     request_ = last.request_id();
     response_bytes_ = last.bytes_written();
     if (exception) {
-        detail_ = message_of(exception);
+        detail_ = describe(exception);
     } else if (last.write_error()) {
         detail_ = last.write_error().message();
     }
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -2,7 +2,10 @@
 
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/accept_failures.hpp"
+#include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/io/spawn.hpp"
+#include "citronwick/io/unhandled_exceptions.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/caller_connection.hpp"
 #include "citronwick/traffic/connection_record.hpp"
@@ -10,10 +13,10 @@
 #include "citronwick/traffic/process_limits.hpp"
 #include "connection_refuser.hpp"
 #include "input_drain.hpp"
+#include "serve_or_refuse.hpp"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -39,6 +42,9 @@
     if (error == http::error::body_limit) {
         return {413, "body-too-large", "the request body is too large"};
     }
+    if (error == http::error::buffer_overflow) {
+        return {431, "header-too-large", "the trailer of the request is too large"};
+    }
     if (error == beast::error::timeout) {
         return {408, "request-timeout", "the request did not arrive in time"};
     }
@@ -70,8 +76,8 @@
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(make_server_));
         }
-        asio::co_spawn(accept_context_, accept(), asio::detached);
-        accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
+        spawn_restarting(accept_context_.get_executor(), "caller_listener", [this] { return accept(); });
+        accept_thread_ = std::jthread{[this] { run_event_loop(accept_context_, "accept"); }};
         return bound;
     }
 
@@ -95,14 +101,15 @@
     }
 
     void stop() {
+        // The accepting thread uses the workers.
         accept_context_.stop();
+        if (accept_thread_.joinable()) {
+            accept_thread_.join();
+        }
         for (const auto& each : workers_) {
             each->context.stop();
         }
         workers_.clear();
-        if (accept_thread_.joinable()) {
-            accept_thread_.join();
-        }
     }
 
     std::size_t open_connections() const { return connections_.load(); }
@@ -112,7 +119,8 @@
     /// A traffic thread with its event loop.
     struct worker {
         explicit worker(const request_server_factory& make_server)
-            : server{make_server(context.get_executor())}, runner{[this] { context.run(); }} {}
+            : server{make_server(context.get_executor())},
+              runner{[this] { run_event_loop(context, "traffic"); }} {}
 
         asio::io_context context{1};
         asio::executor_work_guard<asio::io_context::executor_type> work{context.get_executor()};
@@ -158,22 +166,19 @@
             return;
         }
         ++connections_;
+        // Decrements also if the coroutine is destroyed and its handler never called.
+        std::unique_ptr<std::atomic<std::size_t>, decrement> counted{&connections_};
         asio::co_spawn(target.context, serve_connection(target, std::move(socket)),
-                       [this](const std::exception_ptr& exception) {
-                           --connections_;
-                           log_failure(exception);
+                       [counted = std::move(counted)](const std::exception_ptr& exception) {
+                           if (exception) {
+                               record_unhandled_exception("connection", exception);
+                           }
                        });
     }
 
-    static void log_failure(const std::exception_ptr& exception) {
-        try {
-            if (exception) {
-                std::rethrow_exception(exception);
-            }
-        } catch (const std::exception& error) {
-            log_warn("connection_failed", {{"detail", error.what()}});
-        }
-    }
+    struct decrement {
+        void operator()(std::atomic<std::size_t>* count) const { --*count; }
+    };
 
     task<void> serve_connection(worker& assigned, asio::ip::tcp::socket socket) {
         boost::system::error_code ignored;
@@ -273,10 +278,13 @@
             }
         }
         const auto received = view_of(buffer);
-        if (const auto error =
-                find_header_error(received.substr(0, received.find(header_end) + header_end.size()))) {
+        const auto header = received.substr(0, received.find(header_end) + header_end.size());
+        if (const auto error = find_header_error(header)) {
             co_return http::make_error_code(http::error::bad_field);
         }
+        if (has_overlong_line(header)) {
+            co_return http::make_error_code(http::error::header_limit);
+        }
         auto [error, size] = co_await http::async_read_header(stream, buffer, parser, use_tuple);
         co_return error;
     }
@@ -306,7 +314,10 @@
                 co_return write_error;
             }
         }
+        const std::size_t unlimited = buffer.max_size();
+        buffer.max_size(max_read_buffer_bytes);
         auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        buffer.max_size(unlimited);
         co_return error;
     }
 
@@ -317,15 +328,7 @@
         if (request.method() == http::verb::head) {
             from.leave_out_body();
         }
-        std::exception_ptr exception;
-        try {
-            co_await server.serve(from, std::move(request));
-        } catch (...) {
-            exception = std::current_exception();
-        }
-        if (exception) {
-            co_await report_exception(from);
-        }
+        const auto exception = co_await serve_or_refuse(server, from, std::move(request));
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
         if (!keep_open) {
@@ -334,16 +337,6 @@
         co_return keep_open;
     }
 
-    /// Responds to a caller whose request could not be handled.
-    static task<void> report_exception(caller& from) {
-        from.on_disconnect(nullptr);
-        from.close_after_response();
-        if (!from.response_started()) {
-            problem refusal{500, "internal-error", "the request could not be handled", outcome::unknown};
-            co_await from.refuse(std::move(refusal));
-        }
-    }
-
     /// Counts a request as in flight during its lifetime.
     class in_flight_counter {
     public:
