Never wait for the reader of standard output

Operators saw a router that did not end at SIGTERM: standard output was a pipe that nobody read, and spdlog's shutdown joined a thread that was stuck in write().

The log now writes through a sink that opens pipes and terminals once more without blocking (flags belong to the open file description, so those of the shared one stay as they are), or polls and writes at most PIPE_BUF bytes. Lines that the reader does not take are kept up to 1 MiB, then the oldest are dropped and counted in log_lines_dropped. Closing the log takes at most 0.2 s; if another process fills a shared pipe between poll and write, close_log() reports it.

--- a/packages/io/include/citronwick/io/log.hpp
+++ b/packages/io/include/citronwick/io/log.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/core/failure.hpp"
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -16,16 +17,19 @@
 /// One named value of a log line.
 using log_field = std::pair<std::string_view, std::string>;
 
-/// Starts asynchronous logging to standard output. If the queue is full, the
-/// oldest lines are dropped and counted, so that logging never blocks.
+/// Starts asynchronous logging to standard output. If the queue is full, or the reader
+/// of standard output does not read, the oldest lines are dropped and counted, so that
+/// logging never blocks.
 /// @param level "debug", "info", "warn" or "error"
 void open_log(log_format format, const std::string& level);
 
 /// Changes the lowest level that is written.
 void set_log_level(const std::string& level);
 
-/// Flushes the queued lines and stops the logging thread.
-void close_log();
+/// Writes the queued lines and stops the logging thread, within a bounded time. Lines
+/// that the reader of standard output has not taken by then are lost.
+/// @return false if a write blocks the thread; the process must then end by std::_Exit()
+bool close_log();
 
 /// Writes one structured line.
 /// @param event name of the event, such as "placement"
--- a/packages/io/src/log.cpp
+++ b/packages/io/src/log.cpp
@@ -1,18 +1,97 @@
 #include "citronwick/io/log.hpp"
 
+#include "citronwick/io/fatal_report.hpp"
+#include "citronwick/io/line_output.hpp"
+
 #include <algorithm>
 #include <atomic>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <mutex>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/pattern_formatter.h>
+#include <spdlog/sinks/sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace citronwick {
 
 namespace {
 
 constexpr std::size_t queue_capacity = 16'384;
+/// Bytes of lines kept while the reader of standard output does not read.
+constexpr std::size_t unread_capacity = std::size_t{1} << 20U;
+/// Time in which close_log() returns. Shorter than the margin that a drain leaves before
+/// the platform removes the VM.
+constexpr std::chrono::milliseconds close_limit{200};
+
+/// Writes the lines to standard output, without waiting for its reader.
+class line_sink final : public spdlog::sinks::sink {
+public:
+    /// @param pool calls this sink on its thread, and so outlives each call
+    explicit line_sink(spdlog::details::thread_pool& pool) : pool_{pool} {}
+
+    std::size_t dropped_lines() const { return output_.dropped_lines(); }
+    bool is_crowded() const { return output_.is_crowded(); }
+
+    /// Keeps further lines in memory, until finish() writes them.
+    /// @return false if a write has blocked for longer than `limit`
+    bool hold(std::chrono::milliseconds limit) {
+        holds_ = true;
+        const std::unique_lock lock{mutex_, limit};
+        return lock.owns_lock();
+    }
+
+    void finish(std::chrono::milliseconds limit) {
+        const std::scoped_lock lock{mutex_};
+        output_.finish(limit);
+    }
+
+    void log(const spdlog::details::log_msg& message) override {
+        const std::scoped_lock lock{mutex_};
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        output_.add({line.data(), line.size()});
+        // Lines that wait in the queue are written together.
+        if (pool_.queue_size() == 0) {
+            write_ready();
+        }
+    }
+
+    void flush() override {
+        const std::scoped_lock lock{mutex_};
+        write_ready();
+    }
+
+    void set_pattern(const std::string& pattern) override {
+        set_formatter(std::make_unique<spdlog::pattern_formatter>(pattern));
+    }
+
+    void set_formatter(std::unique_ptr<spdlog::formatter> formatter) override {
+        const std::scoped_lock lock{mutex_};
+        formatter_ = std::move(formatter);
+    }
+
+private:
+    void write_ready() {
+        if (!holds_) {
+            output_.write_ready();
+        }
+    }
+
+    // Not asked of spdlog each time: its shutdown holds a lock while it joins the thread.
+    spdlog::details::thread_pool& pool_;
+    std::timed_mutex mutex_;
+    std::unique_ptr<spdlog::formatter> formatter_ = std::make_unique<spdlog::pattern_formatter>();
+    line_output output_{STDOUT_FILENO, unread_capacity};
+    std::atomic<bool> holds_{false};
+};
+
+// Outlives spdlog's own objects: its thread may write to it until the process ends.
+std::shared_ptr<line_sink>& active_sink() {
+    static auto* const sink = new std::shared_ptr<line_sink>;
+    return *sink;
+}
 
 std::atomic<log_format> active_format{log_format::key_value};
 
@@ -45,7 +124,7 @@
 std::atomic<std::size_t> submitted_lines{0};
 std::atomic<std::size_t> reported_dropped_lines{0};
 
-/// Logs how many lines were dropped, once the queue is no more than half full.
+/// Logs how many lines were dropped, once queue and output are no more than half full.
 void report_dropped_lines() {
     // Querying the queue takes its lock, so this is not done for every line.
     constexpr std::size_t lines_between_checks = 64;
@@ -53,8 +132,12 @@
         return;
     }
     const auto pool = spdlog::thread_pool();
-    const std::size_t dropped = pool == nullptr ? 0 : pool->overrun_counter();
-    if (dropped == reported_dropped_lines || pool->queue_size() > queue_capacity / 2) {
+    const auto& sink = active_sink();
+    if (pool == nullptr || sink == nullptr) {
+        return;
+    }
+    const std::size_t dropped = pool->overrun_counter() + sink->dropped_lines();
+    if (dropped == reported_dropped_lines || pool->queue_size() > queue_capacity / 2 || sink->is_crowded()) {
         return;
     }
     const std::size_t newly_dropped = dropped - reported_dropped_lines.exchange(dropped);
@@ -63,7 +146,8 @@
 }
 
 void write(spdlog::level::level_enum level, std::string_view event, std::initializer_list<log_field> fields) {
-    if (!spdlog::should_log(level)) {
+    const auto* const logger = spdlog::default_logger_raw();
+    if (logger == nullptr || !logger->should_log(level)) {
         return;
     }
     report_dropped_lines();
@@ -74,8 +158,11 @@
 
 void open_log(log_format format, const std::string& level) {
     active_format = format;
+    set_fatal_report_format(format);
     spdlog::init_thread_pool(queue_capacity, 1);
-    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("citronwick");
+    active_sink() = std::make_shared<line_sink>(*spdlog::thread_pool());
+    auto logger = std::make_shared<spdlog::async_logger>("citronwick", active_sink(), spdlog::thread_pool(),
+                                                         spdlog::async_overflow_policy::overrun_oldest);
     logger->set_level(spdlog::level::from_str(level));
     logger->set_pattern(format == log_format::json
                             ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","line":%v})"
@@ -88,8 +175,17 @@
     spdlog::default_logger()->set_level(spdlog::level::from_str(level));
 }
 
-void close_log() {
+bool close_log() {
+    const auto& sink = active_sink();
+    if (sink == nullptr) {
+        return true;
+    }
+    if (!sink->hold(close_limit / 2)) {
+        return false;
+    }
     spdlog::shutdown();
+    sink->finish(close_limit / 2);
+    return true;
 }
 
 void log_info(std::string_view event, std::initializer_list<log_field> fields) {
