--- a/packages/io/include/citronwick/io/task.hpp
+++ b/packages/io/include/citronwick/io/task.hpp
@@ -33,6 +33,9 @@
 io_result<endpoint> open_listener(asio::ip::tcp::acceptor& acceptor, const endpoint& listen,
                                   const char* step);
 
+/// Whether a listener could not be opened because another socket has its address.
+bool is_address_in_use(const failure& error);
+
 /// Sets the local address of all outbound TCP connections of this process. Must be
 /// called before the first one is opened. By default the operating system chooses.
 void set_outbound_address(const std::string& ip);
--- a/packages/io/src/task.cpp
+++ b/packages/io/src/task.cpp
@@ -14,8 +14,12 @@
     boost::system::error_code error;
     const auto address = to_tcp(listen);
     acceptor.open(address.protocol(), error);
-    acceptor.set_option(asio::socket_base::reuse_address{true}, error);
-    acceptor.bind(address, error);
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address{true}, error);
+    }
+    if (!error) {
+        acceptor.bind(address, error);
+    }
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
@@ -27,6 +31,10 @@
     return to_endpoint(acceptor.local_endpoint());
 }
 
+bool is_address_in_use(const failure& error) {
+    return error.detail == boost::system::error_code{asio::error::address_in_use}.message();
+}
+
 void set_outbound_address(const std::string& ip) {
     outbound_address = ip;
 }
--- a/packages/router/include/citronwick/router/router_settings.hpp
+++ b/packages/router/include/citronwick/router/router_settings.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 
+#include <chrono>
 #include <string>
 
 namespace citronwick {
@@ -18,6 +19,8 @@
     bool fleet_key_in_store = false; ///< the fleet key comes from the platform's store
     std::string source_address;      ///< local address of outbound connections, empty for any
     std::string port_file;           ///< file for the bound addresses, empty for none
+    /// Time for which a start waits for an address that is in use.
+    std::chrono::milliseconds in_use_timeout{30'000};
     std::string log_format = "key_value";
     std::string log_level = "info";
 };
--- a/packages/router/src/router_settings.cpp
+++ b/packages/router/src/router_settings.cpp
@@ -32,7 +32,8 @@
     reader.require("callers", settings.traffic.callers)
         .require("operators", settings.traffic.operators)
         .require("fleet", settings.control.fleet_listen)
-        .read("port_file", settings.port_file);
+        .read("port_file", settings.port_file)
+        .read("in_use_timeout", settings.in_use_timeout);
     reader.finish();
 }
 
--- a/packages/traffic/include/citronwick/traffic/http_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/http_server.hpp
@@ -21,9 +21,12 @@
     http_server& operator=(const http_server&) = delete;
     ~http_server();
 
-    /// Binds the listener and starts the threads.
+    /// Opens the listener. Connections wait until the start.
     /// @return the bound endpoint
-    io_result<endpoint> start();
+    io_result<endpoint> open();
+
+    /// Starts the threads, after open().
+    void start();
 
     /// Closes each connection after its next response.
     void announce_shutdown();
--- a/packages/traffic/include/citronwick/traffic/operator_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/operator_server.hpp
@@ -31,8 +31,12 @@
     operator_server& operator=(const operator_server&) = delete;
     ~operator_server();
 
+    /// Opens the listener. Connections wait until the start.
     /// @return the bound endpoint
-    io_result<endpoint> start();
+    io_result<endpoint> open();
+
+    /// Starts the thread, after open().
+    void start();
 
     /// Makes /readyz fail, so that the load balancer stops sending requests to this
     /// router.
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -53,17 +53,14 @@
     state(const traffic_settings& settings, request_server_factory make_server)
         : settings_{settings}, make_server_{std::move(make_server)}, acceptor_{accept_context_} {}
 
-    io_result<endpoint> start() {
-        const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
-        if (bound.has_error()) {
-            return bound;
-        }
+    io_result<endpoint> open() { return open_listener(acceptor_, settings_.callers, "listen for callers"); }
+
+    void start() {
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(make_server_));
         }
         asio::co_spawn(accept_context_, accept(), asio::detached);
         accept_thread_ = std::jthread{[this] { accept_context_.run(); }};
-        return bound;
     }
 
     void announce_shutdown() { shutting_down_ = true; }
@@ -311,8 +308,12 @@
     stop();
 }
 
-io_result<endpoint> http_server::start() {
-    return state_->start();
+io_result<endpoint> http_server::open() {
+    return state_->open();
+}
+
+void http_server::start() {
+    state_->start();
 }
 
 void http_server::announce_shutdown() {
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -31,14 +31,11 @@
 
     ~state() { context_.stop(); }
 
-    io_result<endpoint> start() {
-        const auto bound = open_listener(acceptor_, listen_, "listen for operators");
-        if (bound.has_error()) {
-            return bound;
-        }
+    io_result<endpoint> open() { return open_listener(acceptor_, listen_, "listen for operators"); }
+
+    void start() {
         asio::co_spawn(context_, accept(), asio::detached);
         thread_ = std::jthread{[this] { context_.run(); }};
-        return bound;
     }
 
     void set_unready() { ready_ = false; }
@@ -112,8 +109,12 @@
 
 operator_server::~operator_server() = default;
 
-io_result<endpoint> operator_server::start() {
-    return state_->start();
+io_result<endpoint> operator_server::open() {
+    return state_->open();
+}
+
+void operator_server::start() {
+    state_->start();
 }
 
 void operator_server::set_unready() {
