--- a/packages/router/src/signal_listener.cpp
+++ b/packages/router/src/signal_listener.cpp
@@ -26,7 +26,8 @@
 }
 
 signal_listener::signal_listener(std::function<void()> reload)
-    : reload_{std::move(reload)}, stop_signals_{context_, SIGTERM, SIGINT}, reload_signals_{context_, SIGHUP} {
+    : reload_{std::move(reload)}, stop_signals_{context_, SIGTERM, SIGINT},
+      reload_signals_{context_, SIGHUP} {
     stop_signals_.async_wait([this](const boost::system::error_code&, int) {
         stop_requested_ = true;
         context_.stop();
