--- a/packages/io/tests/line_output.tests.cpp
+++ b/packages/io/tests/line_output.tests.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t capacity = 256 * 1'024;
+constexpr std::size_t capacity = std::size_t{256} * 1'024;
 
 /// A pipe whose ends are closed with the object.
 struct test_pipe {
