--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -68,17 +68,14 @@
           acceptor_{accept_context_}, refuser_{accept_context_.get_executor(), shares_.refusals,
                                                settings.caller_write_timeout, shutting_down_} {}
 
-    io_result<endpoint> start() {
-        const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
-        if (bound.has_error()) {
-            return bound;
-        }
+    io_result<endpoint> open() { return open_listener(acceptor_, settings_.callers, "listen for callers"); }
+
+    void start() {
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(make_server_));
         }
         spawn_restarting(accept_context_.get_executor(), "caller_listener", [this] { return accept(); });
         accept_thread_ = std::jthread{[this] { run_event_loop(accept_context_, "accept"); }};
-        return bound;
     }
 
     void announce_shutdown() { shutting_down_ = true; }
@@ -371,8 +368,12 @@
     stop();
 }
 
-io_result<endpoint> http_server::start() {
-    return state_->start();
+io_result<endpoint> http_server::open() {
+    return state_->open();
+}
+
+void http_server::start() {
+    state_->start();
 }
 
 void http_server::announce_shutdown() {
--- a/packages/traffic/src/operator_server.cpp
+++ b/packages/traffic/src/operator_server.cpp
@@ -34,14 +34,11 @@
 
     ~state() { context_.stop(); }
 
-    io_result<endpoint> start() {
-        const auto bound = open_listener(acceptor_, listen_, "listen for operators");
-        if (bound.has_error()) {
-            return bound;
-        }
+    io_result<endpoint> open() { return open_listener(acceptor_, listen_, "listen for operators"); }
+
+    void start() {
         spawn_restarting(context_.get_executor(), "operator_listener", [this] { return accept(); });
         thread_ = std::jthread{[this] { run_event_loop(context_, "operators"); }};
-        return bound;
     }
 
     void set_unready() { ready_ = false; }
@@ -119,8 +116,12 @@
 
 operator_server::~operator_server() = default;
 
-io_result<endpoint> operator_server::start() {
-    return state_->start();
+io_result<endpoint> operator_server::open() {
+    return state_->open();
+}
+
+void operator_server::start() {
+    state_->start();
 }
 
 void operator_server::set_unready() {
--- a/packages/traffic/tests/http_server.tests.cpp
+++ b/packages/traffic/tests/http_server.tests.cpp
@@ -85,7 +85,7 @@
 
 /// A server with one traffic thread.
 struct running_server {
-    running_server() { address = *server.start(); }
+    running_server() : address{*server.open()} { server.start(); }
 
     void await_connection_ends() const {
         while (server.open_connections() > 0) {
