Do not blame an upstream for a lack of descriptors in the router

A request whose connection to the upstream could not be opened for lack of descriptors (EMFILE, ENFILE, ENOBUFS, ENOMEM) counted as an unreachable upstream, and idle connections to other upstreams kept the descriptors that new ones needed: 64 for each address ever used, and those to addresses that are used no more were never closed.

Such a failure now has a step of its own. The idle connections of the thread are closed and the connection is tried once more; if it still fails, the request is refused at once with 503 no-descriptors, Retry-After and not-run, and the upstream's health is left alone. The idle connections of a thread have a bound of their own, beyond which the oldest is closed.

Proof: "a request that finds no descriptor for its upstream is refused", 20 callers.

--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -14,7 +14,9 @@
 class connection_pool {
 public:
     /// @param idle_limit connections that are idle for this long are closed
-    connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit);
+    /// @param max_idle number of idle connections to all peers; the oldest one beyond it is closed
+    connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit,
+                    std::size_t max_idle = default_max_idle);
 
     /// Returns an idle connection, or a new one that is not connected yet.
     /// @param max_idle longest time for which a reused connection may have been idle
@@ -29,18 +31,27 @@
     void release(std::unique_ptr<upstream_connection> connection, time_point now,
                  duration idle_timeout = duration::max());
 
+    /// Closes all idle connections, to free their descriptors.
+    void close_idle();
+
     const asio::any_io_executor& executor() const { return executor_; }
 
 private:
+    static constexpr std::size_t default_max_idle = 1'024;
+
     struct idle_connection {
         std::unique_ptr<upstream_connection> connection;
         time_point since;
         duration idle_timeout;
     };
 
+    void close_oldest();
+
     asio::any_io_executor executor_;
     std::chrono::milliseconds idle_limit_;
-    std::map<endpoint, std::vector<idle_connection>> idle_;
+    std::size_t max_idle_;
+    std::map<endpoint, std::vector<idle_connection>> idle_; ///< oldest first
+    std::size_t idle_count_ = 0;
 };
 
 } // namespace citronwick
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -20,6 +20,9 @@
 public:
     upstream_connection(const asio::any_io_executor& executor, endpoint peer);
 
+    /// Step of a failure to connect that is due to a lack of descriptors or memory on this VM.
+    static constexpr const char* open_step = "open socket";
+
     /// A failure to connect guarantees that no byte of a request was sent.
     task<io_result<void>> connect(std::chrono::milliseconds timeout);
 
--- a/packages/traffic/src/connection_pool.cpp
+++ b/packages/traffic/src/connection_pool.cpp
@@ -4,18 +4,20 @@
 
 namespace citronwick {
 
-connection_pool::connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit)
-    : executor_{std::move(executor)}, idle_limit_{idle_limit} {}
+connection_pool::connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit,
+                                 std::size_t max_idle)
+    : executor_{std::move(executor)}, idle_limit_{idle_limit}, max_idle_{max_idle} {}
 
 std::unique_ptr<upstream_connection> connection_pool::acquire(const endpoint& peer, time_point now,
                                                               duration max_idle) {
     auto& idle = idle_[peer];
-    std::erase_if(idle, [&](const idle_connection& each) {
+    idle_count_ -= std::erase_if(idle, [&](const idle_connection& each) {
         return now - each.since >= std::min<duration>(idle_limit_, each.idle_timeout);
     });
     while (!idle.empty() && now - idle.back().since < max_idle) {
         auto newest = std::move(idle.back().connection);
         idle.pop_back();
+        --idle_count_;
         if (newest->is_idle()) {
             return newest;
         }
@@ -33,7 +35,24 @@
     auto& idle = idle_[connection->peer()];
     if (connection->reusable() && idle.size() < max_idle_connections) {
         idle.push_back({std::move(connection), now, idle_timeout});
+        ++idle_count_;
     }
+    if (idle_count_ > max_idle_) {
+        close_oldest();
+    }
+}
+
+void connection_pool::close_idle() {
+    idle_.clear();
+    idle_count_ = 0;
+}
+
+void connection_pool::close_oldest() {
+    std::erase_if(idle_, [](const auto& each) { return each.second.empty(); });
+    const auto oldest =
+        std::ranges::min_element(idle_, {}, [](const auto& each) { return each.second.front().since; });
+    oldest->second.erase(oldest->second.begin());
+    --idle_count_;
 }
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -38,6 +38,10 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
+bool lacks_descriptors(const io_result<void>& connected) {
+    return connected.has_error() && connected.error().step == upstream_connection::open_step;
+}
+
 } // namespace
 
 route_exchange::route_exchange(route_context& context, caller& from, http_request request)
@@ -205,7 +209,18 @@
         co_return;
     }
     const auto now = clock::now();
-    auto connected = co_await connection.connect(std::clamp(remaining_time(now), 1ms, connect_timeout));
+    const auto timeout = std::clamp(remaining_time(now), 1ms, connect_timeout);
+    auto connected = co_await connection.connect(timeout);
+    if (lacks_descriptors(connected)) {
+        context_.pool.close_idle();
+        connected = co_await connection.connect(timeout);
+    }
+    if (lacks_descriptors(connected)) {
+        result = {attempt_outcome::not_sent, to_text(connected.error())};
+        refusal_before_send_ =
+            problem{503, "no-descriptors", "the router cannot open a connection now", outcome::not_run, 1s};
+        co_return;
+    }
     context_.counters.count_connection(service_->name);
     if (connected.has_error()) {
         result = {attempt_outcome::not_sent, to_text(connected.error())};
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
+#include "citronwick/traffic/process_limits.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
@@ -25,7 +26,8 @@
                    plane,
                    adapter.dialect(),
                    counters,
-                   connection_pool{executor, settings.pooled_connection_age},
+                   connection_pool{executor, settings.pooled_connection_age,
+                                   shares_in_force(settings).upstreams / (2 * settings.threads)},
                    {},
                    crash_probe{plane}} {}
 
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -36,6 +36,13 @@
     socket.set_option(socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{keepalive_probes}, ignored);
 }
 
+/// Whether a socket could not be opened for lack of resources, which says nothing of the peer.
+bool is_local_shortage(const boost::system::error_code& error) {
+    namespace errc = boost::system::errc;
+    return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
+           error == errc::no_buffer_space || error == errc::not_enough_memory;
+}
+
 } // namespace
 
 upstream_connection::upstream_connection(const asio::any_io_executor& executor, endpoint peer)
@@ -61,7 +68,7 @@
     stream_->expires_after(timeout);
     auto [error] = co_await stream_->async_connect(address, use_tuple);
     if (error) {
-        co_return close_with_failure("connect", error, false);
+        co_return close_with_failure(is_local_shortage(error) ? open_step : "connect", error, false);
     }
     boost::system::error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
--- a/tests/harness/held_callers.cpp
+++ b/tests/harness/held_callers.cpp
@@ -70,6 +70,13 @@
 
 held_callers::~held_callers() = default;
 
+void held_callers::send(const std::string& bytes) {
+    for (const auto& each : connections_->all) {
+        boost::system::error_code ignored;
+        asio::write(each->socket, asio::buffer(bytes), ignored);
+    }
+}
+
 std::vector<std::string> held_callers::answers(std::chrono::milliseconds timeout) {
     const auto deadline = clock::now() + timeout;
     const auto is_answered = [](const auto& each) {
--- a/tests/harness/held_callers.hpp
+++ b/tests/harness/held_callers.hpp
@@ -21,6 +21,9 @@
     held_callers& operator=(const held_callers&) = delete;
     ~held_callers();
 
+    /// Sends further bytes on each connection.
+    void send(const std::string& bytes);
+
     /// What each caller has received. Waits until each has the header of a response or its
     /// connection has ended.
     std::vector<std::string> answers(std::chrono::milliseconds timeout = std::chrono::seconds{20});
--- a/tests/integration/resource_limits.tests.cpp
+++ b/tests/integration/resource_limits.tests.cpp
@@ -1,6 +1,7 @@
 // Limits on what a process may use: descriptors and memory.
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/io/json_text.hpp"
 #include "held_callers.hpp"
 #include "routed_fleet.hpp"
 #include "waiting.hpp"
@@ -92,3 +93,31 @@
     // Callers that stay connected take no descriptors that the operators' pages need.
     CHECK(http_call(router.addresses.at(1), {.target = "/healthz", .timeout = 2s}).status == 200);
 }
+
+TEST_CASE(
+    "proof: a request that finds no descriptor for its upstream is refused, and the upstream is not blamed") {
+    constexpr rlim_t descriptors = 1'000;
+    routed_fleet system{
+        {.routers = 1, .plain_workers = 1, .engines = 1, .router_process = {.max_descriptors = descriptors}}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    constexpr std::size_t callers = 20;
+    const std::string request = "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+                                "Citronwick-Attempt-Id: a1\r\nContent-Length: 4\r\n\r\n";
+    held_callers held{router.address(), callers, request};
+    const auto is_reading = [&] {
+        return integer_member(system.view(router), "requests_in_flight") == callers;
+    };
+    REQUIRE(wait_until(is_reading));
+    constexpr rlim_t no_descriptors = 8; // fewer than are open
+    set_descriptor_limit(router, no_descriptors, descriptors);
+    held.send("body");
+    for (const std::string& answer : held.answers()) {
+        CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503"), answer);
+        CHECK_MESSAGE(answer.find("no-descriptors") != std::string::npos, answer);
+        CHECK_MESSAGE(answer.find("Citronwick-Outcome: not-run") != std::string::npos, answer);
+    }
+    set_descriptor_limit(router, descriptors, descriptors);
+    CHECK(system.ask(router, "/book/1", "after").status == 200);
+    CHECK(runs_of(system.plain_workers(), "a1") == 0);
+}
