Bound the memory of buffered bodies of all requests together

A router is killed beyond its memory limit.

buffer_budget is the bound of the process, half of what [limits] memory_mb exceeds 64 MiB by. Each request has a buffer_reservation for its request body, its buffered response and the unfinished event of a stream. It counts the memory that has been taken as bytes arrive, not the declared length. Bodies of up to 4 KiB may use all of the budget, bodies of up to 64 KiB leave an eighth, and larger ones leave a quarter and hold no more than is free, so that slow large bodies do not keep out small requests. A request body that does not fit is refused with 503 memory-limit, Retry-After and not-run, before anything is sent. A response that does not fit may have run, so its caller is told unknown; the upstream is not blamed.

Copies: the attempts of a request share its body, and the fingerprint is hashed in parts to the same value. string_body reserved the declared length; arriving_body does not. The C library kept released buffers, so blocks above 64 KiB are now mapped and go back at once.

Proof: "unfinished bodies stay within the memory of the process", default of 256 MB = 262,144 kB. Responses that do not fit have no proof of their own yet.

--- a/packages/core/include/citronwick/core/hash.hpp
+++ b/packages/core/include/citronwick/core/hash.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_CORE_HASH_HPP_INCLUDED
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,9 @@
 /// XXH3 hash of a text. All VMs compute the same value.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+/// XXH3 hash of the concatenation of texts.
+std::uint64_t hash64(std::initializer_list<std::string_view> parts);
+
 /// Combines two 64-bit hashes into one; the order matters.
 std::uint64_t hash_combine(std::uint64_t left, std::uint64_t right);
 
--- a/packages/core/src/hash.cpp
+++ b/packages/core/src/hash.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/algorithm/hex.hpp>
 #include <iterator>
+#include <memory>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -29,6 +30,15 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::uint64_t hash64(std::initializer_list<std::string_view> parts) {
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state{XXH3_createState(), &XXH3_freeState};
+    XXH3_64bits_reset(state.get());
+    for (const std::string_view part : parts) {
+        XXH3_64bits_update(state.get(), part.data(), part.size());
+    }
+    return XXH3_64bits_digest(state.get());
+}
+
 std::uint64_t hash_combine(std::uint64_t left, std::uint64_t right) {
     return XXH3_64bits_withSeed(&left, sizeof(left), right);
 }
--- a/packages/core/tests/core.tests.cpp
+++ b/packages/core/tests/core.tests.cpp
@@ -37,3 +37,9 @@
     CHECK(citronwick::equal_constant_time("same", "same"));
     CHECK_FALSE(citronwick::equal_constant_time("same", "some"));
 }
+
+TEST_CASE("the hash of parts is that of their concatenation") {
+    const std::string body(1'000, 'x');
+    CHECK(citronwick::hash64({"POST", " ", "/a", body}) == citronwick::hash64("POST /a" + body));
+    CHECK(citronwick::hash64({""}) == citronwick::hash64(""));
+}
--- a/packages/router/src/router_settings.cpp
+++ b/packages/router/src/router_settings.cpp
@@ -126,6 +126,7 @@
         .read("answer_bytes", limits.answer_bytes)
         .read("connections", limits.connections)
         .read("descriptors", limits.descriptors)
+        .read("memory_mb", limits.memory_mb)
         .read("caller_idle_timeout", limits.caller_idle_timeout)
         .read("caller_read_timeout", limits.caller_read_timeout)
         .read("caller_write_timeout", limits.caller_write_timeout)
--- a/packages/traffic/include/citronwick/traffic/request_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/request_server.hpp
@@ -10,6 +10,7 @@
 
 namespace citronwick {
 
+class buffer_reservation;
 class caller;
 
 /// Size and time limits on the requests of a connection.
@@ -32,7 +33,8 @@
     virtual request_limits limits() const = 0;
 
     /// Handles one request and responds to its caller.
-    virtual task<void> serve(caller& from, http_request request) = 0;
+    /// @param buffers counts what the request buffers; its body is counted already
+    virtual task<void> serve(caller& from, http_request request, buffer_reservation& buffers) = 0;
 };
 
 /// Creates the server of the traffic thread that runs the executor.
--- a/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
+++ b/packages/traffic/include/citronwick/traffic/traffic_settings.hpp
@@ -19,6 +19,7 @@
     std::uint32_t connections = 4'096;
     /// Descriptors that the process may open, unless the operating system allows fewer.
     std::uint32_t descriptors = 1'048'576;
+    std::uint32_t memory_mb = 256; ///< memory that the process may use, in MiB
     std::chrono::milliseconds caller_idle_timeout{60'000};
     std::chrono::milliseconds caller_read_timeout{10'000};
     std::chrono::milliseconds caller_write_timeout{10'000};
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -6,6 +6,8 @@
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,7 +31,8 @@
     /// Starts sending a request without waiting for completion. The response may be
     /// read concurrently, since an upstream may respond before it has read a long
     /// body.
-    void start_send(http_request request, std::chrono::milliseconds timeout);
+    void start_send(http::request_header<> header, std::shared_ptr<const std::string> body,
+                    std::chrono::milliseconds timeout);
 
     /// Whether the last request has been written completely.
     bool is_sent() const { return !pending_send_ || pending_send_->is_done; }
@@ -51,10 +54,17 @@
     /// Reads the next chunk of the body; empty at its end.
     task<io_result<std::string>> read_some(std::chrono::milliseconds idle_timeout);
 
+    /// Decides whether a body that takes a number of bytes may be kept.
+    using size_check = std::function<bool(std::size_t)>;
+    /// Step of the failure to buffer a body.
+    static constexpr const char* buffer_step = "buffer response body";
+
     /// Reads the rest of the body, up to the largest size that is buffered.
     /// @param deadline time by which it must be complete
+    /// @param may_buffer asked whenever the body has grown, empty for no further limit
     task<io_result<std::string>> read_all(std::chrono::milliseconds idle_timeout,
-                                          time_point deadline = time_point::max());
+                                          time_point deadline = time_point::max(),
+                                          size_check may_buffer = {});
 
     /// Whether the response was read to its end and the connection stays open.
     bool reusable() const;
@@ -71,7 +81,8 @@
     /// A request that is being written. Kept alive by the write operation until it
     /// completes or the connection is closed.
     struct pending_send {
-        http_request request;
+        http::request<http::span_body<const char>> request;
+        std::shared_ptr<const std::string> body;
         std::shared_ptr<boost::beast::tcp_stream> stream;
         bool is_done = false;
     };
--- a/packages/traffic/src/chat_server.cpp
+++ b/packages/traffic/src/chat_server.cpp
@@ -48,7 +48,7 @@
                 settings.caller_idle_timeout};
     }
 
-    task<void> serve(caller& from, http_request request) override {
+    task<void> serve(caller& from, http_request request, buffer_reservation& /*buffers*/) override {
         const std::string_view target = request.target();
         const auto* const found = std::ranges::find_if(
             path_handlers, [target](const path_handler& each) { return target.starts_with(each.prefix); });
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -1,8 +1,11 @@
 #include "citronwick/traffic/http_server.hpp"
 
+#include "arriving_body.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/buffer_budget.hpp"
+#include "citronwick/policy/buffer_reservation.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/http_framing.hpp"
 #include "citronwick/traffic/process_limits.hpp"
@@ -39,6 +42,11 @@
     if (error == beast::error::timeout) {
         return {408, "request-timeout", "the request did not arrive in time"};
     }
+    if (error == boost::system::errc::not_enough_memory) {
+        constexpr std::chrono::seconds retry_after{1};
+        return {503, "memory-limit", "the router has no memory for the request body now", outcome::not_run,
+                retry_after};
+    }
     return {400, "bad-request", "the request is not well-formed HTTP: " + error.message()};
 }
 
@@ -56,10 +64,11 @@
 public:
     state(const traffic_settings& settings, request_server_factory make_server)
         : settings_{settings}, make_server_{std::move(make_server)}, shares_{shares_in_force(settings)},
-          acceptor_{accept_context_},
+          buffers_{buffer_limit(settings)}, acceptor_{accept_context_},
           refuser_{accept_context_.get_executor(), shares_.refusals, settings.caller_write_timeout} {}
 
     io_result<endpoint> start() {
+        release_large_buffers();
         const auto bound = open_listener(acceptor_, settings_.callers, "listen for callers");
         if (bound.has_error()) {
             return bound;
@@ -165,7 +174,8 @@
     /// @return whether to keep the connection open for another
     task<bool> serve_request(worker& assigned, beast::tcp_stream& stream, beast::flat_buffer& buffer) {
         const request_limits limits = assigned.server->limits();
-        http::request_parser<http::string_body> parser;
+        buffer_reservation buffers{buffers_};
+        http::request_parser<arriving_body> parser;
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
         auto read_error = co_await read_header(assigned, stream, buffer, parser, limits);
@@ -176,12 +186,13 @@
             if (const auto error = find_framing_error(parser.get())) {
                 refusal = problem{400, "bad-request", std::string{*error}};
             } else {
-                read_error = co_await read_body(stream, buffer, parser, limits);
+                read_error = co_await read_body(stream, buffer, parser, limits, buffers);
             }
             if (!refusal && !read_error) {
-                auto request = parser.release();
+                auto received = parser.release();
+                http_request request{std::move(received.base()), std::move(received.body())};
                 const bool keep_open =
-                    co_await dispatch(*assigned.server, stream, std::move(request), arrived);
+                    co_await dispatch(*assigned.server, stream, std::move(request), buffers, arrived);
                 co_return keep_open;
             }
         }
@@ -200,7 +211,7 @@
 
     task<boost::system::error_code> read_header(worker& assigned, beast::tcp_stream& stream,
                                                 beast::flat_buffer& buffer,
-                                                http::request_parser<http::string_body>& parser,
+                                                http::request_parser<arriving_body>& parser,
                                                 const request_limits& limits) {
         if (buffer.size() == 0) {
             assigned.idle.insert(&stream);
@@ -246,8 +257,8 @@
     }
 
     task<boost::system::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                              http::request_parser<http::string_body>& parser,
-                                              const request_limits& limits) {
+                                              http::request_parser<arriving_body>& parser,
+                                              const request_limits& limits, buffer_reservation& buffers) {
         stream.expires_after(limits.read_timeout);
         if (parser.get()[http::field::expect] == "100-continue") {
             http::response<http::string_body> continue_response{http::status::continue_, 11};
@@ -256,15 +267,27 @@
                 co_return write_error;
             }
         }
-        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
-        co_return error;
+        parser.eager(true);
+        while (!parser.is_done()) {
+            auto [error, size] = co_await http::async_read_some(stream, buffer, parser, use_tuple);
+            if (!error && !buffers.resize(buffer_part::request, parser.get().body().capacity())) {
+                error = make_error_code(boost::system::errc::not_enough_memory);
+            }
+            if (error) {
+                // A refused caller may stay connected for a while.
+                parser.get().body() = std::string{};
+                buffers.resize(buffer_part::request, 0);
+                co_return error;
+            }
+        }
+        co_return boost::system::error_code{};
     }
 
     task<bool> dispatch(request_server& server, beast::tcp_stream& stream, http_request request,
-                        time_point arrived) {
+                        buffer_reservation& buffers, time_point arrived) {
         const bool keep_alive = request.keep_alive() && !shutting_down_;
         caller from{stream, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
-        co_await server.serve(from, std::move(request));
+        co_await server.serve(from, std::move(request), buffers);
         if (shutting_down_) {
             from.close_after_response();
         }
@@ -286,6 +309,7 @@
     const traffic_settings& settings_;
     request_server_factory make_server_;
     descriptor_shares shares_;
+    buffer_budget buffers_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     accept_failures accept_failures_{"callers"};
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/policy/buffer_reservation.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
@@ -65,8 +66,8 @@
         max_body_bytes = context_.settings.answer_bytes;
     }
     upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id};
-    auto forwarded = make_forwarded_request();
-    auto result = co_await exchange.run(std::move(forwarded), max_body_bytes, attempt_deadline(now));
+    auto forwarded = make_forwarded_header();
+    auto result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, attempt_deadline(now));
     if (result.outcome == attempt_outcome::answered && withholds_status(connection.status())) {
         result.outcome = attempt_outcome::failed_run;
     }
@@ -119,15 +120,27 @@
 }
 
 task<exchange_result> route_exchange::buffer_response(upstream_connection& connection) {
-    auto body = co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms), deadline_);
+    upstream_connection::size_check may_buffer = [this](std::size_t bytes) {
+        return may_buffer_response(bytes);
+    };
+    auto body = co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms), deadline_,
+                                             std::move(may_buffer));
     if (body.has_error()) {
-        co_return exchange_result{attempt_outcome::may_have_run, to_text(body.error()), true};
+        const bool is_local = body.error().step == upstream_connection::buffer_step;
+        co_return exchange_result{attempt_outcome::may_have_run, to_text(body.error()), !is_local, is_local};
     }
+    buffers_.resize(buffer_part::response, body->capacity());
     buffered_response_ = make_response_head(connection);
     buffered_response_->body() = std::move(*body);
     co_return exchange_result{attempt_outcome::answered, "status " + std::to_string(connection.status())};
 }
 
+/// Counts a response body that grows, beside the one that an earlier attempt may have left.
+bool route_exchange::may_buffer_response(std::size_t bytes) {
+    const std::size_t kept = buffered_response_ ? buffered_response_->body().capacity() : 0;
+    return buffers_.resize(buffer_part::response, kept + bytes);
+}
+
 /// Relays complete events only, so that an interrupted stream can be resumed on
 /// another upstream after its last event.
 task<exchange_result> route_exchange::relay_event_stream(upstream_connection& connection) {
@@ -146,6 +159,10 @@
             co_return exchange_result{attempt_outcome::may_have_run,
                                       is_overlong ? "an event is too long" : "the deadline has passed"};
         }
+        if (!may_buffer_response(events_.pending_bytes())) {
+            connection.close();
+            co_return exchange_result{attempt_outcome::may_have_run, "no memory for an event", false, true};
+        }
         if (!events.empty() && !co_await relay_events(connection, std::move(events))) {
             co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
         }
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -44,9 +44,10 @@
 
 } // namespace
 
-route_exchange::route_exchange(route_context& context, caller& from, http_request request)
-    : context_{context}, caller_{from}, request_{std::move(request)}, view_{context.plane.view()},
-      config_{view_->config} {}
+route_exchange::route_exchange(route_context& context, caller& from, http_request request,
+                               buffer_reservation& buffers)
+    : context_{context}, caller_{from}, request_{std::move(request)}, buffers_{buffers},
+      view_{context.plane.view()}, config_{view_->config} {}
 
 std::chrono::milliseconds route_exchange::remaining_time(time_point now) const {
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now), 0ms);
@@ -57,6 +58,7 @@
         co_await refuse(std::move(*refusal));
         co_return;
     }
+    body_ = std::make_shared<const std::string>(std::move(request_.body()));
     caller_.on_disconnect([this] {
         if (active_connection_ != nullptr) {
             active_connection_->close();
@@ -100,8 +102,7 @@
     state_.kind = route_->kind;
     state_.max_attempts = route_->attempts;
     const std::string method{request_.method_string()};
-    fingerprint_ =
-        hash64(method + " " + std::string{target} + "\n" + traits_.team_key + "\n" + request_.body());
+    fingerprint_ = hash64({method, " ", target, "\n", traits_.team_key, "\n", request_.body()});
     part_fingerprints_ = shared_part_fingerprints(traits_.text);
     return check_crashes(clock::now());
 }
@@ -239,8 +240,8 @@
     return std::min(deadline_, now + attempt_timeout);
 }
 
-http_request route_exchange::make_forwarded_request() const {
-    http_request forwarded = request_;
+http::request_header<> route_exchange::make_forwarded_header() const {
+    http::request_header<> forwarded = request_.base();
     forward_metadata metadata{.upstream = placement_->upstream.entry.id,
                               .team = team_ == nullptr ? std::string{} : team_->name,
                               .time_left = remaining_time(clock::now()),
@@ -283,7 +284,7 @@
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::not_run;
     state_.sent += may_have_run ? 1 : 0;
     state_.rejections += may_have_run ? 0 : 1;
-    if (result.outcome != attempt_outcome::not_sent && !caller_disconnected) {
+    if (result.outcome != attempt_outcome::not_sent && !result.is_local && !caller_disconnected) {
         context_.plane.observations().record_outcome(upstream, result.outcome == attempt_outcome::answered,
                                                      now);
     }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -14,6 +14,7 @@
 
 namespace citronwick {
 
+class buffer_reservation;
 struct exchange_result;
 class upstream_connection;
 class upstream_exchange;
@@ -32,7 +33,7 @@
 /// route_permits.cpp.
 class route_exchange {
 public:
-    route_exchange(route_context& context, caller& from, http_request request);
+    route_exchange(route_context& context, caller& from, http_request request, buffer_reservation& buffers);
 
     task<void> run();
 
@@ -63,6 +64,7 @@
     task<exchange_result> send_request(upstream_connection& connection, in_flight_guard& in_flight);
     task<exchange_result> relay_response(upstream_connection& connection);
     task<exchange_result> buffer_response(upstream_connection& connection);
+    bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, std::string events);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
@@ -72,7 +74,7 @@
     task<void> send_final_response();
     task<void> refuse(problem refusal);
     problem failure_problem(next_step step) const;
-    http_request make_forwarded_request() const;
+    http::request_header<> make_forwarded_header() const;
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
     std::chrono::milliseconds remaining_time(time_point now) const;
@@ -82,7 +84,9 @@
 
     route_context& context_;
     caller& caller_;
-    http_request request_;
+    http_request request_;                    ///< its body is moved to `body_` before the first attempt
+    std::shared_ptr<const std::string> body_; ///< shared by the attempts
+    buffer_reservation& buffers_;
     std::shared_ptr<const routing_view> view_;            ///< updated before each attempt
     std::shared_ptr<const routing_configuration> config_; ///< in force when the request arrived
     request_traits traits_;
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -38,8 +38,8 @@
                 configured.idle_timeout};
     }
 
-    task<void> serve(caller& from, http_request request) override {
-        route_exchange exchange{context_, from, std::move(request)};
+    task<void> serve(caller& from, http_request request, buffer_reservation& buffers) override {
+        route_exchange exchange{context_, from, std::move(request), buffers};
         co_await exchange.run();
     }
 
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -77,10 +77,13 @@
     co_return io_result<void>{};
 }
 
-void upstream_connection::start_send(http_request request, std::chrono::milliseconds timeout) {
-    is_head_request_ = request.method() == http::verb::head;
+void upstream_connection::start_send(http::request_header<> header, std::shared_ptr<const std::string> body,
+                                     std::chrono::milliseconds timeout) {
+    is_head_request_ = header.method() == http::verb::head;
+    http::request<http::span_body<const char>> request{std::move(header)};
+    request.body() = {body->data(), body->size()};
     request.prepare_payload();
-    pending_send_ = std::make_shared<pending_send>(std::move(request), stream_);
+    pending_send_ = std::make_shared<pending_send>(std::move(request), std::move(body), stream_);
     stream_->expires_after(timeout);
     http::async_write(*stream_, pending_send_->request,
                       [sent = pending_send_](const boost::system::error_code& error, std::size_t) {
@@ -139,7 +142,7 @@
 }
 
 task<io_result<std::string>> upstream_connection::read_all(std::chrono::milliseconds idle_timeout,
-                                                           time_point deadline) {
+                                                           time_point deadline, size_check may_buffer) {
     std::string body;
     while (true) {
         if (body.size() > max_buffered_bytes) {
@@ -156,6 +159,9 @@
             co_return body;
         }
         body += *chunk;
+        if (may_buffer && !may_buffer(body.capacity())) {
+            co_return close_with_failure(buffer_step, asio::error::no_memory, true);
+        }
     }
 }
 
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -20,10 +20,11 @@
 
 } // namespace
 
-task<exchange_result> upstream_exchange::run(http_request request,
+task<exchange_result> upstream_exchange::run(http::request_header<> header,
+                                             std::shared_ptr<const std::string> body,
                                              std::optional<std::uint64_t> max_body_bytes,
                                              time_point deadline) {
-    connection_.start_send(std::move(request), time_until(deadline, clock::now()));
+    connection_.start_send(std::move(header), std::move(body), time_until(deadline, clock::now()));
     for (int skipped_count = 0; skipped_count <= max_skipped_responses; ++skipped_count) {
         auto read = co_await connection_.read_header(max_body_bytes, time_until(deadline, clock::now()));
         if (read.has_error()) {
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -16,6 +16,7 @@
     attempt_outcome outcome = attempt_outcome::not_sent;
     std::string detail;     ///< for the log
     bool is_broken = false; ///< the connection failed before the response was complete
+    bool is_local = false;  ///< caused by this router, not by the upstream
 };
 
 /// Sends a request to one upstream and reads the header of its response.
@@ -29,8 +30,8 @@
 
     /// Sends the request and reads the response header.
     /// @param max_body_bytes size limit of the response body, none for streams
-    task<exchange_result> run(http_request request, std::optional<std::uint64_t> max_body_bytes,
-                              time_point deadline);
+    task<exchange_result> run(http::request_header<> header, std::shared_ptr<const std::string> body,
+                              std::optional<std::uint64_t> max_body_bytes, time_point deadline);
 
     /// Traits of the last response header that was read.
     const response_traits& traits() const { return traits_; }
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -158,7 +158,7 @@
                      json::object{{"name", "bench"},
                                   {"connectionLimit", 96},
                                   {"engine", json::object{{"slots", 8}, {"kvCacheTokens", 90'000}}}}}},
-        {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", 65'536}}},
+        {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", options_.body_bytes}}},
         {"tenants", json::array{json::object{{"name", "club"}, {"apiKeys", std::move(api_keys)}}}}};
     put_key("op/config", json::serialize(declaration));
 }
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -27,6 +27,7 @@
     std::string log_format = "key_value";
     std::size_t failure_domains = 1;  ///< over which the routers are spread
     std::string limit_settings{};     ///< lines of the table [limits]
+    std::int64_t body_bytes = 65'536; ///< largest request body, as declared
     process_options router_process{}; ///< how the routers are started
 };
 
--- a/tests/integration/resource_limits.tests.cpp
+++ b/tests/integration/resource_limits.tests.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <sstream>
 #include <string>
@@ -38,6 +39,17 @@
     return std::chrono::milliseconds{(user + system) * 1'000 / ::sysconf(_SC_CLK_TCK)};
 }
 
+/// Largest resident memory that a process has had.
+std::int64_t peak_memory_kb(const node& target) {
+    std::ifstream status{"/proc/" + std::to_string(target.process->id()) + "/status"};
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoll(line.substr(line.find_first_of("0123456789")));
+        }
+    }
+    return 0;
+}
+
 /// Changes the number of descriptors that a process may open.
 void set_descriptor_limit(const node& target, rlim_t soft, rlim_t hard) {
     const rlimit limit{soft, hard};
@@ -121,3 +133,33 @@
     CHECK(system.ask(router, "/book/1", "after").status == 200);
     CHECK(runs_of(system.plain_workers(), "a1") == 0);
 }
+
+TEST_CASE("proof: unfinished bodies stay within the memory of the process, and small requests are answered "
+          "meanwhile") {
+    constexpr std::int64_t memory_mb = 256; // the default
+    constexpr std::size_t callers = 600;
+    constexpr std::size_t sent_bytes = 1'000'000;
+    routed_fleet system{{.routers = 1, .plain_workers = 1, .engines = 1, .body_bytes = 2 * sent_bytes}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    const std::string unfinished = "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+                                   "Citronwick-Attempt-Id: a1\r\nContent-Length: 1500000\r\n\r\n" +
+                                   std::string(sent_bytes, 'x');
+    held_callers held{router.address(), callers, unfinished};
+    auto answers = std::async(std::launch::async, [&] { return held.answers(6s); });
+    int asked = 0;
+    while (answers.wait_for(100ms) != std::future_status::ready) {
+        const auto answer = system.ask(router, "/read/1", "small-" + std::to_string(asked++), {}, "small");
+        CHECK_MESSAGE(answer.status == 200, answer.body);
+    }
+    CHECK(asked > 0);
+    CHECK(peak_memory_kb(router) < memory_mb * 1'024);
+    const auto texts = answers.get();
+    const auto refused = std::ranges::count_if(texts, [](const std::string& answer) {
+        return answer.starts_with("HTTP/1.1 503") && answer.find("memory-limit") != std::string::npos &&
+               answer.find("Retry-After: ") != std::string::npos &&
+               answer.find("Citronwick-Outcome: not-run") != std::string::npos;
+    });
+    CHECK(refused > 0);
+    CHECK(runs_of(system.plain_workers(), "a1") == 0);
+}
