--- a/packages/traffic/include/citronwick/traffic/request_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/request_server.hpp
@@ -10,6 +10,7 @@
 
 namespace citronwick {
 
+class buffer_reservation;
 class caller;
 enum class connection_end : std::uint8_t;
 
@@ -33,7 +34,8 @@
     virtual request_limits limits() const = 0;
 
     /// Handles one request and responds to its caller.
-    virtual task<void> serve(caller& from, http_request request) = 0;
+    /// @param buffers counts what the request buffers; its body is counted already
+    virtual task<void> serve(caller& from, http_request request, buffer_reservation& buffers) = 0;
 
     /// Counts the end of a caller's connection.
     virtual void count_connection_end(connection_end cause) = 0;
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -1,11 +1,14 @@
 #include "citronwick/traffic/http_server.hpp"
 
+#include "arriving_body.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/accept_failures.hpp"
 #include "citronwick/io/event_loop.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/io/spawn.hpp"
 #include "citronwick/io/unhandled_exceptions.hpp"
+#include "citronwick/policy/buffer_budget.hpp"
+#include "citronwick/policy/buffer_reservation.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/caller_connection.hpp"
 #include "citronwick/traffic/connection_record.hpp"
@@ -48,6 +51,11 @@
     if (error == beast::error::timeout) {
         return {408, "request-timeout", "the request did not arrive in time"};
     }
+    if (error == boost::system::errc::not_enough_memory) {
+        constexpr std::chrono::seconds retry_after{1};
+        return {503, "memory-limit", "the router has no memory for the request body now", outcome::not_run,
+                retry_after};
+    }
     return {400, "bad-request", "the request is not well-formed HTTP: " + error.message()};
 }
 
@@ -65,12 +73,14 @@
 public:
     state(const traffic_settings& settings, request_server_factory make_server)
         : settings_{settings}, make_server_{std::move(make_server)}, shares_{shares_in_force(settings)},
-          acceptor_{accept_context_}, refuser_{accept_context_.get_executor(), shares_.refusals,
-                                               settings.caller_write_timeout, shutting_down_} {}
+          buffers_{buffer_limit(settings)}, acceptor_{accept_context_},
+          refuser_{accept_context_.get_executor(), shares_.refusals, settings.caller_write_timeout,
+                   shutting_down_} {}
 
     io_result<endpoint> open() { return open_listener(acceptor_, settings_.callers, "listen for callers"); }
 
     void start() {
+        release_large_buffers();
         for (std::uint32_t index = 0; index < settings_.threads; ++index) {
             workers_.push_back(std::make_unique<worker>(make_server_));
         }
@@ -202,7 +212,8 @@
                 co_return false;
             }
         }
-        http::request_parser<http::string_body> parser;
+        buffer_reservation buffers{buffers_};
+        http::request_parser<arriving_body> parser;
         parser.header_limit(limits.header_bytes);
         parser.body_limit(limits.body_bytes);
         auto read_error = co_await read_header(stream, buffer, parser, limits);
@@ -213,12 +224,13 @@
             if (const auto error = find_framing_error(parser.get())) {
                 refusal = problem{400, "bad-request", std::string{*error}};
             } else {
-                read_error = co_await read_body(stream, buffer, parser, limits);
+                read_error = co_await read_body(stream, buffer, parser, limits, buffers);
             }
             if (!refusal && !read_error) {
-                auto request = parser.release();
-                const bool keep_open =
-                    co_await dispatch(*assigned.server, connection, std::move(request), arrived, record);
+                auto received = parser.release();
+                http_request request{std::move(received.base()), std::move(received.body())};
+                const bool keep_open = co_await dispatch(*assigned.server, connection, std::move(request),
+                                                         buffers, arrived, record);
                 co_return keep_open;
             }
         }
@@ -261,7 +273,7 @@
     }
 
     task<boost::system::error_code> read_header(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                                http::request_parser<http::string_body>& parser,
+                                                http::request_parser<arriving_body>& parser,
                                                 const request_limits& limits) {
         constexpr std::string_view header_end = "\r\n\r\n";
         const auto deadline = clock::now() + limits.read_timeout;
@@ -301,8 +313,8 @@
     }
 
     task<boost::system::error_code> read_body(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                              http::request_parser<http::string_body>& parser,
-                                              const request_limits& limits) {
+                                              http::request_parser<arriving_body>& parser,
+                                              const request_limits& limits, buffer_reservation& buffers) {
         stream.expires_after(limits.read_timeout);
         if (parser.get()[http::field::expect] == "100-continue") {
             http::response<http::string_body> continue_response{http::status::continue_, 11};
@@ -311,21 +323,34 @@
                 co_return write_error;
             }
         }
+        parser.eager(true);
         const std::size_t unlimited = buffer.max_size();
         buffer.max_size(max_read_buffer_bytes);
-        auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
+        boost::system::error_code read_error;
+        while (!read_error && !parser.is_done()) {
+            auto [error, size] = co_await http::async_read_some(stream, buffer, parser, use_tuple);
+            read_error = error;
+            if (!error && !buffers.resize(buffer_part::request, parser.get().body().capacity())) {
+                read_error = make_error_code(boost::system::errc::not_enough_memory);
+            }
+        }
         buffer.max_size(unlimited);
-        co_return error;
+        if (read_error) {
+            // A refused caller may stay connected for a while.
+            parser.get().body() = std::string{};
+            buffers.resize(buffer_part::request, 0);
+        }
+        co_return read_error;
     }
 
     task<bool> dispatch(request_server& server, caller_connection& connection, http_request request,
-                        time_point arrived, connection_record& record) {
+                        buffer_reservation& buffers, time_point arrived, connection_record& record) {
         const bool keep_alive = request.keep_alive();
         caller from{connection, random_id(), keep_alive, settings_.caller_write_timeout, arrived};
         if (request.method() == http::verb::head) {
             from.leave_out_body();
         }
-        const auto exception = co_await serve_or_refuse(server, from, std::move(request));
+        const auto exception = co_await serve_or_refuse(server, from, std::move(request), buffers);
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
         if (!keep_open) {
@@ -349,6 +374,7 @@
     const traffic_settings& settings_;
     request_server_factory make_server_;
     descriptor_shares shares_;
+    buffer_budget buffers_;
     asio::io_context accept_context_{1};
     asio::ip::tcp::acceptor acceptor_;
     accept_failures accept_failures_{"callers"};
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -4,6 +4,7 @@
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/traffic/connection_end.hpp"
+#include "citronwick/traffic/process_limits.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "route_context.hpp"
@@ -26,7 +27,8 @@
                    plane,
                    adapter.dialect(),
                    counters,
-                   connection_pool{executor, settings.pooled_connection_age},
+                   connection_pool{executor, settings.pooled_connection_age,
+                                   shares_in_force(settings).upstreams / (2 * settings.threads)},
                    {},
                    crash_probe{plane}} {}
 
@@ -37,8 +39,8 @@
                 configured.idle_timeout};
     }
 
-    task<void> serve(caller& from, http_request request) override {
-        route_exchange exchange{context_, from, std::move(request)};
+    task<void> serve(caller& from, http_request request, buffer_reservation& buffers) override {
+        route_exchange exchange{context_, from, std::move(request), buffers};
         co_await exchange.run();
     }
 
--- a/packages/traffic/src/serve_or_refuse.cpp
+++ b/packages/traffic/src/serve_or_refuse.cpp
@@ -6,7 +6,8 @@
 
 namespace citronwick {
 
-task<std::exception_ptr> serve_or_refuse(request_server& server, caller& from, http_request request) {
+task<std::exception_ptr> serve_or_refuse(request_server& server, caller& from, http_request request,
+                                         buffer_reservation& buffers) {
     if (request.method() == http::verb::trace && !request.body().empty()) {
         problem refusal{400, "bad-request", "a TRACE request has no body"};
         co_await from.refuse(std::move(refusal));
@@ -14,7 +15,7 @@
     }
     std::exception_ptr exception;
     try {
-        auto served = server.serve(from, std::move(request));
+        auto served = server.serve(from, std::move(request), buffers);
         co_await std::move(served);
     } catch (...) {
         exception = std::current_exception();
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -44,6 +44,13 @@
     socket.set_option(socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{keepalive_probes}, ignored);
 }
 
+/// Whether a socket could not be opened for lack of resources, which says nothing of the peer.
+bool is_local_shortage(const boost::system::error_code& error) {
+    namespace errc = boost::system::errc;
+    return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
+           error == errc::no_buffer_space || error == errc::not_enough_memory;
+}
+
 } // namespace
 
 upstream_connection::upstream_connection(const asio::any_io_executor& executor, endpoint peer)
@@ -70,7 +77,7 @@
     stream_->expires_after(timeout);
     auto [error] = co_await stream_->async_connect(address, use_tuple);
     if (error) {
-        co_return close_with_failure("connect", error, false);
+        co_return close_with_failure(is_local_shortage(error) ? open_step : "connect", error, false);
     }
     boost::system::error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -90,11 +97,14 @@
     }
 }
 
-void upstream_connection::start_send(http_request request, std::chrono::milliseconds timeout) {
-    is_head_request_ = request.method() == http::verb::head;
+void upstream_connection::start_send(http::request_header<> header, std::shared_ptr<const std::string> body,
+                                     std::chrono::milliseconds timeout) {
+    is_head_request_ = header.method() == http::verb::head;
+    adapt_ack_timeout(body->size());
+    http::request<http::span_body<const char>> request{std::move(header)};
+    request.body() = {body->data(), body->size()};
     request.prepare_payload();
-    adapt_ack_timeout(request.body().size());
-    pending_send_ = std::make_shared<pending_send>(std::move(request), stream_);
+    pending_send_ = std::make_shared<pending_send>(std::move(request), std::move(body), stream_);
     stream_->expires_after(timeout);
     http::async_write(*stream_, pending_send_->request,
                       [sent = pending_send_](const boost::system::error_code& error, std::size_t) {
@@ -154,7 +164,7 @@
 }
 
 task<io_result<std::string>> upstream_connection::read_all(std::chrono::milliseconds idle_timeout,
-                                                           time_point deadline) {
+                                                           time_point deadline, size_check may_buffer) {
     std::string body;
     while (true) {
         if (body.size() > max_buffered_bytes) {
@@ -171,6 +181,9 @@
             co_return body;
         }
         body += *chunk;
+        if (may_buffer && !may_buffer(body.capacity())) {
+            co_return close_with_failure(buffer_step, asio::error::no_memory, true);
+        }
     }
 }
 
--- a/packages/traffic/tests/http_server.tests.cpp
+++ b/packages/traffic/tests/http_server.tests.cpp
@@ -24,7 +24,7 @@
 
     request_limits limits() const override { return {}; }
 
-    task<void> serve(caller& from, http_request request) override {
+    task<void> serve(caller& from, http_request request, buffer_reservation& /*buffers*/) override {
         from.on_disconnect([this] { exceptions_ = called_too_late; });
         if (request.target() == "/throws") {
             throw std::runtime_error{"the server of a test throws"};
