--- a/tests/integration/resource_limits.tests.cpp
+++ b/tests/integration/resource_limits.tests.cpp
@@ -163,3 +163,26 @@
     CHECK(refused > 0);
     CHECK(runs_of(system.plain_workers(), "a1") == 0);
 }
+
+TEST_CASE("proof: responses that do not fit the memory of the process end as unknown, and never as not run") {
+    constexpr std::int64_t memory_mb = 72;
+    constexpr std::size_t callers = 40; // 640 MB at the largest size of one response
+    routed_fleet system{{.routers = 1,
+                         .plain_workers = 1,
+                         .engines = 1,
+                         .limit_settings = "memory_mb = " + std::to_string(memory_mb) + "\n"}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    set_faults(system.plain_workers(), R"({"mode":"endless_body"})");
+    held_callers held{router.address(), callers,
+                      "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+                      "Citronwick-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n"};
+    for (const std::string& answer : held.answers()) {
+        CHECK_MESSAGE((answer.starts_with("HTTP/1.1 502") || answer.starts_with("HTTP/1.1 504")), answer);
+        CHECK_MESSAGE(answer.find("Citronwick-Outcome: unknown") != std::string::npos, answer);
+    }
+    CHECK_FALSE(find_log_lines(router, "buffer response body").empty());
+    CHECK(peak_memory_kb(router) < memory_mb * 1'024);
+    set_faults(system.plain_workers(), "{}");
+    CHECK(system.ask(router, "/book/1", "after").status == 200);
+}
