Let the soak draw what the operating system does to processes

In progress: faults of standard output, signals, ports, descriptors, memory and slowed processors, and checks of ends, grace, memory and processor time.

--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -44,6 +44,8 @@
         ::signal(SIGPIPE, SIG_DFL);
         ::dup2(options.output == output_target::log ? log_file : pipe_ends.at(1), STDOUT_FILENO);
         ::dup2(log_file, STDERR_FILENO);
+        // A connection of the test program would stay open as long as the child has it too.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         set_limit(RLIMIT_NOFILE, options.max_descriptors);
         set_limit(RLIMIT_NPROC, options.max_processes);
         ::execv(arguments.front(), arguments.data());
@@ -53,6 +55,9 @@
     if (options.output != output_target::log) {
         ::close(pipe_ends.at(1));
         if (options.output == output_target::unread_pipe) {
+            if (options.pipe_bytes) {
+                ::fcntl(pipe_ends.at(0), F_SETPIPE_SZ, *options.pipe_bytes);
+            }
             unread_output_ = pipe_ends.at(0);
         } else {
             ::close(pipe_ends.at(0));
@@ -71,12 +76,14 @@
 }
 
 void child_process::signal(int number) const {
+    const std::scoped_lock lock{mutex_};
     if (!exit_code_) {
         ::kill(id_, number);
     }
 }
 
 bool child_process::is_running() {
+    const std::scoped_lock lock{mutex_};
     int status = 0;
     if (!exit_code_ && waitpid(id_, &status, WNOHANG) == id_) {
         constexpr int signal_base = 128;
@@ -87,6 +94,7 @@
 
 std::optional<int> child_process::wait(std::chrono::milliseconds timeout) {
     wait_until([this] { return !is_running(); }, timeout);
+    const std::scoped_lock lock{mutex_};
     return exit_code_;
 }
 
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -21,11 +22,14 @@
 /// How a child process is started. Standard error is always appended to its log.
 struct process_options {
     output_target output = output_target::log;
+    std::optional<int> pipe_bytes{}; ///< size of an unread pipe; the system rounds it up to a page
     std::optional<std::size_t> max_descriptors{}; ///< RLIMIT_NOFILE
     std::optional<std::size_t> max_processes{};   ///< RLIMIT_NPROC
 };
 
 /// A child process, killed with SIGKILL when the object is destroyed.
+///
+/// Its functions may be called by several threads.
 class child_process {
 public:
     /// @param log file to which the output is appended
@@ -35,6 +39,7 @@
     child_process& operator=(const child_process&) = delete;
     ~child_process();
 
+    /// Sends a signal unless the process is known to have ended.
     void signal(int number) const;
 
     /// Waits for the process to end.
@@ -51,6 +56,7 @@
 private:
     pid_t id_ = 0;
     int unread_output_ = -1; ///< reading end of a pipe
+    mutable std::mutex mutex_;
     std::optional<int> exit_code_;
 };
 
--- a/tests/harness/node.cpp
+++ b/tests/harness/node.cpp
@@ -19,8 +19,10 @@
 
 constexpr std::chrono::seconds start_timeout{15};
 
-/// Reads a port file; the address is the last word of each line.
+} // namespace
+
 std::vector<endpoint> read_port_file(const std::string& file) {
+    // The address is the last word of each line.
     std::ifstream input{file};
     std::vector<endpoint> addresses;
     for (std::string line; std::getline(input, line);) {
@@ -32,8 +34,6 @@
     return addresses;
 }
 
-} // namespace
-
 std::string make_directory() {
     std::string name = (std::filesystem::temp_directory_path() / "citronwick-XXXXXX").string();
     if (mkdtemp(name.data()) == nullptr) {
--- a/tests/harness/node.hpp
+++ b/tests/harness/node.hpp
@@ -33,6 +33,9 @@
 /// @throws std::runtime_error if the process exits first or the wait times out
 void await_addresses(node& target, const std::string& port_file);
 
+/// Reads the addresses in a port file; there are none if it does not exist.
+std::vector<endpoint> read_port_file(const std::string& file);
+
 /// Sends a JSON body by POST.
 /// @return the JSON object of the response, empty if it is not one
 boost::json::object post_json(const endpoint& peer, const std::string& target, const std::string& body);
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -90,29 +90,38 @@
 }
 
 void routed_fleet::start_process(node& router) const {
+    launch_router(router, options_.router_process);
+    await_addresses(router, file(router.name + ".ports"));
+}
+
+std::vector<endpoint> routed_fleet::launched_addresses(const node& router) const {
+    return read_port_file(file(router.name + ".ports"));
+}
+
+void routed_fleet::launch_router(node& router, const process_options& process,
+                                 const std::vector<std::uint16_t>& ports) const {
     const std::string settings = file(router.name + ".toml");
     const std::string port_file = file(router.name + ".ports");
     std::filesystem::remove(port_file);
-    std::ofstream{settings} << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
-                            << "failure_domain = \"" << router.failure_domain << "\"\n"
-                            << (router.source_address.empty()
-                                    ? ""
-                                    : "source_address = \"" + router.source_address + "\"\n")
-                            << "\n[listen]\n"
-                            << "callers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
-                            << "fleet = \"127.0.0.1:0\"\nport_file = \"" << port_file << "\"\n\n[platform]\n"
-                            << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
-                            << "store_timeout = \"" << options_.store_timeout.count()
-                            << "ms\"\nkey_lifetime = \"" << options_.key_lifetime.count() << "ms\"\n"
-                            << options_.platform_settings << "\n[limits]\n"
-                            << options_.limit_settings << "\n[shutdown]\nbalancer_lag = \""
-                            << options_.balancer_lag.count() << "ms\"\n"
-                            << options_.shutdown_settings << "\n[log]\nformat = \"" << options_.log_format
-                            << "\"\n";
+    const auto listen_address = [&ports](std::size_t index) {
+        return "\"127.0.0.1:" + std::to_string(index < ports.size() ? ports[index] : 0) + "\"\n";
+    };
+    std::ofstream{settings}
+        << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\n"
+        << "failure_domain = \"" << router.failure_domain << "\"\n"
+        << (router.source_address.empty() ? "" : "source_address = \"" + router.source_address + "\"\n")
+        << "\n[listen]\n"
+        << "callers = " << listen_address(0) << "operators = " << listen_address(1)
+        << "fleet = " << listen_address(2) << "port_file = \"" << port_file << "\"\n\n[platform]\n"
+        << "adapter = \"http_store\"\nstore = \"" << to_text(store_.address()) << "\"\n"
+        << "store_timeout = \"" << options_.store_timeout.count() << "ms\"\nkey_lifetime = \""
+        << options_.key_lifetime.count() << "ms\"\n"
+        << options_.platform_settings << "\n[limits]\n"
+        << options_.limit_settings << "\n[shutdown]\nbalancer_lag = \"" << options_.balancer_lag.count()
+        << "ms\"\n"
+        << options_.shutdown_settings << "\n[log]\nformat = \"" << options_.log_format << "\"\n";
     router.process = std::make_unique<child_process>(
-        std::vector<std::string>{binary_path("citronwickd"), "--config", settings}, router.log,
-        options_.router_process);
-    await_addresses(router, port_file);
+        std::vector<std::string>{binary_path("citronwickd"), "--config", settings}, router.log, process);
 }
 
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
@@ -159,7 +168,7 @@
                      json::object{{"name", "bench"},
                                   {"connectionLimit", 96},
                                   {"engine", json::object{{"slots", 8}, {"kvCacheTokens", 90'000}}}}}},
-        {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", 65'536}}},
+        {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", options_.body_bytes}}},
         {"tenants", json::array{json::object{{"name", "club"}, {"apiKeys", std::move(api_keys)}}}}};
     put_key("op/config", json::serialize(declaration));
 }
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -28,6 +28,7 @@
     std::size_t failure_domains = 1;  ///< over which the routers are spread
     std::string limit_settings{};     ///< lines of the table [limits]
     std::string shutdown_settings{};  ///< lines added to the table [shutdown]
+    std::size_t body_bytes = 65'536;  ///< limit of a request's body in the declaration
     process_options router_process{}; ///< how the routers are started
     std::chrono::milliseconds balancer_lag{300};
 };
@@ -79,6 +80,15 @@
 
     /// Starts a router whose process has ended.
     void restart_router(node& router);
+
+    /// Starts the process of a router without waiting for it to listen.
+    /// @param ports of the addresses to listen on, in the order of the port file; any if empty
+    void launch_router(node& router, const process_options& process,
+                       const std::vector<std::uint16_t>& ports = {}) const;
+
+    /// Addresses of a router that was launched, empty until it listens.
+    std::vector<endpoint> launched_addresses(const node& router) const;
+
     boost::json::object view(const node& router) const;
 
 private:
--- /dev/null
+++ b/tests/soak/faults.hpp
@@ -0,0 +1,33 @@
+#ifndef CITRONWICK_TESTS_SOAK_FAULTS_HPP_INCLUDED
+#define CITRONWICK_TESTS_SOAK_FAULTS_HPP_INCLUDED
+
+#include <chrono>
+#include <cstddef>
+#include <random>
+#include <span>
+#include <string_view>
+
+namespace citronwick::soak {
+
+class soak_run;
+
+/// A kind of fault.
+struct fault {
+    std::string_view name;
+    void (*inject)(soak_run&, std::mt19937_64&); ///< returns when the fault is over
+    bool disturbs_upstreams = false;
+};
+
+/// Faults of routers, workers, links and the store. The first `router_fault_count` of
+/// them end or pause routers.
+std::span<const fault> fleet_faults();
+constexpr std::size_t router_fault_count = 3;
+
+/// Faults of what the operating system does to the processes of routers.
+std::span<const fault> process_faults();
+
+std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
+
+} // namespace citronwick::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/fleet_faults.cpp
@@ -0,0 +1,160 @@
+#include "faults.hpp"
+#include "node.hpp"
+#include "soak_run.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <string>
+#include <thread>
+
+namespace citronwick::soak {
+
+using namespace std::chrono_literals;
+using namespace citronwick::harness;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+router_supervisor& pick_router(soak_run& run, std::mt19937_64& random) {
+    return run.routers[random() % run.routers.size()];
+}
+
+node& pick_worker(soak_run& run, std::mt19937_64& random) {
+    auto& workers = random() % 2 == 0 ? run.fleet.plain_workers() : run.fleet.engines();
+    return workers[random() % workers.size()];
+}
+
+void pause_router(soak_run& run, std::mt19937_64& random) {
+    router_supervisor& router = pick_router(run, random);
+    const std::scoped_lock used{router.in_use()};
+    const disturbance marked{router.interruptions()};
+    router.signal(SIGSTOP);
+    std::this_thread::sleep_for(pick_time(random, 200, 6'000));
+    router.signal(SIGCONT);
+}
+
+void kill_router(soak_run& run, std::mt19937_64& random) {
+    router_supervisor& router = pick_router(run, random);
+    const std::scoped_lock used{router.in_use()};
+    const disturbance marked{router.interruptions()};
+    router.kill();
+    std::this_thread::sleep_for(pick_time(random, 50, 1'000));
+    router.start();
+}
+
+void stop_router(soak_run& run, std::mt19937_64& random) {
+    router_supervisor& router = pick_router(run, random);
+    const std::scoped_lock used{router.in_use()};
+    const disturbance marked{router.planned_stops()};
+    router.stop();
+    router.start();
+}
+
+void disturb_worker(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array faults{"lose_answer", "truncate", "garbage", "error",
+                                "shed",        "extra",    "status",  "silent"};
+    constexpr std::array statuses{408, 421, 429, 503, 404, 418, 425, 520, 529};
+    const node& worker = pick_worker(run, random);
+    const auto drawn = random(); // for fault and status, so that a seed keeps its sequence of faults
+    const auto status = statuses.at(drawn / faults.size() % statuses.size());
+    set_fault(worker, std::string{R"({"mode":")"} + faults.at(drawn % faults.size()) + R"(","times":)" +
+                          std::to_string(1 + random() % 10) + R"(,"status":)" + std::to_string(status) + "}");
+    std::this_thread::sleep_for(pick_time(random, 200, 1'500));
+    set_fault(worker, "{}");
+}
+
+void cut_streams(soak_run& run, std::mt19937_64& random) {
+    const node& worker = run.fleet.engines()[random() % run.fleet.engines().size()];
+    constexpr std::array formats{"", "compact", "crlf", "cr"};
+    constexpr std::uint64_t max_events = 5;
+    const auto drawn = random(); // for both settings, so that a seed keeps its sequence of faults
+    set_fault(worker, R"({"cut_after":)" + std::to_string(1 + drawn % max_events) + R"(,"event_format":")" +
+                          formats.at(drawn / max_events % formats.size()) + "\"}");
+    std::this_thread::sleep_for(pick_time(random, 200, 1'500));
+    set_fault(worker, "{}");
+}
+
+void disturb_link(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array faults{R"({"blackhole":1})",       R"({"refuse":1})",        R"({"drop_answers":1})",
+                                R"({"cut_after_down":60})", R"({"cut_after_up":60})", R"({"delay_ms":80})"};
+    const bool is_store = random() % 4 == 0;
+    const node& target = is_store ? run.fleet.store() : pick_worker(run, random);
+    set_proxy_fault(target, faults.at(random() % faults.size()));
+    std::this_thread::sleep_for(pick_time(random, 200, 2'000));
+    set_proxy_fault(target, "{}");
+}
+
+void disturb_store(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array faults{R"({"mode":"busy"})",  R"({"mode":"reset"})",   R"({"mode":"silent"})",
+                                R"({"delay_ms":300})", R"({"lose_answers":5})", R"({"forget_history":1})"};
+    set_fault(run.fleet.store(), faults.at(random() % faults.size()));
+    std::this_thread::sleep_for(pick_time(random, 200, 6'000));
+    set_fault(run.fleet.store(), "{}");
+}
+
+/// The store goes away and comes back from a copy, without what was written since.
+void restore_store(soak_run& run, std::mt19937_64& random) {
+    set_fault(run.fleet.store(), R"({"copy":1})");
+    std::this_thread::sleep_for(pick_time(random, 200, 3'000));
+    set_fault(run.fleet.store(), R"({"mode":"silent"})");
+    std::this_thread::sleep_for(pick_time(random, 200, 2'000));
+    set_fault(run.fleet.store(), R"({"restore":1})");
+    run.fleet.write_keys_again();
+}
+
+void limit_worker(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array limits{"0.5", "2", "10"};
+    const node& worker = pick_worker(run, random);
+    set_fault(worker, std::string{R"({"limit":")"} + limits.at(random() % limits.size()) + R"("})");
+    std::this_thread::sleep_for(pick_time(random, 500, 4'000));
+    set_fault(worker, "{}");
+}
+
+/// Drains a worker and registers it again as a new incarnation.
+void drain_worker(soak_run& run, std::mt19937_64& random) {
+    auto& workers = run.fleet.plain_workers();
+    const node& worker = workers[random() % workers.size()];
+    run.fleet.register_worker(worker, "desk", "draining");
+    std::this_thread::sleep_for(pick_time(random, 500, 2'000));
+    run.fleet.register_worker(worker, "desk", "ready", ++run.newest_incarnation);
+}
+
+void change_keys(soak_run& run, std::mt19937_64& /*random*/) {
+    if (run.second_key_is_valid.exchange(false)) {
+        run.fleet.declare({"club-key"});
+        run.checker.record_revoked_key("second-key", steady::now());
+    } else {
+        run.fleet.declare({"club-key"});
+    }
+}
+
+constexpr bool disturbs_upstreams = true;
+
+constexpr std::array faults{
+    fault{"pause_router", &pause_router},
+    fault{"kill_router", &kill_router},
+    fault{"stop_router", &stop_router},
+    fault{"disturb_worker", &disturb_worker, disturbs_upstreams},
+    fault{"disturb_worker", &disturb_worker, disturbs_upstreams},
+    fault{"cut_streams", &cut_streams, disturbs_upstreams},
+    fault{"disturb_link", &disturb_link, disturbs_upstreams},
+    fault{"disturb_link", &disturb_link, disturbs_upstreams},
+    fault{"disturb_store", &disturb_store},
+    fault{"drain_worker", &drain_worker, disturbs_upstreams},
+    fault{"change_keys", &change_keys},
+    fault{"restore_store", &restore_store},
+    fault{"limit_worker", &limit_worker, disturbs_upstreams},
+};
+
+} // namespace
+
+std::span<const fault> fleet_faults() {
+    return faults;
+}
+
+std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most) {
+    return std::chrono::milliseconds{std::uniform_int_distribution<int>{least, most}(random)};
+}
+
+} // namespace citronwick::soak
--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -86,9 +86,22 @@
     }
 }
 
+void guarantee_checker::check_answered(const observed_request& request) {
+    if (!request.was_sent || !request.router_had_to_answer || request.response.error.empty()) {
+        return;
+    }
+    const std::string connection = request.reused_connection ? "a kept connection" : "a new connection";
+    if (request.response.status == 0) {
+        add_request_violation(request, "sent on " + connection + " and ended without a response");
+    } else if (request.upstreams_were_undisturbed) {
+        add_request_violation(request, "sent on " + connection + " and its response is incomplete");
+    }
+}
+
 void guarantee_checker::record(observed_request request) {
     const std::scoped_lock lock{mutex_};
     check_body(request);
+    check_answered(request);
     const auto revoked = revoked_keys_.find(request.key);
     constexpr unsigned ok = 200;
     if (revoked != revoked_keys_.end() && request.sent_at > revoked->second + key_lifetime_ &&
--- a/tests/soak/guarantee_checker.hpp
+++ b/tests/soak/guarantee_checker.hpp
@@ -26,6 +26,10 @@
     std::chrono::steady_clock::time_point sent_at;
     std::chrono::milliseconds elapsed{0};
     bool router_was_undisturbed = true; ///< neither paused nor stopped meanwhile
+    bool router_had_to_answer = true;   ///< neither paused nor killed meanwhile, nor at the end of its grace
+    bool upstreams_were_undisturbed = true; ///< nor the links to them
+    bool was_sent = true;                   ///< whole, before the router closed the connection
+    bool reused_connection = false;
     harness::reply response;
 };
 
@@ -54,6 +58,7 @@
 private:
     void add_request_violation(const observed_request& request, std::string_view description);
     void check_body(const observed_request& request);
+    void check_answered(const observed_request& request);
     void check_run_count(const observed_request& request, std::int64_t runs);
 
     std::chrono::milliseconds key_lifetime_;
--- a/tests/soak/keep_alive_client.cpp
+++ b/tests/soak/keep_alive_client.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cctype>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace citronwick::soak {
 
@@ -28,18 +30,25 @@
     return result;
 }
 
+bool is_closed_by_peer(asio::ip::tcp::socket& socket) {
+    char next = 0;
+    const auto size = ::recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN);
+}
+
 } // namespace
 
 keep_alive_client::keep_alive_client(endpoint peer) : peer_{std::move(peer)} {}
 
 keep_alive_client::~keep_alive_client() = default;
 
-harness::reply keep_alive_client::send(const harness::call& request) {
+exchange_result keep_alive_client::send(const harness::call& request) {
     if (!connection_) {
         connection_ = std::make_unique<connection>();
     }
     connection& current = *connection_;
-    harness::reply result;
+    exchange_result outcome{.reused_connection = current.is_open};
+    harness::reply& result = outcome.response;
     bool reusable = false;
     const auto exchange = [&]() -> task<void> {
         current.stream.expires_after(request.timeout);
@@ -58,7 +67,8 @@
         }
         message.body() = request.body;
         message.prepare_payload();
-        co_await http::async_write(current.stream, message, use_tuple);
+        auto [write_error, written] = co_await http::async_write(current.stream, message, use_tuple);
+        outcome.was_sent = !write_error && !is_closed_by_peer(current.stream.socket());
         http::response_parser<http::string_body> parser;
         auto [error, size] = co_await http::async_read(current.stream, current.buffer, parser, use_tuple);
         if (error) {
@@ -79,7 +89,7 @@
     if (!reusable) {
         connection_.reset();
     }
-    return result;
+    return outcome;
 }
 
 } // namespace citronwick::soak
--- a/tests/soak/keep_alive_client.hpp
+++ b/tests/soak/keep_alive_client.hpp
@@ -7,6 +7,13 @@
 
 namespace citronwick::soak {
 
+/// A response, and what is known of how far its request got.
+struct exchange_result {
+    harness::reply response;
+    bool was_sent = false; ///< whole, and the peer had not closed the connection by then
+    bool reused_connection = false;
+};
+
 /// HTTP client that reuses its connection until the peer closes it.
 class keep_alive_client {
 public:
@@ -16,7 +23,10 @@
     ~keep_alive_client();
 
     /// Sends a request, after connecting if no connection is open.
-    harness::reply send(const harness::call& request);
+    exchange_result send(const harness::call& request);
+
+    /// Whether the last response left the connection open.
+    bool is_open() const { return connection_ != nullptr; }
 
 private:
     struct connection;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,19 +1,21 @@
 // Randomized soak test: real routers with stand-in workers and store, under injected faults.
 
-#include "guarantee_checker.hpp"
-#include "keep_alive_client.hpp"
-#include "routed_fleet.hpp"
+#include "faults.hpp"
+#include "soak_run.hpp"
 #include "waiting.hpp"
 
 #include <algorithm>
 #include <array>
-#include <atomic>
-#include <csignal>
 #include <docopt/docopt.h>
+#include <exception>
 #include <iostream>
+#include <mutex>
+#include <optional>
 #include <random>
-#include <set>
+#include <span>
+#include <stop_token>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -27,7 +29,7 @@
     R"(citronsoak: runs a fleet under random faults and checks the guarantees to callers.
 
 Usage:
-  citronsoak --seed N [--seconds S] [--routers R] [--callers C]
+  citronsoak --seed N [--seconds S] [--routers R] [--callers C] [--memory MB] [--only FAULT]
   citronsoak (-h | --help)
 
 Options:
@@ -35,34 +37,20 @@
   --seconds S   Time under faults [default: 20].
   --routers R   Routers [default: 3].
   --callers C   Concurrent callers [default: 6].
+  --memory MB   Memory that a router may use [default: 260].
+  --only FAULT  Draws this kind of fault alone, without overlaps. Kinds:
+                pause_router kill_router stop_router disturb_worker cut_streams
+                disturb_link disturb_store drain_worker change_keys restore_store
+                limit_worker unread_output abandoned_output hang_up hang_up_at_start
+                stop_at_start signal_while_stopping replace_router
+                replace_on_same_ports held_port few_descriptors idle_callers
+                unfinished_bodies slow_router.
 
 Exit codes: 0 every guarantee held, 1 one was violated, 2 bad usage, 3 a process did not start.
 )";
 
-constexpr std::chrono::milliseconds key_lifetime = 4s;
 constexpr auto recovery_time = 8s;
 
-/// State shared by the threads that send requests and those that inject faults.
-struct soak_run {
-    explicit soak_run(std::uint64_t initial_seed, std::size_t routers)
-        : seed{initial_seed}, fleet{{.routers = routers,
-                                     .plain_workers = 3,
-                                     .engines = 3,
-                                     .key_lifetime = key_lifetime,
-                                     .proxies = true}},
-          disturbances(routers) {}
-
-    std::uint64_t seed;
-    routed_fleet fleet;
-    guarantee_checker checker{key_lifetime};
-    std::vector<std::atomic<int>> disturbances; ///< per router; odd during a disturbance
-    std::mutex routers_mutex;                   ///< guards the addresses, which change on a restart
-    std::atomic<bool> stopping{false};
-    std::atomic<std::uint64_t> next_attempt{0};
-    std::atomic<bool> second_key_is_valid{true};
-    std::atomic<std::int64_t> newest_incarnation{1}; ///< of the workers
-};
-
 /// Stops the callers at the end of a scope, also if a router could not be started again.
 class stop_on_exit {
 public:
@@ -75,193 +63,76 @@
     soak_run& run_;
 };
 
-constexpr std::array paths{"/read/1", "/book/1", "/quote/stream/1", "/guide/stream/1"};
-
-/// Sends requests to one router over a persistent connection until the run stops.
-void run_caller(soak_run& run, std::size_t caller) {
-    std::mt19937_64 random{run.seed * 1'000 + caller};
-    const std::size_t index = caller % run.fleet.routers().size();
-    endpoint peer;
-    std::unique_ptr<keep_alive_client> client;
-    while (!run.stopping) {
-        {
-            const std::scoped_lock lock{run.routers_mutex};
-            const endpoint address = run.fleet.routers()[index].address();
-            if (!client || peer != address) {
-                peer = address;
-                client = std::make_unique<keep_alive_client>(peer);
-            }
-        }
-        const auto kind = static_cast<request_kind>(random() % paths.size());
-        const std::string attempt = std::to_string(run.seed) + "-" + std::to_string(run.next_attempt++);
-        const std::string key = random() % 4 == 0 ? "second-key" : "club-key";
-        const int disturbances_before = run.disturbances[index];
-        observed_request observed{.attempt = attempt, .kind = kind, .key = key, .sent_at = steady::now()};
-        observed.response = client->send({.method = kind == request_kind::read ? "GET" : "POST",
-                                          .target = paths.at(static_cast<std::size_t>(kind)),
-                                          .body = kind == request_kind::read ? "" : "a cup " + attempt,
-                                          .headers = {{"Host", "shop.example"},
-                                                      {"X-Api-Key", key},
-                                                      {"Citronwick-Attempt-Id", attempt},
-                                                      {"Citronwick-Deadline-Ms", "2000"}},
-                                          .timeout = 6s});
-        observed.elapsed =
-            std::chrono::duration_cast<std::chrono::milliseconds>(steady::now() - observed.sent_at);
-        observed.router_was_undisturbed =
-            disturbances_before == run.disturbances[index] && disturbances_before % 2 == 0;
-        const bool failed = observed.response.status == 0;
-        run.checker.record(std::move(observed));
-        std::this_thread::sleep_for(failed ? 50ms : std::chrono::milliseconds{random() % 20});
+void inject(soak_run& run, const fault& drawn, std::mt19937_64& random) {
+    run.count_fault(std::string{drawn.name});
+    std::optional<disturbance> marked;
+    if (drawn.disturbs_upstreams) {
+        marked.emplace(run.upstream_disturbances);
     }
+    drawn.inject(run, random);
 }
 
-/// Marks a router as disturbed during the lifetime of this object.
-class disturbance {
-public:
-    explicit disturbance(std::atomic<int>& count) : count_{count} { ++count_; }
-    disturbance(const disturbance&) = delete;
-    disturbance& operator=(const disturbance&) = delete;
-    ~disturbance() { ++count_; }
-
-private:
-    std::atomic<int>& count_;
-};
-
-std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most) {
-    return std::chrono::milliseconds{std::uniform_int_distribution<int>{least, most}(random)};
-}
-
-node& pick_worker(soak_run& run, std::mt19937_64& random) {
-    auto& workers = random() % 2 == 0 ? run.fleet.plain_workers() : run.fleet.engines();
-    return workers[random() % workers.size()];
-}
-
-void restart(soak_run& run, node& router) {
-    const std::scoped_lock lock{run.routers_mutex};
-    run.fleet.restart_router(router);
-}
-
-void pause_router(soak_run& run, std::mt19937_64& random) {
-    const std::size_t index = random() % run.fleet.routers().size();
-    const disturbance marked{run.disturbances[index]};
-    const node& router = run.fleet.routers()[index];
-    router.process->signal(SIGSTOP);
-    std::this_thread::sleep_for(pick_time(random, 200, 6'000));
-    router.process->signal(SIGCONT);
-}
-
-void kill_router(soak_run& run, std::mt19937_64& random) {
-    const std::size_t index = random() % run.fleet.routers().size();
-    const disturbance marked{run.disturbances[index]};
-    run.fleet.routers()[index].process->kill();
-    std::this_thread::sleep_for(pick_time(random, 50, 1'000));
-    restart(run, run.fleet.routers()[index]);
-}
-
-void stop_router(soak_run& run, std::mt19937_64& random) {
-    const std::size_t index = random() % run.fleet.routers().size();
-    const disturbance marked{run.disturbances[index]};
-    node& router = run.fleet.routers()[index];
-    router.process->signal(SIGTERM);
-    if (!router.process->wait(10s)) {
-        run.checker.add_violation(router.name + " did not stop within 10 s");
-        router.process->kill();
+/// Injects faults one after another. Several threads run this, so that faults overlap.
+void run_faults(soak_run& run, std::uint64_t stream, std::span<const fault> faults, steady::time_point end) {
+    constexpr int max_pause_ms = 300;
+    std::mt19937_64 random{run.options.seed * 7'919 + stream};
+    while (steady::now() < end) {
+        inject(run, faults[random() % faults.size()], random);
+        std::this_thread::sleep_for(pick_time(random, 0, max_pause_ms));
     }
-    restart(run, router);
-}
-
-void disturb_worker(soak_run& run, std::mt19937_64& random) {
-    constexpr std::array faults{"lose_answer", "truncate", "garbage", "error",
-                                "shed",        "extra",    "status",  "silent"};
-    constexpr std::array statuses{408, 421, 429, 503, 404, 418, 425, 520, 529};
-    const node& worker = pick_worker(run, random);
-    const auto drawn = random(); // for fault and status, so that a seed keeps its sequence of faults
-    const auto status = statuses.at(drawn / faults.size() % statuses.size());
-    set_fault(worker, std::string{R"({"mode":")"} + faults.at(drawn % faults.size()) + R"(","times":)" +
-                          std::to_string(1 + random() % 10) + R"(,"status":)" + std::to_string(status) + "}");
-    std::this_thread::sleep_for(pick_time(random, 200, 1'500));
-    set_fault(worker, "{}");
-}
-
-void cut_streams(soak_run& run, std::mt19937_64& random) {
-    const node& worker = run.fleet.engines()[random() % run.fleet.engines().size()];
-    constexpr std::array formats{"", "compact", "crlf", "cr"};
-    constexpr std::uint64_t max_events = 5;
-    const auto drawn = random(); // for both settings, so that a seed keeps its sequence of faults
-    set_fault(worker, R"({"cut_after":)" + std::to_string(1 + drawn % max_events) + R"(,"event_format":")" +
-                          formats.at(drawn / max_events % formats.size()) + "\"}");
-    std::this_thread::sleep_for(pick_time(random, 200, 1'500));
-    set_fault(worker, "{}");
 }
 
-void disturb_link(soak_run& run, std::mt19937_64& random) {
-    constexpr std::array faults{R"({"blackhole":1})",       R"({"refuse":1})",        R"({"drop_answers":1})",
-                                R"({"cut_after_down":60})", R"({"cut_after_up":60})", R"({"delay_ms":80})"};
-    const bool is_store = random() % 4 == 0;
-    const node& target = is_store ? run.fleet.store() : pick_worker(run, random);
-    set_proxy_fault(target, faults.at(random() % faults.size()));
-    std::this_thread::sleep_for(pick_time(random, 200, 2'000));
-    set_proxy_fault(target, "{}");
-}
-
-void disturb_store(soak_run& run, std::mt19937_64& random) {
-    constexpr std::array faults{R"({"mode":"busy"})",  R"({"mode":"reset"})",   R"({"mode":"silent"})",
-                                R"({"delay_ms":300})", R"({"lose_answers":5})", R"({"forget_history":1})"};
-    set_fault(run.fleet.store(), faults.at(random() % faults.size()));
-    std::this_thread::sleep_for(pick_time(random, 200, 6'000));
-    set_fault(run.fleet.store(), "{}");
-}
-
-/// The store goes away and comes back from a copy, without what was written since.
-void restore_store(soak_run& run, std::mt19937_64& random) {
-    set_fault(run.fleet.store(), R"({"copy":1})");
-    std::this_thread::sleep_for(pick_time(random, 200, 3'000));
-    set_fault(run.fleet.store(), R"({"mode":"silent"})");
-    std::this_thread::sleep_for(pick_time(random, 200, 2'000));
-    set_fault(run.fleet.store(), R"({"restore":1})");
-    run.fleet.write_keys_again();
-}
-
-void limit_worker(soak_run& run, std::mt19937_64& random) {
-    constexpr std::array limits{"0.5", "2", "10"};
-    const node& worker = pick_worker(run, random);
-    set_fault(worker, std::string{R"({"limit":")"} + limits.at(random() % limits.size()) + R"("})");
-    std::this_thread::sleep_for(pick_time(random, 500, 4'000));
-    set_fault(worker, "{}");
-}
-
-/// Drains a worker and registers it again as a new incarnation.
-void drain_worker(soak_run& run, std::mt19937_64& random) {
-    auto& workers = run.fleet.plain_workers();
-    const node& worker = workers[random() % workers.size()];
-    run.fleet.register_worker(worker, "desk", "draining");
-    std::this_thread::sleep_for(pick_time(random, 500, 2'000));
-    run.fleet.register_worker(worker, "desk", "ready", ++run.newest_incarnation);
+/// The fault with a name, if there is one.
+std::span<const fault> find_faults(std::string_view name) {
+    for (const auto all : {fleet_faults(), process_faults()}) {
+        const auto found = std::ranges::find(all, name, &fault::name);
+        if (found != all.end()) {
+            return {found, 1};
+        }
+    }
+    return {};
 }
 
-void change_keys(soak_run& run, std::mt19937_64& /*random*/) {
-    if (run.second_key_is_valid.exchange(false)) {
-        run.fleet.declare({"club-key"});
-        run.checker.record_revoked_key("second-key", steady::now());
-    } else {
-        run.fleet.declare({"club-key"});
+/// Runs the streams of faults until `end`. The draws of a stream do not depend on the others.
+void run_all_faults(soak_run& run, steady::time_point end) {
+    if (!run.options.only.empty()) {
+        run_faults(run, 0, find_faults(run.options.only), end);
+        return;
+    }
+    const std::array streams{fleet_faults(), fleet_faults().subspan(router_fault_count), process_faults(),
+                             find_faults("hang_up")};
+    std::exception_ptr failure;
+    std::mutex failure_mutex;
+    std::vector<std::jthread> threads;
+    for (std::size_t stream = 0; stream < streams.size(); ++stream) {
+        threads.emplace_back([&, stream] {
+            try {
+                run_faults(run, stream, streams.at(stream), end);
+            } catch (const std::exception&) {
+                const std::scoped_lock lock{failure_mutex};
+                failure = std::current_exception();
+            }
+        });
+    }
+    threads.clear();
+    if (failure) {
+        std::rethrow_exception(failure);
     }
 }
 
-constexpr std::array faults{&pause_router, &kill_router,   &stop_router,  &disturb_worker, &disturb_worker,
-                            &cut_streams,  &disturb_link,  &disturb_link, &disturb_store,  &drain_worker,
-                            &change_keys,  &restore_store, &limit_worker};
-
-/// Injects faults one after another. Two threads run this, so that faults overlap.
-void run_faults(soak_run& run, std::uint64_t stream, steady::time_point end) {
-    std::mt19937_64 random{run.seed * 7'919 + stream};
-    // Only the first stream signals routers. Otherwise one stream could signal
-    // a process that the other is restarting.
-    constexpr std::size_t router_fault_count = 3;
-    while (steady::now() < end) {
-        const std::size_t first = stream == 0 ? 0 : router_fault_count;
-        faults.at(first + random() % (faults.size() - first))(run, random);
-        std::this_thread::sleep_for(pick_time(random, 0, 300));
+/// Looks at the routers' processes until told to stop.
+void watch_routers(const std::stop_token& stopped, soak_run& run) {
+    constexpr auto interval = 50ms;
+    while (!stopped.stop_requested()) {
+        for (router_supervisor& router : run.routers) {
+            try {
+                router.check();
+            } catch (const std::exception& error) {
+                run.checker.add_violation(error.what());
+                return;
+            }
+        }
+        std::this_thread::sleep_for(interval);
     }
 }
 
@@ -279,7 +150,7 @@
 void check_recovery(soak_run& run) {
     std::uint64_t attempt = 0;
     for (const node& router : run.fleet.routers()) {
-        for (const char* const path : paths) {
+        for (const char* const path : request_paths) {
             const bool served = wait_until(
                 [&] {
                     const std::string id = "recovery-" + std::to_string(attempt++);
@@ -293,56 +164,75 @@
     }
 }
 
-int report(const soak_run& run) {
+int report(soak_run& run) {
     const auto violations = run.checker.violations();
-    std::cout << "event=soak_ended seed=" << run.seed << " asked=" << run.checker.request_count()
+    std::cout << "event=soak_ended seed=" << run.options.seed << " asked=" << run.checker.request_count()
               << " breaches=" << violations.size();
     for (const auto& [status, count] : run.checker.statuses()) {
         std::cout << " status_" << status << "=" << count;
     }
-    std::cout << "\n";
+    for (const auto& [name, count] : run.fault_counts()) {
+        std::cout << " " << name << "=" << count;
+    }
+    std::cout << " logs=" << run.fleet.store().log << "\n";
     for (const std::string& each : violations) {
         std::cout << "event=promise_broken detail=\"" << each << "\"\n";
     }
     return violations.empty() ? 0 : 1;
 }
 
-int run_soak(std::uint64_t seed, std::chrono::seconds time, std::size_t routers, std::size_t callers) {
-    soak_run run{seed, routers};
+int run_soak(const soak_options& options) {
+    soak_run run{options};
     run.fleet.declare({"club-key", "second-key"});
     if (!run.fleet.wait_ready(20s)) {
-        std::cout << "event=soak_not_started seed=" << seed << "\n";
+        std::cout << "event=soak_not_started seed=" << options.seed << "\n";
         return 1;
     }
-    std::vector<std::jthread> threads;
-    for (std::size_t caller = 0; caller < callers; ++caller) {
-        threads.emplace_back([&run, caller] { run_caller(run, caller); });
+    std::vector<std::jthread> callers;
+    for (std::size_t caller = 0; caller < options.callers; ++caller) {
+        callers.emplace_back([&run, caller] { run_caller(run, caller); });
     }
     {
+        const std::jthread watching{[&run](const std::stop_token& stopped) { watch_routers(stopped, run); }};
         const stop_on_exit stopped{run};
-        {
-            const auto end = steady::now() + time;
-            std::jthread second_stream{[&run, end] { run_faults(run, 1, end); }};
-            run_faults(run, 0, end);
+        try {
+            run_all_faults(run, steady::now() + options.time);
+            clear_faults(run);
+            check_recovery(run);
+            run.check_idle_routers();
+        } catch (const std::exception& error) {
+            run.checker.add_violation(error.what());
         }
-        clear_faults(run);
-        check_recovery(run);
     }
-    threads.clear();
+    callers.clear();
     run.checker.check_run_counts(run.fleet.plain_workers(), run.fleet.engines());
     return report(run);
 }
 
+soak_options read_options(std::map<std::string, docopt::value>& arguments) {
+    constexpr std::uint64_t bytes_per_megabyte = 1'000'000;
+    return {.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong()),
+            .time = std::chrono::seconds{arguments.at("--seconds").asLong()},
+            .routers = static_cast<std::size_t>(arguments.at("--routers").asLong()),
+            .callers = static_cast<std::size_t>(arguments.at("--callers").asLong()),
+            .memory_bytes =
+                static_cast<std::uint64_t>(arguments.at("--memory").asLong()) * bytes_per_megabyte,
+            .only = arguments.at("--only") ? arguments.at("--only").asString() : std::string{}};
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
-    const auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    constexpr int exit_usage = 2;
     constexpr int exit_aborted = 3;
     try {
-        return run_soak(static_cast<std::uint64_t>(options.at("--seed").asLong()),
-                        std::chrono::seconds{options.at("--seconds").asLong()},
-                        static_cast<std::size_t>(options.at("--routers").asLong()),
-                        static_cast<std::size_t>(options.at("--callers").asLong()));
+        const auto options = read_options(arguments);
+        if (!options.only.empty() && find_faults(options.only).empty()) {
+            std::cerr << "unknown fault " << options.only << "\n";
+            return exit_usage;
+        }
+        return run_soak(options);
     } catch (const std::exception& error) {
         std::cout << "event=soak_aborted reason=\"" << error.what() << "\"\n";
         return exit_aborted;
--- /dev/null
+++ b/tests/soak/soak_run.hpp
@@ -0,0 +1,69 @@
+#ifndef CITRONWICK_TESTS_SOAK_SOAK_RUN_HPP_INCLUDED
+#define CITRONWICK_TESTS_SOAK_SOAK_RUN_HPP_INCLUDED
+
+#include "disturbance.hpp"
+#include "guarantee_checker.hpp"
+#include "routed_fleet.hpp"
+#include "router_supervisor.hpp"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace citronwick::soak {
+
+inline constexpr std::chrono::milliseconds key_lifetime{4'000};
+
+/// Paths of requests, by `request_kind`.
+inline constexpr std::array request_paths{"/read/1", "/book/1", "/quote/stream/1", "/guide/stream/1"};
+
+/// What a run is started with.
+struct soak_options {
+    std::uint64_t seed = 0;
+    std::chrono::seconds time{0};
+    std::size_t routers = 0;
+    std::size_t callers = 0;
+    std::uint64_t memory_bytes = 0; ///< that a router may use
+    std::string only{};             ///< name of the only fault, empty for all
+};
+
+/// State shared by the threads that send requests and those that inject faults.
+class soak_run {
+public:
+    explicit soak_run(soak_options chosen);
+
+    soak_options options;
+    harness::routed_fleet fleet;
+    guarantee_checker checker{key_lifetime};
+    std::deque<router_supervisor> routers;
+    disturbance_count upstream_disturbances;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> load_is_paused{false};
+    std::atomic<int> requests_in_flight{0};
+    std::atomic<std::uint64_t> next_attempt{0};
+    std::atomic<bool> second_key_is_valid{true};
+    std::atomic<std::int64_t> newest_incarnation{1}; ///< of the workers
+
+    void count_fault(const std::string& name);
+    std::map<std::string, std::size_t> fault_counts() const;
+
+    /// Stops the load, and checks for a second that no router uses the processor.
+    void check_idle_routers();
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, std::size_t> fault_counts_;
+};
+
+/// Sends requests to one router over a persistent connection until the run stops.
+void run_caller(soak_run& run, std::size_t caller);
+
+} // namespace citronwick::soak
+
+#endif
