Tell ends by a signal before the program ran from those after

A signal that arrives before the loader passes control ends any process that does not inherit another disposition; the loader's statistics show when.

--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -33,6 +33,14 @@
     std::ranges::transform(command, std::back_inserter(arguments),
                            [](std::string& argument) { return argument.data(); });
     arguments.push_back(nullptr);
+    std::vector<char*> environment;
+    std::vector<std::string> added = options.environment;
+    std::ranges::transform(added, std::back_inserter(environment),
+                           [](std::string& each) { return each.data(); });
+    for (char** each = environ; *each != nullptr; ++each) {
+        environment.push_back(*each);
+    }
+    environment.push_back(nullptr);
     const int log_file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     std::array<int, 2> pipe_ends{-1, -1};
     if (options.output != output_target::log && ::pipe2(pipe_ends.data(), O_CLOEXEC) != 0) {
@@ -48,7 +56,7 @@
         ::close_range(STDERR_FILENO + 1, ~0U, 0);
         set_limit(RLIMIT_NOFILE, options.max_descriptors);
         set_limit(RLIMIT_NPROC, options.max_processes);
-        ::execv(arguments.front(), arguments.data());
+        ::execve(arguments.front(), arguments.data(), environment.data());
         ::_exit(exec_failed);
     }
     ::close(log_file);
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -22,7 +22,8 @@
 /// How a child process is started. Standard error is always appended to its log.
 struct process_options {
     output_target output = output_target::log;
-    std::optional<int> pipe_bytes{}; ///< size of an unread pipe; the system rounds it up to a page
+    std::optional<int> pipe_bytes{};        ///< size of an unread pipe; the system rounds it up to a page
+    std::vector<std::string> environment{}; ///< added to this process's own, as NAME=value
     std::optional<std::size_t> max_descriptors{}; ///< RLIMIT_NOFILE
     std::optional<std::size_t> max_processes{};   ///< RLIMIT_NPROC
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <iostream>
 #include <mutex>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <span>
@@ -174,6 +175,11 @@
     for (const auto& [name, count] : run.fault_counts()) {
         std::cout << " " << name << "=" << count;
     }
+    const auto add_ends = [](std::size_t sum, const router_supervisor& router) {
+        return sum + router.ends_while_loading();
+    };
+    std::cout << " ended_while_loading="
+              << std::accumulate(run.routers.begin(), run.routers.end(), std::size_t{0}, add_ends);
     std::cout << " logs=" << run.fleet.store().log << "\n";
     for (const std::string& each : violations) {
         std::cout << "event=promise_broken detail=\"" << each << "\"\n";
--- a/tests/soak/router_supervisor.cpp
+++ b/tests/soak/router_supervisor.cpp
@@ -1,5 +1,6 @@
 #include "router_supervisor.hpp"
 
+#include "node.hpp"
 #include "process_usage.hpp"
 #include "waiting.hpp"
 
@@ -25,8 +26,10 @@
 /// A router cuts what is left this long before its grace ends.
 constexpr auto cut_margin = 500ms;
 
+/// Added to the number of the signal that ended a process.
+constexpr int signal_base = 128;
+
 std::string describe_end(int exit_code) {
-    constexpr int signal_base = 128;
     return exit_code > signal_base ? "signal " + std::to_string(exit_code - signal_base)
                                    : "exit code " + std::to_string(exit_code);
 }
@@ -78,12 +81,33 @@
     }
 }
 
+/// The mutex must be locked.
+void router_supervisor::launch_process(const router_start& how) {
+    auto options = how.process;
+    options.environment.emplace_back("LD_DEBUG=statistics"); // see ended_while_loading
+    fleet_.launch_router(node_, options, how.ports);
+    may_end_ = false;
+    memory_reported_ = false;
+}
+
+/// Whether a signal ended the process before the loader passed control to the program,
+/// which could not have handled it. The loader writes its statistics just before.
+bool router_supervisor::ended_while_loading(const harness::child_process& process, int exit_code) {
+    if (exit_code != signal_base + SIGHUP && exit_code != signal_base + SIGTERM) {
+        return false;
+    }
+    const std::string start = std::to_string(process.id()) + ":";
+    const auto lines = harness::find_log_lines(node_, "number of relative relocations");
+    const bool was_loaded = std::ranges::any_of(
+        lines, [&start](const std::string& line) { return line.find(start) != std::string::npos; });
+    ends_while_loading_ += was_loaded ? 0 : 1;
+    return !was_loaded;
+}
+
 void router_supervisor::launch(const router_start& how) {
     {
         const std::scoped_lock lock{mutex_};
-        fleet_.launch_router(node_, how.process, how.ports);
-        may_end_ = false;
-        memory_reported_ = false;
+        launch_process(how);
     }
     send_signals(how.signals);
 }
@@ -140,7 +164,7 @@
         checker_.add_violation(name_ + " did not stop within its grace of " +
                                std::to_string(bounds_.grace.count()) + " ms and 2 s: " + last_log_lines());
         process.kill();
-    } else if (*exit_code != 0) {
+    } else if (*exit_code != 0 && !ended_while_loading(process, *exit_code)) {
         checker_.add_violation(name_ + " was told to stop and ended with " + describe_end(*exit_code) + ": " +
                                last_log_lines());
     }
@@ -169,9 +193,7 @@
     {
         const std::scoped_lock lock{mutex_};
         replaced = std::move(node_.process);
-        fleet_.launch_router(node_, how.process, how.ports);
-        may_end_ = false;
-        memory_reported_ = false;
+        launch_process(how);
     }
     const bool listens = wait_listening();
     await_end(*replaced, told_at);
@@ -196,8 +218,11 @@
     }
     if (!may_end_) {
         may_end_ = true;
-        checker_.add_violation(name_ + " ended by itself with " + describe_end(*node_.process->wait(0ms)) +
-                               ": " + last_log_lines());
+        const int exit_code = *node_.process->wait(0ms);
+        if (!ended_while_loading(*node_.process, exit_code)) {
+            checker_.add_violation(name_ + " ended by itself with " + describe_end(exit_code) + ": " +
+                                   last_log_lines());
+        }
     }
     return true;
 }
@@ -227,7 +252,9 @@
     std::ifstream log{node_.log};
     std::vector<std::string> lines;
     for (std::string line; std::getline(log, line);) {
-        lines.push_back(line);
+        if (line.find("event=") != std::string::npos) { // not those of the loader
+            lines.push_back(line);
+        }
     }
     std::string text;
     for (auto line = lines.end() - std::min(shown_lines, std::ssize(lines)); line != lines.end(); ++line) {
--- a/tests/soak/router_supervisor.hpp
+++ b/tests/soak/router_supervisor.hpp
@@ -5,6 +5,7 @@
 #include "guarantee_checker.hpp"
 #include "routed_fleet.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -80,6 +81,9 @@
     /// checks its memory.
     void check();
 
+    /// Number of processes that a signal ended before their program ran.
+    std::size_t ends_while_loading() const { return ends_while_loading_; }
+
     /// Whether a request that was sent and whose connection was closed at these times had to be
     /// answered, because its process was not at the end of its grace.
     bool had_to_answer(std::chrono::steady_clock::time_point sent_at,
@@ -92,6 +96,8 @@
     bool wait_listening();
     bool has_ended_by_itself();
     void await_end(harness::child_process& process, std::chrono::steady_clock::time_point told_at);
+    void launch_process(const router_start& how);
+    bool ended_while_loading(const harness::child_process& process, int exit_code);
     std::string last_log_lines() const;
 
     harness::routed_fleet& fleet_;
@@ -105,6 +111,7 @@
     mutable std::mutex mutex_; ///< guards the node and what is known of its process
     bool may_end_ = false;     ///< the process was told to end, or its end has been reported
     bool memory_reported_ = false;
+    std::atomic<std::size_t> ends_while_loading_{0};
     std::chrono::steady_clock::time_point told_at_;
     /// Time from which the process that was told to stop last may cut requests.
     std::chrono::steady_clock::time_point may_cut_at_ = std::chrono::steady_clock::time_point::max();
