--- a/tests/soak/process_faults.cpp
+++ b/tests/soak/process_faults.cpp
@@ -1,5 +1,5 @@
-#include "caller_crowd.hpp"
 #include "faults.hpp"
+#include "held_callers.hpp"
 #include "soak_run.hpp"
 
 #include <algorithm>
@@ -16,6 +16,7 @@
 namespace citronwick::soak {
 
 using namespace std::chrono_literals;
+using harness::held_callers;
 
 namespace {
 
@@ -37,6 +38,13 @@
     return signals;
 }
 
+/// A request whose body lacks its last byte.
+std::string make_unfinished_request(std::size_t body_bytes) {
+    return "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+           "Citronwick-Attempt-Id: unfinished\r\nContent-Length: " +
+           std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes - 1, 'x');
+}
+
 void restart_with_output(soak_run& run, std::mt19937_64& random, harness::output_target output) {
     constexpr int small_pipe_bytes = 4'096;
     router_supervisor& router = pick_router(run, random);
@@ -139,7 +147,7 @@
 void exhaust_descriptors(soak_run& run, std::mt19937_64& random) {
     router_supervisor& router = pick_router(run, random);
     const std::scoped_lock used{router.in_use()};
-    const disturbance marked{router.interruptions()};
+    const disturbance marked{router.planned_stops()};
     const std::size_t limit = pick_count(random, 100, 200);
     router.stop();
     router.start({.process = {.max_descriptors = limit}});
@@ -147,7 +155,7 @@
         // Before the crowd comes, as callers that connect after it are not served.
         std::optional<load_pause> paused{run};
         constexpr std::size_t callers_over_limit = 50;
-        const caller_crowd crowd{router.address(), limit + callers_over_limit, ""};
+        const held_callers idle{router.address(), limit + callers_over_limit, ""};
         run.check_idle_routers();
         paused.reset();
         std::this_thread::sleep_for(pick_time(random, 100, 1'000));
@@ -162,9 +170,8 @@
     router_supervisor& router = pick_router(run, random);
     const std::scoped_lock used{router.in_use()};
     const disturbance marked{router.planned_stops()};
-    caller_crowd crowd{router.address(), pick_count(random, 200, 400),
-                       beginnings.at(random() % beginnings.size())};
-    crowd.send(1s);
+    const held_callers unfinished{router.address(), pick_count(random, 200, 400),
+                                  beginnings.at(random() % beginnings.size())};
     std::this_thread::sleep_for(pick_time(random, 100, 1'500));
     if (random() % 2 == 0) {
         run.check_idle_routers();
@@ -178,9 +185,9 @@
     router_supervisor& router = run.routers[run.options.seed % run.routers.size()];
     const std::scoped_lock used{router.in_use()};
     const disturbance marked{router.planned_stops()};
-    caller_crowd crowd{router.address(), pick_count(random, 250, 300), make_unfinished_request(body_bytes)};
-    crowd.send(2s);
-    std::this_thread::sleep_for(pick_time(random, 200, 1'500));
+    held_callers unfinished{router.address(), pick_count(random, 250, 300),
+                            make_unfinished_request(body_bytes)};
+    unfinished.answers(pick_time(random, 1'000, 2'500)); // sends meanwhile
 }
 
 /// Lets the router run in short spans only.
