--- a/packages/traffic/include/citronwick/traffic/http_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/http_server.hpp
@@ -25,10 +25,11 @@
     /// @return the bound endpoint
     io_result<endpoint> start();
 
-    /// Closes each connection after its next response.
+    /// Makes responses that begin from now on the last ones on their connections, except where
+    /// further requests have already arrived.
     void announce_shutdown();
 
-    /// Closes the listener. Requests in flight continue.
+    /// Accepts the connections that wait for it and closes the listener. Requests in flight continue.
     void stop_accepting();
 
     std::size_t open_connections() const;
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -75,7 +75,7 @@
     /// accepted, so these are accepted before.
     void stop_accepting() {
         auto close = asio::use_future([this] { accept_waiting_and_close(); });
-        asio::post(accept_context_, std::move(close)).wait();
+        asio::post(accept_context_, close).wait();
     }
 
     void close_idle_connections() {
