--- a/packages/router/src/main.cpp
+++ b/packages/router/src/main.cpp
@@ -5,6 +5,8 @@
 #include "citronwick/router/router_settings.hpp"
 #include "citronwick/router/signal_listener.hpp"
 
+#include <boost/numeric/conversion/cast.hpp>
+#include <cstdint>
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <exception>
@@ -17,13 +19,15 @@
 constexpr const char* usage = R"(citronwickd: routes chats and service calls to upstreams.
 
 Usage:
-  citronwickd --config FILE [--check]
+  citronwickd --config FILE [--check] [--memory-mb MB] [--descriptors N]
   citronwickd (-h | --help)
   citronwickd --version
 
 Options:
   --config FILE  Settings file of this router (TOML).
   --check        Check the settings and exit.
+  --memory-mb MB   Memory that the process may use, in MiB; overrides [limits] memory_mb.
+  --descriptors N  Descriptors that it may open; overrides [limits] descriptors.
   -h --help      Show this text.
   --version      Show the version.
 
@@ -68,6 +72,14 @@
 void (*const early_initialiser)(int, char**, char**) = &hold_signals_early;
 #endif
 
+/// Replaces a limit of the settings by an option of the command line, if that is given.
+/// @throws std::invalid_argument, std::out_of_range
+void override_limit(std::uint32_t& limit, const docopt::value& option) {
+    if (option) {
+        limit = boost::numeric_cast<std::uint32_t>(option.asLong());
+    }
+}
+
 /// Applies the log level of a changed settings file. The other settings, such as
 /// addresses and limits, take effect only at a start.
 void reload_settings(const std::string& file) {
@@ -122,11 +134,18 @@
     }
     citronwick::set_process_step("read settings");
     const std::string file = arguments.at("--config").asString();
-    const auto settings = read_settings(file);
+    auto settings = read_settings(file);
     if (settings.has_error()) {
         std::cerr << settings.error().detail << "\n";
         return exit_usage;
     }
+    try {
+        override_limit(settings->traffic.memory_mb, arguments.at("--memory-mb"));
+        override_limit(settings->traffic.descriptors, arguments.at("--descriptors"));
+    } catch (const std::exception&) {
+        std::cerr << usage;
+        return exit_usage;
+    }
     if (arguments.at("--check").asBool()) {
         std::cout << file << ": ok\n";
         return 0;
