Refuse requests that a stopping router could not finish

Since connections are kept until a response says otherwise, the next request after a stream that began before the signal was served however little of the grace was left.

Once the listener is closed, new requests on open connections are refused with 503, Retry-After and not-run if a grace or drain limit could cut them; what is in flight goes on.

--- a/packages/traffic/include/citronwick/traffic/http_server.hpp
+++ b/packages/traffic/include/citronwick/traffic/http_server.hpp
@@ -32,7 +32,8 @@
     /// further requests have already arrived.
     void announce_shutdown();
 
-    /// Accepts the connections that wait for it and closes the listener. Requests in flight continue.
+    /// Accepts the connections that wait for it and closes the listener. Requests in flight continue;
+    /// if a drain limit could cut new ones, these are refused from now on.
     void stop_accepting();
 
     std::size_t open_connections() const;
--- a/packages/traffic/src/http_server.cpp
+++ b/packages/traffic/src/http_server.cpp
@@ -95,6 +95,7 @@
     void stop_accepting() {
         auto close = asio::use_future([this] { accept_waiting_and_close(); });
         asio::post(accept_context_, close).wait();
+        refuses_requests_ = settings_.drain_limit.count() > 0 || settings_.grace.count() > 0;
     }
 
     void close_idle_connections() {
@@ -350,7 +351,12 @@
         if (request.method() == http::verb::head) {
             from.leave_out_body();
         }
-        const auto exception = co_await serve_or_refuse(server, from, std::move(request), buffers);
+        std::exception_ptr exception;
+        if (refuses_requests_) {
+            co_await refuse_while_stopping(from);
+        } else {
+            exception = co_await serve_or_refuse(server, from, std::move(request), buffers);
+        }
         record.count_request();
         const bool keep_open = from.keep_alive() && from.response_complete();
         if (!keep_open) {
@@ -359,6 +365,15 @@
         co_return keep_open;
     }
 
+    static task<void> refuse_while_stopping(caller& from) {
+        constexpr std::chrono::milliseconds retry_after{100};
+        from.close_after_response();
+        problem refusal{503, "router-stopping", "the router may stop before the request has ended",
+                        outcome::not_run, retry_after};
+        log_info("request_refused", {{"request", from.request_id()}, {"type", std::string{refusal.type}}});
+        co_await from.refuse(std::move(refusal));
+    }
+
     /// Counts a request as in flight during its lifetime.
     class in_flight_counter {
     public:
@@ -384,6 +399,7 @@
     std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> requests_{0};
     std::atomic<bool> shutting_down_{false};
+    std::atomic<bool> refuses_requests_{false}; ///< new ones, which the drain limit could cut
     std::jthread accept_thread_;
 };
 
--- a/tests/integration/lost_requests.tests.cpp
+++ b/tests/integration/lost_requests.tests.cpp
@@ -103,6 +103,28 @@
     CHECK(router.process->wait(10s) == 0);
 }
 
+// Guards against requests that a stopping router takes late and cuts at the end of its grace (LOST).
+TEST_CASE("proof: a stopping router refuses requests that the end of its grace could cut") {
+    routed_fleet system{{.routers = 1, .shutdown_settings = "grace = \"8s\"\n"}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers().front();
+    set_faults(system.engines(), R"({"event_gap_ms":400})");
+    kept_connection connection{router.address()};
+    REQUIRE(connection.send(request_bytes("POST", "/guide/stream/1", "first")));
+    REQUIRE(wait_until([&] { return !find_log_lines(router, "event=request_placed").empty(); }));
+    std::this_thread::sleep_for(800ms); // the response has begun
+    begin_stop(router);
+    const auto first = connection.read_reply();
+    CHECK(first.error.empty());
+    REQUIRE_FALSE(ends_connection(first));
+    const auto next = connection.ask(request_bytes("GET", "/read/2", "next"));
+    CHECK(next.status == 503);
+    CHECK(next.header("Citronwick-Outcome") == "not-run");
+    CHECK(ends_connection(next));
+    CHECK(runs_of(system.plain_workers(), "next") == 0);
+    CHECK(router.process->wait(10s) == 0);
+}
+
 // Guards against connections that the kernel has accepted and the closing listener resets (LOST).
 TEST_CASE("proof: connections that wait while the listener closes are served") {
     constexpr auto balancer_lag = 1s;
