--- a/packages/traffic/src/arriving_body.hpp
+++ b/packages/traffic/src/arriving_body.hpp
@@ -17,8 +17,8 @@
 
     class reader {
     public:
-        template <bool is_request, class Fields>
-        reader(boost::beast::http::header<is_request, Fields>& /*header*/, value_type& body) : body_{body} {}
+        template <bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>& /*header*/, value_type& body) : body_{body} {}
 
         // NOLINTNEXTLINE(readability-convert-member-functions-to-static): called by the parser
         void init(const boost::optional<std::uint64_t>& /*length*/, boost::system::error_code& error) {
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -28,7 +28,7 @@
                    adapter.dialect(),
                    counters,
                    connection_pool{executor, settings.pooled_connection_age,
-                                   shares_in_force(settings).upstreams / (2 * settings.threads)},
+                                   shares_in_force(settings).upstreams / (2 * std::size_t{settings.threads})},
                    {},
                    crash_probe{plane}} {}
 
