--- a/tests/harness/scripted_worker.cpp
+++ b/tests/harness/scripted_worker.cpp
@@ -37,13 +37,14 @@
     }
 
     void run(asio::ip::tcp::socket& connection) {
+        boost::system::error_code ignored;
         try {
             serve(connection);
         } catch (const boost::system::system_error&) {
             // The router closed the connection, or the worker is being stopped.
+            connection.shutdown(asio::socket_base::shutdown_both, ignored);
         }
         const std::scoped_lock lock{mutex};
-        boost::system::error_code ignored;
         connection.close(ignored);
     }
 
