Log which events of a stream came from which run, and what showed its end

Cause: the logs could not tell the hypotheses on streams out of order apart. They named the last event alone, taken from the parser, whether or not it was delivered.

Change, without another behaviour: event_splitter returns the complete events with their ids and keeps no position any more; stream_position keeps the place behind the events. The log line stream_run_ended gives for each run the upstream, its version, the id it was to go on behind, its first and last event, their number, how the response was framed and what ended it; request_ended sums them up. The counter citronwick_stream_runs_total counts runs by their end.

The unit tests of the splitter check the same through the two types together.

--- /dev/null
+++ b/packages/policy/include/citronwick/policy/stream_event.hpp
@@ -0,0 +1,19 @@
+#ifndef CITRONWICK_POLICY_STREAM_EVENT_HPP_INCLUDED
+#define CITRONWICK_POLICY_STREAM_EVENT_HPP_INCLUDED
+
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace citronwick {
+
+/// A complete event of a `text/event-stream`.
+struct stream_event {
+    std::size_t end = 0;             ///< offset behind the event in the bytes that it came with
+    std::optional<std::string> id{}; ///< an empty one cannot be used to resume the stream
+    bool is_final = false;           ///< its data says that no event follows
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -0,0 +1,62 @@
+#ifndef CITRONWICK_POLICY_STREAM_POSITION_HPP_INCLUDED
+#define CITRONWICK_POLICY_STREAM_POSITION_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+
+namespace citronwick {
+
+struct stream_event;
+
+/// Place in a stream behind the events that a caller has, through whichever runs they came.
+class stream_position {
+public:
+    /// The beginning of a stream.
+    stream_position() = default;
+
+    /// A place behind an event that the caller has from an earlier request.
+    /// @param last_event_id empty for the beginning of the stream
+    explicit stream_position(std::string last_event_id);
+
+    /// Begins to count the events of another run.
+    void begin_run();
+
+    /// Moves behind the event that comes next.
+    void advance(const stream_event& next);
+
+    /// Identifier of the last event that has one, empty if there is none.
+    const std::string& last_event_id() const { return last_event_id_; }
+
+    /// Whether another run can go on here without repeating or omitting an event: this is the
+    /// beginning, or the last event has an identifier.
+    bool is_resumable() const { return !has_events_ || last_event_has_id_; }
+
+    /// Whether the final event is among the events.
+    bool is_final() const { return is_final_; }
+
+    /// Number of events since the construction.
+    std::uint64_t events() const { return events_; }
+
+    /// Identifier of the first event since the construction, empty if it has none.
+    const std::string& first_event_id() const { return first_event_id_; }
+
+    /// Number of events of the run.
+    std::uint64_t run_events() const { return run_events_; }
+
+    /// Identifier of the run's first event, empty if it has none.
+    const std::string& run_first_event_id() const { return run_first_event_id_; }
+
+private:
+    std::string first_event_id_;
+    std::string run_first_event_id_;
+    std::string last_event_id_;
+    std::uint64_t events_ = 0;
+    std::uint64_t run_events_ = 0;
+    bool has_events_ = false;
+    bool last_event_has_id_ = false;
+    bool is_final_ = false;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/traffic/include/citronwick/traffic/event_splitter.hpp
+++ b/packages/traffic/include/citronwick/traffic/event_splitter.hpp
@@ -1,31 +1,31 @@
 #ifndef CITRONWICK_TRAFFIC_EVENT_SPLITTER_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_EVENT_SPLITTER_HPP_INCLUDED
 
+#include "citronwick/policy/stream_event.hpp"
+
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace citronwick {
 
+/// Events that are complete.
+struct complete_events {
+    std::string bytes; ///< as received, with the comments before and between the events
+    std::vector<stream_event> events;
+};
+
 /// Splits a `text/event-stream` at event boundaries, so that a caller receives
-/// complete events only, and tracks the event after which the stream can be resumed.
+/// complete events only.
 ///
 /// Lines may end with LF, CR or CRLF. The bytes of complete events are not changed.
+/// What the caller has received is not known here (`stream_position`).
 class event_splitter {
 public:
     /// Appends bytes of the stream.
-    /// @return the events that are now complete, empty if none
-    std::string push(std::string_view bytes);
-
-    /// Whether the final event, whose data is "[DONE]", is complete.
-    bool done() const { return done_; }
-
-    /// The `id` field of the last complete event that has one, empty if none.
-    const std::string& last_event_id() const { return last_event_id_; }
-
-    /// Whether the stream can be resumed without repeating or omitting an event: no
-    /// event is complete yet, or the last one has an id.
-    bool is_resumable() const { return !has_events_ || last_event_has_id_; }
+    /// @return the events that are now complete
+    complete_events push(std::string_view bytes);
 
     /// Number of buffered bytes of an incomplete event.
     std::size_t pending_bytes() const { return pending_.size(); }
@@ -36,7 +36,7 @@
 private:
     void end_line(std::size_t end);
     void read_field(std::string_view line);
-    void end_event();
+    void end_event(std::size_t end);
     void begin_event();
 
     std::string pending_;
@@ -49,12 +49,8 @@
     bool event_has_data_ = false;
     bool event_is_final_ = false;
     std::optional<std::string> event_id_;
-
-    std::string last_event_id_;
-    bool has_output_ = false; ///< `push` has returned bytes
-    bool has_events_ = false;
-    bool last_event_has_id_ = false;
-    bool done_ = false;
+    std::vector<stream_event> events_; ///< complete ones in `pending_`
+    bool has_output_ = false;          ///< `push` has returned bytes
 };
 
 } // namespace citronwick
--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -39,6 +39,10 @@
     /// Counts prompt tokens that an upstream is told to fetch from another one's cache.
     void count_fetch(std::string_view service, std::uint32_t tokens);
 
+    /// Counts a run of a stream on one upstream, by its end.
+    /// @param continues whether events of another run were relayed before
+    void count_stream_run(std::string_view service, bool continues, std::string_view end);
+
     /// Counts the end of a caller's connection, by its cause.
     void count_connection_end(std::string_view cause);
 
--- /dev/null
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -0,0 +1,25 @@
+#ifndef CITRONWICK_TRAFFIC_STREAM_END_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_STREAM_END_HPP_INCLUDED
+
+#include <cstdint>
+#include <string_view>
+
+namespace citronwick {
+
+/// How the response of one upstream to a request for a stream ended.
+enum class stream_end : std::uint8_t {
+    framed,            ///< its length or last chunk shows that it is whole
+    connection_closed, ///< it has neither, and its connection was closed in order
+    broken,            ///< its connection broke, or a timeout passed
+    incomplete_event,  ///< within an event
+    overlong_event,
+    no_memory, ///< to buffer an incomplete event
+    deadline,
+    caller_left
+};
+
+std::string_view to_text(stream_end value);
+
+} // namespace citronwick
+
+#endif
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -51,6 +51,10 @@
     unsigned status() const { return parser_->get().result_int(); }
     std::string_view reason() const { return parser_->get().reason(); }
 
+    /// Whether the response has a length or chunks, so that its framing shows whether it is
+    /// whole. Otherwise it ends with its connection.
+    bool is_framed() const { return !parser_->need_eof(); }
+
     /// Reads the next chunk of the body; empty at its end.
     task<io_result<std::string>> read_some(std::chrono::milliseconds idle_timeout);
 
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/stream_position.hpp"
 #include "citronwick/traffic/authentication.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/chat_request.hpp"
@@ -14,6 +15,7 @@
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -341,18 +343,21 @@
     /// Relays complete events as they arrive, and resumes an interrupted stream.
     task<attempt_result> relay_stream(upstream_connection& first, const upstream_view& upstream) {
         event_splitter events;
+        stream_position position;
         upstream_connection* source = &first;
         std::unique_ptr<upstream_connection> resumed;
         int resumes_left = max_resumes;
-        while (!events.done()) {
+        while (!position.is_final()) {
             const auto timeout =
                 caller_.response_started() ? preset_->idle_timeout : preset_->first_byte_timeout;
             auto chunk = co_await source->read_some(timeout);
             const bool interrupted =
                 chunk.has_error() || chunk->empty() || events.pending_bytes() > max_event_bytes;
             if (!interrupted) {
-                auto complete_events = events.push(*chunk);
-                const bool delivered = co_await forward(std::move(complete_events), upstream);
+                complete_events arrived = events.push(*chunk);
+                std::ranges::for_each(arrived.events,
+                                      [&](const stream_event& each) { position.advance(each); });
+                const bool delivered = co_await forward(std::move(arrived.bytes), upstream);
                 if (!delivered) {
                     source->close();
                     record_disconnect();
@@ -369,8 +374,8 @@
             }
             events.discard_pending();
             resumed.reset();
-            if (events.is_resumable() && resumes_left-- > 0) {
-                const std::string& last_id = events.last_event_id();
+            if (position.is_resumable() && resumes_left-- > 0) {
+                const std::string& last_id = position.last_event_id();
                 resumed = co_await resume(upstream, last_id);
             }
             if (!resumed) {
@@ -385,8 +390,8 @@
     }
 
     /// @return false if the caller has disconnected
-    task<bool> forward(std::string complete_events, const upstream_view& upstream) {
-        if (complete_events.empty()) {
+    task<bool> forward(std::string events, const upstream_view& upstream) {
+        if (events.empty()) {
             co_return true;
         }
         if (!caller_.response_started()) {
@@ -396,13 +401,13 @@
                 co_return false;
             }
         }
-        if (const auto usage = complete_events.find("\"usage\":{"); usage != std::string::npos) {
-            const std::string_view text{complete_events};
+        if (const auto usage = events.find("\"usage\":{"); usage != std::string::npos) {
+            const std::string_view text{events};
             const auto line_begin = text.find_last_of("\r\n", usage) + 1; // zero if there is none
             const auto line_end = text.find_first_of("\r\n", usage);
             count_tokens(parse_event_field(text.substr(line_begin, line_end - line_begin)).value);
         }
-        co_return co_await caller_.write_events(std::move(complete_events));
+        co_return co_await caller_.write_events(std::move(events));
     }
 
     /// Asks the same upstream to continue after the last relayed event.
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-std::string event_splitter::push(std::string_view bytes) {
+complete_events event_splitter::push(std::string_view bytes) {
     pending_ += bytes;
     if (is_first_line_ && has_output_ && pending_.starts_with(byte_order_mark)) {
         // Within the caller's response it would be part of a field name.
@@ -27,12 +27,12 @@
         end_line(end);
         end = pending_.find_first_of("\r\n", scanned_);
     }
-    std::string complete = pending_.substr(0, complete_bytes_);
+    complete_events complete{pending_.substr(0, complete_bytes_), std::exchange(events_, {})};
     pending_.erase(0, complete_bytes_);
     line_begin_ -= complete_bytes_;
     scanned_ = pending_.size();
     complete_bytes_ = 0;
-    has_output_ = has_output_ || !complete.empty();
+    has_output_ = has_output_ || !complete.bytes.empty();
     return complete;
 }
 
@@ -46,7 +46,7 @@
             line.remove_prefix(byte_order_mark.size());
         }
         if (line.empty()) {
-            end_event();
+            end_event(end + 1);
         } else {
             read_field(line);
         }
@@ -71,15 +71,11 @@
     }
 }
 
-void event_splitter::end_event() {
-    if (event_id_) {
-        last_event_id_ = *event_id_;
-    }
+/// @param end position behind the event
+void event_splitter::end_event(std::size_t end) {
     if (event_has_data_ || event_id_) {
-        has_events_ = true;
-        last_event_has_id_ = event_id_ && !event_id_->empty();
+        events_.push_back({end, std::move(event_id_), event_is_final_});
     }
-    done_ = done_ || event_is_final_;
     begin_event();
 }
 
@@ -92,6 +88,7 @@
 
 void event_splitter::discard_pending() {
     pending_.clear();
+    events_.clear();
     line_begin_ = 0;
     scanned_ = 0;
     ended_with_cr_ = false;
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -1,4 +1,4 @@
-// Sends a routed request to an upstream and relays the response.
+// Sends a routed request to an upstream, and relays responses that are no streams.
 
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
@@ -18,8 +18,6 @@
 
 namespace {
 
-/// Largest event of a stream; bytes without an event boundary may come without end.
-constexpr std::size_t max_event_bytes = 1'048'576;
 constexpr unsigned unavailable = 503;
 
 } // namespace
@@ -141,53 +139,4 @@
     return buffers_.resize(buffer_part::response, kept + bytes);
 }
 
-/// Relays complete events only, so that an interrupted stream can be resumed on
-/// another upstream after its last event.
-task<exchange_result> route_exchange::relay_event_stream(upstream_connection& connection) {
-    while (true) {
-        auto chunk = co_await connection.read_some(std::max(remaining_time(clock::now()), 1ms));
-        if (chunk.has_error()) {
-            co_return exchange_result{attempt_outcome::may_have_run, to_text(chunk.error()), true};
-        }
-        if (chunk->empty()) {
-            break;
-        }
-        std::string events = events_.push(*chunk);
-        const bool is_overlong = events_.pending_bytes() > max_event_bytes;
-        if (is_overlong || remaining_time(clock::now()) <= 0ms) {
-            connection.close();
-            co_return exchange_result{attempt_outcome::may_have_run,
-                                      is_overlong ? "an event is too long" : "the deadline has passed"};
-        }
-        if (!may_buffer_response(events_.pending_bytes())) {
-            connection.close();
-            co_return exchange_result{attempt_outcome::may_have_run, "no memory for an event", false, true};
-        }
-        if (!events.empty() && !co_await relay_events(connection, std::move(events))) {
-            co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
-        }
-    }
-    if (events_.pending_bytes() > 0) {
-        co_return exchange_result{attempt_outcome::may_have_run, "the stream ended within an event", true};
-    }
-    if (!state_.response_started && !co_await relay_events(connection, {})) {
-        co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
-    }
-    co_await caller_.end_relay();
-    stream_is_complete_ = true;
-    co_return exchange_result{attempt_outcome::answered, "stream complete"};
-}
-
-task<bool> route_exchange::relay_events(upstream_connection& connection, std::string events) {
-    if (!state_.response_started) {
-        state_.response_started = true;
-        record_stream();
-        auto head = make_response_head(connection);
-        if (!co_await caller_.begin_relay(std::move(head))) {
-            co_return false;
-        }
-    }
-    co_return events.empty() || co_await caller_.write_events(std::move(events));
-}
-
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -100,6 +100,9 @@
     placement_request_.prompt_tokens = traits_.text.tokens();
     deadline_ = caller_.arrived() + std::min(route_->timeout, traits_.time_left.value_or(route_->timeout));
     state_.kind = route_->kind;
+    if (takes_up_stream()) {
+        position_ = stream_position{traits_.last_event_id};
+    }
     state_.max_attempts = route_->attempts;
     const std::string method{request_.method_string()};
     fingerprint_ = hash64({method, " ", target, "\n", traits_.team_key, "\n", request_.body()});
@@ -252,8 +255,8 @@
                                          std::min(route_->priority, route_priority_levels - 1),
                                      lowest_priority);
     }
-    if (!events_.last_event_id().empty()) {
-        metadata.last_event_id = events_.last_event_id();
+    if (!position_.last_event_id().empty()) {
+        metadata.last_event_id = position_.last_event_id();
     }
     if (placement_->fetch_from) {
         metadata.fetch_from = placement_->fetch_from->address;
@@ -279,7 +282,7 @@
     state_.last_outcome = result.outcome;
     state_.time_left = remaining_time(now) > 0ms;
     state_.caller_connected = !caller_disconnected;
-    state_.stream_is_resumable = events_.is_resumable();
+    state_.stream_is_resumable = position_.is_resumable();
     const bool may_have_run =
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::not_run;
     state_.sent += may_have_run ? 1 : 0;
@@ -383,11 +386,6 @@
                                {"took_ms", milliseconds_text(elapsed)}});
 }
 
-/// Identifier of the last event that was relayed; "-" if it has none or no event was relayed.
-std::string route_exchange::last_event_text() const {
-    return events_.last_event_id().empty() || !events_.is_resumable() ? "-" : events_.last_event_id();
-}
-
 void route_exchange::log_request_end(std::string_view result) const {
     const auto elapsed = clock::now() - caller_.arrived();
     context_.counters.count_request(service_->name, result, elapsed);
@@ -395,7 +393,11 @@
                                {"route", route_->name},
                                {"service", service_->name},
                                {"result", std::string{result}},
+                               {"first_event", event_id_text(position_.first_event_id())},
                                {"last_event", last_event_text()},
+                               {"events", std::to_string(position_.events())},
+                               {"runs", std::to_string(runs_)},
+                               {"end", runs_ > 0 ? std::string{to_text(stream_end_)} : "-"},
                                {"took_ms", milliseconds_text(elapsed)}});
 }
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -4,8 +4,10 @@
 #include "citronwick/fleet/request_dialect.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/policy/attempt_policy.hpp"
+#include "citronwick/policy/stream_position.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/event_splitter.hpp"
+#include "citronwick/traffic/stream_end.hpp"
 #include "route_placer.hpp"
 
 #include <memory>
@@ -28,9 +30,9 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp, what concerns crashes of upstreams in route_crashes.cpp, the
-/// software version of streams in route_versions.cpp, and the choice of an upstream in
-/// route_permits.cpp.
+/// route_delivery.cpp, the relaying of streams in route_streams.cpp, what concerns
+/// crashes of upstreams in route_crashes.cpp, the software version of streams in
+/// route_versions.cpp, and the choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request, buffer_reservation& buffers);
@@ -66,6 +68,7 @@
     task<exchange_result> buffer_response(upstream_connection& connection);
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
+    task<exchange_result> relay_run(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, std::string events);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
     bool record_attempt(const exchange_result& result);
@@ -107,9 +110,15 @@
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
+    stream_position position_;                         ///< of the caller in the stream
+    std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
+    stream_end stream_end_ = stream_end::broken;       ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
 };
 
+/// Text of an event's identifier for the log, "-" if it is empty.
+std::string event_id_text(const std::string& id);
+
 } // namespace citronwick
 
 #endif
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -70,6 +70,12 @@
             .Name("citronwick_prompt_fetches_total")
             .Help("Requests sent with a source to fetch prompt tokens from, by service")
             .Register(registry);
+    Family<Counter>& stream_runs =
+        prometheus::BuildCounter()
+            .Name("citronwick_stream_runs_total")
+            .Help(
+                "Runs of streams on one upstream each, by service, whether another run came before, and end")
+            .Register(registry);
     Family<Gauge>& limited_upstreams = prometheus::BuildGauge()
                                            .Name("citronwick_rate_limited_upstreams")
                                            .Help("Upstreams that have named a rate limit")
@@ -139,6 +145,14 @@
     families_->fetched_tokens.Add({{"service", std::string{service}}}).Increment(tokens);
 }
 
+void route_metrics::count_stream_run(std::string_view service, bool continues, std::string_view end) {
+    families_->stream_runs
+        .Add({{"service", std::string{service}},
+              {"continues", continues ? "yes" : "no"},
+              {"end", std::string{end}}})
+        .Increment();
+}
+
 void route_metrics::count_connection_end(std::string_view cause) {
     families_->connection_ends.Add({{"cause", std::string{cause}}}).Increment();
 }
--- /dev/null
+++ b/packages/traffic/src/route_streams.cpp
@@ -0,0 +1,116 @@
+// Relays the event stream of a routed request, from one upstream or from several in turn.
+
+#include "citronwick/io/log.hpp"
+#include "citronwick/traffic/route_metrics.hpp"
+#include "route_context.hpp"
+#include "route_exchange.hpp"
+#include "upstream_exchange.hpp"
+
+#include <algorithm>
+
+namespace citronwick {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Largest event of a stream; bytes without an event boundary may come without end.
+constexpr std::size_t max_event_bytes = 1'048'576;
+
+std::string_view framing_of(const upstream_connection& connection) {
+    if (!connection.is_framed()) {
+        return "none";
+    }
+    return connection.header().count(http::field::transfer_encoding) > 0 ? "chunked" : "length";
+}
+
+} // namespace
+
+/// Text of an event's identifier for the log.
+std::string event_id_text(const std::string& id) {
+    return id.empty() ? "-" : id;
+}
+
+task<exchange_result> route_exchange::relay_event_stream(upstream_connection& connection) {
+    const std::string resumed_after = position_.last_event_id();
+    const std::string_view framing = framing_of(connection);
+    const bool continues = state_.response_started;
+    position_.begin_run();
+    auto result = co_await relay_run(connection);
+    ++runs_;
+    context_.counters.count_stream_run(service_->name, continues, to_text(stream_end_));
+    log_info("stream_run_ended", {{"request", caller_.request_id()},
+                                  {"upstream", placement_->upstream.entry.id},
+                                  {"software", placement_->upstream.entry.version},
+                                  {"resumed_after", event_id_text(resumed_after)},
+                                  {"first_event", event_id_text(position_.run_first_event_id())},
+                                  {"last_event", last_event_text()},
+                                  {"events", std::to_string(position_.run_events())},
+                                  {"framing", std::string{framing}},
+                                  {"end", std::string{to_text(stream_end_)}}});
+    co_return result;
+}
+
+/// Relays complete events only, so that an interrupted stream can be resumed on
+/// another upstream after its last event.
+task<exchange_result> route_exchange::relay_run(upstream_connection& connection) {
+    while (true) {
+        auto chunk = co_await connection.read_some(std::max(remaining_time(clock::now()), 1ms));
+        if (chunk.has_error()) {
+            stream_end_ = stream_end::broken;
+            co_return exchange_result{attempt_outcome::may_have_run, to_text(chunk.error()), true};
+        }
+        if (chunk->empty()) {
+            break;
+        }
+        complete_events arrived = events_.push(*chunk);
+        std::ranges::for_each(arrived.events, [this](const stream_event& each) { position_.advance(each); });
+        const bool is_overlong = events_.pending_bytes() > max_event_bytes;
+        if (is_overlong || remaining_time(clock::now()) <= 0ms) {
+            connection.close();
+            stream_end_ = is_overlong ? stream_end::overlong_event : stream_end::deadline;
+            co_return exchange_result{attempt_outcome::may_have_run,
+                                      is_overlong ? "an event is too long" : "the deadline has passed"};
+        }
+        if (!may_buffer_response(events_.pending_bytes())) {
+            connection.close();
+            stream_end_ = stream_end::no_memory;
+            co_return exchange_result{attempt_outcome::may_have_run, "no memory for an event", false, true};
+        }
+        if (!arrived.bytes.empty() && !co_await relay_events(connection, std::move(arrived.bytes))) {
+            stream_end_ = stream_end::caller_left;
+            co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
+        }
+    }
+    if (events_.pending_bytes() > 0) {
+        stream_end_ = stream_end::incomplete_event;
+        co_return exchange_result{attempt_outcome::may_have_run, "the stream ended within an event", true};
+    }
+    if (!state_.response_started && !co_await relay_events(connection, {})) {
+        stream_end_ = stream_end::caller_left;
+        co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
+    }
+    co_await caller_.end_relay();
+    stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::connection_closed;
+    stream_is_complete_ = true;
+    co_return exchange_result{attempt_outcome::answered, "stream complete"};
+}
+
+task<bool> route_exchange::relay_events(upstream_connection& connection, std::string events) {
+    if (!state_.response_started) {
+        state_.response_started = true;
+        record_stream();
+        auto head = make_response_head(connection);
+        if (!co_await caller_.begin_relay(std::move(head))) {
+            co_return false;
+        }
+    }
+    co_return events.empty() || co_await caller_.write_events(std::move(events));
+}
+
+/// Identifier of the last event that was relayed; "-" if it has none or no event was relayed.
+std::string route_exchange::last_event_text() const {
+    return position_.is_resumable() ? event_id_text(position_.last_event_id()) : "-";
+}
+
+} // namespace citronwick
--- a/packages/traffic/tests/event_splitter.tests.cpp
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -1,7 +1,9 @@
 #include "citronwick/traffic/event_splitter.hpp"
 
+#include "citronwick/policy/stream_position.hpp"
 #include "citronwick/traffic/event_field.hpp"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 
@@ -10,15 +12,27 @@
 
 namespace {
 
-/// Pushes a stream in pieces of one size.
-std::string push_in_pieces(event_splitter& splitter, std::string_view stream, std::size_t size) {
-    std::string events;
-    while (!stream.empty()) {
-        events += splitter.push(stream.substr(0, size));
-        stream.remove_prefix(std::min(size, stream.size()));
+/// Splits a stream and keeps the position behind its complete events.
+struct followed_stream {
+    event_splitter splitter;
+    stream_position position;
+
+    /// @return bytes of the events that are now complete
+    std::string push(std::string_view bytes) {
+        auto complete = splitter.push(bytes);
+        std::ranges::for_each(complete.events, [this](const stream_event& each) { position.advance(each); });
+        return std::move(complete.bytes);
     }
-    return events;
-}
+
+    std::string push_in_pieces(std::string_view stream, std::size_t size) {
+        std::string events;
+        while (!stream.empty()) {
+            events += push(stream.substr(0, size));
+            stream.remove_prefix(std::min(size, stream.size()));
+        }
+        return events;
+    }
+};
 
 } // namespace
 
@@ -48,70 +62,70 @@
     for (const std::string_view stream : streams) {
         CAPTURE(stream);
         for (std::size_t size = 1; size <= stream.size(); ++size) {
-            event_splitter splitter;
-            CHECK(push_in_pieces(splitter, stream, size) == stream);
-            CHECK(splitter.pending_bytes() == 0);
-            CHECK(splitter.last_event_id() == "5");
-            CHECK(splitter.is_resumable());
+            followed_stream followed;
+            CHECK(followed.push_in_pieces(stream, size) == stream);
+            CHECK(followed.splitter.pending_bytes() == 0);
+            CHECK(followed.position.last_event_id() == "5");
+            CHECK(followed.position.is_resumable());
         }
     }
 }
 
 TEST_CASE("a complete event is returned before the next one begins") {
-    event_splitter splitter;
-    CHECK(splitter.push("id:1\r\ndata:a\r\n\r") == "id:1\r\ndata:a\r\n\r");
-    CHECK(splitter.push("\nid:2\r\n") == "\n");
-    CHECK(splitter.pending_bytes() == 6);
-    CHECK(splitter.last_event_id() == "1");
-    CHECK(splitter.push("\r\n") == "id:2\r\n\r\n");
-    CHECK(splitter.last_event_id() == "2");
+    followed_stream followed;
+    CHECK(followed.push("id:1\r\ndata:a\r\n\r") == "id:1\r\ndata:a\r\n\r");
+    CHECK(followed.push("\nid:2\r\n") == "\n");
+    CHECK(followed.splitter.pending_bytes() == 6);
+    CHECK(followed.position.last_event_id() == "1");
+    CHECK(followed.push("\r\n") == "id:2\r\n\r\n");
+    CHECK(followed.position.last_event_id() == "2");
 }
 
 // Guards against the repetition of events whose position is not known.
 TEST_CASE("a stream whose last event has no id cannot be resumed") {
-    event_splitter splitter;
-    CHECK(splitter.is_resumable());
-    splitter.push(": comment\n\n");
-    CHECK(splitter.is_resumable());
-    splitter.push("data: a\n\n");
-    CHECK_FALSE(splitter.is_resumable());
-    splitter.push("id: 2\ndata: b\n\n");
-    CHECK(splitter.is_resumable());
-    splitter.push("data: c\n\n");
-    CHECK_FALSE(splitter.is_resumable());
-    splitter.push("id\ndata: d\n\n");
-    CHECK_FALSE(splitter.is_resumable());
-    splitter.push("id: 3\n\n");
-    CHECK(splitter.is_resumable());
+    followed_stream followed;
+    CHECK(followed.position.is_resumable());
+    followed.push(": comment\n\n");
+    CHECK(followed.position.is_resumable());
+    followed.push("data: a\n\n");
+    CHECK_FALSE(followed.position.is_resumable());
+    followed.push("id: 2\ndata: b\n\n");
+    CHECK(followed.position.is_resumable());
+    followed.push("data: c\n\n");
+    CHECK_FALSE(followed.position.is_resumable());
+    followed.push("id\ndata: d\n\n");
+    CHECK_FALSE(followed.position.is_resumable());
+    followed.push("id: 3\n\n");
+    CHECK(followed.position.is_resumable());
 }
 
 TEST_CASE("an incomplete event leaves nothing behind in the stream that goes on") {
-    event_splitter splitter;
-    CHECK(splitter.push("id: 1\ndata: a\n\nid: 2\r") == "id: 1\ndata: a\n\n");
-    splitter.discard_pending();
-    CHECK(splitter.last_event_id() == "1");
-    CHECK(splitter.push("\xEF\xBB") == "");
-    CHECK(splitter.push("\xBFid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
-    CHECK(splitter.last_event_id() == "2");
+    followed_stream followed;
+    CHECK(followed.push("id: 1\ndata: a\n\nid: 2\r") == "id: 1\ndata: a\n\n");
+    followed.splitter.discard_pending();
+    CHECK(followed.position.last_event_id() == "1");
+    CHECK(followed.push("\xEF\xBB") == "");
+    CHECK(followed.push("\xBFid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    CHECK(followed.position.last_event_id() == "2");
 }
 
 TEST_CASE("the final event is recognized with and without the optional space") {
     for (const std::string_view stream : {"data: [DONE]\n\n", "data:[DONE]\n\n", "data:[DONE]\r\n\r\n"}) {
-        event_splitter splitter;
-        CHECK(splitter.push(stream.substr(0, stream.find('\n') + 1)).empty());
-        CHECK_FALSE(splitter.done());
-        CHECK(splitter.push(stream.substr(stream.find('\n') + 1)) == stream);
-        CHECK(splitter.done());
+        followed_stream followed;
+        CHECK(followed.push(stream.substr(0, stream.find('\n') + 1)).empty());
+        CHECK_FALSE(followed.position.is_final());
+        CHECK(followed.push(stream.substr(stream.find('\n') + 1)) == stream);
+        CHECK(followed.position.is_final());
     }
 }
 
 TEST_CASE("a stream cannot be resumed after an event whose identifier is too long to be sent") {
-    event_splitter splitter;
-    splitter.push("id: 1\ndata: a\n\n");
-    CHECK(splitter.is_resumable());
-    splitter.push("id: " + std::string(70'000, 'x') + "\ndata: b\n\n");
-    CHECK_FALSE(splitter.is_resumable());
-    CHECK(splitter.last_event_id().empty());
-    splitter.push("id: 3\ndata: c\n\n");
-    CHECK(splitter.is_resumable());
+    followed_stream followed;
+    followed.push("id: 1\ndata: a\n\n");
+    CHECK(followed.position.is_resumable());
+    followed.push("id: " + std::string(70'000, 'x') + "\ndata: b\n\n");
+    CHECK_FALSE(followed.position.is_resumable());
+    CHECK(followed.position.last_event_id().empty());
+    followed.push("id: 3\ndata: c\n\n");
+    CHECK(followed.position.is_resumable());
 }
