Reproduce streams that lack events, repeat them or end too early

The stand-in worker can send streams without length and chunks, end between two events, begin anew and omit events; the harness can start a killed worker again.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -71,6 +71,16 @@
     return started;
 }
 
+void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation) {
+    node started = start_standin_in(directory_, "worker", worker.name, {"--id", worker.name});
+    worker.process = std::move(started.process);
+    worker.addresses = std::move(started.addresses);
+    if (worker.proxy) {
+        set_proxy_target(*worker.proxy, worker);
+    }
+    register_worker(worker, service, "ready", incarnation);
+}
+
 void routed_fleet::start_router() {
     const std::size_t index = next_index_++;
     const std::size_t number = index % options_.failure_domains;
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -65,6 +65,10 @@
                          std::int64_t incarnation = 1, const std::string& version = "v1");
     void unregister_worker(const node& worker);
 
+    /// Starts a worker whose process has ended, at another port, and writes its entry.
+    /// @param incarnation higher than that of the process that ended
+    void restart_worker(node& worker, const std::string& service, std::int64_t incarnation);
+
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
--- /dev/null
+++ b/tests/integration/stream_order.tests.cpp
@@ -0,0 +1,216 @@
+// The events of a stream reach its caller once each and in order, and it ends as complete only
+// behind its last event, whatever the workers and the router's memory do.
+
+#include "citronwick/io/json_text.hpp"
+#include "citronwick/io/task.hpp"
+#include "held_callers.hpp"
+#include "routed_fleet.hpp"
+#include "scripted_worker.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <memory>
+#include <numeric>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int streams = 12;
+constexpr int stand_in_events = 6;
+
+/// Identifiers of the events of a response, in the order in which they came.
+std::vector<int> event_ids(const std::string& body) {
+    constexpr std::string_view field = "id: ";
+    std::vector<int> ids;
+    for (auto at = body.find(field); at != std::string::npos; at = body.find(field, at + 1)) {
+        ids.push_back(std::stoi(body.substr(at + field.size())));
+    }
+    return ids;
+}
+
+/// Whether the events are 1, 2, 3 and so on, and a response that ended as complete has them all.
+bool is_in_order(const reply& answer, int last_event) {
+    constexpr unsigned ok = 200;
+    if (answer.status != ok) {
+        return answer.body.find("id: ") == std::string::npos;
+    }
+    const auto ids = event_ids(answer.body);
+    std::vector<int> expected(ids.size());
+    std::iota(expected.begin(), expected.end(), 1);
+    return ids == expected && (!answer.error.empty() || ids.size() == static_cast<std::size_t>(last_event));
+}
+
+std::string joined(const std::vector<int>& ids) {
+    return std::accumulate(ids.begin(), ids.end(), std::string{},
+                           [](std::string text, int id) { return text + " " + std::to_string(id); });
+}
+
+/// Asks for streams and checks each.
+/// @return how many were whole
+int ask_for_streams(routed_fleet& system, const std::string& path, int last_event) {
+    int whole = 0;
+    for (int count = 0; count < streams; ++count) {
+        const auto answer = system.ask(system.routers()[0], path, path + std::to_string(count));
+        CHECK_MESSAGE(is_in_order(answer, last_event), joined(event_ids(answer.body)));
+        whole += answer.status == 200 && answer.error.empty() ? 1 : 0;
+    }
+    return whole;
+}
+
+/// Waits until streams of both kinds are served.
+bool wait_streams_served(routed_fleet& system) {
+    return wait_until([&] {
+        return std::ranges::all_of(
+            std::array{"/quote/stream/ready", "/guide/stream/ready"}, [&](const char* path) {
+                static int asked = 0;
+                return system.ask(system.routers()[0], path, "ready-" + std::to_string(asked++)).status ==
+                       200;
+            });
+    });
+}
+
+} // namespace
+
+// Guards against events that are dropped for lack of memory and that the next run does not repeat (ORDER).
+TEST_CASE("proof: a stream loses no event while other callers use up the router's memory") {
+    constexpr int last_event = 60;
+    constexpr std::size_t event_bytes = 300;
+    routed_fleet system{{.routers = 1, .engines = 0, .limit_settings = "memory_mb = 64\n"}};
+    std::atomic<bool> may_send = true;
+    // The first part of a first run ends within an event, which the router has to keep.
+    const auto serve = [&](asio::ip::tcp::socket& connection) {
+        const std::string header = read_request(connection);
+        const std::string last = field_of(header, "Last-Event-Id");
+        std::string events;
+        std::vector<std::size_t> part_ends;
+        for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= last_event; ++id) {
+            events += "id: " + std::to_string(id) + "\ndata: " + std::string(event_bytes, 'x') + "\n\n";
+            part_ends.push_back(events.size());
+        }
+        if (last.empty()) {
+            part_ends = {events.size() / 2 - event_bytes / 2, events.size()};
+        }
+        wait_until([&] { return may_send.load(); });
+        const std::string start = response_header(header) + "Content-Type: text/event-stream\r\n" +
+                                  "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n";
+        asio::write(connection, asio::buffer(start));
+        std::size_t sent = 0;
+        for (const std::size_t end : part_ends) {
+            std::this_thread::sleep_for(5ms);
+            asio::write(connection, asio::buffer(events.substr(sent, end - sent)));
+            sent = end;
+        }
+    };
+    std::vector<std::unique_ptr<scripted_worker>> workers;
+    for (const char* const name : {"burst-0", "burst-1", "burst-2"}) {
+        workers.push_back(std::make_unique<scripted_worker>(name, serve));
+        system.register_worker(workers.back()->entry(), "bench");
+    }
+    REQUIRE(wait_streams_served(system));
+    const node& router = system.routers()[0];
+    const auto ask = [&](const std::string& attempt) {
+        return std::async(std::launch::async, [&system, &router, attempt] {
+            return system.ask(router, "/quote/stream/1", attempt, {}, std::string(10'000, 'p'));
+        });
+    };
+    CHECK(event_ids(ask("free").get().body).size() == last_event);
+    may_send = false;
+    std::vector<std::future<reply>> answers;
+    for (int count = 0; count < streams; ++count) {
+        answers.push_back(ask("full-" + std::to_string(count)));
+    }
+    REQUIRE(wait_until([&] { return integer_member(system.view(router), "requests_in_flight") == streams; }));
+    const auto unfinished_body = [](std::size_t bytes) {
+        return "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nX-Api-Key: club-key\r\n"
+               "Citronwick-Attempt-Id: a1\r\nContent-Length: 65000\r\n\r\n" +
+               std::string(bytes, 'x');
+    };
+    const held_callers large{router.address(), 140, unfinished_body(60'000)};
+    const held_callers small{router.address(), 500, unfinished_body(3'000)}; // in what the large ones left
+    may_send = true;
+    for (std::future<reply>& each : answers) {
+        const reply answer = each.get();
+        CHECK_MESSAGE(is_in_order(answer, last_event), joined(event_ids(answer.body)));
+    }
+    CHECK_FALSE(find_log_lines(router, "end=no-memory").empty());
+}
+
+// Guards against a resumed run that begins anew or omits events and is joined to the events before (ORDER).
+TEST_CASE("proof: a run that does not go on behind the caller's last event is not relayed") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    const auto fault = [](const std::string& continued) { return R"({"cut_after":2,)" + continued + "}"; };
+    for (const std::string continued : {R"("begin_anew":1)", R"("omit":1)"}) {
+        CAPTURE(continued);
+        set_faults(system.engines(), fault(continued));
+        const int whole = ask_for_streams(system, "/quote/stream/" + continued.substr(1, 4), stand_in_events);
+        CHECK(whole == 0);
+    }
+    CHECK_FALSE(find_log_lines(system.routers()[0], "end=out-of-sequence").empty());
+}
+
+// Guards against a take-up that its caller joins to events that it has (ORDER).
+TEST_CASE("proof: a stream that is taken up is not answered by a run that begins anew") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"begin_anew":1})");
+    const auto answer =
+        system.ask(system.routers()[0], "/quote/stream/1", "taken-up", {{"Last-Event-Id", "2"}});
+    CHECK(answer.status == 502);
+    set_fault(system.engines()[0], "{}");
+    const auto elsewhere =
+        system.ask(system.routers()[0], "/quote/stream/1", "elsewhere", {{"Last-Event-Id", "2"}});
+    CHECK(elsewhere.status == 200);
+    CHECK(event_ids(elsewhere.body) == std::vector{3, 4, 5, 6});
+}
+
+// Guards against a connection closed in order by a worker that ends, which looks like a stream's end (ORDER).
+TEST_CASE("proof: a resumable stream whose connection is closed between two events goes on behind them") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_fault(system.engines()[0], R"({"framing":"none","close_after":3})");
+    set_fault(system.engines()[1], R"({"framing":"none"})");
+    const int whole = ask_for_streams(system, "/quote/stream/closed", stand_in_events);
+    CHECK(whole > 0);
+    CHECK(std::ranges::any_of(find_log_lines(system.routers()[0], "stream_run_ended"), [](const auto& line) {
+        return line.find("end=unproved") != std::string::npos;
+    }));
+}
+
+// Guards against a worker's end that looks like the end of its stream (ORDER).
+TEST_CASE("proof: a stream whose worker is killed never ends as complete") {
+    constexpr int kills = 3;
+    routed_fleet system{{.routers = 1, .engines = 1}};
+    REQUIRE(system.wait_ready());
+    node& engine = system.engines()[0];
+    std::int64_t incarnation = 1;
+    for (int kill = 0; kill < kills; ++kill) {
+        for (const std::string path : {"/guide/stream/", "/quote/stream/"}) {
+            const std::string attempt = path + std::to_string(kill);
+            CAPTURE(attempt);
+            set_fault(engine, R"({"framing":"none","event_gap_ms":100})");
+            auto asked = std::async(std::launch::async,
+                                    [&] { return system.ask(system.routers()[0], path + "1", attempt); });
+            REQUIRE(wait_until([&] { return runs_of(engine, attempt) == 1; }));
+            std::this_thread::sleep_for(250ms);
+            engine.process->kill();
+            const auto answer = asked.get();
+            CHECK_FALSE(answer.error.empty());
+            CHECK(is_in_order(answer, stand_in_events));
+            system.restart_worker(engine, "bench", ++incarnation);
+            REQUIRE(wait_streams_served(system));
+        }
+    }
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -53,6 +53,10 @@
         const std::chrono::milliseconds gap{integer_member(fault_settings, "event_gap_ms")};
         event_gap_ = gap > 0ms ? gap : default_event_gap;
         cut_after_events_ = integer_member(fault_settings, "cut_after");
+        close_after_events_ = integer_member(fault_settings, "close_after");
+        omitted_events_ = integer_member(fault_settings, "omit");
+        begins_anew_ = integer_member(fault_settings, "begin_anew") != 0;
+        is_unframed_ = string_member(fault_settings, "framing") == "none";
         event_format_ = string_member(fault_settings, "event_format");
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
@@ -231,40 +235,67 @@
     co_return false;
 }
 
-task<bool> routed_worker::run_stream(tcp_stream& stream, const http_request& request) {
+/// Sends the header of a stream, with or without chunks.
+task<bool> routed_worker::begin_stream(tcp_stream& stream, const http_request& request) {
     http::response<http::empty_body> response{make_header(request)};
     response.set(http::field::content_type, "text/event-stream");
-    response.chunked(true);
+    response.chunked(!is_unframed_);
+    response.keep_alive(!is_unframed_);
     http::response_serializer<http::empty_body> serializer{response};
-    auto [head_error, head_size] = co_await http::async_write_header(stream, serializer, use_tuple);
-    if (head_error) {
+    auto [error, size] = co_await http::async_write_header(stream, serializer, use_tuple);
+    co_return !error;
+}
+
+task<bool> routed_worker::write_part(tcp_stream& stream, std::string text) {
+    if (is_unframed_) {
+        auto [error, size] = co_await asio::async_write(stream, asio::buffer(text), use_tuple);
+        co_return !error;
+    }
+    const auto chunk = http::make_chunk(asio::buffer(text));
+    auto [error, size] = co_await asio::async_write(stream, chunk, use_tuple);
+    co_return !error;
+}
+
+/// First event of a run: the one behind the last event that the caller has, or what a fault
+/// makes of it.
+std::int64_t routed_worker::first_event_of(const http_request& request) const {
+    const std::string last_event_id{request["Last-Event-Id"]};
+    if (last_event_id.empty() || begins_anew_) {
+        return 1;
+    }
+    return std::stoll(last_event_id) + 1 + omitted_events_;
+}
+
+task<bool> routed_worker::run_stream(tcp_stream& stream, const http_request& request) {
+    const bool has_begun = co_await begin_stream(stream, request);
+    if (!has_begun) {
         co_return false;
     }
     const std::string_view parts = request["Citronwick-Prompt-Prefix"];
     if (!crashing_part_.empty() && parts.find(crashing_part_) != std::string_view::npos) {
         std::_Exit(EXIT_FAILURE);
     }
-    const std::string last_event_id{request["Last-Event-Id"]};
     std::int64_t sent = 0;
-    for (std::int64_t id = last_event_id.empty() ? 1 : std::stoll(last_event_id) + 1; id <= event_count_;
-         ++id) {
+    for (std::int64_t id = first_event_of(request); id <= event_count_; ++id) {
         co_await sleep_for(event_gap_);
         if (cut_after_events_ > 0 && sent == cut_after_events_) {
             // Sends part of an event before closing the connection.
-            const std::string partial = format_event(id).substr(0, 8);
-            const auto partial_chunk = http::make_chunk(asio::buffer(partial));
-            co_await asio::async_write(stream, partial_chunk, use_tuple);
+            co_await write_part(stream, format_event(id).substr(0, 8));
             co_return false;
         }
-        const std::string text = format_event(id);
-        const auto chunk = http::make_chunk(asio::buffer(text));
-        auto [error, size] = co_await asio::async_write(stream, chunk, use_tuple);
-        if (error) {
+        if (close_after_events_ > 0 && sent == close_after_events_) {
+            co_return false;
+        }
+        const bool is_sent = co_await write_part(stream, format_event(id));
+        if (!is_sent) {
             ++aborted_runs_;
             co_return false;
         }
         ++sent;
     }
+    if (is_unframed_) {
+        co_return false;
+    }
     const auto end = http::make_chunk_last();
     auto [error, size] = co_await asio::async_write(stream, end, use_tuple);
     co_return !error;
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -26,6 +26,9 @@
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
+    task<bool> begin_stream(boost::beast::tcp_stream& stream, const http_request& request);
+    task<bool> write_part(boost::beast::tcp_stream& stream, std::string text);
+    std::int64_t first_event_of(const http_request& request) const;
     task<bool> send_endless(boost::beast::tcp_stream& stream, const http_request& request,
                             const std::string& fault);
     task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request, bool is_cut);
@@ -42,15 +45,19 @@
     std::chrono::milliseconds delay_{0};
     std::chrono::milliseconds event_gap_{default_event_gap}; ///< before each event of a stream
     std::int64_t event_count_ = 6;
-    std::int64_t cut_after_events_ = 0; ///< events before a stream is cut, 0 for never
-    std::string event_format_;          ///< "compact", "crlf", "cr" or "unnumbered"; empty for the usual one
-    std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
-    std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
-    std::string retry_after_;           ///< seconds that it names when it sheds a request, empty for none
-    bool says_leaving_ = false;         ///< in its responses
-    std::string limit_;                 ///< rate limit that it names in its responses, empty for none
-    boost::json::object runs_;          ///< by attempt id
-    boost::json::array arrivals_;       ///< of requests, in milliseconds of the steady clock
+    std::int64_t cut_after_events_ = 0;   ///< events before a stream is cut within the next one, 0 for never
+    std::int64_t close_after_events_ = 0; ///< events before a stream ends between two of them, 0 for never
+    std::int64_t omitted_events_ = 0;     ///< that a resumed run leaves out at its beginning
+    bool begins_anew_ = false;            ///< resumed runs begin with the first event
+    bool is_unframed_ = false;  ///< streams have neither a length nor chunks and end with their connection
+    std::string event_format_;  ///< "compact", "crlf", "cr" or "unnumbered"; empty for the usual one
+    std::string crashing_part_; ///< part of a prompt on which the process ends, empty for none
+    std::int64_t aborted_runs_ = 0; ///< runs whose caller closed the connection
+    std::string retry_after_;       ///< seconds that it names when it sheds a request, empty for none
+    bool says_leaving_ = false;     ///< in its responses
+    std::string limit_;             ///< rate limit that it names in its responses, empty for none
+    boost::json::object runs_;      ///< by attempt id
+    boost::json::array arrivals_;   ///< of requests, in milliseconds of the steady clock
     standin_server server_;
 };
 
