Move a caller's position in a stream only once its events are written

Callers saw streams that begin with event 2 or 3, or lack events in the middle, while other callers' bodies used up the router's memory.

Cause: the position after which a run goes on elsewhere moved when events were parsed. The read that was then refused for lack of memory, or an event that was too long, dropped the complete events in front, and the next upstream was asked to go on behind them. Class: state about the caller is taken from what was received instead of what was delivered.

Change: relay_run writes the complete events of a read before it decides about the incomplete one, and the position moves after the write. Only the checks of the deadline and of the caller's presence end a run without the write, and the position stays then. The chat handler moves its position after the write, too.

--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -355,14 +355,14 @@
                 chunk.has_error() || chunk->empty() || events.pending_bytes() > max_event_bytes;
             if (!interrupted) {
                 complete_events arrived = events.push(*chunk);
-                std::ranges::for_each(arrived.events,
-                                      [&](const stream_event& each) { position.advance(each); });
                 const bool delivered = co_await forward(std::move(arrived.bytes), upstream);
                 if (!delivered) {
                     source->close();
                     record_disconnect();
                     co_return attempt_result::answered;
                 }
+                std::ranges::for_each(arrived.events,
+                                      [&](const stream_event& each) { position.advance(each); });
                 continue;
             }
             source->close();
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -69,7 +69,8 @@
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
-    task<bool> relay_events(upstream_connection& connection, std::string events);
+    task<bool> begin_stream(upstream_connection& connection);
+    task<bool> relay_events(upstream_connection& connection, complete_events arrived);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
     bool record_attempt(const exchange_result& result);
     bool spend_retry_budget();
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -63,30 +63,32 @@
         if (chunk->empty()) {
             break;
         }
+        if (remaining_time(clock::now()) <= 0ms) {
+            connection.close();
+            stream_end_ = stream_end::deadline;
+            co_return exchange_result{attempt_outcome::may_have_run, "the deadline has passed"};
+        }
         complete_events arrived = events_.push(*chunk);
-        std::ranges::for_each(arrived.events, [this](const stream_event& each) { position_.advance(each); });
-        const bool is_overlong = events_.pending_bytes() > max_event_bytes;
-        if (is_overlong || remaining_time(clock::now()) <= 0ms) {
+        if (!co_await relay_events(connection, std::move(arrived))) {
+            stream_end_ = stream_end::caller_left;
+            co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
+        }
+        if (events_.pending_bytes() > max_event_bytes) {
             connection.close();
-            stream_end_ = is_overlong ? stream_end::overlong_event : stream_end::deadline;
-            co_return exchange_result{attempt_outcome::may_have_run,
-                                      is_overlong ? "an event is too long" : "the deadline has passed"};
+            stream_end_ = stream_end::overlong_event;
+            co_return exchange_result{attempt_outcome::may_have_run, "an event is too long"};
         }
         if (!may_buffer_response(events_.pending_bytes())) {
             connection.close();
             stream_end_ = stream_end::no_memory;
             co_return exchange_result{attempt_outcome::may_have_run, "no memory for an event", false, true};
         }
-        if (!arrived.bytes.empty() && !co_await relay_events(connection, std::move(arrived.bytes))) {
-            stream_end_ = stream_end::caller_left;
-            co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
-        }
     }
     if (events_.pending_bytes() > 0) {
         stream_end_ = stream_end::incomplete_event;
         co_return exchange_result{attempt_outcome::may_have_run, "the stream ended within an event", true};
     }
-    if (!state_.response_started && !co_await relay_events(connection, {})) {
+    if (!co_await begin_stream(connection)) {
         stream_end_ = stream_end::caller_left;
         co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
     }
@@ -96,16 +98,31 @@
     co_return exchange_result{attempt_outcome::answered, "stream complete"};
 }
 
-task<bool> route_exchange::relay_events(upstream_connection& connection, std::string events) {
-    if (!state_.response_started) {
-        state_.response_started = true;
-        record_stream();
-        auto head = make_response_head(connection);
-        if (!co_await caller_.begin_relay(std::move(head))) {
-            co_return false;
-        }
+task<bool> route_exchange::begin_stream(upstream_connection& connection) {
+    if (state_.response_started) {
+        co_return true;
+    }
+    state_.response_started = true;
+    record_stream();
+    auto head = make_response_head(connection);
+    co_return co_await caller_.begin_relay(std::move(head));
+}
+
+/// Writes events to the caller. Its position moves only once they are written, since a run that
+/// goes on elsewhere begins there.
+task<bool> route_exchange::relay_events(upstream_connection& connection, complete_events arrived) {
+    if (arrived.bytes.empty()) {
+        co_return true;
+    }
+    if (!co_await begin_stream(connection)) {
+        co_return false;
+    }
+    const bool is_written = co_await caller_.write_events(std::move(arrived.bytes));
+    if (!is_written) {
+        co_return false;
     }
-    co_return events.empty() || co_await caller_.write_events(std::move(events));
+    std::ranges::for_each(arrived.events, [this](const stream_event& each) { position_.advance(each); });
+    co_return true;
 }
 
 /// Identifier of the last event that was relayed; "-" if it has none or no event was relayed.
