Relay a run of a stream only if it goes on behind the caller's last event

Callers saw '1 ... 7 1 2 3 ...' as one complete response, or the beginning of a stream that they had taken up behind event 2.

Cause: nothing compared the events of a run with those that the caller had. An upstream that does not heed the position it is given was joined to the run before. Class: an upstream is trusted to have done what it was asked, although its response shows what it did.

Change: stream_position finds an event that cannot come next: a number that is not higher, the first event of another run that has no id, that repeats the first or last id, or that leaves one out where the numbers were consecutive so far. What stands in front of it is relayed, the run ends there ('out-of-sequence'), and the stream goes on elsewhere behind the last event or ends broken. A continued run must also have the content type of the first. The chat handler does the same.

--- /dev/null
+++ b/packages/policy/include/citronwick/policy/sequence_fault.hpp
@@ -0,0 +1,20 @@
+#ifndef CITRONWICK_POLICY_SEQUENCE_FAULT_HPP_INCLUDED
+#define CITRONWICK_POLICY_SEQUENCE_FAULT_HPP_INCLUDED
+
+#include <cstdint>
+#include <string_view>
+
+namespace citronwick {
+
+/// Why an event cannot come next in a stream.
+enum class sequence_fault : std::uint8_t {
+    repeated,  ///< its identifier is that of an earlier event, or lower
+    omitted,   ///< its identifier leaves out the one that comes next
+    unnumbered ///< it has no identifier, so that it need not be the one that comes next
+};
+
+std::string_view to_text(sequence_fault value);
+
+} // namespace citronwick
+
+#endif
--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -1,7 +1,10 @@
 #ifndef CITRONWICK_POLICY_STREAM_POSITION_HPP_INCLUDED
 #define CITRONWICK_POLICY_STREAM_POSITION_HPP_INCLUDED
 
+#include "citronwick/policy/sequence_fault.hpp"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace citronwick {
@@ -9,6 +12,9 @@
 struct stream_event;
 
 /// Place in a stream behind the events that a caller has, through whichever runs they came.
+///
+/// Identifiers that are decimal numbers increase within a stream. Others are compared for
+/// equality only.
 class stream_position {
 public:
     /// The beginning of a stream.
@@ -21,6 +27,10 @@
     /// Begins to count the events of another run.
     void begin_run();
 
+    /// Why an event cannot come next: it would be joined to events that it does not follow.
+    /// The first event of a run is compared with the last one of the run before.
+    std::optional<sequence_fault> find_fault(const stream_event& next) const;
+
     /// Moves behind the event that comes next.
     void advance(const stream_event& next);
 
@@ -47,6 +57,9 @@
     const std::string& run_first_event_id() const { return run_first_event_id_; }
 
 private:
+    std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
+    bool is_consecutive() const { return has_step_of_one_ && !has_other_step_; }
+
     std::string first_event_id_;
     std::string run_first_event_id_;
     std::string last_event_id_;
@@ -55,6 +68,8 @@
     bool has_events_ = false;
     bool last_event_has_id_ = false;
     bool is_final_ = false;
+    bool has_step_of_one_ = false; ///< between the numbers of two events
+    bool has_other_step_ = false;
 };
 
 } // namespace citronwick
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -2,10 +2,29 @@
 
 #include "citronwick/policy/stream_event.hpp"
 
+#include <array>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 namespace citronwick {
 
+namespace {
+
+std::optional<std::uint64_t> number_of(std::string_view id) {
+    std::uint64_t number = 0;
+    const char* const end = id.data() + id.size();
+    const auto [parsed, error] = std::from_chars(id.data(), end, number);
+    return error == std::errc{} && parsed == end ? std::optional{number} : std::nullopt;
+}
+
+} // namespace
+
+std::string_view to_text(sequence_fault value) {
+    constexpr std::array<std::string_view, 3> names{"repeated", "omitted", "unnumbered"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
 stream_position::stream_position(std::string last_event_id)
     : last_event_id_{std::move(last_event_id)}, has_events_{!last_event_id_.empty()},
       last_event_has_id_{has_events_} {}
@@ -15,6 +34,32 @@
     run_first_event_id_.clear();
 }
 
+std::optional<sequence_fault> stream_position::find_fault(const stream_event& next) const {
+    const bool has_id = next.id && !next.id->empty();
+    if (has_id) {
+        const auto last = number_of(last_event_id_);
+        const auto number = number_of(*next.id);
+        if (last && number && *number <= *last) {
+            return sequence_fault::repeated;
+        }
+    }
+    const bool is_between_runs = run_events_ == 0 && has_events_ && last_event_has_id_;
+    return is_between_runs ? find_fault_between_runs(next) : std::nullopt;
+}
+
+std::optional<sequence_fault> stream_position::find_fault_between_runs(const stream_event& next) const {
+    if (!next.id || next.id->empty()) {
+        return sequence_fault::unnumbered;
+    }
+    if (*next.id == last_event_id_ || *next.id == first_event_id_) {
+        return sequence_fault::repeated;
+    }
+    const auto last = number_of(last_event_id_);
+    const auto number = number_of(*next.id);
+    const bool omits = is_consecutive() && last && number && *number - *last > 1;
+    return omits ? std::optional{sequence_fault::omitted} : std::nullopt;
+}
+
 void stream_position::advance(const stream_event& next) {
     if (events_ == 0) {
         first_event_id_ = next.id.value_or("");
@@ -23,6 +68,12 @@
         run_first_event_id_ = next.id.value_or("");
     }
     if (next.id) {
+        const auto last = number_of(last_event_id_);
+        const auto number = number_of(*next.id);
+        if (last && number) {
+            has_step_of_one_ = has_step_of_one_ || *number - *last == 1;
+            has_other_step_ = has_other_step_ || *number - *last != 1;
+        }
         last_event_id_ = *next.id;
     }
     ++events_;
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -3,9 +3,28 @@
 #include "citronwick/policy/stream_event.hpp"
 
 #include <doctest/doctest.h>
+#include <initializer_list>
 
 using namespace citronwick;
 
+namespace {
+
+/// Position behind events with these identifiers, at the beginning of another run.
+stream_position position_behind(std::initializer_list<const char*> ids) {
+    stream_position position;
+    for (const char* const id : ids) {
+        position.advance({.id = id});
+    }
+    position.begin_run();
+    return position;
+}
+
+std::optional<sequence_fault> fault_of(const stream_position& position, const char* id) {
+    return position.find_fault({.id = id});
+}
+
+} // namespace
+
 TEST_CASE("a position names the last event and counts those of each run") {
     stream_position position;
     CHECK(position.is_resumable());
@@ -29,3 +48,46 @@
     CHECK(taken_up.events() == 0);
     CHECK(stream_position{""}.last_event_id().empty());
 }
+
+// Guards against a run that begins anew behind the events of another one (ORDER).
+TEST_CASE("a run that goes on begins behind the last event of the run before") {
+    const auto position = position_behind({"1", "2", "3"});
+    CHECK_FALSE(fault_of(position, "4"));
+    CHECK(fault_of(position, "1") == sequence_fault::repeated);
+    CHECK(fault_of(position, "3") == sequence_fault::repeated);
+    CHECK(fault_of(position, "03") == sequence_fault::repeated);
+    CHECK(fault_of(position, "5") == sequence_fault::omitted);
+    CHECK(position.find_fault({}) == sequence_fault::unnumbered);
+    CHECK(fault_of(position, "") == sequence_fault::unnumbered);
+}
+
+TEST_CASE("an omission is recognized only where the numbers are consecutive") {
+    CHECK_FALSE(fault_of(position_behind({"1"}), "5"));
+    CHECK_FALSE(fault_of(position_behind({"1", "2", "6"}), "9"));
+    CHECK_FALSE(fault_of(position_behind({"5", "10"}), "15"));
+    CHECK_FALSE(fault_of(stream_position{"5"}, "7"));
+    CHECK(fault_of(stream_position{"5"}, "5") == sequence_fault::repeated);
+}
+
+TEST_CASE("identifiers that are no numbers are compared for equality between runs") {
+    const auto position = position_behind({"a", "b", "c"});
+    CHECK(fault_of(position, "a") == sequence_fault::repeated);
+    CHECK(fault_of(position, "c") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "d"));
+    CHECK_FALSE(fault_of(position, "7"));
+    CHECK_FALSE(fault_of(position_behind({"99999999999999999999"}), "99999999999999999998"));
+}
+
+// Guards against numbers that go back within a run (ORDER).
+TEST_CASE("numbers increase within a run, and events without one may come between") {
+    stream_position position;
+    position.advance({.id = "1"});
+    position.advance({.id = "2"});
+    CHECK(fault_of(position, "2") == sequence_fault::repeated);
+    CHECK(fault_of(position, "1") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "9"));
+    CHECK_FALSE(position.find_fault({}));
+    position.advance({});
+    CHECK(fault_of(position, "2") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "3"));
+}
--- a/packages/traffic/include/citronwick/traffic/stream_end.hpp
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -15,7 +15,9 @@
     overlong_event,
     no_memory, ///< to buffer an incomplete event
     deadline,
-    caller_left
+    caller_left,
+    out_of_sequence, ///< an event does not follow those that the caller has
+    other_content    ///< a run that should go on has another content type
 };
 
 std::string_view to_text(stream_end value);
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -12,6 +12,7 @@
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/chat_request.hpp"
 #include "citronwick/traffic/event_field.hpp"
+#include "citronwick/traffic/event_sequence.hpp"
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
 
@@ -262,8 +263,7 @@
             const std::string detail = "it refuses new work " + (body.has_value() ? *body : std::string{});
             co_return record_failure(upstream, {"ask upstream", upstream.name, detail, false});
         }
-        const auto type = connection.header()[http::field::content_type];
-        if (connection.status() == 200 && type.starts_with("text/event-stream")) {
+        if (connection.status() == 200 && is_event_stream(connection)) {
             co_return co_await relay_stream(connection, upstream);
         }
         co_return co_await relay_response(connection, upstream);
@@ -300,6 +300,10 @@
         }
     }
 
+    static bool is_event_stream(const upstream_connection& connection) {
+        return connection.header()[http::field::content_type].starts_with("text/event-stream");
+    }
+
     bool request_id_matches(const upstream_connection& connection) const {
         const auto echoed = connection.header()[request_id_header];
         return echoed.empty() || echoed == caller_.request_id();
@@ -351,10 +355,11 @@
             const auto timeout =
                 caller_.response_started() ? preset_->idle_timeout : preset_->first_byte_timeout;
             auto chunk = co_await source->read_some(timeout);
-            const bool interrupted =
-                chunk.has_error() || chunk->empty() || events.pending_bytes() > max_event_bytes;
-            if (!interrupted) {
+            std::optional<sequence_fault> fault;
+            const bool has_bytes = chunk.has_value() && !chunk->empty();
+            if (has_bytes) {
                 complete_events arrived = events.push(*chunk);
+                fault = remove_faulty_events(arrived, position);
                 const bool delivered = co_await forward(std::move(arrived.bytes), upstream);
                 if (!delivered) {
                     source->close();
@@ -363,12 +368,15 @@
                 }
                 std::ranges::for_each(arrived.events,
                                       [&](const stream_event& each) { position.advance(each); });
+            }
+            if (has_bytes && !fault && events.pending_bytes() <= max_event_bytes) {
                 continue;
             }
             source->close();
-            const failure error = chunk.has_error()
-                                      ? chunk.error()
-                                      : failure{"read answer", upstream.name, "the stream ended early", true};
+            const std::string detail =
+                fault ? "an event is " + std::string{to_text(*fault)} : "the stream ended early";
+            const failure error =
+                chunk.has_error() ? chunk.error() : failure{"read answer", upstream.name, detail, true};
             if (caller_.disconnected() || !caller_.response_started()) {
                 co_return record_failure(upstream, error);
             }
@@ -377,6 +385,7 @@
             if (position.is_resumable() && resumes_left-- > 0) {
                 const std::string& last_id = position.last_event_id();
                 resumed = co_await resume(upstream, last_id);
+                position.begin_run();
             }
             if (!resumed) {
                 co_await check_for_crash(upstream);
@@ -421,8 +430,8 @@
         auto resume_request = upstream_request();
         resume_request.set("Last-Event-ID", last_event_id);
         auto opened = co_await start_response(*connection, std::move(resume_request));
-        const bool resumed =
-            opened.has_value() && connection->status() == 200 && request_id_matches(*connection);
+        const bool resumed = opened.has_value() && connection->status() == 200 &&
+                             is_event_stream(*connection) && request_id_matches(*connection);
         log_info("stream_resume", {{"request", caller_.request_id()},
                                    {"upstream", upstream.name},
                                    {"after_event", last_event_id},
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -69,6 +69,8 @@
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
+    exchange_result end_run(stream_end end, std::string detail, bool is_broken = false,
+                            bool is_local = false);
     task<bool> begin_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, complete_events arrived);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
@@ -112,6 +114,7 @@
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
     stream_position position_;                         ///< of the caller in the stream
+    std::string media_type_;                           ///< of the response whose header was relayed
     std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
     stream_end stream_end_ = stream_end::broken;       ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -1,12 +1,14 @@
 // Relays the event stream of a routed request, from one upstream or from several in turn.
 
 #include "citronwick/io/log.hpp"
+#include "citronwick/traffic/event_sequence.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
 #include "upstream_exchange.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
 
 namespace citronwick {
 
@@ -24,6 +26,14 @@
     return connection.header().count(http::field::transfer_encoding) > 0 ? "chunked" : "length";
 }
 
+/// Type and subtype of a body in lower case, empty if the field is absent.
+std::string media_type_of(const http::fields& fields) {
+    const std::string_view value = fields[http::field::content_type];
+    std::string type{value.substr(0, value.find_first_of("; \t"))};
+    boost::algorithm::to_lower(type);
+    return type;
+}
+
 } // namespace
 
 /// Text of an event's identifier for the log.
@@ -54,43 +64,50 @@
 /// Relays complete events only, so that an interrupted stream can be resumed on
 /// another upstream after its last event.
 task<exchange_result> route_exchange::relay_run(upstream_connection& connection) {
+    constexpr bool is_broken = true;
+    constexpr bool is_local = true;
+    if (state_.response_started && media_type_of(connection.header()) != media_type_) {
+        connection.close();
+        co_return end_run(stream_end::other_content, "it goes on with another content type");
+    }
     while (true) {
         auto chunk = co_await connection.read_some(std::max(remaining_time(clock::now()), 1ms));
         if (chunk.has_error()) {
-            stream_end_ = stream_end::broken;
-            co_return exchange_result{attempt_outcome::may_have_run, to_text(chunk.error()), true};
+            co_return end_run(stream_end::broken, to_text(chunk.error()), is_broken);
         }
         if (chunk->empty()) {
             break;
         }
         if (remaining_time(clock::now()) <= 0ms) {
             connection.close();
-            stream_end_ = stream_end::deadline;
-            co_return exchange_result{attempt_outcome::may_have_run, "the deadline has passed"};
+            co_return end_run(stream_end::deadline, "the deadline has passed");
         }
         complete_events arrived = events_.push(*chunk);
-        if (!co_await relay_events(connection, std::move(arrived))) {
-            stream_end_ = stream_end::caller_left;
-            co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
+        const auto fault = remove_faulty_events(arrived, position_);
+        const bool is_relayed = co_await relay_events(connection, std::move(arrived));
+        if (!is_relayed) {
+            co_return end_run(stream_end::caller_left, "the caller left");
+        }
+        if (fault) {
+            connection.close();
+            co_return end_run(stream_end::out_of_sequence, "an event is " + std::string{to_text(*fault)} +
+                                                               " behind event " + last_event_text());
         }
         if (events_.pending_bytes() > max_event_bytes) {
             connection.close();
-            stream_end_ = stream_end::overlong_event;
-            co_return exchange_result{attempt_outcome::may_have_run, "an event is too long"};
+            co_return end_run(stream_end::overlong_event, "an event is too long");
         }
         if (!may_buffer_response(events_.pending_bytes())) {
             connection.close();
-            stream_end_ = stream_end::no_memory;
-            co_return exchange_result{attempt_outcome::may_have_run, "no memory for an event", false, true};
+            co_return end_run(stream_end::no_memory, "no memory for an event", false, is_local);
         }
     }
     if (events_.pending_bytes() > 0) {
-        stream_end_ = stream_end::incomplete_event;
-        co_return exchange_result{attempt_outcome::may_have_run, "the stream ended within an event", true};
+        co_return end_run(stream_end::incomplete_event, "the stream ended within an event", is_broken);
     }
-    if (!co_await begin_stream(connection)) {
-        stream_end_ = stream_end::caller_left;
-        co_return exchange_result{attempt_outcome::may_have_run, "the caller left"};
+    const bool has_begun = co_await begin_stream(connection);
+    if (!has_begun) {
+        co_return end_run(stream_end::caller_left, "the caller left");
     }
     co_await caller_.end_relay();
     stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::connection_closed;
@@ -98,11 +115,18 @@
     co_return exchange_result{attempt_outcome::answered, "stream complete"};
 }
 
+/// The result of a run whose stream is not complete.
+exchange_result route_exchange::end_run(stream_end end, std::string detail, bool is_broken, bool is_local) {
+    stream_end_ = end;
+    return {attempt_outcome::may_have_run, std::move(detail), is_broken, is_local};
+}
+
 task<bool> route_exchange::begin_stream(upstream_connection& connection) {
     if (state_.response_started) {
         co_return true;
     }
     state_.response_started = true;
+    media_type_ = media_type_of(connection.header());
     record_stream();
     auto head = make_response_head(connection);
     co_return co_await caller_.begin_relay(std::move(head));
