Prove the end of a stream whose response has neither length nor chunks

Callers saw a stream that ended as complete after event 3 of 6.

Cause: the end was taken from the framing alone. A response without length or chunks ends with its connection, and the kernel closes the connections of a killed process in order, as a worker does that has sent its last event. Nothing in the platform's protocol marks the last event. Class: the absence of an error is taken for a proof.

Change: a resumable stream's upstream is asked again behind the last event; a second run that has nothing to add proves the end, another event goes to the caller. This spends the retry budget and adds no upstream to the request's attempts. Other ends are broken. Framed responses and final events count as before.

Ruled out: always ending such streams as broken, since a deployment may frame none.

--- a/packages/policy/include/citronwick/policy/attempt_policy.hpp
+++ b/packages/policy/include/citronwick/policy/attempt_policy.hpp
@@ -15,6 +15,7 @@
     not_sent,     ///< no byte of the request was sent
     not_run,      ///< the upstream reported that it did not run the request
     may_have_run, ///< sent, but no complete response was received
+    unproved_end, ///< a stream without events that follow, whose end nothing shows
     failed_run,   ///< the upstream ran the request and returned a server error
     answered,     ///< a complete response, or the start of a stream
 };
@@ -25,6 +26,7 @@
 enum class next_step : std::uint8_t {
     deliver,         ///< forward the response to the caller
     try_elsewhere,   ///< send the request to another upstream
+    confirm_end,     ///< ask the same upstream whether an event follows
     refuse,          ///< report that the request has not run
     fail_as_unknown, ///< report that the request may have run
 };
@@ -49,6 +51,10 @@
 /// Whether the request may be sent to another upstream, provided that the retry budget allows it.
 bool may_try_elsewhere(const attempt_state& state);
 
+/// Whether the upstream of the last attempt may be asked whether an event follows, provided that
+/// the retry budget allows it. This adds no upstream to those that run the request.
+bool may_confirm_end(const attempt_state& state);
+
 /// Chooses the action that follows an attempt.
 /// @param retry_granted whether the retry budget allows another attempt
 next_step choose_next_step(const attempt_state& state, bool retry_granted);
--- a/packages/policy/src/attempt_policy.cpp
+++ b/packages/policy/src/attempt_policy.cpp
@@ -18,6 +18,7 @@
     retry_rule{attempt_outcome::not_sent, true, true},
     retry_rule{attempt_outcome::not_run, true, true},
     retry_rule{attempt_outcome::may_have_run, true, false},
+    retry_rule{attempt_outcome::unproved_end, true, false},
     retry_rule{attempt_outcome::failed_run, true, false},
     retry_rule{attempt_outcome::answered, false, false},
 };
@@ -30,13 +31,14 @@
 } // namespace
 
 std::string_view to_text(attempt_outcome value) {
-    constexpr std::array<std::string_view, 5> names{"not-sent", "not-run", "may-have-run", "failed-run",
-                                                    "answered"};
+    constexpr std::array<std::string_view, 6> names{"not-sent",     "not-run",    "may-have-run",
+                                                    "unproved-end", "failed-run", "answered"};
     return names.at(static_cast<std::size_t>(value));
 }
 
 std::string_view to_text(next_step value) {
-    constexpr std::array<std::string_view, 4> names{"deliver", "try-elsewhere", "refuse", "fail-as-unknown"};
+    constexpr std::array<std::string_view, 5> names{"deliver", "try-elsewhere", "confirm-end", "refuse",
+                                                    "fail-as-unknown"};
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -56,18 +58,28 @@
            state.time_left && state.caller_connected;
 }
 
+bool may_confirm_end(const attempt_state& state) {
+    return state.last_outcome == attempt_outcome::unproved_end &&
+           state.kind == request_kind::resumable_stream && state.stream_is_resumable && state.time_left &&
+           state.caller_connected;
+}
+
 next_step choose_next_step(const attempt_state& state, bool retry_granted) {
     if (state.last_outcome == attempt_outcome::answered) {
         return next_step::deliver;
     }
+    if (retry_granted && may_confirm_end(state)) {
+        return next_step::confirm_end;
+    }
     if (retry_granted && may_try_elsewhere(state)) {
         return next_step::try_elsewhere;
     }
     if (state.last_outcome == attempt_outcome::failed_run) {
         return next_step::deliver;
     }
-    const bool has_not_run =
-        state.last_outcome != attempt_outcome::may_have_run && !state.may_have_run_before;
+    const bool has_not_run = state.last_outcome != attempt_outcome::may_have_run &&
+                             state.last_outcome != attempt_outcome::unproved_end &&
+                             !state.may_have_run_before;
     return has_not_run && !state.response_started ? next_step::refuse : next_step::fail_as_unknown;
 }
 
--- a/packages/policy/tests/attempt_policy.tests.cpp
+++ b/packages/policy/tests/attempt_policy.tests.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::array kinds{request_kind::idempotent, request_kind::non_idempotent, request_kind::stream,
                            request_kind::resumable_stream};
-constexpr std::array outcomes{attempt_outcome::not_sent, attempt_outcome::not_run,
-                              attempt_outcome::may_have_run, attempt_outcome::failed_run,
-                              attempt_outcome::answered};
+constexpr std::array outcomes{attempt_outcome::not_sent,     attempt_outcome::not_run,
+                              attempt_outcome::may_have_run, attempt_outcome::unproved_end,
+                              attempt_outcome::failed_run,   attempt_outcome::answered};
 constexpr std::array flags{false, true};
 
 /// Calls the function for every combination of state after an attempt.
@@ -56,6 +56,7 @@
                 CHECK_FALSE(state.may_have_run_before);
                 CHECK_FALSE(state.response_started);
                 CHECK(state.last_outcome != attempt_outcome::may_have_run);
+                CHECK(state.last_outcome != attempt_outcome::unproved_end);
                 CHECK(state.last_outcome != attempt_outcome::failed_run);
             }
         }
@@ -83,6 +84,16 @@
     });
 }
 
+TEST_CASE("only a resumable stream's upstream is asked again, also if no other one may run the request") {
+    for_each_state([](const attempt_state& state) {
+        const bool is_asked = choose_next_step(state, true) == next_step::confirm_end;
+        CHECK(choose_next_step(state, false) != next_step::confirm_end);
+        CHECK(is_asked == (state.last_outcome == attempt_outcome::unproved_end &&
+                           state.kind == request_kind::resumable_stream && state.stream_is_resumable &&
+                           state.time_left && state.caller_connected));
+    });
+}
+
 TEST_CASE("responses are delivered regardless of the retry budget") {
     for_each_state([](const attempt_state& state) {
         if (state.last_outcome == attempt_outcome::answered) {
--- a/packages/traffic/include/citronwick/traffic/stream_end.hpp
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -9,7 +9,11 @@
 /// How the response of one upstream to a request for a stream ended.
 enum class stream_end : std::uint8_t {
     framed,            ///< its length or last chunk shows that it is whole
-    connection_closed, ///< it has neither, and its connection was closed in order
+    final_event,       ///< its last event says that none follows
+    confirmed,         ///< it has none of these, and a second run had nothing to add
+    connection_closed, ///< it has none of these, and its upstream lives and closed the connection
+    unproved,          ///< its connection was closed in order, which a process that ends does as well
+    process_ended,     ///< its connection was closed in order, and its upstream's process has ended
     broken,            ///< its connection broke, or a timeout passed
     incomplete_event,  ///< within an event
     overlong_event,
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -27,7 +27,7 @@
     }
 }
 
-task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
+task<bool> crash_probe::has_ended(endpoint address) {
     const auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer{executor, probe_delay};
     co_await timer.async_wait(use_tuple);
@@ -36,8 +36,13 @@
     open_outbound(stream.socket(), peer);
     stream.expires_after(connect_timeout);
     auto [error] = co_await stream.async_connect(peer, use_tuple);
+    co_return error == asio::error::connection_refused;
+}
+
+task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
+    const bool is_gone = co_await has_ended(std::move(address));
     in_progress_.erase(upstream);
-    if (error == asio::error::connection_refused) {
+    if (is_gone) {
         plane_.observations().record_unreachable(upstream, clock::now());
         plane_.report_refusing_upstream(upstream);
     }
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -23,6 +23,10 @@
     /// control thread if it refuses connections.
     void start(const asio::any_io_executor& executor, const routed_upstream& upstream);
 
+    /// Whether the process of an upstream that has just closed a connection has ended.
+    /// Waits for a moment, as such a process closes its listener after its connections.
+    static task<bool> has_ended(endpoint address);
+
 private:
     task<void> run(endpoint address, std::uint64_t upstream);
 
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -35,6 +35,8 @@
     crash_probe probe;
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
     time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
+    /// When an upstream of a service last closed a connection before the end of its stream.
+    std::map<std::string, time_point, std::less<>> early_ends{};
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -141,6 +141,21 @@
     }
 }
 
+/// Whether there is an upstream to ask again, or others may be tried.
+bool route_exchange::may_place() {
+    const bool is_asked_again = next_step_ == next_step::confirm_end;
+    is_confirmation_ = is_asked_again && view_->accepts_requests(service_->name, placement_->upstream.hash);
+    if (is_confirmation_) {
+        placement_->reason = "may have more events";
+        placement_request_.has_permit = false;
+    } else if (is_asked_again && !may_try_elsewhere(state_)) {
+        last_attempt_detail_ = "the upstream left, and the end of its stream is not proved";
+        next_step_ = next_step::fail_as_unknown;
+        return false;
+    }
+    return true;
+}
+
 /// Attempts the request on one upstream.
 /// @return whether to try another upstream
 task<bool> route_exchange::run_attempt() {
@@ -158,7 +173,12 @@
         last_attempt_detail_ = refusal_before_send_->detail;
         co_return false;
     }
-    co_await place(started);
+    if (!may_place()) {
+        co_return false;
+    }
+    if (!is_confirmation_) {
+        co_await place(started);
+    }
     refuse_if_late(clock::now());
     record_capacity(clock::now());
     refuse_if_paused(clock::now());
@@ -285,9 +305,11 @@
     state_.stream_is_resumable = position_.is_resumable();
     const bool may_have_run =
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::not_run;
-    state_.sent += may_have_run ? 1 : 0;
+    state_.sent += may_have_run && !is_confirmation_ ? 1 : 0;
     state_.rejections += may_have_run ? 0 : 1;
-    if (result.outcome != attempt_outcome::not_sent && !result.is_local && !caller_disconnected) {
+    const bool tells_of_upstream =
+        result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::unproved_end;
+    if (tells_of_upstream && !result.is_local && !caller_disconnected) {
         context_.plane.observations().record_outcome(upstream, result.outcome == attempt_outcome::answered,
                                                      now);
     }
@@ -297,7 +319,7 @@
     if (result.is_broken && !caller_disconnected) {
         report_broken_connection(now);
     }
-    const bool may_retry = !refusal_before_send_ && may_try_elsewhere(state_);
+    const bool may_retry = !refusal_before_send_ && (may_try_elsewhere(state_) || may_confirm_end(state_));
     const bool uses_retry_budget = result.outcome != attempt_outcome::not_sent;
     const bool granted = may_retry && (!uses_retry_budget || spend_retry_budget());
     next_step_ = choose_next_step(state_, granted);
@@ -309,7 +331,7 @@
                                             {"sent", std::to_string(state_.sent)},
                                             {"last_event", last_event_text()}});
     }
-    return next_step_ == next_step::try_elsewhere;
+    return next_step_ == next_step::try_elsewhere || next_step_ == next_step::confirm_end;
 }
 
 /// The problem reported for a request that got no response.
@@ -334,6 +356,9 @@
 }
 
 task<void> route_exchange::send_final_response() {
+    if (state_.last_outcome == attempt_outcome::unproved_end) {
+        co_await accept_unproved_end();
+    }
     const bool may_relay = buffered_response_ && !withholds_status(buffered_response_->result_int());
     if (state_.response_started) {
         if (!stream_is_complete_) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -63,12 +63,16 @@
     void record_capacity(time_point now);
     task<void> run_attempts();
     task<bool> run_attempt();
+    bool may_place();
     task<exchange_result> send_request(upstream_connection& connection, in_flight_guard& in_flight);
     task<exchange_result> relay_response(upstream_connection& connection);
     task<exchange_result> buffer_response(upstream_connection& connection);
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
+    void record_confirmation(time_point now);
+    task<void> accept_unproved_end();
+    task<std::optional<exchange_result>> check_end(const upstream_connection& connection);
     exchange_result end_run(stream_end end, std::string detail, bool is_broken = false,
                             bool is_local = false);
     task<bool> begin_stream(upstream_connection& connection);
@@ -113,8 +117,10 @@
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
-    stream_position position_;                         ///< of the caller in the stream
-    std::string media_type_;                           ///< of the response whose header was relayed
+    stream_position position_;     ///< of the caller in the stream
+    std::string media_type_;       ///< of the response whose header was relayed
+    bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
+    std::optional<std::uint64_t> unproved_end_;        ///< events behind which a run ended without proof
     std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
     stream_end stream_end_ = stream_end::broken;       ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -19,6 +19,10 @@
 /// Largest event of a stream; bytes without an event boundary may come without end.
 constexpr std::size_t max_event_bytes = 1'048'576;
 
+/// Time for which the streams of a service are not trusted to end with their connections after one
+/// was found to go on.
+constexpr duration early_end_memory = 10min;
+
 std::string_view framing_of(const upstream_connection& connection) {
     if (!connection.is_framed()) {
         return "none";
@@ -48,6 +52,7 @@
     position_.begin_run();
     auto result = co_await relay_run(connection);
     ++runs_;
+    record_confirmation(clock::now());
     context_.counters.count_stream_run(service_->name, continues, to_text(stream_end_));
     log_info("stream_run_ended", {{"request", caller_.request_id()},
                                   {"upstream", placement_->upstream.entry.id},
@@ -105,16 +110,73 @@
     if (events_.pending_bytes() > 0) {
         co_return end_run(stream_end::incomplete_event, "the stream ended within an event", is_broken);
     }
+    auto unproved = co_await check_end(connection);
+    if (unproved) {
+        co_return *unproved;
+    }
     const bool has_begun = co_await begin_stream(connection);
     if (!has_begun) {
         co_return end_run(stream_end::caller_left, "the caller left");
     }
     co_await caller_.end_relay();
-    stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::connection_closed;
     stream_is_complete_ = true;
     co_return exchange_result{attempt_outcome::answered, "stream complete"};
 }
 
+/// Looks for what shows that the stream is whole. A response without length or chunks ends with
+/// its connection, which the kernel closes in the same way if the upstream's process ends.
+/// @return the result of the run if the end is not proved
+task<std::optional<exchange_result>> route_exchange::check_end(const upstream_connection& connection) {
+    if (connection.is_framed() || position_.is_final()) {
+        stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::final_event;
+        co_return std::nullopt;
+    }
+    if (route_->kind == request_kind::resumable_stream) {
+        // Another run shows whether an event follows. The same upstream is asked, which is known to
+        // live then and has the prompt in its cache.
+        if (unproved_end_ == position_.events()) {
+            stream_end_ = stream_end::confirmed;
+            co_return std::nullopt;
+        }
+        unproved_end_ = position_.events();
+        stream_end_ = stream_end::unproved;
+        co_return exchange_result{attempt_outcome::unproved_end,
+                                  "the connection was closed, which does not show the end"};
+    }
+    const bool has_ended = co_await crash_probe::has_ended(connection.peer());
+    if (has_ended) {
+        co_return end_run(stream_end::process_ended, "the upstream's process ended with the connection",
+                          true);
+    }
+    stream_end_ = stream_end::connection_closed;
+    co_return std::nullopt;
+}
+
+/// Remembers that a connection was closed before the end of its stream, if a second run shows it.
+void route_exchange::record_confirmation(time_point now) {
+    if (is_confirmation_ && position_.run_events() > 0) {
+        context_.early_ends[service_->name] = now;
+    }
+}
+
+/// Completes a stream whose end no second run may confirm, if its upstream lives and no stream of
+/// the service was found to go on behind such an end lately.
+task<void> route_exchange::accept_unproved_end() {
+    const auto found = context_.early_ends.find(service_->name);
+    const bool ends_early =
+        found != context_.early_ends.end() && clock::now() - found->second < early_end_memory;
+    if (ends_early || !state_.response_started || caller_.disconnected()) {
+        co_return;
+    }
+    const bool has_ended = co_await crash_probe::has_ended(placement_->upstream.entry.address);
+    if (has_ended) {
+        stream_end_ = stream_end::process_ended;
+        co_return;
+    }
+    stream_end_ = stream_end::connection_closed;
+    stream_is_complete_ = co_await caller_.end_relay();
+}
+
 /// The result of a run whose stream is not complete.
 exchange_result route_exchange::end_run(stream_end end, std::string detail, bool is_broken, bool is_local) {
     stream_end_ = end;
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -182,13 +182,27 @@
     REQUIRE(system.wait_ready());
     set_fault(system.engines()[0], R"({"framing":"none","close_after":3})");
     set_fault(system.engines()[1], R"({"framing":"none"})");
-    const int whole = ask_for_streams(system, "/quote/stream/closed", stand_in_events);
-    CHECK(whole > 0);
+    CHECK(ask_for_streams(system, "/quote/stream/closed", stand_in_events) > 0);
     CHECK(std::ranges::any_of(find_log_lines(system.routers()[0], "stream_run_ended"), [](const auto& line) {
         return line.find("end=unproved") != std::string::npos;
     }));
 }
 
+TEST_CASE("proof: streams without length or chunks are whole, also once the retry budget is used up") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"framing":"none"})");
+    for (const std::string path : {"/quote/stream/a", "/quote/stream/b", "/guide/stream/a"}) {
+        CHECK(ask_for_streams(system, path, stand_in_events) == streams);
+    }
+    const auto runs = find_log_lines(system.routers()[0], "stream_run_ended");
+    const auto count = [&runs](std::string_view end) {
+        return std::ranges::count_if(runs, [&](const auto& line) { return line.ends_with(end); });
+    };
+    CHECK(count("end=confirmed") > 0);
+    CHECK(count("end=unproved") > count("end=confirmed"));
+}
+
 // Guards against a worker's end that looks like the end of its stream (ORDER).
 TEST_CASE("proof: a stream whose worker is killed never ends as complete") {
     constexpr int kills = 3;
