Do not look up the placement of a stream whose worker has left

Cause: where the worker that closed a connection had left before it could be asked again and no other one was there, no placement was left when the end was judged, and an empty optional was read. Found by reading; the new proof passed before as well, since the released memory still held the address.

Change: the address of the upstream is kept with the place of the unproved end. The end is judged by it also if the confirmation could not be sent, and not if a second run was asked and failed.

--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -356,7 +356,7 @@
 }
 
 task<void> route_exchange::send_final_response() {
-    if (state_.last_outcome == attempt_outcome::unproved_end) {
+    if (unproved_end_ == position_.events() && !stream_is_complete_) {
         co_await accept_unproved_end();
     }
     const bool may_relay = buffered_response_ && !withholds_status(buffered_response_->result_int());
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -121,6 +121,7 @@
     std::string media_type_;       ///< of the response whose header was relayed
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
     std::optional<std::uint64_t> unproved_end_;        ///< events behind which a run ended without proof
+    endpoint unproved_at_;                             ///< upstream of that run
     std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
     stream_end stream_end_ = stream_end::broken;       ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -8,6 +8,7 @@
 #include "upstream_exchange.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/algorithm/string/case_conv.hpp>
 
 namespace citronwick {
@@ -139,6 +140,7 @@
             co_return std::nullopt;
         }
         unproved_end_ = position_.events();
+        unproved_at_ = connection.peer();
         stream_end_ = stream_end::unproved;
         co_return exchange_result{attempt_outcome::unproved_end,
                                   "the connection was closed, which does not show the end"};
@@ -165,10 +167,13 @@
     const auto found = context_.early_ends.find(service_->name);
     const bool ends_early =
         found != context_.early_ends.end() && clock::now() - found->second < early_end_memory;
-    if (ends_early || !state_.response_started || caller_.disconnected()) {
+    constexpr std::array without_run{attempt_outcome::unproved_end, attempt_outcome::not_sent,
+                                     attempt_outcome::not_run};
+    const bool was_asked = std::ranges::find(without_run, state_.last_outcome) == without_run.end();
+    if (ends_early || was_asked || !state_.response_started || caller_.disconnected()) {
         co_return;
     }
-    const bool has_ended = co_await crash_probe::has_ended(placement_->upstream.entry.address);
+    const bool has_ended = co_await crash_probe::has_ended(unproved_at_);
     if (has_ended) {
         stream_end_ = stream_end::process_ended;
         co_return;
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -203,6 +203,22 @@
     CHECK(count("end=unproved") > count("end=confirmed"));
 }
 
+// Guards against a router that ends because the worker to ask again has left.
+TEST_CASE("proof: a stream without length or chunks is whole although its worker leaves meanwhile") {
+    routed_fleet system{{.routers = 1, .engines = 1}};
+    REQUIRE(system.wait_ready());
+    node& engine = system.engines()[0];
+    set_fault(engine, R"({"framing":"none","event_gap_ms":150})");
+    auto asked = std::async(std::launch::async,
+                            [&] { return system.ask(system.routers()[0], "/quote/stream/1", "leaving"); });
+    REQUIRE(wait_until([&] { return runs_of(engine, "leaving") == 1; }));
+    system.unregister_worker(engine);
+    const auto answer = asked.get();
+    CHECK(answer.error.empty());
+    CHECK(is_in_order(answer, stand_in_events));
+    CHECK(system.ask(system.routers()[0], "/read/1", "after").status == 200);
+}
+
 // Guards against a worker's end that looks like the end of its stream (ORDER).
 TEST_CASE("proof: a stream whose worker is killed never ends as complete") {
     constexpr int kills = 3;
