Close four gaps in the proof of a stream's end, and one in the comparison of runs

No answer to a connection counted as a sign of life, since only a refusal did not: an upstream whose VM is gone had its stream completed. Now the upstream must accept the connection. Streams that may not be resumed did not heed that their service had closed too early lately. Two upstreams that ended one after the other counted as a confirmed end. Now only a second run at the same upstream confirms, and it must accept a connection then. A sound upstream that rejected the second run, or answered it late, left its whole stream broken. The conditions for streams that may not be resumed hold then, and the question has the timeout of an attempt. A run that omitted the event behind event 1 was joined to it, as no step was known. A stream that began with 1 counts as consecutive from its first event. A number is not followed by another kind of id, and a final event needs none. The unit test that allowed the omission is replaced by the stricter one.

The check within a run binds resumable streams and chats only: the ids of others have no use. A process whose confirmation could not be sent is examined for a crash. The proofs look for streams that went on, and each case of a run that does not go on has a fleet of its own, whose retry budget no other case has used.

--- a/packages/policy/include/citronwick/policy/sequence_fault.hpp
+++ b/packages/policy/include/citronwick/policy/sequence_fault.hpp
@@ -10,7 +10,7 @@
 enum class sequence_fault : std::uint8_t {
     repeated,  ///< its identifier is that of an earlier event, or lower
     omitted,   ///< its identifier leaves out the one that comes next
-    unnumbered ///< it has no identifier, so that it need not be the one that comes next
+    unnumbered ///< it has no identifier that shows that it comes next
 };
 
 std::string_view to_text(sequence_fault value);
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -59,10 +59,14 @@
     CHECK(fault_of(position, "5") == sequence_fault::omitted);
     CHECK(position.find_fault({}) == sequence_fault::unnumbered);
     CHECK(fault_of(position, "") == sequence_fault::unnumbered);
+    CHECK(fault_of(position, "a4") == sequence_fault::unnumbered);
+    CHECK_FALSE(position.find_fault({.is_final = true}));
 }
 
 TEST_CASE("an omission is recognized only where the numbers are consecutive") {
-    CHECK_FALSE(fault_of(position_behind({"1"}), "5"));
+    CHECK(fault_of(position_behind({"1"}), "3") == sequence_fault::omitted);
+    CHECK_FALSE(fault_of(position_behind({"1"}), "2"));
+    CHECK_FALSE(fault_of(position_behind({"4"}), "8"));
     CHECK_FALSE(fault_of(position_behind({"1", "2", "6"}), "9"));
     CHECK_FALSE(fault_of(position_behind({"5", "10"}), "15"));
     CHECK_FALSE(fault_of(stream_position{"5"}, "7"));
--- a/packages/traffic/include/citronwick/traffic/stream_end.hpp
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -11,9 +11,9 @@
     framed,            ///< its length or last chunk shows that it is whole
     final_event,       ///< its last event says that none follows
     confirmed,         ///< it has none of these, and a second run had nothing to add
-    connection_closed, ///< it has none of these, and its upstream lives and closed the connection
+    connection_closed, ///< it has none of these, and its upstream accepts connections after its close
     unproved,          ///< its connection was closed in order, which a process that ends does as well
-    process_ended,     ///< its connection was closed in order, and its upstream's process has ended
+    upstream_gone,     ///< its connection was closed in order, and its upstream accepts no other
     broken,            ///< its connection broke, or a timeout passed
     incomplete_event,  ///< within an event
     overlong_event,
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -16,7 +16,7 @@
 
 /// Time for an upstream that ends to close its listener after its connections.
 constexpr std::chrono::milliseconds probe_delay = 100ms;
-constexpr std::chrono::milliseconds connect_timeout = 300ms;
+constexpr std::chrono::milliseconds connect_timeout = crash_probe::longest_time - probe_delay;
 
 } // namespace
 
@@ -27,7 +27,7 @@
     }
 }
 
-task<bool> crash_probe::has_ended(endpoint address) {
+task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address) {
     const auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer{executor, probe_delay};
     co_await timer.async_wait(use_tuple);
@@ -36,13 +36,13 @@
     open_outbound(stream.socket(), peer);
     stream.expires_after(connect_timeout);
     auto [error] = co_await stream.async_connect(peer, use_tuple);
-    co_return error == asio::error::connection_refused;
+    co_return error;
 }
 
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
-    const bool is_gone = co_await has_ended(std::move(address));
+    const auto error = co_await connect_after_pause(std::move(address));
     in_progress_.erase(upstream);
-    if (is_gone) {
+    if (error == asio::error::connection_refused) {
         plane_.observations().record_unreachable(upstream, clock::now());
         plane_.report_refusing_upstream(upstream);
     }
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -3,6 +3,8 @@
 
 #include "citronwick/io/task.hpp"
 
+#include <boost/system/error_code.hpp>
+#include <chrono>
 #include <set>
 
 namespace citronwick {
@@ -23,9 +25,13 @@
     /// control thread if it refuses connections.
     void start(const asio::any_io_executor& executor, const routed_upstream& upstream);
 
-    /// Whether the process of an upstream that has just closed a connection has ended.
-    /// Waits for a moment, as such a process closes its listener after its connections.
-    static task<bool> has_ended(endpoint address);
+    /// Connects to an upstream that has just closed a connection. Waits before, as a process that
+    /// ends closes its listener after its connections.
+    /// @return why no connection was accepted; refused if the process has ended
+    static task<boost::system::error_code> connect_after_pause(endpoint address);
+
+    /// Longest time that `connect_after_pause` takes.
+    static constexpr std::chrono::milliseconds longest_time{400};
 
 private:
     task<void> run(endpoint address, std::uint64_t upstream);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -147,6 +147,9 @@
     is_confirmation_ = is_asked_again && view_->accepts_requests(service_->name, placement_->upstream.hash);
     if (is_confirmation_) {
         placement_->reason = "may have more events";
+        placement_->fetch_from.reset();
+        placement_->uncached_tokens = 0;
+        placement_->fetched_tokens = 0;
         placement_request_.has_permit = false;
     } else if (is_asked_again && !may_try_elsewhere(state_)) {
         last_attempt_detail_ = "the upstream left, and the end of its stream is not proved";
@@ -252,10 +255,11 @@
     }
 }
 
-/// Time by which the response must have begun.
+/// Time by which the response must have begun. The caller has all events of a stream that is only
+/// to be confirmed.
 time_point route_exchange::attempt_deadline(time_point now) const {
     const bool may_retry = state_.sent + 1 < state_.max_attempts && is_repeatable(route_->kind);
-    if (!may_retry) {
+    if (!may_retry && !is_confirmation_) {
         return deadline_;
     }
     const auto attempt_timeout =
@@ -316,7 +320,9 @@
     if (result.outcome == attempt_outcome::answered) {
         record_served(now);
     }
-    if (result.is_broken && !caller_disconnected) {
+    const bool may_have_crashed =
+        result.is_broken || (is_confirmation_ && result.outcome == attempt_outcome::not_sent);
+    if (may_have_crashed && !caller_disconnected) {
         report_broken_connection(now);
     }
     const bool may_retry = !refusal_before_send_ && (may_try_elsewhere(state_) || may_confirm_end(state_));
@@ -356,11 +362,9 @@
 }
 
 task<void> route_exchange::send_final_response() {
-    if (unproved_end_ == position_.events() && !stream_is_complete_) {
-        co_await accept_unproved_end();
-    }
     const bool may_relay = buffered_response_ && !withholds_status(buffered_response_->result_int());
     if (state_.response_started) {
+        co_await accept_unproved_end();
         if (!stream_is_complete_) {
             caller_.close_after_response();
         }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -30,7 +30,8 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp, the relaying of streams in route_streams.cpp, what concerns
+/// route_delivery.cpp, the relaying of streams in route_streams.cpp, the proof of
+/// their end in route_stream_ends.cpp, what concerns
 /// crashes of upstreams in route_crashes.cpp, the software version of streams in
 /// route_versions.cpp, and the choice of an upstream in route_permits.cpp.
 class route_exchange {
@@ -70,11 +71,11 @@
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
-    void record_confirmation(time_point now);
+    bool service_ends_early(time_point now) const;
+    task<bool> upstream_accepts(endpoint peer);
     task<void> accept_unproved_end();
     task<std::optional<exchange_result>> check_end(const upstream_connection& connection);
-    exchange_result end_run(stream_end end, std::string detail, bool is_broken = false,
-                            bool is_local = false);
+    exchange_result end_run(stream_end end, std::string detail);
     task<bool> begin_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, complete_events arrived);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
@@ -122,6 +123,7 @@
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
     std::optional<std::uint64_t> unproved_end_;        ///< events behind which a run ended without proof
     endpoint unproved_at_;                             ///< upstream of that run
+    std::size_t unproved_run_ = 0;                     ///< number of that run
     std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
     stream_end stream_end_ = stream_end::broken;       ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- /dev/null
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -0,0 +1,81 @@
+// Decides whether the end of a response is the end of its stream.
+
+#include "citronwick/traffic/route_metrics.hpp"
+#include "route_context.hpp"
+#include "route_exchange.hpp"
+#include "upstream_exchange.hpp"
+
+namespace citronwick {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time for which the streams of a service are not trusted to end with their connections after one
+/// was found to go on.
+constexpr duration early_end_memory = 10min;
+
+} // namespace
+
+/// Looks for what shows that the stream is whole. A response without length or chunks ends with
+/// its connection, which the kernel closes in the same way if the upstream's process ends.
+/// @return the result of the run if the end is not proved
+task<std::optional<exchange_result>> route_exchange::check_end(const upstream_connection& connection) {
+    if (connection.is_framed() || position_.is_final()) {
+        stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::final_event;
+        co_return std::nullopt;
+    }
+    const bool had_nothing_to_add = is_confirmation_ && unproved_end_ == position_.events();
+    if (route_->kind == request_kind::resumable_stream && !had_nothing_to_add) {
+        unproved_end_ = position_.events();
+        unproved_at_ = connection.peer();
+        unproved_run_ = runs_;
+        stream_end_ = stream_end::unproved;
+        co_return exchange_result{attempt_outcome::unproved_end,
+                                  "the connection was closed, which does not show the end"};
+    }
+    if (!had_nothing_to_add && service_ends_early(clock::now())) {
+        co_return end_run(stream_end::unproved, "the service has closed connections before the end lately");
+    }
+    endpoint peer = connection.peer();
+    const bool is_alive = co_await upstream_accepts(std::move(peer));
+    if (!is_alive) {
+        co_return end_run(stream_end::upstream_gone, "the upstream accepts no connection after its close");
+    }
+    stream_end_ = had_nothing_to_add ? stream_end::confirmed : stream_end::connection_closed;
+    co_return std::nullopt;
+}
+
+bool route_exchange::service_ends_early(time_point now) const {
+    const auto found = context_.early_ends.find(service_->name);
+    return found != context_.early_ends.end() && now - found->second < early_end_memory;
+}
+
+/// Whether the upstream accepts a connection after it has closed one, so that its process has not ended.
+task<bool> route_exchange::upstream_accepts(endpoint peer) {
+    if (remaining_time(clock::now()) <= crash_probe::longest_time) {
+        co_return false;
+    }
+    const auto error = co_await crash_probe::connect_after_pause(std::move(peer));
+    co_return !error;
+}
+
+/// Completes a stream whose end could not be confirmed by a second run, under the conditions for
+/// streams that may not be resumed.
+task<void> route_exchange::accept_unproved_end() {
+    const bool has_no_other_run = unproved_end_ == position_.events() && unproved_run_ == runs_;
+    if (!has_no_other_run || stream_is_complete_ || caller_.disconnected() ||
+        service_ends_early(clock::now())) {
+        co_return;
+    }
+    endpoint peer = unproved_at_;
+    const bool is_alive = co_await upstream_accepts(std::move(peer));
+    if (!is_alive) {
+        stream_end_ = stream_end::upstream_gone;
+        co_return;
+    }
+    stream_end_ = stream_end::connection_closed;
+    stream_is_complete_ = co_await caller_.end_relay();
+}
+
+} // namespace citronwick
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -20,10 +20,6 @@
 /// Largest event of a stream; bytes without an event boundary may come without end.
 constexpr std::size_t max_event_bytes = 1'048'576;
 
-/// Time for which the streams of a service are not trusted to end with their connections after one
-/// was found to go on.
-constexpr duration early_end_memory = 10min;
-
 std::string_view framing_of(const upstream_connection& connection) {
     if (!connection.is_framed()) {
         return "none";
@@ -50,10 +46,13 @@
     const std::string resumed_after = position_.last_event_id();
     const std::string_view framing = framing_of(connection);
     const bool continues = state_.response_started;
+    const bool follows_unproved_end = unproved_end_ == position_.events();
+    ++runs_;
     position_.begin_run();
     auto result = co_await relay_run(connection);
-    ++runs_;
-    record_confirmation(clock::now());
+    if (follows_unproved_end && position_.run_events() > 0) {
+        context_.early_ends[service_->name] = clock::now();
+    }
     context_.counters.count_stream_run(service_->name, continues, to_text(stream_end_));
     log_info("stream_run_ended", {{"request", caller_.request_id()},
                                   {"upstream", placement_->upstream.entry.id},
@@ -70,8 +69,6 @@
 /// Relays complete events only, so that an interrupted stream can be resumed on
 /// another upstream after its last event.
 task<exchange_result> route_exchange::relay_run(upstream_connection& connection) {
-    constexpr bool is_broken = true;
-    constexpr bool is_local = true;
     if (state_.response_started && media_type_of(connection.header()) != media_type_) {
         connection.close();
         co_return end_run(stream_end::other_content, "it goes on with another content type");
@@ -79,7 +76,7 @@
     while (true) {
         auto chunk = co_await connection.read_some(std::max(remaining_time(clock::now()), 1ms));
         if (chunk.has_error()) {
-            co_return end_run(stream_end::broken, to_text(chunk.error()), is_broken);
+            co_return end_run(stream_end::broken, to_text(chunk.error()));
         }
         if (chunk->empty()) {
             break;
@@ -89,7 +86,9 @@
             co_return end_run(stream_end::deadline, "the deadline has passed");
         }
         complete_events arrived = events_.push(*chunk);
-        const auto fault = remove_faulty_events(arrived, position_);
+        const auto fault = route_->kind == request_kind::resumable_stream
+                               ? remove_faulty_events(arrived, position_)
+                               : std::nullopt;
         const bool is_relayed = co_await relay_events(connection, std::move(arrived));
         if (!is_relayed) {
             co_return end_run(stream_end::caller_left, "the caller left");
@@ -105,11 +104,11 @@
         }
         if (!may_buffer_response(events_.pending_bytes())) {
             connection.close();
-            co_return end_run(stream_end::no_memory, "no memory for an event", false, is_local);
+            co_return end_run(stream_end::no_memory, "no memory for an event");
         }
     }
     if (events_.pending_bytes() > 0) {
-        co_return end_run(stream_end::incomplete_event, "the stream ended within an event", is_broken);
+        co_return end_run(stream_end::incomplete_event, "the stream ended within an event");
     }
     auto unproved = co_await check_end(connection);
     if (unproved) {
@@ -124,68 +123,13 @@
     co_return exchange_result{attempt_outcome::answered, "stream complete"};
 }
 
-/// Looks for what shows that the stream is whole. A response without length or chunks ends with
-/// its connection, which the kernel closes in the same way if the upstream's process ends.
-/// @return the result of the run if the end is not proved
-task<std::optional<exchange_result>> route_exchange::check_end(const upstream_connection& connection) {
-    if (connection.is_framed() || position_.is_final()) {
-        stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::final_event;
-        co_return std::nullopt;
-    }
-    if (route_->kind == request_kind::resumable_stream) {
-        // Another run shows whether an event follows. The same upstream is asked, which is known to
-        // live then and has the prompt in its cache.
-        if (unproved_end_ == position_.events()) {
-            stream_end_ = stream_end::confirmed;
-            co_return std::nullopt;
-        }
-        unproved_end_ = position_.events();
-        unproved_at_ = connection.peer();
-        stream_end_ = stream_end::unproved;
-        co_return exchange_result{attempt_outcome::unproved_end,
-                                  "the connection was closed, which does not show the end"};
-    }
-    const bool has_ended = co_await crash_probe::has_ended(connection.peer());
-    if (has_ended) {
-        co_return end_run(stream_end::process_ended, "the upstream's process ended with the connection",
-                          true);
-    }
-    stream_end_ = stream_end::connection_closed;
-    co_return std::nullopt;
-}
-
-/// Remembers that a connection was closed before the end of its stream, if a second run shows it.
-void route_exchange::record_confirmation(time_point now) {
-    if (is_confirmation_ && position_.run_events() > 0) {
-        context_.early_ends[service_->name] = now;
-    }
-}
-
-/// Completes a stream whose end no second run may confirm, if its upstream lives and no stream of
-/// the service was found to go on behind such an end lately.
-task<void> route_exchange::accept_unproved_end() {
-    const auto found = context_.early_ends.find(service_->name);
-    const bool ends_early =
-        found != context_.early_ends.end() && clock::now() - found->second < early_end_memory;
-    constexpr std::array without_run{attempt_outcome::unproved_end, attempt_outcome::not_sent,
-                                     attempt_outcome::not_run};
-    const bool was_asked = std::ranges::find(without_run, state_.last_outcome) == without_run.end();
-    if (ends_early || was_asked || !state_.response_started || caller_.disconnected()) {
-        co_return;
-    }
-    const bool has_ended = co_await crash_probe::has_ended(unproved_at_);
-    if (has_ended) {
-        stream_end_ = stream_end::process_ended;
-        co_return;
-    }
-    stream_end_ = stream_end::connection_closed;
-    stream_is_complete_ = co_await caller_.end_relay();
-}
-
 /// The result of a run whose stream is not complete.
-exchange_result route_exchange::end_run(stream_end end, std::string detail, bool is_broken, bool is_local) {
+exchange_result route_exchange::end_run(stream_end end, std::string detail) {
+    constexpr std::array broken_ends{stream_end::broken, stream_end::incomplete_event,
+                                     stream_end::upstream_gone};
     stream_end_ = end;
-    return {attempt_outcome::may_have_run, std::move(detail), is_broken, is_local};
+    const bool is_broken = std::ranges::find(broken_ends, end) != broken_ends.end();
+    return {attempt_outcome::may_have_run, std::move(detail), is_broken, end == stream_end::no_memory};
 }
 
 task<bool> route_exchange::begin_stream(upstream_connection& connection) {
--- a/packages/traffic/src/stream_end.cpp
+++ b/packages/traffic/src/stream_end.cpp
@@ -7,7 +7,7 @@
 std::string_view to_text(stream_end value) {
     constexpr std::array<std::string_view, 14> names{
         "framed",        "final-event", "confirmed",        "connection-closed", "unproved",
-        "process-ended", "broken",      "incomplete-event", "overlong-event",    "no-memory",
+        "upstream-gone", "broken",      "incomplete-event", "overlong-event",    "no-memory",
         "deadline",      "caller-left", "out-of-sequence",  "other-content"};
     return names.at(static_cast<std::size_t>(value));
 }
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -12,7 +12,10 @@
 #include <array>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <doctest/doctest.h>
 #include <future>
 #include <memory>
@@ -140,25 +143,27 @@
     const held_callers large{router.address(), 140, unfinished_body(60'000)};
     const held_callers small{router.address(), 500, unfinished_body(3'000)}; // in what the large ones left
     may_send = true;
+    int whole = 0;
     for (std::future<reply>& each : answers) {
         const reply answer = each.get();
         CHECK_MESSAGE(is_in_order(answer, last_event), joined(event_ids(answer.body)));
+        whole += answer.status == 200 && answer.error.empty() ? 1 : 0;
     }
     CHECK_FALSE(find_log_lines(router, "end=no-memory").empty());
+    CHECK(whole > 0);
 }
 
 // Guards against a resumed run that begins anew or omits events and is joined to the events before (ORDER).
 TEST_CASE("proof: a run that does not go on behind the caller's last event is not relayed") {
-    routed_fleet system{{.routers = 1}};
-    REQUIRE(system.wait_ready());
-    const auto fault = [](const std::string& continued) { return R"({"cut_after":2,)" + continued + "}"; };
-    for (const std::string continued : {R"("begin_anew":1)", R"("omit":1)"}) {
-        CAPTURE(continued);
-        set_faults(system.engines(), fault(continued));
-        const int whole = ask_for_streams(system, "/quote/stream/" + continued.substr(1, 4), stand_in_events);
-        CHECK(whole == 0);
+    for (const char* const fault : {R"({"cut_after":2,"begin_anew":1})", R"({"cut_after":2,"omit":1})",
+                                    R"({"cut_after":1,"omit":1})"}) {
+        CAPTURE(fault);
+        routed_fleet system{{.routers = 1}};
+        REQUIRE(system.wait_ready());
+        set_faults(system.engines(), fault);
+        CHECK(ask_for_streams(system, "/quote/stream/", stand_in_events) == 0);
+        CHECK_FALSE(find_log_lines(system.routers()[0], "end=out-of-sequence").empty());
     }
-    CHECK_FALSE(find_log_lines(system.routers()[0], "end=out-of-sequence").empty());
 }
 
 // Guards against a take-up that its caller joins to events that it has (ORDER).
@@ -183,11 +188,84 @@
     set_fault(system.engines()[0], R"({"framing":"none","close_after":3})");
     set_fault(system.engines()[1], R"({"framing":"none"})");
     CHECK(ask_for_streams(system, "/quote/stream/closed", stand_in_events) > 0);
-    CHECK(std::ranges::any_of(find_log_lines(system.routers()[0], "stream_run_ended"), [](const auto& line) {
-        return line.find("end=unproved") != std::string::npos;
+    const auto ended = find_log_lines(system.routers()[0], "result=answered first_event=1 last_event=6");
+    CHECK(std::ranges::any_of(ended, [](const std::string& line) {
+        return line.find("runs=3 end=confirmed") != std::string::npos;
     }));
 }
 
+// Guards against early ends of a service that is known for them, where no second run shows them (ORDER).
+TEST_CASE(
+    "proof: a stream that may not be resumed is not complete by a close if its service closed too early") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"framing":"none","close_after":3})");
+    ask_for_streams(system, "/quote/stream/closed", stand_in_events);
+    CHECK(ask_for_streams(system, "/guide/stream/closed", stand_in_events) == 0);
+}
+
+// Guards against two workers that end one after the other and look like a confirmed end (ORDER).
+TEST_CASE("proof: a second run whose worker ends before its first event does not confirm the end") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    node& first = system.engines()[0];
+    node& second = system.engines()[1];
+    system.unregister_worker(second);
+    REQUIRE(wait_until(
+        [&] { return system.view(system.routers()[0]).at("services").at("bench").as_array().size() == 1; }));
+    set_fault(first, R"({"framing":"none","event_gap_ms":150})");
+    set_fault(second, R"({"framing":"none","crash_on_part":"5c1e07a2"})");
+    auto asked = std::async(std::launch::async, [&] {
+        return system.ask(
+            system.routers()[0], "/quote/stream/1", "both-end",
+            {{"Citronwick-Prompt-Prefix", "5c1e07a2:800"}, {"Citronwick-Token-Counts", "800,80"}});
+    });
+    REQUIRE(wait_until([&] { return runs_of(first, "both-end") == 1; }));
+    system.register_worker(second, "bench", "ready", 2);
+    REQUIRE(wait_until(
+        [&] { return system.view(system.routers()[0]).at("services").at("bench").as_array().size() == 2; }));
+    std::this_thread::sleep_for(200ms);
+    first.process->kill();
+    const auto answer = asked.get();
+    CHECK_FALSE(answer.error.empty());
+    CHECK_MESSAGE(is_in_order(answer, stand_in_events), joined(event_ids(answer.body)));
+}
+
+// Guards against whole streams that end broken because their end cannot be confirmed.
+TEST_CASE(
+    "proof: a stream is whole although its worker does not answer the question whether an event follows") {
+    routed_fleet system{{.routers = 1, .engines = 0}};
+    std::atomic<bool> rejects = true;
+    const auto serve = [&](asio::ip::tcp::socket& connection) {
+        const std::string header = read_request(connection);
+        const std::string start = response_header(header);
+        if (field_of(header, "Last-Event-Id").empty()) {
+            const std::string stream =
+                start + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+            asio::write(connection, asio::buffer(stream));
+        } else if (rejects) {
+            const std::string refusal = "HTTP/1.1 503 Full\r\nCitronwick-Not-Run: 1\r\n" +
+                                        start.substr(start.find("Citronwick-Attempt-Id")) +
+                                        "Content-Length: 0\r\n\r\n";
+            asio::write(connection, asio::buffer(refusal));
+        } else {
+            std::this_thread::sleep_for(3s);
+        }
+    };
+    const scripted_worker worker{"busy", serve};
+    system.register_worker(worker.entry(), "bench");
+    REQUIRE(wait_streams_served(system));
+    for (const char* const attempt : {"rejected", "late"}) {
+        CAPTURE(attempt);
+        const auto asked_at = std::chrono::steady_clock::now();
+        const auto answer = system.ask(system.routers()[0], "/quote/stream/1", attempt);
+        CHECK(answer.error.empty());
+        CHECK(is_in_order(answer, 2));
+        CHECK(std::chrono::steady_clock::now() - asked_at < 1'500ms);
+        rejects = false;
+    }
+}
+
 TEST_CASE("proof: streams without length or chunks are whole, also once the retry budget is used up") {
     routed_fleet system{{.routers = 1}};
     REQUIRE(system.wait_ready());
@@ -203,6 +281,37 @@
     CHECK(count("end=unproved") > count("end=confirmed"));
 }
 
+// Guards against a VM that is gone and answers nothing, which is no sign of life (ORDER).
+TEST_CASE("proof: a stream is not complete by a close if its worker accepts no connection afterwards") {
+    routed_fleet system{{.routers = 1, .engines = 0}};
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor{context, {asio::ip::address_v4::loopback(), 0}, false};
+    acceptor.listen(0);
+    std::vector<asio::ip::tcp::socket> waiting;
+    const std::jthread serving{[&] {
+        asio::ip::tcp::socket connection = acceptor.accept();
+        const std::string header = read_request(connection);
+        // These fill the queue of the listener, so that further connections get no answer.
+        for (int count = 0; count < 4; ++count) {
+            waiting.emplace_back(context, asio::ip::tcp::v4());
+            waiting.back().async_connect(acceptor.local_endpoint(), [](const auto&) {});
+        }
+        std::this_thread::sleep_for(50ms);
+        const std::string response = response_header(header) + "Connection: close\r\n\r\nid: 1\ndata: a\n\n";
+        asio::write(connection, asio::buffer(response));
+        connection.shutdown(asio::socket_base::shutdown_both);
+    }};
+    const node worker{.name = "gone", .addresses = {endpoint{"127.0.0.1", acceptor.local_endpoint().port()}}};
+    system.register_worker(worker, "bench");
+    const node& router = system.routers()[0];
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_until([&] { return system.view(router).at("services").as_object().contains("bench"); }));
+    const auto answer = system.ask(router, "/guide/stream/1", "gone");
+    CHECK(answer.status == 200);
+    CHECK_FALSE(answer.error.empty());
+    CHECK(event_ids(answer.body) == std::vector{1});
+}
+
 // Guards against a router that ends because the worker to ask again has left.
 TEST_CASE("proof: a stream without length or chunks is whole although its worker leaves meanwhile") {
     routed_fleet system{{.routers = 1, .engines = 1}};
