Keep the last number of a stream behind an event with an empty identifier

Callers would see '1 2 "" 1 2' as one stream: numbers that go back are joined to the run before them.

Cause: the number that the next one must exceed was taken from the last identifier, which an empty one replaces.

No stream of the users' platform is known to have such events.

Change: stream_position keeps the last number apart from the last identifier, and an empty one leaves it alone. The comparison of steps, which finds omissions, is as before.

--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -67,6 +67,7 @@
     std::uint64_t run_events_ = 0;
     bool has_events_ = false;
     bool last_event_has_id_ = false;
+    std::optional<std::uint64_t> last_number_; ///< of the last event whose identifier is not empty
     bool is_final_ = false;
     bool has_step_of_one_ = false; ///< between the numbers of two events
     bool has_other_step_ = false;
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -27,7 +27,7 @@
 
 stream_position::stream_position(std::string last_event_id)
     : last_event_id_{std::move(last_event_id)}, has_events_{!last_event_id_.empty()},
-      last_event_has_id_{has_events_} {}
+      last_event_has_id_{has_events_}, last_number_{number_of(last_event_id_)} {}
 
 void stream_position::begin_run() {
     run_events_ = 0;
@@ -37,9 +37,8 @@
 std::optional<sequence_fault> stream_position::find_fault(const stream_event& next) const {
     const bool has_id = next.id && !next.id->empty();
     if (has_id) {
-        const auto last = number_of(last_event_id_);
         const auto number = number_of(*next.id);
-        if (last && number && *number <= *last) {
+        if (last_number_ && number && *number <= *last_number_) {
             return sequence_fault::repeated;
         }
     }
@@ -85,6 +84,7 @@
             has_other_step_ = has_other_step_ || *number - *last != 1;
         }
         last_event_id_ = *next.id;
+        last_number_ = next.id->empty() ? last_number_ : number;
     }
     ++events_;
     ++run_events_;
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -95,3 +95,19 @@
     CHECK(fault_of(position, "2") == sequence_fault::repeated);
     CHECK_FALSE(fault_of(position, "3"));
 }
+
+// Guards against numbers that go back behind an empty identifier (ORDER).
+TEST_CASE("an empty identifier does not let the numbers begin anew") {
+    stream_position position;
+    position.advance({.id = "1"});
+    position.advance({.id = "2"});
+    position.advance({.id = ""});
+    CHECK_FALSE(position.is_resumable());
+    CHECK(fault_of(position, "1") == sequence_fault::repeated);
+    CHECK(fault_of(position, "2") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "3"));
+    position.advance({.id = "3"});
+    position.begin_run();
+    CHECK(fault_of(position, "3") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "4"));
+}
--- a/packages/traffic/tests/stream_relay.tests.cpp
+++ b/packages/traffic/tests/stream_relay.tests.cpp
@@ -85,6 +85,8 @@
         event next;
         if (unnumbered == 0 || !one_in(unnumbered)) {
             next.id = make_id(made.is_numeric, first + (step * static_cast<std::int64_t>(index)));
+        } else if (one_in(2)) {
+            next.id = "";
         }
         next.data = {"piece " + std::to_string(index)};
         next.data.resize(1 + number_below(max_lines));
