Mend a lint error in the parser of event numbers

clang-tidy took std::from_chars(id.data(), end, ...) for a use of text that need not end with a null character (bugprone-suspicious-stringview-data-usage). No change of behaviour.

--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -13,8 +13,9 @@
 
 std::optional<std::uint64_t> number_of(std::string_view id) {
     std::uint64_t number = 0;
-    const char* const end = id.data() + id.size();
-    const auto [parsed, error] = std::from_chars(id.data(), end, number);
+    const char* const begin = id.data();
+    const char* const end = begin + id.size();
+    const auto [parsed, error] = std::from_chars(begin, end, number);
     return error == std::errc{} && parsed == end ? std::optional{number} : std::nullopt;
 }
 
