--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -127,7 +127,8 @@
                .stall = integer_member(fault_settings, "stall") != 0,
                .refuse = integer_member(fault_settings, "refuse") != 0,
                .wrong_id = integer_member(fault_settings, "wrong_id") != 0,
-               .compact_events = integer_member(fault_settings, "compact_events") != 0};
+               .compact_events = integer_member(fault_settings, "compact_events") != 0,
+               .begin_anew = integer_member(fault_settings, "begin_anew") != 0};
     draining_ = integer_member(fault_settings, "draining") != 0;
     if (integer_member(fault_settings, "clear_cache") != 0) {
         cache_.clear();
@@ -165,19 +166,28 @@
                                          std::move(report));
     }
     const std::string last{request["Last-Event-ID"]};
-    if (!last.empty()) {
-        const auto found = resumable_.find(job.id);
-        if (found == resumable_.end()) {
-            co_return co_await send_response(stream, http::status::gone, "{}");
-        }
-        job = found->second;
-        std::from_chars(last.data(), last.data() + last.size(), job.next);
-        ++job.next;
-        ++resumed_;
+    if (!last.empty() && !find_position(last, job)) {
+        co_return co_await send_response(stream, http::status::gone, "{}");
     }
     co_return co_await run(stream, job);
 }
 
+/// Finds the stream to resume and the event to go on with.
+/// @return false if this process has not begun the stream
+bool engine::find_position(std::string_view last_event_id, completion& job) {
+    const auto found = resumable_.find(job.id);
+    if (found == resumable_.end()) {
+        return false;
+    }
+    job = found->second;
+    if (!faults_.begin_anew) {
+        std::from_chars(last_event_id.data(), last_event_id.data() + last_event_id.size(), job.next);
+        ++job.next;
+    }
+    ++resumed_;
+    return true;
+}
+
 task<bool> engine::run(tcp_stream& stream, completion& job) {
     if (job.next == 1) {
         ++runs_;
--- a/tests/standin/engine.hpp
+++ b/tests/standin/engine.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace citronwick::standin {
 
@@ -39,6 +40,7 @@
         bool refuse = false;               ///< completion requests get status 503
         bool wrong_id = false;             ///< responses carry another request's identifier
         bool compact_events = false;       ///< events without the optional spaces
+        bool begin_anew = false;           ///< resumed streams begin with their first event
     };
 
     /// A completion in progress.
@@ -54,6 +56,7 @@
 
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> handle_completion(boost::beast::tcp_stream& stream, http_request request);
+    bool find_position(std::string_view last_event_id, completion& job);
     task<bool> run(boost::beast::tcp_stream& stream, completion& job);
     task<bool> wait_for_slot(boost::beast::tcp_stream& stream);
     task<bool> prefill(boost::beast::tcp_stream& stream, completion& job);
