Take an omission behind a single event for possible again

The property of relayed streams showed sound streams that end broken: '1' is delivered, the run is cut, and the run that goes on begins with 6, as the numbers of this worker rise by five. The platform promises increasing ids, not consecutive ones, and one event shows no step.

--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -58,7 +58,7 @@
 
 private:
     std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
-    bool is_consecutive() const;
+    bool is_consecutive() const { return has_step_of_one_ && !has_other_step_; }
 
     std::string first_event_id_;
     std::string run_first_event_id_;
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -47,13 +47,6 @@
     return is_between_runs ? find_fault_between_runs(next) : std::nullopt;
 }
 
-/// Whether all numbers so far are consecutive. A stream that began with 1 counts as such from its first
-/// event.
-bool stream_position::is_consecutive() const {
-    const bool is_first_of_stream = events_ == 1 && last_event_id_ == "1";
-    return !has_other_step_ && (has_step_of_one_ || is_first_of_stream);
-}
-
 std::optional<sequence_fault> stream_position::find_fault_between_runs(const stream_event& next) const {
     if (!next.id || next.id->empty()) {
         return next.is_final ? std::nullopt : std::optional{sequence_fault::unnumbered};
