Resume a chat only at the process that began it

Callers got a complete chat whose tokens are of two processes: the first one up to the cut, the rest from the process that had replaced its engine at the same address.

Cause: the router asks the same address to go on and took any process there for the engine that began the chat. One that goes on behind a position it did not send has consecutive numbers, so that the sequence check finds nothing. Class: an address is taken for the identity of a process.

Change: the start time in the load report of the resumed response must be that of the first one; otherwise the chat ends with an error event. This works because the start time is taken from the response itself, not from a probe that may be older than the replacement. Engines without load reports are resumed as before (LIMITATIONS).

--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -300,6 +300,12 @@
         }
     }
 
+    /// Start time of the process that responds, 0 if it reports none.
+    static std::uint64_t incarnation_of(const upstream_connection& connection) {
+        const auto report = parse_load_report(connection.header()[load_report_header]);
+        return report ? report->incarnation : 0;
+    }
+
     static bool is_event_stream(const upstream_connection& connection) {
         return connection.header()[http::field::content_type].starts_with("text/event-stream");
     }
@@ -346,6 +352,7 @@
 
     /// Relays complete events as they arrive, and resumes an interrupted stream.
     task<attempt_result> relay_stream(upstream_connection& first, const upstream_view& upstream) {
+        const auto incarnation = incarnation_of(first);
         event_splitter events;
         stream_position position;
         upstream_connection* source = &first;
@@ -384,7 +391,7 @@
             resumed.reset();
             if (position.is_resumable() && resumes_left-- > 0) {
                 const std::string& last_id = position.last_event_id();
-                resumed = co_await resume(upstream, last_id);
+                resumed = co_await resume(upstream, last_id, incarnation);
                 position.begin_run();
             }
             if (!resumed) {
@@ -420,9 +427,11 @@
     }
 
     /// Asks the same upstream to continue after the last relayed event.
+    /// @param incarnation of the process that began the stream. Another one at the same address has
+    ///        chosen other tokens, even if it goes on behind that event.
     /// @return null if the stream cannot be resumed
     task<std::unique_ptr<upstream_connection>> resume(const upstream_view& upstream,
-                                                      std::string last_event_id) {
+                                                      std::string last_event_id, std::uint64_t incarnation) {
         if (last_event_id.empty()) {
             co_return nullptr;
         }
@@ -431,7 +440,8 @@
         resume_request.set("Last-Event-ID", last_event_id);
         auto opened = co_await start_response(*connection, std::move(resume_request));
         const bool resumed = opened.has_value() && connection->status() == 200 &&
-                             is_event_stream(*connection) && request_id_matches(*connection);
+                             is_event_stream(*connection) && request_id_matches(*connection) &&
+                             incarnation_of(*connection) == incarnation;
         log_info("stream_resume", {{"request", caller_.request_id()},
                                    {"upstream", upstream.name},
                                    {"after_event", last_event_id},
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -128,7 +128,8 @@
                .refuse = integer_member(fault_settings, "refuse") != 0,
                .wrong_id = integer_member(fault_settings, "wrong_id") != 0,
                .compact_events = integer_member(fault_settings, "compact_events") != 0,
-               .begin_anew = integer_member(fault_settings, "begin_anew") != 0};
+               .begin_anew = integer_member(fault_settings, "begin_anew") != 0,
+               .resume_unknown = integer_member(fault_settings, "resume_unknown") != 0};
     draining_ = integer_member(fault_settings, "draining") != 0;
     if (integer_member(fault_settings, "clear_cache") != 0) {
         cache_.clear();
@@ -144,6 +145,7 @@
                           {"cancelled", cancelled_},
                           {"completed", completed_},
                           {"resumed", resumed_},
+                          {"events", events_},
                           {"probes", probes_},
                           {"prompt_tokens", prompt_tokens_},
                           {"cached_tokens", cached_tokens_}};
@@ -176,10 +178,13 @@
 /// @return false if this process has not begun the stream
 bool engine::find_position(std::string_view last_event_id, completion& job) {
     const auto found = resumable_.find(job.id);
-    if (found == resumable_.end()) {
+    if (found != resumable_.end()) {
+        job = found->second;
+    } else if (faults_.resume_unknown) {
+        job.prompt += "(another process)";
+    } else {
         return false;
     }
-    job = found->second;
     if (!faults_.begin_anew) {
         std::from_chars(last_event_id.data(), last_event_id.data() + last_event_id.size(), job.next);
         ++job.next;
@@ -282,6 +287,7 @@
         if (!co_await decode_step(stream) || !co_await write_chunk(stream, std::move(text))) {
             co_return false;
         }
+        ++events_;
     }
     const json::object last{{"id", job.id},
                             {"choices", json::array{}},
--- a/tests/standin/engine.hpp
+++ b/tests/standin/engine.hpp
@@ -41,6 +41,7 @@
         bool wrong_id = false;             ///< responses carry another request's identifier
         bool compact_events = false;       ///< events without the optional spaces
         bool begin_anew = false;           ///< resumed streams begin with their first event
+        bool resume_unknown = false;       ///< streams of other processes go on, with other tokens
     };
 
     /// A completion in progress.
@@ -82,6 +83,7 @@
     std::int64_t cancelled_ = 0;
     std::int64_t completed_ = 0;
     std::int64_t resumed_ = 0;
+    std::int64_t events_ = 0; ///< sent, without the last one of each stream
     std::int64_t probes_ = 0;
     std::size_t prompt_tokens_ = 0;
     std::size_t cached_tokens_ = 0;
