Take a routed response without length or chunks for complete only if its process lives on

A caller got status 200 and half of a body, as complete, when the worker was killed within a response that has neither a length nor chunks. A booking was answered so as well.

Cause: the body ends with its connection, and the kernel closes the connections of a killed process in order.

Change: the upstream must accept another connection behind such a response, and not reset it within 10 ms. Otherwise the request may have run: one that may be repeated goes elsewhere, another ends in 502. A reset alone is no end, as upstreams reset connections beyond their limit; the next connection decides.

The stand-in's write_part is const, as the linter asks.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -70,6 +70,13 @@
                                           time_point deadline = time_point::max(),
                                           size_check may_buffer = {});
 
+    /// Reads the rest of a body that is passed on as complete. Without a length or chunks, it is
+    /// complete only if the upstream's process outlives the connection, as the kernel closes the
+    /// connections of a process that ends in the same way.
+    task<io_result<std::string>> read_complete(std::chrono::milliseconds idle_timeout,
+                                               time_point deadline = time_point::max(),
+                                               size_check may_buffer = {});
+
     /// Whether the response was read to its end and the connection stays open.
     bool reusable() const;
 
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -5,6 +5,9 @@
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/spawn.hpp"
 
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -17,6 +20,8 @@
 /// Time for an upstream that ends to close its listener after its connections.
 constexpr std::chrono::milliseconds probe_delay = 100ms;
 constexpr std::chrono::milliseconds connect_timeout = crash_probe::longest_time - probe_delay;
+/// Time for the reset of a connection that such an upstream had not accepted.
+constexpr std::chrono::milliseconds reset_delay = 10ms;
 
 } // namespace
 
@@ -39,6 +44,32 @@
     co_return error;
 }
 
+task<bool> crash_probe::lives_on(endpoint address, std::chrono::milliseconds timeout) {
+    const auto executor = co_await asio::this_coro::executor;
+    const auto peer = to_tcp(address);
+    boost::beast::tcp_stream first{executor};
+    open_outbound(first.socket(), peer);
+    first.expires_after(std::min(timeout, connect_timeout));
+    auto [error] = co_await first.async_connect(peer, use_tuple);
+    if (error) {
+        co_return false;
+    }
+    // The kernel resets connections that a process has not accepted when it closes the listener.
+    std::array<char, 1> byte{};
+    const auto space = asio::buffer(byte);
+    first.expires_after(std::min(timeout, reset_delay));
+    auto [read_error, size] = co_await first.async_read_some(space, use_tuple);
+    if (read_error == boost::beast::error::timeout) {
+        co_return true;
+    }
+    // An upstream that has too many connections resets some as well, but accepts the next one.
+    boost::beast::tcp_stream second{executor};
+    open_outbound(second.socket(), peer);
+    second.expires_after(std::min(timeout, connect_timeout));
+    auto [second_error] = co_await second.async_connect(peer, use_tuple);
+    co_return !second_error;
+}
+
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
     const auto error = co_await connect_after_pause(std::move(address));
     in_progress_.erase(upstream);
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -33,6 +33,12 @@
     /// Longest time that `connect_after_pause` takes.
     static constexpr std::chrono::milliseconds longest_time{400};
 
+    /// Whether the process of an upstream that has just closed a connection outlives it: it accepts
+    /// another connection and does not reset it within a moment. A process that ends after this
+    /// moment, or one that takes over the address, is not told from one that lives on.
+    /// @param timeout for each connection
+    static task<bool> lives_on(endpoint address, std::chrono::milliseconds timeout);
+
 private:
     task<void> run(endpoint address, std::uint64_t upstream);
 
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -121,8 +121,8 @@
     upstream_connection::size_check may_buffer = [this](std::size_t bytes) {
         return may_buffer_response(bytes);
     };
-    auto body = co_await connection.read_all(std::max(remaining_time(clock::now()), 1ms), deadline_,
-                                             std::move(may_buffer));
+    auto body = co_await connection.read_complete(std::max(remaining_time(clock::now()), 1ms), deadline_,
+                                                  std::move(may_buffer));
     if (body.has_error()) {
         const bool is_local = body.error().step == upstream_connection::buffer_step;
         co_return exchange_result{attempt_outcome::may_have_run, to_text(body.error()), !is_local, is_local};
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -1,11 +1,16 @@
 #include "citronwick/traffic/upstream_connection.hpp"
 
+#include "crash_probe.hpp"
+
+#include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 
 namespace citronwick {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 constexpr std::size_t chunk_bytes = 16'384;
@@ -187,6 +192,24 @@
     }
 }
 
+task<io_result<std::string>> upstream_connection::read_complete(std::chrono::milliseconds idle_timeout,
+                                                                time_point deadline, size_check may_buffer) {
+    auto body = co_await read_all(idle_timeout, deadline, std::move(may_buffer));
+    if (body.has_error() || is_framed()) {
+        co_return body;
+    }
+    const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
+    const auto timeout = std::min(std::max(time_left, 1ms), idle_timeout);
+    endpoint peer = peer_;
+    const bool lives_on = co_await crash_probe::lives_on(std::move(peer), timeout);
+    if (!lives_on) {
+        close();
+        co_return failure{"read response body", to_text(peer_),
+                          "the connection was closed, and it accepts no other one", true};
+    }
+    co_return body;
+}
+
 bool upstream_connection::reusable() const {
     return open_ && is_sent() && parser_ && parser_->is_done() && parser_->keep_alive() &&
            buffer_.size() == 0;
--- /dev/null
+++ b/tests/integration/unframed_responses.tests.cpp
@@ -0,0 +1,119 @@
+// Responses that have neither a length nor chunks end with their connection. The kernel closes the
+// connections of a process that ends in the same way, so that the end of the connection proves nothing.
+
+#include "citronwick/io/task.hpp"
+#include "held_callers.hpp"
+#include "routed_fleet.hpp"
+#include "scripted_worker.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <doctest/doctest.h>
+#include <future>
+#include <string>
+#include <thread>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto half_is_sent = 100ms;
+
+/// The worker that runs a request, once there is one.
+node& worker_running(routed_fleet& system, const std::string& attempt) {
+    auto& workers = system.plain_workers();
+    const auto runs = [&attempt](const node& worker) { return runs_of(worker, attempt) > 0; };
+    REQUIRE(wait_until([&] { return std::ranges::any_of(workers, runs); }));
+    return *std::ranges::find_if(workers, runs);
+}
+
+/// Asks, and kills the worker that runs the request once half of the body is sent.
+reply ask_and_kill(routed_fleet& system, const std::string& path, const std::string& attempt) {
+    auto asked =
+        std::async(std::launch::async, [&] { return system.ask(system.routers()[0], path, attempt); });
+    node& worker = worker_running(system, attempt);
+    std::this_thread::sleep_for(half_is_sent);
+    worker.process->kill();
+    return asked.get();
+}
+
+} // namespace
+
+// Guards against the end of a process that looks like the end of its response (MIXED).
+TEST_CASE("proof: a response without length or chunks whose worker is killed is not delivered") {
+    routed_fleet system{{.routers = 1, .plain_workers = 3, .engines = 0}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.plain_workers(), R"({"mode":"unframed_pause","event_gap_ms":400})");
+    SUBCASE("a request that may be repeated runs elsewhere") {
+        const auto answer = ask_and_kill(system, "/read/1", "read");
+        CHECK(answer.status == 200);
+        CHECK(answer.body.starts_with("done by desk-"));
+        CHECK(answer.error.empty());
+    }
+    SUBCASE("the outcome of another is unknown") {
+        const auto answer = ask_and_kill(system, "/book/1", "book");
+        CHECK(answer.status == 502);
+        CHECK(answer.header("Citronwick-Outcome") == "unknown");
+        CHECK_FALSE(answer.body.starts_with("done"));
+    }
+    SUBCASE("also if the process has connections to close between that of the request and its listener") {
+        constexpr std::size_t connections = 200;
+        std::deque<held_callers> held;
+        for (const node& worker : system.plain_workers()) {
+            held.emplace_back(worker.addresses.front(), connections, "GET ");
+        }
+        const auto answer = ask_and_kill(system, "/book/1", "book");
+        CHECK(answer.status == 502);
+        CHECK_FALSE(answer.body.starts_with("done"));
+    }
+}
+
+TEST_CASE("contract: a response without length or chunks of a process that lives on is delivered") {
+    constexpr int requests = 20;
+    routed_fleet system{{.routers = 1, .plain_workers = 2, .engines = 0}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.plain_workers(), R"({"mode":"unframed"})");
+    for (int count = 0; count < requests; ++count) {
+        for (const std::string path : {"/read/", "/book/"}) {
+            const std::string attempt = path + std::to_string(count);
+            const auto answer = system.ask(system.routers()[0], path + "1", attempt);
+            CHECK(answer.status == 200);
+            CHECK(answer.body.starts_with("done by desk-"));
+            CHECK(runs_of(system.plain_workers(), attempt) == 1);
+        }
+    }
+}
+
+// Guards against an upstream at the limit of its connections that is taken for one that has ended.
+TEST_CASE("contract: a response without length or chunks is delivered if the next connection is reset") {
+    std::atomic<bool> resets_next = false;
+    std::atomic<int> resets = 0;
+    const auto serve = [&](asio::ip::tcp::socket& connection) {
+        if (resets_next.exchange(false)) {
+            ++resets;
+            connection.set_option(asio::socket_base::linger{true, 0});
+            return;
+        }
+        const std::string header = read_request(connection);
+        resets_next = true;
+        asio::write(connection, asio::buffer(response_header(header) + "\r\ndone"));
+    };
+    const scripted_worker worker{"desk-full", serve};
+    routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+    system.register_worker(worker.entry(), "desk");
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_until([&] { return system.ask(system.routers()[0], "/read/1", "ready").status == 200; }));
+    resets = 0;
+    for (const std::string path : {"/read/1", "/book/1"}) {
+        const auto answer = system.ask(system.routers()[0], path, path);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "done");
+    }
+    CHECK(resets == 2);
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -182,7 +182,7 @@
         co_return co_await send_endless(stream, request, fault);
     }
     if (fault.starts_with("unframed")) {
-        co_return co_await send_unframed(stream, request, fault == "unframed_cut");
+        co_return co_await send_unframed(stream, request, fault);
     }
     if (request.target().find("/stream/") != std::string_view::npos) {
         co_return co_await run_stream(stream, request);
@@ -219,19 +219,25 @@
 }
 
 /// Sends a response that has neither a length nor chunks and ends with its connection.
-task<bool> routed_worker::send_unframed(tcp_stream& stream, const http_request& request, bool is_cut) {
+task<bool> routed_worker::send_unframed(tcp_stream& stream, const http_request& request,
+                                        const std::string& fault) {
     std::string body = "done by " + id_;
     if (request.target().find("/stream/") != std::string_view::npos) {
         body = "";
         for (std::int64_t id = 1; id <= event_count_; ++id) {
             body += format_event(id);
         }
-        body.resize(is_cut ? body.size() - 1 : body.size());
+        body.resize(fault == "unframed_cut" ? body.size() - 1 : body.size());
     }
-    const std::string response = "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: stamp." + id_ +
-                                 "\r\nCitronwick-Attempt-Id: " + std::string{request[attempt_header]} +
-                                 "\r\n\r\n" + body;
-    co_await asio::async_write(stream, asio::buffer(response), use_tuple);
+    const std::string first_half = "HTTP/1.1 200 OK\r\nCitronwick-Server-Stamp: stamp." + id_ +
+                                   "\r\nCitronwick-Attempt-Id: " + std::string{request[attempt_header]} +
+                                   "\r\n\r\n" + body.substr(0, body.size() / 2);
+    co_await asio::async_write(stream, asio::buffer(first_half), use_tuple);
+    if (fault == "unframed_pause") {
+        co_await sleep_for(event_gap_);
+    }
+    const std::string second_half = body.substr(body.size() / 2);
+    co_await asio::async_write(stream, asio::buffer(second_half), use_tuple);
     co_return false;
 }
 
@@ -246,7 +252,7 @@
     co_return !error;
 }
 
-task<bool> routed_worker::write_part(tcp_stream& stream, std::string text) {
+task<bool> routed_worker::write_part(tcp_stream& stream, std::string text) const {
     if (is_unframed_) {
         auto [error, size] = co_await asio::async_write(stream, asio::buffer(text), use_tuple);
         co_return !error;
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -27,11 +27,12 @@
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
     task<bool> begin_stream(boost::beast::tcp_stream& stream, const http_request& request);
-    task<bool> write_part(boost::beast::tcp_stream& stream, std::string text);
+    task<bool> write_part(boost::beast::tcp_stream& stream, std::string text) const;
     std::int64_t first_event_of(const http_request& request) const;
     task<bool> send_endless(boost::beast::tcp_stream& stream, const http_request& request,
                             const std::string& fault);
-    task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request, bool is_cut);
+    task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request,
+                             const std::string& fault);
     task<bool> send(boost::beast::tcp_stream& stream, const http_request& request, unsigned status,
                     std::string body);
     std::string format_event(std::int64_t id) const;
@@ -43,7 +44,7 @@
     std::int64_t remaining_faults_ = 0; ///< number of requests that it still affects
     unsigned failure_status_ = 0;       ///< of responses while the fault "status" is active
     std::chrono::milliseconds delay_{0};
-    std::chrono::milliseconds event_gap_{default_event_gap}; ///< before each event of a stream
+    std::chrono::milliseconds event_gap_{default_event_gap}; ///< before each event, or within a body
     std::int64_t event_count_ = 6;
     std::int64_t cut_after_events_ = 0;   ///< events before a stream is cut within the next one, 0 for never
     std::int64_t close_after_events_ = 0; ///< events before a stream ends between two of them, 0 for never
