--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -51,16 +51,18 @@
     open_outbound(first.socket(), peer);
     first.expires_after(std::min(timeout, connect_timeout));
     auto [error] = co_await first.async_connect(peer, use_tuple);
-    if (error) {
+    if (error == asio::error::connection_refused || error == boost::beast::error::timeout) {
         co_return false;
     }
     // The kernel resets connections that a process has not accepted when it closes the listener.
-    std::array<char, 1> byte{};
-    const auto space = asio::buffer(byte);
-    first.expires_after(std::min(timeout, reset_delay));
-    auto [read_error, size] = co_await first.async_read_some(space, use_tuple);
-    if (read_error == boost::beast::error::timeout) {
-        co_return true;
+    if (!error) {
+        std::array<char, 1> byte{};
+        const auto space = asio::buffer(byte);
+        first.expires_after(std::min(timeout, reset_delay));
+        auto [read_error, size] = co_await first.async_read_some(space, use_tuple);
+        if (read_error == boost::beast::error::timeout) {
+            co_return true;
+        }
     }
     // An upstream that has too many connections resets some as well, but accepts the next one.
     boost::beast::tcp_stream second{executor};
