Reproduce streams that are joined when callers take them up at other routers

What callers see: a stream that began at one software version or service is answered 200 and goes on at another, with numbers that fit, so that no check of the sequence shows it.

Seven cases with three routers and stand-in workers, each event compared with the last one of its stream over all attempts, and each attempt with the version or service that ran it.

The harness gets a second team, and weights of the route to two services that can be set.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -163,8 +163,8 @@
     routes.push_back(make_route("/split/stream/", "streaming", "bench", 1));
     routes.back().as_object()["resumeStreams"] = true;
     routes.back().as_object()["trafficSplit"] =
-        json::array{json::object{{"service", "bench"}, {"weight", 1}},
-                    json::object{{"service", "other-bench"}, {"weight", 1}}};
+        json::array{json::object{{"service", "bench"}, {"weight", split_.first}},
+                    json::object{{"service", "other-bench"}, {"weight", split_.second}}};
     for (std::size_t index = 0; index < extra_routes; ++index) {
         const std::string path = "/more-" + std::to_string(index) + "/";
         routes.push_back(make_route(path.c_str(), "safe", "desk", 2));
@@ -179,7 +179,8 @@
                                   {"connectionLimit", 96},
                                   {"engine", json::object{{"slots", 8}, {"kvCacheTokens", 90'000}}}}}},
         {"limits", json::object{{"headerBytes", 8'192}, {"bodyBytes", options_.body_bytes}}},
-        {"tenants", json::array{json::object{{"name", "club"}, {"apiKeys", std::move(api_keys)}}}}};
+        {"tenants", json::array{json::object{{"name", "club"}, {"apiKeys", std::move(api_keys)}},
+                                json::object{{"name", "guild"}, {"apiKeys", json::array{"guild-key"}}}}}};
     put_key("op/config", json::serialize(declaration));
 }
 
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace citronwick::harness {
@@ -38,7 +39,8 @@
 /// The declaration has the host "shop.example" with one route of each kind:
 /// /read/ (idempotent), /book/ (at most once), /quote/stream/ (resumable) and
 /// /guide/stream/ (at most once), and /split/stream/ (resumable), which half of the
-/// requests reach "other-bench" by. The team "club" has the API key "club-key".
+/// requests reach "other-bench" by. The team "club" has the API key "club-key", the team
+/// "guild" the key "guild-key".
 class routed_fleet {
 public:
     explicit routed_fleet(routed_options options = {});
@@ -60,6 +62,9 @@
     /// @param extra_routes number of routes besides the four standard ones
     void declare(const std::vector<std::string>& keys, std::size_t extra_routes = 0);
 
+    /// Sets the weights of the services of the route /split/stream/ in later declarations.
+    void set_split(int bench, int other_bench) { split_ = {bench, other_bench}; }
+
     /// Writes a worker's entry to the store.
     void register_worker(const node& worker, const std::string& service, const std::string& state = "ready",
                          std::int64_t incarnation = 1, const std::string& version = "v1");
@@ -108,6 +113,7 @@
     std::deque<node> plain_workers_;
     std::deque<node> engines_;
     std::int64_t version_ = 0;
+    std::pair<int, int> split_{1, 1}; ///< weights of "bench" and "other-bench"
     std::mutex keys_mutex_;
     std::map<std::string, std::string> keys_; ///< as last written
     std::size_t next_index_ = 0;
--- /dev/null
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -0,0 +1,312 @@
+// What a caller has of a stream, over all attempts by which it takes the stream up, is in order
+// and of one version and service, whichever routers it asks.
+
+#include "routed_fleet.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <numeric>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int streams = 12;
+constexpr int last_event = 6;
+constexpr const char* cut_after_one = R"({"cut_after":1})";
+
+/// What a caller has of one stream.
+struct taken_stream {
+    std::string name;
+    std::vector<int> events{};
+    std::vector<std::string> attempts{};
+    unsigned status = 0; ///< of the last attempt
+    bool is_complete = false;
+};
+
+std::string stream_name(int number) {
+    return "s" + std::to_string(number);
+}
+
+std::vector<int> event_ids(const std::string& body) {
+    constexpr std::string_view field = "id: ";
+    std::vector<int> ids;
+    for (auto at = body.find(field); at != std::string::npos; at = body.find(field, at + 1)) {
+        // The caller has an event once its blank line has come.
+        if (body.find("\n\n", at) != std::string::npos) {
+            ids.push_back(std::stoi(body.substr(at + field.size())));
+        }
+    }
+    return ids;
+}
+
+/// Begins a stream, or takes it up behind the last event that its caller has.
+void ask_for(taken_stream& stream, const node& router, const std::string& path = "/quote/stream/",
+             const std::string& key = "club-key", std::chrono::milliseconds timeout = 3s) {
+    const bool begins = stream.events.empty();
+    const std::string attempt = begins && stream.attempts.empty()
+                                    ? stream.name
+                                    : stream.name + "-" + std::to_string(stream.attempts.size());
+    std::vector<std::pair<std::string, std::string>> headers{{"Host", "shop.example"},
+                                                             {"X-Api-Key", key},
+                                                             {"Citronwick-Attempt-Id", attempt},
+                                                             {"Citronwick-Deadline-Ms", "2000"}};
+    if (begins) {
+        stream.name = attempt;
+    } else {
+        headers.emplace_back("Resumes", stream.name);
+        headers.emplace_back("Last-Event-Id", std::to_string(stream.events.back()));
+    }
+    stream.attempts.push_back(attempt);
+    const auto answer = http_call(
+        router.address(),
+        {.method = "POST", .target = path + "1", .headers = std::move(headers), .timeout = timeout});
+    stream.status = answer.status;
+    stream.is_complete = answer.status == 200 && answer.error.empty();
+    std::ranges::copy(event_ids(answer.body), std::back_inserter(stream.events));
+}
+
+/// Whether the caller has the events from the first one on, and all of them if its stream is complete.
+bool is_in_order(const taken_stream& stream) {
+    std::vector<int> expected(stream.events.size());
+    std::iota(expected.begin(), expected.end(), 1);
+    return stream.events == expected && (!stream.is_complete || stream.events.size() == last_event);
+}
+
+std::string describe(const taken_stream& stream) {
+    return std::accumulate(stream.events.begin(), stream.events.end(), stream.name + ":",
+                           [](std::string text, int id) { return text + " " + std::to_string(id); });
+}
+
+/// Indices of the engines that ran any attempt of a stream, in groups.
+/// @param group_size number of engines of each version or service
+std::set<std::size_t> groups_of(routed_fleet& system, const taken_stream& stream, std::size_t group_size) {
+    std::set<std::size_t> groups;
+    for (std::size_t index = 0; index < system.engines().size(); ++index) {
+        const bool has_run = std::ranges::any_of(stream.attempts, [&](const std::string& attempt) {
+            return runs_of(system.engines()[index], attempt) > 0;
+        });
+        if (has_run) {
+            groups.insert(index / group_size);
+        }
+    }
+    return groups;
+}
+
+/// Begins streams that break after their first events.
+std::vector<taken_stream> begin_streams(routed_fleet& system, const std::string& path = "/quote/stream/") {
+    set_faults(system.engines(), cut_after_one);
+    std::vector<taken_stream> begun;
+    for (int count = 0; count < streams; ++count) {
+        begun.push_back({.name = stream_name(count)});
+        ask_for(begun.back(), system.routers()[0], path);
+        CHECK_FALSE(begun.back().is_complete);
+        CHECK_FALSE(begun.back().events.empty());
+    }
+    set_faults(system.engines(), "{}");
+    return begun;
+}
+
+bool wait_versions(routed_fleet& system, const std::vector<std::size_t>& routers, int versions) {
+    return wait_until([&] {
+        return std::ranges::all_of(routers, [&](std::size_t index) {
+            const auto seen = system.view(system.routers()[index]);
+            return seen.at("stream_versions").at("bench").at("versions").to_number<int>() == versions;
+        });
+    });
+}
+
+/// Registers the last two of four engines with another version.
+void register_new_version(routed_fleet& system) {
+    system.register_worker(system.engines()[2], "bench", "ready", 2, "v2");
+    system.register_worker(system.engines()[3], "bench", "ready", 2, "v2");
+}
+
+/// Registers the second of two engines with the other service of the route that leads to two.
+void register_second_service(routed_fleet& system) {
+    system.unregister_worker(system.engines()[1]);
+    system.register_worker(system.engines()[1], "other-bench", "ready", 2);
+    REQUIRE(wait_until([&] {
+        return std::ranges::all_of(system.routers(), [&](const node& router) {
+            return system.view(router).at("stream_versions").as_object().contains("other-bench");
+        });
+    }));
+}
+
+} // namespace
+
+TEST_CASE("proof: streams taken up again and again while routers are killed and paused are never joined") {
+    routed_fleet system{{.routers = 3, .engines = 4}};
+    REQUIRE(system.wait_ready());
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0, 1, 2}, 2));
+    set_faults(system.engines(), R"({"event_gap_ms":60,"cut_after":3})");
+    std::vector<taken_stream> taken(streams);
+    std::vector<std::future<void>> callers;
+    for (int count = 0; count < streams; ++count) {
+        callers.push_back(std::async(std::launch::async, [&system, &taken, count] {
+            constexpr std::size_t max_attempts = 8;
+            auto& stream = taken[static_cast<std::size_t>(count)];
+            stream.name = stream_name(count);
+            while (!stream.is_complete && stream.attempts.size() < max_attempts) {
+                const std::size_t next = (static_cast<std::size_t>(count) + stream.attempts.size()) % 3;
+                ask_for(stream, system.routers()[next], "/quote/stream/", "club-key", 400ms);
+                std::this_thread::sleep_for(20ms);
+            }
+        }));
+    }
+    std::this_thread::sleep_for(150ms);
+    system.routers()[0].process->kill();
+    system.routers()[1].process->signal(SIGSTOP);
+    std::this_thread::sleep_for(500ms);
+    system.routers()[1].process->signal(SIGCONT);
+    std::ranges::for_each(callers, [](auto& each) { each.get(); });
+    std::size_t taken_up = 0;
+    for (const taken_stream& stream : taken) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 2).size() <= 1);
+        taken_up += stream.attempts.size() > 1 && stream.events.size() > 3 ? 1 : 0;
+    }
+    CHECK(taken_up > 0);
+}
+
+// Guards against a router that wakes with an older assignment of slots to versions (ORDER).
+TEST_CASE("proof: a router that was paused while slots moved goes on with no stream at their old version") {
+    routed_fleet system{{.routers = 2, .engines = 4}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    system.routers()[1].process->signal(SIGSTOP);
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0}, 2));
+    auto begun = begin_streams(system);
+    std::vector<std::future<void>> callers;
+    for (taken_stream& stream : begun) {
+        callers.push_back(std::async(std::launch::async, [&] { ask_for(stream, system.routers()[1]); }));
+    }
+    std::this_thread::sleep_for(50ms);
+    system.routers()[1].process->signal(SIGCONT);
+    std::ranges::for_each(callers, [](auto& each) { each.get(); });
+    std::set<std::size_t> used;
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 2).size() == 1);
+        used.merge(groups_of(system, stream, 2));
+    }
+    CHECK(used.size() == 2);
+}
+
+// Guards against a service that is chosen again by weights that have moved (ORDER).
+TEST_CASE("proof: a stream is taken up at the service that began it after the weights of its route moved") {
+    routed_fleet system{{.routers = 3, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    register_second_service(system);
+    auto begun = begin_streams(system, "/split/stream/");
+    system.set_split(1, 9);
+    system.declare({"club-key"});
+    REQUIRE(system.wait_ready());
+    std::set<std::size_t> used;
+    for (std::size_t index = 0; index < begun.size(); ++index) {
+        taken_stream& stream = begun[index];
+        ask_for(stream, system.routers()[index % system.routers().size()], "/split/stream/");
+        CHECK(stream.is_complete);
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 1).size() == 1);
+        used.merge(groups_of(system, stream, 1));
+    }
+    CHECK(used.size() == 2);
+}
+
+// Guards against a stream of another team under the same identifier (ORDER).
+TEST_CASE("proof: a stream stays at its version when another team begins one under the same identifier") {
+    routed_fleet system{{.routers = 2, .engines = 4}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    auto begun = begin_streams(system);
+    std::vector<std::set<std::size_t>> groups;
+    std::ranges::transform(begun, std::back_inserter(groups),
+                           [&](const taken_stream& stream) { return groups_of(system, stream, 2); });
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0, 1}, 2));
+    for (int count = 0; count < streams; ++count) {
+        taken_stream other{.name = stream_name(count)};
+        ask_for(other, system.routers()[static_cast<std::size_t>(count) % 2], "/quote/stream/", "guild-key");
+        CHECK(other.is_complete);
+    }
+    int completed = 0;
+    for (taken_stream& stream : begun) {
+        ask_for(stream, system.routers()[1]);
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        completed += stream.is_complete ? 1 : 0;
+        const std::string& last = stream.attempts.back();
+        CHECK(runs_of(system.engines()[2], last) + runs_of(system.engines()[3], last) == 0);
+    }
+    CHECK(completed == streams);
+}
+
+TEST_CASE("proof: a response does not go on at a worker that was registered as another version since") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"event_gap_ms":250})");
+    taken_stream stream{.name = "long"};
+    auto caller = std::async(std::launch::async, [&] { ask_for(stream, system.routers()[0]); });
+    REQUIRE(wait_until([&] { return runs_of(system.engines(), "long") == 1; }));
+    const std::size_t used = runs_of(system.engines()[0], "long") == 1 ? 0 : 1;
+    system.register_worker(system.engines()[1 - used], "bench", "ready", 2, "v2");
+    REQUIRE(wait_versions(system, {0}, 2));
+    std::this_thread::sleep_for(300ms);
+    system.engines()[used].process->kill();
+    caller.get();
+    CHECK_FALSE(stream.is_complete);
+    CHECK_FALSE(stream.events.empty());
+    CHECK_MESSAGE(is_in_order(stream), describe(stream));
+    CHECK(runs_of(system.engines()[1 - used], "long") == 0);
+}
+
+TEST_CASE("proof: a stream is taken up at its version after the store came back from an older copy") {
+    routed_fleet system{{.routers = 2, .engines = 4}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    set_fault(system.store(), R"({"copy":1})");
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0, 1}, 2));
+    auto begun = begin_streams(system);
+    set_fault(system.store(), R"({"restore":1})");
+    register_new_version(system);
+    system.start_router();
+    REQUIRE(wait_until([&] { return !system.view(system.routers()[2]).empty(); }));
+    std::set<std::size_t> used;
+    for (std::size_t index = 0; index < begun.size(); ++index) {
+        taken_stream& stream = begun[index];
+        ask_for(stream, system.routers()[1 + index % 2]);
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 2).size() == 1);
+        used.merge(groups_of(system, stream, 2));
+    }
+    CHECK(used.size() == 2);
+}
+
+TEST_CASE(
+    "contract: a take-up that names no stream of its route is answered behind its last event or refused") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    register_second_service(system);
+    const auto begun = begin_streams(system, "/split/stream/");
+    for (const std::string& name : {std::string{"never-begun"}, std::string{"desk-0"}, std::string{"-"},
+                                    std::string(300, 'x'), begun.front().name}) {
+        CAPTURE(name);
+        taken_stream stream{.name = name, .events = {1, 2}};
+        ask_for(stream, system.routers()[1]);
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK((stream.is_complete || stream.status == 503));
+    }
+}
