Take the streams of the take-up proofs up at the same time

What is checked is the same. It is harder on a router that has just started, since all take-ups meet it at once.

--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace citronwick;
@@ -84,8 +85,9 @@
 }
 
 std::string describe(const taken_stream& stream) {
-    return std::accumulate(stream.events.begin(), stream.events.end(), stream.name + ":",
-                           [](std::string text, int id) { return text + " " + std::to_string(id); });
+    return std::accumulate(
+        stream.events.begin(), stream.events.end(), stream.name + ":",
+        [](std::string text, int id) { return std::move(text) + " " + std::to_string(id); });
 }
 
 /// Indices of the engines that ran any attempt of a stream, in groups.
@@ -103,15 +105,33 @@
     return groups;
 }
 
+/// Begins all streams or takes them up, at the same time, at each of some routers in turn.
+void ask_for_all(std::vector<taken_stream>& asked, const std::vector<const node*>& routers,
+                 const std::string& path = "/quote/stream/", const std::string& key = "club-key") {
+    std::vector<std::future<void>> callers;
+    for (std::size_t index = 0; index < asked.size(); ++index) {
+        callers.push_back(std::async(std::launch::async, [&, index] {
+            ask_for(asked[index], *routers[index % routers.size()], path, key);
+        }));
+    }
+    std::ranges::for_each(callers, [](auto& each) { each.get(); });
+}
+
+std::vector<taken_stream> new_streams() {
+    std::vector<taken_stream> named(streams);
+    std::ranges::for_each(named,
+                          [number = 0](taken_stream& each) mutable { each.name = stream_name(number++); });
+    return named;
+}
+
 /// Begins streams that break after their first events.
 std::vector<taken_stream> begin_streams(routed_fleet& system, const std::string& path = "/quote/stream/") {
     set_faults(system.engines(), cut_after_one);
-    std::vector<taken_stream> begun;
-    for (int count = 0; count < streams; ++count) {
-        begun.push_back({.name = stream_name(count)});
-        ask_for(begun.back(), system.routers()[0], path);
-        CHECK_FALSE(begun.back().is_complete);
-        CHECK_FALSE(begun.back().events.empty());
+    auto begun = new_streams();
+    ask_for_all(begun, {&system.routers()[0]}, path);
+    for (const taken_stream& stream : begun) {
+        CHECK_FALSE(stream.is_complete);
+        CHECK_FALSE(stream.events.empty());
     }
     set_faults(system.engines(), "{}");
     return begun;
@@ -189,13 +209,10 @@
     register_new_version(system);
     REQUIRE(wait_versions(system, {0}, 2));
     auto begun = begin_streams(system);
-    std::vector<std::future<void>> callers;
-    for (taken_stream& stream : begun) {
-        callers.push_back(std::async(std::launch::async, [&] { ask_for(stream, system.routers()[1]); }));
-    }
+    auto taken_up = std::async(std::launch::async, [&] { ask_for_all(begun, {&system.routers()[1]}); });
     std::this_thread::sleep_for(50ms);
     system.routers()[1].process->signal(SIGCONT);
-    std::ranges::for_each(callers, [](auto& each) { each.get(); });
+    taken_up.get();
     std::set<std::size_t> used;
     for (const taken_stream& stream : begun) {
         CHECK_MESSAGE(is_in_order(stream), describe(stream));
@@ -215,9 +232,8 @@
     system.declare({"club-key"});
     REQUIRE(system.wait_ready());
     std::set<std::size_t> used;
-    for (std::size_t index = 0; index < begun.size(); ++index) {
-        taken_stream& stream = begun[index];
-        ask_for(stream, system.routers()[index % system.routers().size()], "/split/stream/");
+    ask_for_all(begun, {&system.routers()[0], &system.routers()[1], &system.routers()[2]}, "/split/stream/");
+    for (const taken_stream& stream : begun) {
         CHECK(stream.is_complete);
         CHECK_MESSAGE(is_in_order(stream), describe(stream));
         CHECK(groups_of(system, stream, 1).size() == 1);
@@ -232,19 +248,14 @@
     REQUIRE(system.wait_ready());
     REQUIRE(wait_versions(system, {0, 1}, 1));
     auto begun = begin_streams(system);
-    std::vector<std::set<std::size_t>> groups;
-    std::ranges::transform(begun, std::back_inserter(groups),
-                           [&](const taken_stream& stream) { return groups_of(system, stream, 2); });
     register_new_version(system);
     REQUIRE(wait_versions(system, {0, 1}, 2));
-    for (int count = 0; count < streams; ++count) {
-        taken_stream other{.name = stream_name(count)};
-        ask_for(other, system.routers()[static_cast<std::size_t>(count) % 2], "/quote/stream/", "guild-key");
-        CHECK(other.is_complete);
-    }
+    auto others = new_streams();
+    ask_for_all(others, {&system.routers()[0], &system.routers()[1]}, "/quote/stream/", "guild-key");
+    CHECK(std::ranges::all_of(others, &taken_stream::is_complete));
+    ask_for_all(begun, {&system.routers()[1]});
     int completed = 0;
-    for (taken_stream& stream : begun) {
-        ask_for(stream, system.routers()[1]);
+    for (const taken_stream& stream : begun) {
         CHECK_MESSAGE(is_in_order(stream), describe(stream));
         completed += stream.is_complete ? 1 : 0;
         const std::string& last = stream.attempts.back();
@@ -285,9 +296,8 @@
     system.start_router();
     REQUIRE(wait_until([&] { return !system.view(system.routers()[2]).empty(); }));
     std::set<std::size_t> used;
-    for (std::size_t index = 0; index < begun.size(); ++index) {
-        taken_stream& stream = begun[index];
-        ask_for(stream, system.routers()[1 + index % 2]);
+    ask_for_all(begun, {&system.routers()[1], &system.routers()[2]});
+    for (const taken_stream& stream : begun) {
         CHECK_MESSAGE(is_in_order(stream), describe(stream));
         CHECK(groups_of(system, stream, 2).size() == 1);
         used.merge(groups_of(system, stream, 2));
