Take a stream up where a router saw it begin, by team, service and version

Callers saw a stream that they took up go on at another version or service, answered 200 with numbers that fit: '1' of one and '2 ... 6' of the other.

Cause: the place of a stream was derived again from state that may differ from that by which it began: slots that another router has moved since (a router that was paused), or weights of the route that an operator has moved. The memory of what routers relayed was asked for unsettled slots only, did not hold the service, and was kept by the caller's text alone, so that a stream of another team under the same identifier replaced it. Class: what was decided once is derived again elsewhere from present state.

Change: the memory is kept by team and attempt and holds service and version. A router that did not see the stream itself asks the others for every take-up; the slots decide only if none replies within 80 ms, and an unsettled slot is refused then as before. A version or service that the route has no more is refused, not replaced.

Cost, not measured: one datagram to each router for a take-up that the asked router did not see begin, and up to 80 ms where all that saw it are gone. Routers of the version before keep other keys and do not reply to the question, so while a release runs unsettled slots are refused more.

--- a/packages/fleet/include/citronwick/fleet/begun_streams.hpp
+++ b/packages/fleet/include/citronwick/fleet/begun_streams.hpp
@@ -11,14 +11,17 @@
 
 namespace citronwick {
 
-/// Remembers for a while at which version this router saw streams begin or go on.
+/// Remembers for a while at which service and version this router saw streams begin or go on.
 /// Thread-safe: traffic threads record, the control thread answers other routers.
 class begun_streams {
 public:
-    /// Identifies a stream of a service by the attempt that brought its first event.
-    static std::uint64_t key(std::string_view service, std::string_view attempt);
+    /// Identifies a stream of a team by the attempt that brought its first event.
+    static std::uint64_t key(std::string_view team, std::string_view attempt);
 
-    /// @param version short hash of its name
+    /// Identifies a version of a service.
+    static std::uint32_t version_hash(std::string_view service, std::string_view version);
+
+    /// @param version see `version_hash`
     void record(std::uint64_t key, std::uint32_t version, time_point now);
 
     std::optional<std::uint32_t> version_of(std::uint64_t key, time_point now) const;
--- a/packages/fleet/src/begun_streams.cpp
+++ b/packages/fleet/src/begun_streams.cpp
@@ -15,8 +15,12 @@
 
 } // namespace
 
-std::uint64_t begun_streams::key(std::string_view service, std::string_view attempt) {
-    return hash_combine(hash64(service), hash64(attempt));
+std::uint64_t begun_streams::key(std::string_view team, std::string_view attempt) {
+    return hash_combine(hash64(team), hash64(attempt));
+}
+
+std::uint32_t begun_streams::version_hash(std::string_view service, std::string_view version) {
+    return short_hash(hash_combine(hash64(service), hash64(version)));
 }
 
 void begun_streams::record(std::uint64_t key, std::uint32_t version, time_point now) {
--- a/packages/policy/include/citronwick/policy/version_slots.hpp
+++ b/packages/policy/include/citronwick/policy/version_slots.hpp
@@ -75,6 +75,7 @@
     std::optional<std::uint64_t> origin{};   ///< hash of the attempt that brought its first event
     bool has_events = false;                 ///< whether the caller has received events of it
     std::optional<std::string> remembered{}; ///< version that a router saw it begin at
+    bool was_asked_for = false;              ///< whether the other routers were asked for that
 };
 
 /// Where a stream may begin or go on.
--- a/packages/policy/src/version_slots.cpp
+++ b/packages/policy/src/version_slots.cpp
@@ -139,9 +139,13 @@
         return only ? version_decision{step::use, *only, "only version"}
                     : version_decision{step::refuse, {}, "the stream's first attempt is not named"};
     }
+    if (!stream.was_asked_for) {
+        // The slots known here may be older than those by which another router began the stream.
+        return {step::ask_routers, {}, "another router may have seen the stream begin"};
+    }
     const version_slots::slot& slot = slots->at(version_slots::index_of(*stream.origin));
     if (!slot.earlier.empty()) {
-        return {step::ask_routers, {}, "the stream may have begun at several versions"};
+        return {step::refuse, {}, "the stream may have begun at several versions"};
     }
     return {step::use, slot.version, "slot of its first attempt"};
 }
--- a/packages/policy/tests/version_slots.tests.cpp
+++ b/packages/policy/tests/version_slots.tests.cpp
@@ -27,8 +27,8 @@
     for (int count = 0; count < 1'000; ++count) {
         const std::uint64_t first = random();
         const auto begun = decide_version(&*slots, {.attempt = first});
-        const auto taken_up =
-            decide_version(&*slots, {.attempt = random(), .origin = first, .has_events = true});
+        const auto taken_up = decide_version(
+            &*slots, {.attempt = random(), .origin = first, .has_events = true, .was_asked_for = true});
         CHECK(begun.next == step::use);
         CHECK(taken_up.next == step::use);
         CHECK(taken_up.version == begun.version);
@@ -38,16 +38,30 @@
 TEST_CASE("a stream whose slot moved since it may have begun is taken up only where a router saw it begin") {
     version_slots slots{"v1"};
     slots.move(5, "v2");
-    const stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true};
+    stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true};
     CHECK(decide_version(&slots, taken_up).next == step::ask_routers);
     auto remembered = taken_up;
     remembered.remembered = "v1";
     CHECK(decide_version(&slots, remembered).version == "v1");
     CHECK(decide_version(&slots, {.attempt = 5}).version == "v2");
+    taken_up.was_asked_for = true;
+    CHECK(decide_version(&slots, taken_up).next == step::refuse);
     slots.settle(version_slots::slot_set{}.set(5));
     CHECK(decide_version(&slots, taken_up).version == "v2");
 }
 
+// Guards against slots that another router has moved since (ORDER).
+TEST_CASE(
+    "the routers are asked for a stream that is taken up, also if its slot is not known to have moved") {
+    const version_slots slots{"v1"};
+    stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true};
+    CHECK(decide_version(&slots, taken_up).next == step::ask_routers);
+    taken_up.was_asked_for = true;
+    CHECK(decide_version(&slots, taken_up).version == "v1");
+    taken_up.remembered = "v2";
+    CHECK(decide_version(&slots, taken_up).version == "v2");
+}
+
 TEST_CASE("a stream without the name of its first attempt is taken up only at a service's only version") {
     version_slots slots{"v1"};
     const stream_identity nameless{.attempt = 7, .has_events = true};
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -51,8 +51,10 @@
     bool takes_up_stream() const;
     std::string_view stream_origin() const;
     task<void> choose_version();
-    task<std::optional<std::string>> ask_routers();
-    std::optional<std::string> name_of_version(std::optional<std::uint32_t> hash) const;
+    std::uint64_t stream_key() const;
+    const version_slots* slots_of_service() const;
+    task<std::optional<std::uint32_t>> ask_routers();
+    std::optional<std::string> follow(std::optional<std::uint32_t> version);
     void refuse_if_version_is_gone();
     void refuse_stream(std::string detail, bool has_events);
     void record_stream();
--- a/packages/traffic/src/route_versions.cpp
+++ b/packages/traffic/src/route_versions.cpp
@@ -49,20 +49,17 @@
                                        outcome::not_run, assignment_pause};
         co_return;
     }
-    const auto found = view_->stream_versions.find(service_->name);
-    const version_slots* const slots = found == view_->stream_versions.end() ? nullptr : found->second.get();
     stream_identity stream{.attempt = hash64(caller_.request_id()), .has_events = takes_up_stream()};
     if (takes_up_stream() && !traits_.resumes.empty()) {
         stream.origin = hash64(traits_.resumes);
-        const std::uint64_t key = begun_streams::key(service_->name, traits_.resumes);
-        stream.remembered = name_of_version(context_.plane.streams().version_of(key, clock::now()));
+        stream.remembered = follow(context_.plane.streams().version_of(stream_key(), clock::now()));
     }
-    auto decision = decide_version(slots, stream);
+    auto decision = decide_version(slots_of_service(), stream);
     if (decision.next == version_decision::step::ask_routers) {
-        stream.remembered = co_await ask_routers();
-        decision = stream.remembered
-                       ? version_decision{version_decision::step::use, *stream.remembered, "seen by a router"}
-                       : version_decision{version_decision::step::refuse, {}, decision.reason};
+        const auto seen = co_await ask_routers();
+        stream.remembered = follow(seen);
+        stream.was_asked_for = true;
+        decision = decide_version(slots_of_service(), stream);
     }
     log_version(decision);
     if (decision.next == version_decision::step::refuse) {
@@ -73,32 +70,51 @@
     refuse_if_version_is_gone();
 }
 
-task<std::optional<std::string>> route_exchange::ask_routers() {
-    const std::uint64_t key = begun_streams::key(service_->name, traits_.resumes);
+/// Identifies the stream among those of all teams.
+std::uint64_t route_exchange::stream_key() const {
+    return begun_streams::key(team_ == nullptr ? std::string_view{} : team_->name, stream_origin());
+}
+
+/// Versions to which the streams of the service are assigned, null if they are not yet.
+const version_slots* route_exchange::slots_of_service() const {
+    const auto found = view_->stream_versions.find(service_->name);
+    return found == view_->stream_versions.end() ? nullptr : found->second.get();
+}
+
+/// Service and version at which another router saw the stream begin, see `begun_streams::version_hash`.
+task<std::optional<std::uint32_t>> route_exchange::ask_routers() {
     std::function<void(std::function<void(std::uint32_t)>)> ask =
-        [this, key](std::function<void(std::uint32_t)> reply) {
+        [this, key = stream_key()](std::function<void(std::uint32_t)> reply) {
             context_.plane.ask_stream_version(key, std::move(reply));
         };
     const auto version = co_await wait_for_reply<std::uint32_t>(reply_timeout, std::move(ask));
     // The wait may have been long enough for the upstreams to change.
     view_ = context_.plane.view();
-    co_return name_of_version(version);
+    co_return version;
 }
 
-/// Name of a version known by its hash; one that no upstream has any more gets the hash as its name.
-std::optional<std::string> route_exchange::name_of_version(std::optional<std::uint32_t> hash) const {
-    if (!hash) {
+/// Chooses the service at which the stream was seen, whatever the weights of the route are now.
+/// @return name of the version; one that no upstream of the route has any more gets its hash as its name
+std::optional<std::string> route_exchange::follow(std::optional<std::uint32_t> version) {
+    if (!version) {
         return std::nullopt;
     }
-    if (const auto found = view_->upstreams.find(service_->name); found != view_->upstreams.end()) {
-        const auto upstream = std::ranges::find_if(found->second, [hash](const routed_upstream& each) {
-            return short_hash(hash64(each.entry.version)) == *hash;
+    for (const weighted_service& each : route_->services) {
+        const auto* const service = config_->find_service(each.service);
+        const auto found = view_->upstreams.find(each.service);
+        if (service == nullptr || found == view_->upstreams.end()) {
+            continue;
+        }
+        const auto upstream = std::ranges::find_if(found->second, [&](const routed_upstream& candidate) {
+            return begun_streams::version_hash(each.service, candidate.entry.version) == *version;
         });
         if (upstream != found->second.end()) {
+            service_ = service;
+            placement_request_.service = service;
             return upstream->entry.version;
         }
     }
-    return "hash " + std::to_string(*hash);
+    return "hash " + std::to_string(*version);
 }
 
 /// Refuses a stream whose version no upstream serves. What its caller has received
@@ -124,8 +140,9 @@
 /// Remembers at which version the stream goes on, for callers that take it up at any router.
 void route_exchange::record_stream() {
     if (route_->kind == request_kind::resumable_stream && !stream_origin().empty()) {
-        context_.plane.streams().record(begun_streams::key(service_->name, stream_origin()),
-                                        short_hash(hash64(placement_->upstream.entry.version)), clock::now());
+        const std::uint32_t version =
+            begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
+        context_.plane.streams().record(stream_key(), version, clock::now());
     }
 }
 
