Check the order of streams over all attempts in the soak, and break streams in it

Cause: the soak could not show a stream whose events are missing, repeated or of two runs over several attempts: its callers took no stream up, its workers were never killed, of one version, and always went on as asked.

Change: callers take up broken streams that may be resumed, at any router, and the checker compares each event with the last one of the same stream. Events name the software version. New faults kill engines, close and cut streams, send them without framing, begin anew or omit events, and use up a router's buffers within events. What workers ran is counted from their logs, which outlive their processes.

--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -21,6 +21,7 @@
     std::size_t routers = 2;
     std::size_t plain_workers = 2;
     std::size_t engines = 2;
+    std::vector<std::string> engine_versions{}; ///< of their software, which their events name; v1 if empty
     std::chrono::milliseconds key_lifetime{4'000};
     std::chrono::milliseconds store_timeout{500};
     bool proxies = false;            ///< put fault proxies in front of the store and the workers
@@ -70,7 +71,8 @@
                          std::int64_t incarnation = 1, const std::string& version = "v1");
     void unregister_worker(const node& worker);
 
-    /// Starts a worker whose process has ended, at another port, and writes its entry.
+    /// Starts a worker whose process has ended, at another port, and writes its entry. Its proxy is
+    /// started, too, if it has ended.
     /// @param incarnation higher than that of the process that ended
     void restart_worker(node& worker, const std::string& service, std::int64_t incarnation);
 
@@ -104,6 +106,8 @@
     node start_standin(const std::string& kind, const std::string& name,
                        const std::vector<std::string>& arguments);
     void start_process(node& router) const;
+    std::vector<std::string> worker_arguments(const std::string& name) const;
+    std::string version_of(const std::string& worker) const;
     std::string file(const std::string& name) const { return directory_ + "/" + name; }
 
     routed_options options_;
@@ -112,6 +116,7 @@
     std::deque<node> routers_;
     std::deque<node> plain_workers_;
     std::deque<node> engines_;
+    std::map<std::string, std::string> versions_; ///< by the names of workers that name them
     std::int64_t version_ = 0;
     std::pair<int, int> split_{1, 1}; ///< weights of "bench" and "other-bench"
     std::mutex keys_mutex_;
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -16,6 +16,7 @@
     std::string_view name;
     void (*inject)(soak_run&, std::mt19937_64&); ///< returns when the fault is over
     bool disturbs_upstreams = false;
+    bool disturbs_engines = false;
 };
 
 /// Faults of routers, workers, links and the store. The first `router_fault_count` of
@@ -26,6 +27,11 @@
 /// Faults of what the operating system does to the processes of routers.
 std::span<const fault> process_faults();
 
+/// Faults that break event streams, or join what does not belong together. Those behind the first
+/// `drawn_stream_fault_count` are known to break guarantees (KNOWN-RED.txt) and run by name only.
+std::span<const fault> stream_faults();
+constexpr std::size_t drawn_stream_fault_count = 6;
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/soak/guarantee_checker.hpp
+++ b/tests/soak/guarantee_checker.hpp
@@ -3,12 +3,14 @@
 
 #include "http_call.hpp"
 #include "node.hpp"
+#include "received_stream.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +26,7 @@
     request_kind kind = request_kind::read;
     std::string key;    ///< API key of the team
     std::string router; ///< name of the one that it was sent to
+    std::string stream; ///< attempt that brought the first event of the stream that is taken up, if any
     std::chrono::steady_clock::time_point sent_at;
     std::chrono::milliseconds elapsed{0};
     bool router_was_undisturbed = true; ///< neither paused nor stopped meanwhile
@@ -43,12 +46,27 @@
     /// Checks the response, and keeps the request for `check_run_counts`.
     void record(observed_request request);
 
+    /// The last event that the caller of a stream has, if the stream began and is not complete.
+    /// @param stream the attempt that brought its first event
+    std::optional<std::int64_t> last_event_of_broken(const std::string& stream) const;
+
+    /// Requests that took up a stream, and those of them that completed it.
+    struct take_up_counts {
+        std::size_t asked = 0;
+        std::size_t completed = 0;
+    };
+    take_up_counts take_ups() const;
+
+    /// Requests while upstreams were undisturbed, whose responses may not be incomplete.
+    std::size_t undisturbed_count() const;
+
     void record_revoked_key(const std::string& key, std::chrono::steady_clock::time_point at);
 
     /// Adds a violation that was found outside this class.
     void add_violation(std::string text);
 
-    /// Checks all requests against the workers' counts of what they ran.
+    /// Checks all requests against what the workers' logs say that they ran. The logs have the runs of
+    /// killed processes, too.
     void check_run_counts(const std::deque<harness::node>& plain_workers,
                           const std::deque<harness::node>& engines);
 
@@ -59,12 +77,14 @@
 private:
     void add_request_violation(const observed_request& request, std::string_view description);
     void check_body(const observed_request& request);
+    void check_stream(const observed_request& request, bool is_complete);
     void check_answered(const observed_request& request);
     void check_run_count(const observed_request& request, std::int64_t runs);
 
     std::chrono::milliseconds key_lifetime_;
     mutable std::mutex mutex_;
     std::vector<observed_request> requests_;
+    std::map<std::string, received_stream> streams_; ///< by the attempt that brought the first event
     std::map<std::string, std::chrono::steady_clock::time_point> revoked_keys_;
     std::vector<std::string> violations_;
 };
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -30,6 +30,7 @@
     std::size_t routers = 0;
     std::size_t callers = 0;
     std::uint64_t memory_bytes = 0; ///< that a router may use
+    bool limits_memory = false;     ///< whether routers are set to that instead of their default
     std::string only{};             ///< name of the only fault, empty for all
 };
 
@@ -43,6 +44,7 @@
     guarantee_checker checker{key_lifetime};
     std::deque<router_supervisor> routers;
     disturbance_count upstream_disturbances;
+    disturbance_count engine_disturbances; ///< others, which excuse incomplete streams only
     std::atomic<bool> stopping{false};
     std::atomic<int> load_pauses{0}; ///< callers send nothing while there is one
     std::atomic<int> requests_in_flight{0};
@@ -53,12 +55,25 @@
     void count_fault(const std::string& name);
     std::map<std::string, std::size_t> fault_counts() const;
 
+    /// Replaces the active faults of a worker, or of the link to a node.
+    void set_worker_fault(const harness::node& worker, const std::string& json);
+    void set_link_fault(const harness::node& target, const std::string& json);
+
+    /// Kills the processes of an engine and of its link.
+    void kill_engine(harness::node& engine);
+    void restart_engine(harness::node& engine);
+
+    /// Held while links to engines are disturbed, or while streams of engines are not framed: no
+    /// router can tell a connection that a link closes in order from the end of such a stream.
+    std::mutex engine_links;
+
     /// Checks for a second that no router uses the processor, unless the load does not stop for it.
     void check_idle_routers();
 
 private:
     mutable std::mutex mutex_;
     std::map<std::string, std::size_t> fault_counts_;
+    std::mutex nodes_mutex_; ///< guards the addresses of workers and links
 };
 
 /// Stops the load as long as this object exists.
