--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -4,6 +4,7 @@
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/task.hpp"
 #include "held_callers.hpp"
+#include "kept_connection.hpp"
 #include "routed_fleet.hpp"
 #include "scripted_worker.hpp"
 #include "waiting.hpp"
@@ -357,3 +358,39 @@
         }
     }
 }
+
+// Guards against bytes of an empty stream in front of the next response of a kept connection.
+TEST_CASE("proof: a connection that brought a stream without events brings the next response") {
+    routed_fleet system{{.routers = 1, .engines = 0}};
+    std::string framing;
+    std::string end;
+    SUBCASE("in chunks") {
+        framing = "Transfer-Encoding: chunked\r\n";
+        end = "0\r\n\r\n";
+    }
+    SUBCASE("without length or chunks") {
+        framing = "Connection: close\r\n";
+    }
+    const scripted_worker worker{"empty", [&](asio::ip::tcp::socket& connection) {
+                                     const std::string header = read_request(connection);
+                                     asio::write(connection,
+                                                 asio::buffer(response_header(header) + framing +
+                                                              "Content-Type: text/event-stream\r\n"
+                                                              "\r\n" +
+                                                              end));
+                                 }};
+    system.register_worker(worker.entry(), "bench");
+    REQUIRE(wait_until(
+        [&] { return system.ask(system.routers()[0], "/guide/stream/ready", "ready").status == 200; }));
+    kept_connection connection{system.routers()[0].address()};
+    for (int count = 0; count < streams; ++count) {
+        const auto answer = connection.ask(to_bytes({.method = "POST",
+                                                     .target = "/guide/stream/1",
+                                                     .headers = {{"Host", "shop.example"},
+                                                                 {"X-Api-Key", "club-key"},
+                                                                 {"Citronwick-Attempt-Id", "empty"}}}));
+        CHECK(answer.status == 200);
+        CHECK_MESSAGE(answer.error.empty(), answer.error);
+        CHECK(answer.body.empty());
+    }
+}
