Take a plain service's response without length or chunks for complete only if its process lives on

A caller got half of a body as complete when the process of a plain service was killed within a response that has neither a length nor chunks, also for a request with a key, whose cut response was then recorded for resends.

A request that may be repeated goes elsewhere, another ends in 502 with an unknown outcome.

--- a/packages/traffic/src/service_handler.cpp
+++ b/packages/traffic/src/service_handler.cpp
@@ -384,7 +384,7 @@
             co_return failure{"check answer", to_text(connection.peer()), "it belongs to another request",
                               true};
         }
-        auto body = co_await connection.read_all(preset_->idle_timeout);
+        auto body = co_await connection.read_complete(preset_->idle_timeout);
         if (body.has_error()) {
             co_return body.error();
         }
--- a/tests/integration/unframed_responses.tests.cpp
+++ b/tests/integration/unframed_responses.tests.cpp
@@ -1,7 +1,9 @@
 // Responses that have neither a length nor chunks end with their connection. The kernel closes the
 // connections of a process that ends in the same way, so that the end of the connection proves nothing.
 
+#include "citronwick/io/json_text.hpp"
 #include "citronwick/io/task.hpp"
+#include "fleet.hpp"
 #include "held_callers.hpp"
 #include "routed_fleet.hpp"
 #include "scripted_worker.hpp"
@@ -117,3 +119,46 @@
     }
     CHECK(resets == 2);
 }
+
+// Guards against the end of a process that looks like the end of its response.
+TEST_CASE("proof: a response of a plain service whose process is killed is not delivered") {
+    fleet system{{.routers = 1, .engines = 1, .service_workers = 2}};
+    REQUIRE(system.wait_ready());
+    for (const node& worker : system.workers()) {
+        set_fault(worker, R"({"unframed_pause_ms":400})");
+    }
+    const auto runs_on = [](const node& worker) {
+        const auto page =
+            parse_json_object(http_call(worker.addresses.front(), {.target = "/standin/runs"}).body)
+                .value_or(boost::json::object{});
+        const auto* const runs = object_member(page, "runs");
+        return integer_member(page, "reads") + (runs == nullptr ? 0 : std::ssize(*runs)) > 0;
+    };
+    const auto ask_and_kill_worker = [&](const call& request) {
+        auto asked =
+            std::async(std::launch::async, [&] { return http_call(system.routers()[0].callers(), request); });
+        auto& workers = system.workers();
+        REQUIRE(wait_until([&] { return std::ranges::any_of(workers, runs_on); }));
+        std::this_thread::sleep_for(half_is_sent);
+        std::ranges::find_if(workers, runs_on)->process->kill();
+        return asked.get();
+    };
+    call request{.target = "/services/shop-desk/bookings",
+                 .headers = {{"Authorization", "Bearer " + team_key("club")}}};
+    SUBCASE("a request that may be repeated runs elsewhere") {
+        const auto answer = ask_and_kill_worker(request);
+        CHECK(answer.status == 200);
+        CHECK(parse_json_object(answer.body));
+    }
+    SUBCASE("the outcome of another is unknown") {
+        request.method = "POST";
+        request.body = R"({"cup":"silver"})";
+        SUBCASE("with a key") {
+            request.headers.emplace_back("Idempotency-Key", "k1");
+        }
+        SUBCASE("without a key") {}
+        const auto answer = ask_and_kill_worker(request);
+        CHECK(answer.status == 502);
+        CHECK(answer.header("Citronwick-Outcome") == "unknown");
+    }
+}
--- a/tests/standin/plain_service.cpp
+++ b/tests/standin/plain_service.cpp
@@ -26,6 +26,7 @@
         const auto fault_settings = parse_json_object(request.body()).value_or(json::object{});
         response_delay_ = std::chrono::milliseconds{integer_member(fault_settings, "answer_delay_ms")};
         responses_to_drop_ = integer_member(fault_settings, "drop_answers");
+        unframed_pause_ = std::chrono::milliseconds{integer_member(fault_settings, "unframed_pause_ms")};
         refuse_ = integer_member(fault_settings, "refuse") != 0;
         status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         json::object response{{"ok", true}};
@@ -43,6 +44,12 @@
     if (request.method() == http::verb::get) {
         ++reads_;
         json::object response{{"path", target}, {"status", "open"}};
+        if (unframed_pause_.count() > 0) {
+            auto text = json::serialize(response);
+            std::string request_id{request["X-Request-Id"]};
+            co_return co_await send_unframed(stream, http::status::ok, std::move(text), std::move(request_id),
+                                             unframed_pause_);
+        }
         co_return co_await send_json(stream, std::move(response));
     }
     co_return co_await run(stream, std::move(request));
@@ -74,6 +81,10 @@
         auto [error, size] = co_await http::async_write(stream, response, use_tuple);
         co_return !error;
     }
+    if (unframed_pause_.count() > 0) {
+        co_return co_await send_unframed(stream, http::status::created, std::move(body), std::move(id),
+                                         unframed_pause_);
+    }
     co_return co_await send_response(stream, http::status::created, std::move(body), "application/json", "",
                                      std::move(id));
 }
--- a/tests/standin/plain_service.hpp
+++ b/tests/standin/plain_service.hpp
@@ -24,7 +24,8 @@
     std::map<std::string, std::int64_t> runs_; ///< by idempotency key, or by body if there is none
     std::int64_t reads_ = 0;
     std::chrono::milliseconds response_delay_{0};
-    std::int64_t responses_to_drop_ = 0; ///< number of requests to run without a response
+    std::int64_t responses_to_drop_ = 0;          ///< number of requests to run without a response
+    std::chrono::milliseconds unframed_pause_{0}; ///< within responses without length or chunks, if any
     bool refuse_ = false;
     unsigned status_ = 0; ///< of responses to requests that ran, 0 for the usual one
     double start_time_;
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -83,6 +84,19 @@
     co_return !error;
 }
 
+task<bool> send_unframed(boost::beast::tcp_stream& stream, http::status status, std::string body,
+                         std::string request_id, std::chrono::milliseconds pause) {
+    const std::string first_half =
+        "HTTP/1.1 " + std::to_string(static_cast<unsigned>(status)) +
+        " Answered\r\nContent-Type: application/json\r\nX-Request-Id: " + request_id + "\r\n\r\n" +
+        body.substr(0, body.size() / 2);
+    const std::string second_half = body.substr(body.size() / 2);
+    co_await asio::async_write(stream, asio::buffer(first_half), use_tuple);
+    co_await sleep_for(pause);
+    co_await asio::async_write(stream, asio::buffer(second_half), use_tuple);
+    co_return false;
+}
+
 task<bool> send_json(boost::beast::tcp_stream& stream, boost::json::object body) {
     auto text = boost::json::serialize(body);
     co_return co_await send_response(stream, http::status::ok, std::move(text));
--- a/tests/standin/standin_server.hpp
+++ b/tests/standin/standin_server.hpp
@@ -42,6 +42,11 @@
 task<bool> send_with_fields(boost::beast::tcp_stream& stream, http::status status, std::string body,
                             std::vector<std::pair<std::string, std::string>> fields);
 
+/// Sends the two halves of a response that has neither a length nor chunks, with a pause between them.
+/// @return false, since the response ends with its connection
+task<bool> send_unframed(boost::beast::tcp_stream& stream, http::status status, std::string body,
+                         std::string request_id, std::chrono::milliseconds pause);
+
 task<bool> send_json(boost::beast::tcp_stream& stream, boost::json::object body);
 
 task<void> sleep_for(std::chrono::microseconds time);
