--- a/tests/integration/unframed_responses.tests.cpp
+++ b/tests/integration/unframed_responses.tests.cpp
@@ -1,6 +1,7 @@
 // Responses that have neither a length nor chunks end with their connection. The kernel closes the
 // connections of a process that ends in the same way, so that the end of the connection proves nothing.
 
+#include "chat.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/task.hpp"
 #include "fleet.hpp"
@@ -162,3 +163,26 @@
         CHECK(answer.header("Citronwick-Outcome") == "unknown");
     }
 }
+
+// Guards against the end of a process that looks like the end of its response.
+TEST_CASE("proof: a chat that is no stream and whose engine is killed is answered by another one") {
+    fleet system{{.routers = 1, .engines = 2, .service_workers = 0}};
+    REQUIRE(system.wait_ready());
+    for (const node& engine : system.engines()) {
+        set_fault(engine, R"({"unframed_pause_ms":400})");
+    }
+    const auto runs_on = [](const node& engine) {
+        const auto page = http_call(engine.addresses.front(), {.target = "/standin/stats"}).body;
+        return integer_member(parse_json_object(page).value_or(boost::json::object{}), "runs") > 0;
+    };
+    auto asked = std::async(std::launch::async, [&] {
+        return chat(system.routers()[0].callers(), {.chat = "killed", .stream = false});
+    });
+    auto& engines = system.engines();
+    REQUIRE(wait_until([&] { return std::ranges::any_of(engines, runs_on); }));
+    std::this_thread::sleep_for(half_is_sent);
+    std::ranges::find_if(engines, runs_on)->process->kill();
+    const auto answer = asked.get();
+    CAPTURE(answer.raw.body);
+    CHECK(answer.is_complete(4));
+}
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -129,7 +129,9 @@
                .wrong_id = integer_member(fault_settings, "wrong_id") != 0,
                .compact_events = integer_member(fault_settings, "compact_events") != 0,
                .begin_anew = integer_member(fault_settings, "begin_anew") != 0,
-               .resume_unknown = integer_member(fault_settings, "resume_unknown") != 0};
+               .resume_unknown = integer_member(fault_settings, "resume_unknown") != 0,
+               .unframed_pause =
+                   std::chrono::milliseconds{integer_member(fault_settings, "unframed_pause_ms")}};
     draining_ = integer_member(fault_settings, "draining") != 0;
     if (integer_member(fault_settings, "clear_cache") != 0) {
         cache_.clear();
@@ -318,6 +320,10 @@
                      {"usage", make_usage(job.prompt_tokens, job.cached_tokens, job.tokens)}});
     auto report = load_report();
     auto id = response_id(job);
+    if (faults_.unframed_pause.count() > 0) {
+        co_return co_await send_unframed(stream, http::status::ok, std::move(body), std::move(id),
+                                         faults_.unframed_pause);
+    }
     co_return co_await send_response(stream, http::status::ok, std::move(body), "application/json",
                                      std::move(report), std::move(id));
 }
--- a/tests/standin/engine.hpp
+++ b/tests/standin/engine.hpp
@@ -32,16 +32,17 @@
 private:
     /// Faults set by POST /standin/fault.
     struct faults {
-        std::string crash_on;              ///< the process exits if a prompt contains this text
-        std::int64_t cut_after_events = 0; ///< events before a stream is cut
-        std::int64_t remaining_cuts = 0;   ///< number of streams still to cut
-        bool freeze = false;               ///< requests get no response
-        bool stall = false;                ///< streams stop after their first event but stay open
-        bool refuse = false;               ///< completion requests get status 503
-        bool wrong_id = false;             ///< responses carry another request's identifier
-        bool compact_events = false;       ///< events without the optional spaces
-        bool begin_anew = false;           ///< resumed streams begin with their first event
-        bool resume_unknown = false;       ///< streams of other processes go on, with other tokens
+        std::string crash_on;                        ///< the process exits if a prompt contains this text
+        std::int64_t cut_after_events = 0;           ///< events before a stream is cut
+        std::int64_t remaining_cuts = 0;             ///< number of streams still to cut
+        bool freeze = false;                         ///< requests get no response
+        bool stall = false;                          ///< streams stop after their first event but stay open
+        bool refuse = false;                         ///< completion requests get status 503
+        bool wrong_id = false;                       ///< responses carry another request's identifier
+        bool compact_events = false;                 ///< events without the optional spaces
+        bool begin_anew = false;                     ///< resumed streams begin with their first event
+        bool resume_unknown = false;                 ///< streams of other processes go on, with other tokens
+        std::chrono::milliseconds unframed_pause{0}; ///< within responses without length or chunks, if any
     };
 
     /// A completion in progress.
