Compare identifiers as numbers only where all of them are numbers

Found by the tests of relayed streams.

Change: where an id that is no number has come, all are compared for equality only. An id that is no number is refused behind consecutive numbers only.

--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -13,8 +13,8 @@
 
 /// Place in a stream behind the events that a caller has, through whichever runs they came.
 ///
-/// Identifiers that are decimal numbers increase within a stream. Others are compared for
-/// equality only.
+/// Identifiers that are decimal numbers increase within a stream. Where others occur as well, all
+/// are compared for equality only, as some texts consist of digits by chance.
 class stream_position {
 public:
     /// The beginning of a stream.
@@ -58,7 +58,7 @@
 
 private:
     std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
-    bool is_consecutive() const { return has_step_of_one_ && !has_other_step_; }
+    bool is_consecutive() const { return has_step_of_one_ && !has_other_step_ && !has_other_ids_; }
 
     std::string first_event_id_;
     std::string run_first_event_id_;
@@ -71,6 +71,7 @@
     bool is_final_ = false;
     bool has_step_of_one_ = false; ///< between the numbers of two events
     bool has_other_step_ = false;
+    bool has_other_ids_ = false; ///< some that are no numbers
 };
 
 } // namespace citronwick
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -39,7 +39,7 @@
     const bool has_id = next.id && !next.id->empty();
     if (has_id) {
         const auto number = number_of(*next.id);
-        if (last_number_ && number && *number <= *last_number_) {
+        if (!has_other_ids_ && last_number_ && number && *number <= *last_number_) {
             return sequence_fault::repeated;
         }
     }
@@ -56,11 +56,13 @@
     }
     const auto last = number_of(last_event_id_);
     const auto number = number_of(*next.id);
-    if (last && !number) {
+    if (!is_consecutive() || !last) {
+        return std::nullopt;
+    }
+    if (!number) {
         return sequence_fault::unnumbered;
     }
-    const bool omits = is_consecutive() && last && number && *number - *last > 1;
-    return omits ? std::optional{sequence_fault::omitted} : std::nullopt;
+    return *number - *last > 1 ? std::optional{sequence_fault::omitted} : std::nullopt;
 }
 
 void stream_position::advance(const stream_event& next) {
@@ -79,6 +81,7 @@
         }
         last_event_id_ = *next.id;
         last_number_ = next.id->empty() ? last_number_ : number;
+        has_other_ids_ = has_other_ids_ || (!next.id->empty() && !number);
     }
     ++events_;
     ++run_events_;
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -80,6 +80,17 @@
     CHECK_FALSE(fault_of(position_behind({"99999999999999999999"}), "99999999999999999998"));
 }
 
+// Guards against sound streams that end broken, as some of their texts look like numbers.
+TEST_CASE("digits among identifiers that are no numbers are not compared as numbers") {
+    stream_position position;
+    position.advance({.id = "9f3a"});
+    position.advance({.id = "8107"});
+    CHECK_FALSE(fault_of(position, "4562"));
+    position.begin_run();
+    CHECK_FALSE(fault_of(position, "4562"));
+    CHECK_FALSE(fault_of(position, "d1"));
+}
+
 // Guards against numbers that go back within a run (ORDER).
 TEST_CASE("numbers increase within a run, and events without one may come between") {
     stream_position position;
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -325,7 +325,7 @@
     }
 
     task<attempt_result> relay_response(upstream_connection& connection, const upstream_view& upstream) {
-        auto body = co_await connection.read_all(preset_->first_byte_timeout);
+        auto body = co_await connection.read_complete(preset_->first_byte_timeout);
         if (body.has_error()) {
             co_return record_failure(upstream, body.error());
         }
