Take a reset connection for a sign of life behind a response without length or chunks

The end of a stream is judged alike. The test of resets uses a sequential worker that resets just one connection behind each response.

--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -51,10 +51,11 @@
     open_outbound(first.socket(), peer);
     first.expires_after(std::min(timeout, connect_timeout));
     auto [error] = co_await first.async_connect(peer, use_tuple);
-    if (error == asio::error::connection_refused || error == boost::beast::error::timeout) {
+    // The kernel resets connections that a process has not accepted when it closes the listener.
+    // The reset may be found while connecting.
+    if (error && error != asio::error::connection_reset) {
         co_return false;
     }
-    // The kernel resets connections that a process has not accepted when it closes the listener.
     if (!error) {
         std::array<char, 1> byte{};
         const auto space = asio::buffer(byte);
@@ -64,12 +65,12 @@
             co_return true;
         }
     }
-    // An upstream that has too many connections resets some as well, but accepts the next one.
+    // An upstream that has too many connections resets some as well, but does not refuse the next one.
     boost::beast::tcp_stream second{executor};
     open_outbound(second.socket(), peer);
     second.expires_after(std::min(timeout, connect_timeout));
     auto [second_error] = co_await second.async_connect(peer, use_tuple);
-    co_return !second_error;
+    co_return !second_error || second_error == asio::error::connection_reset;
 }
 
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -57,7 +57,8 @@
         co_return false;
     }
     const auto error = co_await crash_probe::connect_after_pause(std::move(peer));
-    co_return !error;
+    // One beyond the limit of its connections resets some.
+    co_return !error || error == asio::error::connection_reset;
 }
 
 /// Completes a stream whose end could not be confirmed by a second run, under the conditions for
