--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -57,8 +57,10 @@
 }
 
 std::string joined(const std::vector<int>& ids) {
-    return std::accumulate(ids.begin(), ids.end(), std::string{},
-                           [](std::string text, int id) { return text + " " + std::to_string(id); });
+    return std::accumulate(ids.begin(), ids.end(), std::string{}, [](std::string text, int id) {
+        text += " " + std::to_string(id);
+        return text;
+    });
 }
 
 /// Asks for streams and checks each.
