--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -31,9 +31,9 @@
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
 /// route_delivery.cpp, the relaying of streams in route_streams.cpp, the proof of
-/// their end in route_stream_ends.cpp, what concerns
-/// crashes of upstreams in route_crashes.cpp, the software version of streams in
-/// route_versions.cpp, and the choice of an upstream in route_permits.cpp.
+/// their end in route_stream_ends.cpp, what concerns crashes of upstreams in
+/// route_crashes.cpp, the software version of streams in route_versions.cpp, and the
+/// choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request, buffer_reservation& buffers);
@@ -123,11 +123,11 @@
     stream_position position_;     ///< of the caller in the stream
     std::string media_type_;       ///< of the response whose header was relayed
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
-    std::optional<std::uint64_t> unproved_end_;        ///< events behind which a run ended without proof
-    endpoint unproved_at_;                             ///< upstream of that run
-    std::size_t unproved_run_ = 0;                     ///< number of that run
-    std::size_t runs_ = 0;                             ///< upstreams whose events were relayed
-    stream_end stream_end_ = stream_end::broken;       ///< of the last run
+    std::optional<std::uint64_t> unproved_end_;  ///< events behind which a run ended without proof
+    endpoint unproved_at_;                       ///< upstream of that run
+    std::size_t unproved_run_ = 0;               ///< number of that run
+    std::size_t runs_ = 0;                       ///< responses of upstreams that were relayed as streams
+    stream_end stream_end_ = stream_end::broken; ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
 };
 
