Count and log the responses that are skipped, and name those without an identifier

Neither log nor metrics told whether a surplus response had come before the one that was believed, nor whether a refusal that was believed named the request. Now: citronwick_skipped_responses_total, responses_skipped with the identifier, and "without request identifier" in the detail of attempt_ended. Decisions are as before.

--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -43,6 +43,9 @@
     /// @param continues whether events of another run were relayed before
     void count_stream_run(std::string_view service, bool continues, std::string_view end);
 
+    /// Counts responses that an upstream sent to other requests than the one under way.
+    void count_skipped_responses(std::string_view service, int count);
+
     /// Counts the end of a caller's connection, by its cause.
     void count_connection_end(std::string_view cause);
 
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/policy/buffer_reservation.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
@@ -66,6 +67,13 @@
     upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id};
     auto forwarded = make_forwarded_header();
     auto result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, attempt_deadline(now));
+    if (exchange.skipped_responses() > 0) {
+        context_.counters.count_skipped_responses(service_->name, exchange.skipped_responses());
+        log_info("responses_skipped", {{"request", caller_.request_id()},
+                                       {"upstream", placement_->upstream.entry.id},
+                                       {"count", std::to_string(exchange.skipped_responses())},
+                                       {"last_response_to", exchange.last_skipped_id()}});
+    }
     if (result.outcome == attempt_outcome::answered && withholds_status(connection.status())) {
         result.outcome = attempt_outcome::failed_run;
     }
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -76,6 +76,11 @@
             .Help(
                 "Runs of streams on one upstream each, by service, whether another run came before, and end")
             .Register(registry);
+    Family<Counter>& skipped_responses =
+        prometheus::BuildCounter()
+            .Name("citronwick_skipped_responses_total")
+            .Help("Responses to other requests than the one under way, by service")
+            .Register(registry);
     Family<Gauge>& limited_upstreams = prometheus::BuildGauge()
                                            .Name("citronwick_rate_limited_upstreams")
                                            .Help("Upstreams that have named a rate limit")
@@ -153,6 +158,10 @@
         .Increment();
 }
 
+void route_metrics::count_skipped_responses(std::string_view service, int count) {
+    families_->skipped_responses.Add({{"service", std::string{service}}}).Increment(count);
+}
+
 void route_metrics::count_connection_end(std::string_view cause) {
     families_->connection_ends.Add({{"cause", std::string{cause}}}).Increment();
 }
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -25,7 +25,7 @@
                                              std::optional<std::uint64_t> max_body_bytes,
                                              time_point deadline) {
     connection_.start_send(std::move(header), std::move(body), time_until(deadline, clock::now()));
-    for (int skipped_count = 0; skipped_count <= max_skipped_responses; ++skipped_count) {
+    while (skipped_responses_ <= max_skipped_responses) {
         auto read = co_await read_header(max_body_bytes, deadline);
         if (read.has_error()) {
             co_return exchange_result{attempt_outcome::may_have_run, to_text(read.error()), true};
@@ -35,7 +35,8 @@
             has_response_ = connection_.status() != misdirected || traits_.is_signed;
             co_return classify();
         }
-        skipped_response_ = true;
+        ++skipped_responses_;
+        last_skipped_id_ = traits_.attempt_id.empty() ? "-" : traits_.attempt_id;
         auto skipped = co_await connection_.read_all(time_until(deadline, clock::now()), deadline);
         if (skipped.has_error() || skipped->size() > max_skipped_response_bytes) {
             break;
@@ -71,7 +72,8 @@
 
 exchange_result upstream_exchange::classify() const {
     const unsigned status = connection_.status();
-    const std::string text = "status " + std::to_string(status);
+    const std::string text = "status " + std::to_string(status) +
+                             (traits_.attempt_id.empty() ? " without request identifier" : "");
     if (states_not_run()) {
         return {attempt_outcome::not_run, text};
     }
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -40,8 +40,14 @@
     /// got its address.
     bool has_response() const { return has_response_; }
 
+    /// Responses to other requests that were skipped.
+    int skipped_responses() const { return skipped_responses_; }
+
+    /// Identifier of the request to which the last skipped response belongs, "-" if it has none.
+    const std::string& last_skipped_id() const { return last_skipped_id_; }
+
     /// Whether the connection may be reused for another request.
-    bool reusable() const { return !skipped_response_ && connection_.reusable(); }
+    bool reusable() const { return skipped_responses_ == 0 && connection_.reusable(); }
 
 private:
     task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes, time_point deadline);
@@ -55,7 +61,8 @@
     std::string attempt_id_;
     response_traits traits_;
     bool has_response_ = false;
-    bool skipped_response_ = false; ///< if set, the connection is not reused
+    int skipped_responses_ = 0;
+    std::string last_skipped_id_{"-"};
 };
 
 } // namespace citronwick
