Keep copies of refusals from the requests that follow on a connection

Callers saw bookings answered 503, which promises that they have not run, that had run, and bookings that ran twice: a worker had sent the copy of an earlier refusal where the response to the booking was due. A copy without an identifier (a 421 of another service's worker) was taken for the response to whatever was under way; a copy with one was believed if its request went to the same address again, as to an upstream that is registered under two identifiers.

Cause: a connection on which a request was refused went back to the pool as if all responses to it had been read, and the identifier was taken for a proof although it only tells requests apart, not the responses to one request.

Now a connection carries no request again that was refused on it, and none at all behind a response without an identifier. Chats and plain services follow the same rule for what is refused; other responses of upstreams that name no identifier are still believed there.

--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/core/time.hpp"
 #include "citronwick/traffic/upstream_connection.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -18,9 +19,10 @@
     connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit,
                     std::size_t max_idle = default_max_idle);
 
-    /// Returns an idle connection, or a new one that is not connected yet.
+    /// Returns an idle connection that may carry the request, or a new one that is not connected yet.
+    /// @param request hash of the identifier that the request's response will have
     /// @param max_idle longest time for which a reused connection may have been idle
-    std::unique_ptr<upstream_connection> acquire(const endpoint& peer, time_point now,
+    std::unique_ptr<upstream_connection> acquire(const endpoint& peer, std::uint64_t request, time_point now,
                                                  duration max_idle = duration::max());
 
     /// Returns a new, unconnected connection, for requests that must not be repeated.
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace citronwick {
 
@@ -77,7 +78,21 @@
                                                time_point deadline = time_point::max(),
                                                size_check may_buffer = {});
 
-    /// Whether the response was read to its end and the connection stays open.
+    /// Records that the upstream refused a request. A copy of the refusal, with the identifier of
+    /// the request, may arrive wherever a response is due.
+    /// @param request hash of its identifier
+    void record_refusal(std::uint64_t request);
+
+    /// Records a response without an identifier. Its copy could not be told from the response to
+    /// any other request, so the connection carries none.
+    void record_unidentified_response() { brought_unidentified_response_ = true; }
+
+    /// Whether no response to a request with this identifier may still arrive from before.
+    /// @param request hash of the identifier
+    bool may_carry(std::uint64_t request) const;
+
+    /// Whether the response was read to its end, the connection stays open, and the responses to
+    /// other requests can be told from what may still arrive.
     bool reusable() const;
 
     /// Whether the connection is still open and has no unread input.
@@ -110,7 +125,9 @@
     bool open_ = false;
     bool limits_ack_time_ = true; ///< whether unacknowledged data breaks the connection early
     bool was_used_ = false;
-    bool is_head_request_ = false; ///< a response to HEAD has no body
+    bool is_head_request_ = false;                ///< a response to HEAD has no body
+    std::vector<std::uint64_t> refused_requests_; ///< hashes of their identifiers
+    bool brought_unidentified_response_ = false;
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -219,7 +219,7 @@
 
     task<attempt_result> try_upstream(const admitted_request& admitted) {
         const upstream_view& upstream = admitted.upstream;
-        auto connection = thread_.pool.acquire(upstream.address, clock::now());
+        auto connection = thread_.pool.acquire(upstream.address, request_hash(), clock::now());
         const auto result = co_await exchange(*connection, upstream);
         caller_.on_disconnect(nullptr);
         if (result == attempt_result::failed) {
@@ -259,6 +259,7 @@
                                      {"check answer", upstream.name, "it belongs to another request", true});
         }
         if (connection.status() == 503) {
+            record_refusal(connection);
             auto body = co_await connection.read_all(preset_->idle_timeout);
             const std::string detail = "it refuses new work " + (body.has_value() ? *body : std::string{});
             co_return record_failure(upstream, {"ask upstream", upstream.name, detail, false});
@@ -310,6 +311,17 @@
         return connection.header()[http::field::content_type].starts_with("text/event-stream");
     }
 
+    std::uint64_t request_hash() const { return hash64(caller_.request_id()); }
+
+    /// Keeps copies of a refusal from later requests on the connection.
+    void record_refusal(upstream_connection& connection) const {
+        if (connection.header()[request_id_header].empty()) {
+            connection.record_unidentified_response();
+        } else {
+            connection.record_refusal(request_hash());
+        }
+    }
+
     bool request_id_matches(const upstream_connection& connection) const {
         const auto echoed = connection.header()[request_id_header];
         return echoed.empty() || echoed == caller_.request_id();
--- a/packages/traffic/src/connection_pool.cpp
+++ b/packages/traffic/src/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/traffic/connection_pool.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace citronwick {
 
@@ -8,21 +9,26 @@
                                  std::size_t max_idle)
     : executor_{std::move(executor)}, idle_limit_{idle_limit}, max_idle_{max_idle} {}
 
-std::unique_ptr<upstream_connection> connection_pool::acquire(const endpoint& peer, time_point now,
-                                                              duration max_idle) {
+std::unique_ptr<upstream_connection> connection_pool::acquire(const endpoint& peer, std::uint64_t request,
+                                                              time_point now, duration max_idle) {
     auto& idle = idle_[peer];
     idle_count_ -= std::erase_if(idle, [&](const idle_connection& each) {
         return now - each.since >= std::min<duration>(idle_limit_, each.idle_timeout);
     });
-    while (!idle.empty() && now - idle.back().since < max_idle) {
-        auto newest = std::move(idle.back().connection);
-        idle.pop_back();
+    while (true) {
+        const auto newest = std::find_if(idle.rbegin(), idle.rend(), [&](const idle_connection& each) {
+            return now - each.since < max_idle && each.connection->may_carry(request);
+        });
+        if (newest == idle.rend()) {
+            return create(peer);
+        }
+        auto connection = std::move(newest->connection);
+        idle.erase(std::next(newest).base());
         --idle_count_;
-        if (newest->is_idle()) {
-            return newest;
+        if (connection->is_idle()) {
+            return connection;
         }
     }
-    return create(peer);
 }
 
 std::unique_ptr<upstream_connection> connection_pool::create(const endpoint& peer) const {
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -64,7 +64,8 @@
     if (!is_stream(route_->kind)) {
         max_body_bytes = context_.settings.answer_bytes;
     }
-    upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id};
+    upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id,
+                               placement_request_.request_hash};
     auto forwarded = make_forwarded_header();
     auto result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, attempt_deadline(now));
     if (exchange.skipped_responses() > 0) {
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -213,7 +213,8 @@
         in_flight_guard in_flight{placement_->upstream.load,
                                   placement_->uncached_tokens - placement_->fetched_tokens};
         const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
-        auto connection = context_.pool.acquire(placement_->upstream.entry.address, started, max_idle);
+        auto connection = context_.pool.acquire(placement_->upstream.entry.address,
+                                                placement_request_.request_hash, started, max_idle);
         active_connection_ = connection.get();
         co_await connect_if_needed(*connection, result);
         if (result.detail.empty()) {
--- a/packages/traffic/src/service_handler.cpp
+++ b/packages/traffic/src/service_handler.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/attempt_policy.hpp"
 #include "citronwick/traffic/authentication.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/traffic_context.hpp"
@@ -341,7 +342,7 @@
             co_return admitted.error();
         }
         const upstream_view& upstream = admitted->upstream;
-        auto connection = repeatable_ ? thread_.pool.acquire(upstream.address, clock::now())
+        auto connection = repeatable_ ? thread_.pool.acquire(upstream.address, request_hash(), clock::now())
                                       : thread_.pool.create(upstream.address);
         delivery_result result{.upstream = upstream.hash, .upstream_name = upstream.name};
         auto response = co_await exchange(*connection, send_deadline);
@@ -359,6 +360,17 @@
         co_return result;
     }
 
+    std::uint64_t request_hash() const { return hash64(caller_.request_id()); }
+
+    /// Keeps copies of a refusal from later requests on the connection.
+    void record_refusal(upstream_connection& connection, bool has_id) const {
+        if (has_id) {
+            connection.record_refusal(request_hash());
+        } else {
+            connection.record_unidentified_response();
+        }
+    }
+
     task<io_result<recorded_response>> exchange(upstream_connection& connection, time_point send_deadline) {
         auto connected = co_await connection.connect(preset_->connect_timeout);
         if (connected.has_error()) {
@@ -384,6 +396,9 @@
             co_return failure{"check answer", to_text(connection.peer()), "it belongs to another request",
                               true};
         }
+        if (promises_not_run(connection.status())) {
+            record_refusal(connection, !echoed.empty());
+        }
         auto body = co_await connection.read_complete(preset_->idle_timeout);
         if (body.has_error()) {
             co_return body.error();
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::seconds keepalive_idle{2};
 constexpr std::chrono::seconds keepalive_interval{1};
 constexpr int keepalive_probes = 2;
+/// Refused requests that one connection remembers. It is closed then.
+constexpr std::size_t max_refused_requests = 64;
 
 /// Sets the time after which unacknowledged data breaks a connection; 0 for the system's own.
 void set_ack_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout) {
@@ -210,9 +212,18 @@
     co_return body;
 }
 
+void upstream_connection::record_refusal(std::uint64_t request) {
+    refused_requests_.push_back(request);
+}
+
+bool upstream_connection::may_carry(std::uint64_t request) const {
+    return std::ranges::find(refused_requests_, request) == refused_requests_.end();
+}
+
 bool upstream_connection::reusable() const {
     return open_ && is_sent() && parser_ && parser_->is_done() && parser_->keep_alive() &&
-           buffer_.size() == 0;
+           buffer_.size() == 0 && !brought_unidentified_response_ &&
+           refused_requests_.size() < max_refused_requests;
 }
 
 bool upstream_connection::is_idle() {
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -33,6 +33,7 @@
         traits_ = dialect_.read_response(connection_.header());
         if (!should_skip_response()) {
             has_response_ = connection_.status() != misdirected || traits_.is_signed;
+            record_response();
             co_return classify();
         }
         ++skipped_responses_;
@@ -70,6 +71,15 @@
     return traits_.is_not_run || (connection_.status() == misdirected && !traits_.is_signed);
 }
 
+/// Records what copies of the response might do to later requests on the connection.
+void upstream_exchange::record_response() {
+    if (traits_.attempt_id.empty()) {
+        connection_.record_unidentified_response();
+    } else if (states_not_run()) {
+        connection_.record_refusal(request_);
+    }
+}
+
 exchange_result upstream_exchange::classify() const {
     const unsigned status = connection_.status();
     const std::string text = "status " + std::to_string(status) +
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/policy/attempt_policy.hpp"
 #include "citronwick/traffic/upstream_connection.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,12 +22,18 @@
 
 /// Sends a request to one upstream and reads the header of its response.
 ///
-/// Skips late responses to other requests on the same connection.
+/// Tells the response from late copies of others that the upstream sends on the same connection.
+/// Other responses bear the identifiers of other requests and are skipped, and the connection is
+/// closed behind them. What cannot be told by its identifier never meets a request: a connection
+/// does not carry a request again that was refused there, and none at all behind a response
+/// without an identifier.
 class upstream_exchange {
 public:
     /// @param attempt_id identifier of the request; a response with another identifier is skipped
-    upstream_exchange(upstream_connection& connection, const request_dialect& dialect, std::string attempt_id)
-        : connection_{connection}, dialect_{dialect}, attempt_id_{std::move(attempt_id)} {}
+    /// @param request hash of the identifier, see `connection_pool::acquire`
+    upstream_exchange(upstream_connection& connection, const request_dialect& dialect, std::string attempt_id,
+                      std::uint64_t request)
+        : connection_{connection}, dialect_{dialect}, attempt_id_{std::move(attempt_id)}, request_{request} {}
 
     /// Sends the request and reads the response header.
     /// @param max_body_bytes size limit of the response body, none for streams
@@ -51,6 +58,7 @@
 
 private:
     task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes, time_point deadline);
+    void record_response();
     exchange_result classify() const;
     bool states_not_run() const;
     /// Whether the response is interim or belongs to another request.
@@ -59,6 +67,7 @@
     upstream_connection& connection_;
     const request_dialect& dialect_;
     std::string attempt_id_;
+    std::uint64_t request_;
     response_traits traits_;
     bool has_response_ = false;
     int skipped_responses_ = 0;
