Keep copies of failures, and of refusals other than 503, from later requests

Callers of chats saw 429, and callers of plain services 429 or 500, for requests that had run: the upstream had sent the copy of another request's response, which names no request, where theirs was due. On routes, the copy of a 500 was taken for the response to a request that went to the same address again.

Cause: only 503 (chats), the statuses that promise "not run" (plain services) and responses that state it (routes) were recorded as something whose copy may come later. Any refusal or failure may be followed by a second sending of the request.

Now every response that is no success counts on routes, and every refusal or server error in chats and plain services, where one that names no request takes the connection out of use. The identifier of a request to a plain service is not recorded: its response ends it.

--- a/packages/policy/include/citronwick/policy/attempt_policy.hpp
+++ b/packages/policy/include/citronwick/policy/attempt_policy.hpp
@@ -63,6 +63,9 @@
 /// 408, 421, 429 and 503.
 bool promises_not_run(unsigned status);
 
+/// Whether a response status says that the request was refused, or failed at the upstream.
+bool reports_failure(unsigned status);
+
 /// Number of rejections after which another upstream is still tried. One more ends the request.
 constexpr std::uint32_t max_rejections = 2;
 
--- a/packages/policy/src/attempt_policy.cpp
+++ b/packages/policy/src/attempt_policy.cpp
@@ -47,6 +47,11 @@
     return std::ranges::find(statuses, status) != statuses.end();
 }
 
+bool reports_failure(unsigned status) {
+    constexpr unsigned first_server_error = 500;
+    return status >= first_server_error || promises_not_run(status);
+}
+
 bool may_try_elsewhere(const attempt_state& state) {
     const bool was_rejected =
         state.last_outcome == attempt_outcome::not_sent || state.last_outcome == attempt_outcome::not_run;
--- a/packages/policy/tests/attempt_policy.tests.cpp
+++ b/packages/policy/tests/attempt_policy.tests.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/policy/attempt_policy.hpp"
 
+#include <algorithm>
 #include <array>
 #include <doctest/doctest.h>
 #include <ranges>
@@ -111,3 +112,8 @@
     CHECK_FALSE(may_try_elsewhere(state));
     CHECK(choose_next_step(state, true) == next_step::refuse);
 }
+
+TEST_CASE("refusals and server errors report a failure, other responses do not") {
+    CHECK(std::ranges::all_of(std::array{408U, 421U, 429U, 500U, 503U, 599U}, &reports_failure));
+    CHECK(std::ranges::none_of(std::array{200U, 304U, 404U, 422U}, &reports_failure));
+}
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -78,8 +78,8 @@
                                                time_point deadline = time_point::max(),
                                                size_check may_buffer = {});
 
-    /// Records that the upstream refused a request. A copy of the refusal, with the identifier of
-    /// the request, may arrive wherever a response is due.
+    /// Records that the upstream refused or failed a request, which may be sent again. A copy of that
+    /// response, with the identifier of the request, may arrive wherever a response is due.
     /// @param request hash of its identifier
     void record_refusal(std::uint64_t request);
 
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
+#include "citronwick/policy/attempt_policy.hpp"
 #include "citronwick/policy/stream_position.hpp"
 #include "citronwick/traffic/authentication.hpp"
 #include "citronwick/traffic/caller.hpp"
@@ -258,8 +259,10 @@
             co_return record_failure(upstream,
                                      {"check answer", upstream.name, "it belongs to another request", true});
         }
-        if (connection.status() == 503) {
+        if (reports_failure(connection.status())) {
             record_refusal(connection);
+        }
+        if (connection.status() == 503) {
             auto body = co_await connection.read_all(preset_->idle_timeout);
             const std::string detail = "it refuses new work " + (body.has_value() ? *body : std::string{});
             co_return record_failure(upstream, {"ask upstream", upstream.name, detail, false});
@@ -313,7 +316,7 @@
 
     std::uint64_t request_hash() const { return hash64(caller_.request_id()); }
 
-    /// Keeps copies of a refusal from later requests on the connection.
+    /// Keeps copies of a refusal or failure from later requests on the connection.
     void record_refusal(upstream_connection& connection) const {
         if (connection.header()[request_id_header].empty()) {
             connection.record_unidentified_response();
--- a/packages/traffic/src/service_handler.cpp
+++ b/packages/traffic/src/service_handler.cpp
@@ -362,15 +362,6 @@
 
     std::uint64_t request_hash() const { return hash64(caller_.request_id()); }
 
-    /// Keeps copies of a refusal from later requests on the connection.
-    void record_refusal(upstream_connection& connection, bool has_id) const {
-        if (has_id) {
-            connection.record_refusal(request_hash());
-        } else {
-            connection.record_unidentified_response();
-        }
-    }
-
     task<io_result<recorded_response>> exchange(upstream_connection& connection, time_point send_deadline) {
         auto connected = co_await connection.connect(preset_->connect_timeout);
         if (connected.has_error()) {
@@ -396,8 +387,8 @@
             co_return failure{"check answer", to_text(connection.peer()), "it belongs to another request",
                               true};
         }
-        if (promises_not_run(connection.status())) {
-            record_refusal(connection, !echoed.empty());
+        if (echoed.empty() && reports_failure(connection.status())) {
+            connection.record_unidentified_response();
         }
         auto body = co_await connection.read_complete(preset_->idle_timeout);
         if (body.has_error()) {
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -33,8 +33,7 @@
         traits_ = dialect_.read_response(connection_.header());
         if (!should_skip_response()) {
             has_response_ = connection_.status() != misdirected || traits_.is_signed;
-            record_response();
-            co_return classify();
+            co_return record_response(classify());
         }
         ++skipped_responses_;
         last_skipped_id_ = traits_.attempt_id.empty() ? "-" : traits_.attempt_id;
@@ -71,13 +70,15 @@
     return traits_.is_not_run || (connection_.status() == misdirected && !traits_.is_signed);
 }
 
-/// Records what copies of the response might do to later requests on the connection.
-void upstream_exchange::record_response() {
+/// Records what copies of the response might do to later requests on the connection. A request
+/// that was refused or failed may be sent again.
+exchange_result upstream_exchange::record_response(exchange_result result) {
     if (traits_.attempt_id.empty()) {
         connection_.record_unidentified_response();
-    } else if (states_not_run()) {
+    } else if (result.outcome != attempt_outcome::answered || reports_failure(connection_.status())) {
         connection_.record_refusal(request_);
     }
+    return result;
 }
 
 exchange_result upstream_exchange::classify() const {
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -25,8 +25,8 @@
 /// Tells the response from late copies of others that the upstream sends on the same connection.
 /// Other responses bear the identifiers of other requests and are skipped, and the connection is
 /// closed behind them. What cannot be told by its identifier never meets a request: a connection
-/// does not carry a request again that was refused there, and none at all behind a response
-/// without an identifier.
+/// does not carry a request again that was refused or failed there, and none at all behind a
+/// response without an identifier.
 class upstream_exchange {
 public:
     /// @param attempt_id identifier of the request; a response with another identifier is skipped
@@ -58,7 +58,7 @@
 
 private:
     task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes, time_point deadline);
-    void record_response();
+    exchange_result record_response(exchange_result result);
     exchange_result classify() const;
     bool states_not_run() const;
     /// Whether the response is interim or belongs to another request.
--- /dev/null
+++ b/tests/integration/misattributed_responses.tests.cpp
@@ -0,0 +1,79 @@
+// Workers that send responses which callers must not get as the responses to their requests.
+
+#include "citronwick/io/task.hpp"
+#include "routed_fleet.hpp"
+#include "scripted_worker.hpp"
+#include "waiting.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <set>
+#include <string>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned ok = 200;
+
+/// Attempts to which a worker has written their own successful responses.
+class answered_attempts {
+public:
+    void record(const std::string& request_header) {
+        const std::scoped_lock lock{mutex_};
+        attempts_.insert(field_of(request_header, "Citronwick-Attempt-Id"));
+    }
+    bool contains(const std::string& attempt) {
+        const std::scoped_lock lock{mutex_};
+        return attempts_.contains(attempt);
+    }
+
+private:
+    std::mutex mutex_;
+    std::set<std::string> attempts_;
+};
+
+std::string failure_of(const std::string& request_header) {
+    return "HTTP/1.1 500 Internal Server Error\r\nCitronwick-Server-Stamp: stamp.scripted\r\n"
+           "Citronwick-Attempt-Id: " +
+           field_of(request_header, "Citronwick-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Fails every other request of a connection, and sends a copy of the failure before the next response.
+scripted_worker::script copy_failures(answered_attempts& answered) {
+    return [&answered](asio::ip::tcp::socket& connection) {
+        while (true) {
+            const std::string failed = read_request(connection);
+            asio::write(connection, asio::buffer(failure_of(failed)));
+            const std::string header = read_request(connection);
+            answered.record(header);
+            const std::string answer = response_header(header) + "Content-Length: 4\r\n\r\ndone";
+            asio::write(connection, asio::buffer(failure_of(failed) + answer));
+        }
+    };
+}
+
+} // namespace
+
+TEST_CASE("proof: the copy of a failure is not believed if the request goes to the same address again") {
+    constexpr int reads = 20;
+    answered_attempts answered;
+    const scripted_worker worker{"desk-a", copy_failures(answered)};
+    node renamed{.name = "desk-b"};
+    renamed.addresses = worker.entry().addresses;
+    routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+    system.register_worker(worker.entry(), "desk");
+    system.register_worker(renamed, "desk");
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_until([&] { return system.ask(system.routers()[0], "/read/1", "ready").status != 503; }));
+    for (int index = 0; index < reads; ++index) {
+        const std::string attempt = "read-" + std::to_string(index);
+        const auto answer = system.ask(system.routers()[0], "/read/1", attempt);
+        CAPTURE(attempt);
+        CHECK((answer.status == ok || !answered.contains(attempt)));
+    }
+}
