Give up a connection on which a response cannot be skipped because of HEAD

A caller got part of the body of its response as a whole response: a worker had sent the copy of its response to HEAD where the response to a booking was due.

Cause: the length field of a response to HEAD tells nothing of its body. The skipped copy was read as if a body followed, and what came after was read as a response.

Now nothing is skipped on a connection that has carried HEAD: it is closed, and the request may have run. Such connections carry further requests as before.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -91,6 +91,10 @@
     /// @param request hash of the identifier
     bool may_carry(std::uint64_t request) const;
 
+    /// Whether a HEAD request was sent. Its response has no body whatever its length field states, so
+    /// it is not known where a response to another request than the one under way ends.
+    bool has_carried_head() const { return has_carried_head_; }
+
     /// Whether the response was read to its end, the connection stays open, and the responses to
     /// other requests can be told from what may still arrive.
     bool reusable() const;
@@ -125,7 +129,8 @@
     bool open_ = false;
     bool limits_ack_time_ = true; ///< whether unacknowledged data breaks the connection early
     bool was_used_ = false;
-    bool is_head_request_ = false;                ///< a response to HEAD has no body
+    bool is_head_request_ = false; ///< a response to HEAD has no body
+    bool has_carried_head_ = false;
     std::vector<std::uint64_t> refused_requests_; ///< hashes of their identifiers
     bool brought_unidentified_response_ = false;
 };
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -107,6 +107,7 @@
 void upstream_connection::start_send(http::request_header<> header, std::shared_ptr<const std::string> body,
                                      std::chrono::milliseconds timeout) {
     is_head_request_ = header.method() == http::verb::head;
+    has_carried_head_ = has_carried_head_ || is_head_request_;
     adapt_ack_timeout(body->size());
     http::request<http::span_body<const char>> request{std::move(header)};
     request.body() = {body->data(), body->size()};
@@ -121,6 +122,7 @@
 
 task<io_result<void>> upstream_connection::send(http_request request, std::chrono::milliseconds timeout) {
     is_head_request_ = request.method() == http::verb::head;
+    has_carried_head_ = has_carried_head_ || is_head_request_;
     request.set(http::field::host, to_text(peer_));
     request.prepare_payload();
     adapt_ack_timeout(request.body().size());
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -37,6 +37,9 @@
         }
         ++skipped_responses_;
         last_skipped_id_ = traits_.attempt_id.empty() ? "-" : traits_.attempt_id;
+        if (connection_.has_carried_head()) {
+            break;
+        }
         auto skipped = co_await connection_.read_all(time_until(deadline, clock::now()), deadline);
         if (skipped.has_error() || skipped->size() > max_skipped_response_bytes) {
             break;
--- a/tests/integration/misattributed_responses.tests.cpp
+++ b/tests/integration/misattributed_responses.tests.cpp
@@ -57,6 +57,27 @@
     };
 }
 
+/// Sends a copy of the last response to HEAD before the next one, whose header is as long as the copy's
+/// length field says, and whose body reads like a response.
+void copy_head_responses(asio::ip::tcp::socket& connection) {
+    std::string last_head;
+    while (true) {
+        const std::string header = read_request(connection);
+        if (header.starts_with("HEAD ")) {
+            last_head = response_header(header);
+            asio::write(connection, asio::buffer(last_head + "Content-Length: 4\r\n\r\n"));
+            continue;
+        }
+        const std::string body = response_header(header) + "Content-Length: 6\r\n\r\nwithin";
+        const std::string start =
+            response_header(header) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        const std::string copy =
+            last_head.empty() ? ""
+                              : last_head + "Content-Length: " + std::to_string(start.size()) + "\r\n\r\n";
+        asio::write(connection, asio::buffer(copy + start + body));
+    }
+}
+
 } // namespace
 
 TEST_CASE("proof: the copy of a failure is not believed if the request goes to the same address again") {
@@ -77,3 +98,30 @@
         CHECK((answer.status == ok || !answered.contains(attempt)));
     }
 }
+
+TEST_CASE("proof: part of a body is not taken for a response behind the copy of a response to HEAD") {
+    constexpr int bookings = 20;
+    const scripted_worker worker{"desk-a", &copy_head_responses};
+    routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+    system.register_worker(worker.entry(), "desk");
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    const auto ask_head = [&](const std::string& attempt) {
+        return http_call(router.addresses.front(), {.method = "HEAD",
+                                                    .target = "/book/1",
+                                                    .headers = {{"Host", "shop.example"},
+                                                                {"X-Api-Key", "club-key"},
+                                                                {"Citronwick-Attempt-Id", attempt},
+                                                                {"Citronwick-Deadline-Ms", "2000"}}})
+            .status;
+    };
+    REQUIRE(wait_until([&] { return ask_head("ready") == ok; }));
+    for (int index = 0; index < bookings; ++index) {
+        for (const std::string name : {"head-a-", "head-b-"}) { // each thread has its own connections
+            CHECK(ask_head(name + std::to_string(index)) == ok);
+        }
+        const auto answer = system.ask(router, "/book/1", "booking-" + std::to_string(index));
+        CHECK(answer.body != "within");
+        CHECK((answer.status == ok || answer.status == 502));
+    }
+}
