Read past interim responses to chats and plain services

Callers of chats and plain services whose upstream sends an interim response (103) got it as their response, without body. The response itself stayed on the connection as surplus.

Cause: only routes skipped interim responses. The connection does it now, for all three; the time allowed for the header bounds all of them together.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -41,7 +41,7 @@
     /// Sends a complete request, with the upstream's address as its Host field.
     task<io_result<void>> send(http_request request, std::chrono::milliseconds timeout);
 
-    /// Reads the status line and header of the response.
+    /// Reads the status line and header of the response, behind any interim ones (1xx).
     /// @param max_body_bytes size limit of the response body, none for streams
     task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes,
                                       std::chrono::milliseconds timeout);
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+/// Responses below this status are interim ones, which have no body and precede the response.
+constexpr unsigned first_final_status = 200;
 constexpr std::size_t chunk_bytes = 16'384;
 /// Largest body that is buffered, whatever its length field states.
 constexpr std::size_t max_buffered_bytes = 16'777'216;
@@ -136,19 +138,27 @@
 
 task<io_result<void>> upstream_connection::read_header(std::optional<std::uint64_t> max_body_bytes,
                                                        std::chrono::milliseconds timeout) {
-    parser_.emplace();
-    parser_->skip(is_head_request_);
-    if (max_body_bytes) {
-        parser_->body_limit(*max_body_bytes);
-    } else {
-        parser_->body_limit(boost::none);
-    }
+    const auto deadline = clock::now() + timeout;
     stream_->expires_after(timeout);
-    auto [error, size] = co_await http::async_read_header(*stream_, buffer_, *parser_, use_tuple);
-    if (error) {
-        co_return close_with_failure("read response header", error, true);
+    while (true) {
+        parser_.emplace();
+        parser_->skip(is_head_request_);
+        if (max_body_bytes) {
+            parser_->body_limit(*max_body_bytes);
+        } else {
+            parser_->body_limit(boost::none);
+        }
+        auto [error, size] = co_await http::async_read_header(*stream_, buffer_, *parser_, use_tuple);
+        if (!error && status() < first_final_status && clock::now() >= deadline) {
+            error = boost::beast::error::timeout;
+        }
+        if (error) {
+            co_return close_with_failure("read response header", error, true);
+        }
+        if (status() >= first_final_status) {
+            co_return io_result<void>{};
+        }
     }
-    co_return io_result<void>{};
 }
 
 task<io_result<std::string>> upstream_connection::read_some(std::chrono::milliseconds idle_timeout) {
--- a/packages/traffic/src/upstream_exchange.cpp
+++ b/packages/traffic/src/upstream_exchange.cpp
@@ -26,7 +26,7 @@
                                              time_point deadline) {
     connection_.start_send(std::move(header), std::move(body), time_until(deadline, clock::now()));
     while (skipped_responses_ <= max_skipped_responses) {
-        auto read = co_await read_header(max_body_bytes, deadline);
+        auto read = co_await connection_.read_header(max_body_bytes, time_until(deadline, clock::now()));
         if (read.has_error()) {
             co_return exchange_result{attempt_outcome::may_have_run, to_text(read.error()), true};
         }
@@ -49,22 +49,9 @@
     co_return exchange_result{attempt_outcome::may_have_run, "only answers to other requests arrived"};
 }
 
-/// Reads the header of the next response that is not an interim one. Interim responses have no body.
-task<io_result<void>> upstream_exchange::read_header(std::optional<std::uint64_t> max_body_bytes,
-                                                     time_point deadline) {
-    while (true) {
-        auto read = co_await connection_.read_header(max_body_bytes, time_until(deadline, clock::now()));
-        if (read.has_error() || connection_.status() >= first_success || clock::now() >= deadline) {
-            co_return read;
-        }
-    }
-}
-
 bool upstream_exchange::should_skip_response() const {
-    const bool is_interim = connection_.status() < first_success;
     const bool has_other_id = !traits_.attempt_id.empty() && traits_.attempt_id != attempt_id_;
-    return is_interim || has_other_id ||
-           (traits_.attempt_id.empty() && !states_not_run() && traits_.is_signed);
+    return has_other_id || (traits_.attempt_id.empty() && !states_not_run() && traits_.is_signed);
 }
 
 /// Whether the response states that the request has not run. A 421 response does so without
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -57,11 +57,10 @@
     bool reusable() const { return skipped_responses_ == 0 && connection_.reusable(); }
 
 private:
-    task<io_result<void>> read_header(std::optional<std::uint64_t> max_body_bytes, time_point deadline);
     exchange_result record_response(exchange_result result);
     exchange_result classify() const;
     bool states_not_run() const;
-    /// Whether the response is interim or belongs to another request.
+    /// Whether the response belongs to another request.
     bool should_skip_response() const;
 
     upstream_connection& connection_;
