Open a new connection for a platform call if there is unread input

Calls over a kept connection (probes of upstreams, lists of VMs, calls of the store) took a surplus response for their own, and from then on each call got the response to the one before.

Cause: responses to these calls have no identifier, and a kept connection was used without a look at what had come meanwhile. Unread input now closes it before the next call, as does its end, which the call noticed only by failing.

What arrives after the request was sent cannot be told apart, as before.

--- a/packages/io/include/citronwick/io/http_connection.hpp
+++ b/packages/io/include/citronwick/io/http_connection.hpp
@@ -36,7 +36,8 @@
     /// @param max_body_bytes largest accepted response body
     http_connection(const asio::any_io_executor& executor, endpoint peer, std::uint64_t max_body_bytes);
 
-    /// Connects, unless the connection is open already.
+    /// Connects, unless the connection is open already and has no unread input. Such input belongs to
+    /// no call, or the peer has closed the connection.
     task<io_result<void>> connect(std::chrono::milliseconds timeout);
 
     /// Sends a request and reads the complete response, connecting first if needed.
@@ -60,6 +61,8 @@
     byte_count take_byte_count();
 
 private:
+    bool has_unread_input();
+
     /// Closes the connection and returns the failure to report.
     failure close_with_failure(std::string step, const std::string& detail, bool may_have_taken_effect);
 
--- a/packages/io/src/http_connection.cpp
+++ b/packages/io/src/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/io/http_connection.hpp"
 
+#include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -40,7 +41,18 @@
     return std::exchange(bytes_, {});
 }
 
+bool http_connection::has_unread_input() {
+    std::array<char, 1> byte{};
+    boost::system::error_code error;
+    stream_.socket().non_blocking(true, error);
+    stream_.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, error);
+    return buffer_.size() > 0 || error != asio::error::would_block;
+}
+
 task<io_result<void>> http_connection::connect(std::chrono::milliseconds timeout) {
+    if (connected_ && has_unread_input()) {
+        close();
+    }
     if (connected_) {
         co_return io_result<void>{};
     }
