Count blocks without data as no events of a stream

Cause: by the standard of text/event-stream such a block sets the stream's last identifier and is no event. The splitter passed it on as an event, and the check for numbers that go back, which came with, took it for a repetition of the event before it.

Fix: the splitter says whether a block has data. One without data is relayed, and moves the identifier behind which a run goes on. It is not counted, does not stand for the first event of a run, and may name the event before or behind it. Numbers that go back are still a fault, also those of blocks. A block that names the last event again does not make a position behind an event without identifier resumable. Two faults of this kind were hidden before: a run that began with any such block was no longer compared with the run before.

--- a/packages/policy/include/citronwick/policy/stream_event.hpp
+++ b/packages/policy/include/citronwick/policy/stream_event.hpp
@@ -7,11 +7,13 @@
 
 namespace citronwick {
 
-/// A complete event of a `text/event-stream`.
+/// A complete event of a `text/event-stream`, or a block of lines without data that sets the
+/// stream's last identifier and is no event.
 struct stream_event {
     std::size_t end = 0;             ///< offset behind the event in the bytes that it came with
     std::optional<std::string> id{}; ///< an empty one cannot be used to resume the stream
     bool is_final = false;           ///< its data says that no event follows
+    bool has_data = true;            ///< it is an event
 };
 
 } // namespace citronwick
--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -15,6 +15,9 @@
 ///
 /// Identifiers that are decimal numbers increase within a stream. Where others occur as well, all
 /// are compared for equality only, as some texts consist of digits by chance.
+///
+/// A block without data moves the identifier behind which a run goes on. It is not counted, and
+/// may name the event before or behind it.
 class stream_position {
 public:
     /// The beginning of a stream.
@@ -34,7 +37,7 @@
     /// Moves behind the event that comes next.
     void advance(const stream_event& next);
 
-    /// Identifier of the last event that has one, empty if there is none.
+    /// Identifier that was set last, empty if there is none.
     const std::string& last_event_id() const { return last_event_id_; }
 
     /// Whether another run can go on here without repeating or omitting an event: this is the
@@ -57,17 +60,21 @@
     const std::string& run_first_event_id() const { return run_first_event_id_; }
 
 private:
+    bool goes_back(const stream_event& next) const;
     std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
+    bool repeats_between_runs(const stream_event& next) const;
+    void move_behind(const std::string& id);
     bool is_consecutive() const { return has_step_of_one_ && !has_other_step_ && !has_other_ids_; }
 
     std::string first_event_id_;
     std::string run_first_event_id_;
-    std::string last_event_id_;
+    std::string last_event_id_;    ///< set by an event or by a block without data
+    std::string id_of_last_event_; ///< of the last event that has one
     std::uint64_t events_ = 0;
     std::uint64_t run_events_ = 0;
     bool has_events_ = false;
     bool last_event_has_id_ = false;
-    std::optional<std::uint64_t> last_number_; ///< of the last event whose identifier is not empty
+    std::optional<std::uint64_t> last_number_; ///< of the last identifier that is not empty
     bool is_final_ = false;
     bool has_step_of_one_ = false; ///< between the numbers of two events
     bool has_other_step_ = false;
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -27,8 +27,9 @@
 }
 
 stream_position::stream_position(std::string last_event_id)
-    : last_event_id_{std::move(last_event_id)}, has_events_{!last_event_id_.empty()},
-      last_event_has_id_{has_events_}, last_number_{number_of(last_event_id_)} {}
+    : last_event_id_{std::move(last_event_id)}, id_of_last_event_{last_event_id_},
+      has_events_{!last_event_id_.empty()}, last_event_has_id_{has_events_},
+      last_number_{number_of(last_event_id_)} {}
 
 void stream_position::begin_run() {
     run_events_ = 0;
@@ -36,22 +37,27 @@
 }
 
 std::optional<sequence_fault> stream_position::find_fault(const stream_event& next) const {
-    const bool has_id = next.id && !next.id->empty();
-    if (has_id) {
-        const auto number = number_of(*next.id);
-        if (!has_other_ids_ && last_number_ && number && *number <= *last_number_) {
-            return sequence_fault::repeated;
-        }
+    if (!has_other_ids_ && goes_back(next)) {
+        return sequence_fault::repeated;
     }
     const bool is_between_runs = run_events_ == 0 && has_events_ && last_event_has_id_;
     return is_between_runs ? find_fault_between_runs(next) : std::nullopt;
 }
 
+/// Whether a number is lower than the last one, or an event has that of the event before.
+bool stream_position::goes_back(const stream_event& next) const {
+    const auto number = next.id ? number_of(*next.id) : std::nullopt;
+    if (!number || !last_number_) {
+        return false;
+    }
+    return *number < *last_number_ || (next.has_data && number == number_of(id_of_last_event_));
+}
+
 std::optional<sequence_fault> stream_position::find_fault_between_runs(const stream_event& next) const {
     if (!next.id || next.id->empty()) {
         return next.is_final ? std::nullopt : std::optional{sequence_fault::unnumbered};
     }
-    if (*next.id == last_event_id_ || *next.id == first_event_id_) {
+    if (repeats_between_runs(next)) {
         return sequence_fault::repeated;
     }
     const auto last = number_of(last_event_id_);
@@ -65,29 +71,44 @@
     return *number - *last > 1 ? std::optional{sequence_fault::omitted} : std::nullopt;
 }
 
+/// Whether an event, or a block that does not just name the place where the run begins, has the
+/// identifier of an event that the caller has.
+bool stream_position::repeats_between_runs(const stream_event& next) const {
+    const bool is_known = *next.id == id_of_last_event_ || *next.id == first_event_id_;
+    return is_known && (next.has_data || *next.id != last_event_id_);
+}
+
 void stream_position::advance(const stream_event& next) {
-    if (events_ == 0) {
-        first_event_id_ = next.id.value_or("");
-    }
-    if (run_events_ == 0) {
-        run_first_event_id_ = next.id.value_or("");
-    }
     if (next.id) {
-        const auto last = number_of(last_event_id_);
-        const auto number = number_of(*next.id);
-        if (last && number) {
-            has_step_of_one_ = has_step_of_one_ || *number - *last == 1;
-            has_other_step_ = has_other_step_ || *number - *last != 1;
-        }
-        last_event_id_ = *next.id;
-        last_number_ = next.id->empty() ? last_number_ : number;
-        has_other_ids_ = has_other_ids_ || (!next.id->empty() && !number);
+        move_behind(*next.id);
+    }
+    if (!next.has_data) {
+        // One that names the last event again says nothing of events without identifier behind it.
+        last_event_has_id_ =
+            last_event_id_ == id_of_last_event_ ? last_event_has_id_ : !last_event_id_.empty();
+        return;
     }
+    const std::string id = next.id.value_or("");
+    first_event_id_ = events_ == 0 ? id : first_event_id_;
+    run_first_event_id_ = run_events_ == 0 ? id : run_first_event_id_;
+    id_of_last_event_ = id.empty() ? id_of_last_event_ : id;
     ++events_;
     ++run_events_;
     has_events_ = true;
-    last_event_has_id_ = next.id && !next.id->empty();
+    last_event_has_id_ = !id.empty();
     is_final_ = is_final_ || next.is_final;
 }
 
+void stream_position::move_behind(const std::string& id) {
+    const auto last = number_of(last_event_id_);
+    const auto number = number_of(id);
+    if (last && number && *number != *last) {
+        has_step_of_one_ = has_step_of_one_ || *number - *last == 1;
+        has_other_step_ = has_other_step_ || *number - *last != 1;
+    }
+    last_event_id_ = id;
+    last_number_ = id.empty() ? last_number_ : number;
+    has_other_ids_ = has_other_ids_ || (!id.empty() && !number);
+}
+
 } // namespace citronwick
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -23,6 +23,11 @@
     return position.find_fault({.id = id});
 }
 
+/// A block that sets the last identifier and is no event.
+stream_event block(const char* id) {
+    return {.id = id, .has_data = false};
+}
+
 } // namespace
 
 TEST_CASE("a position names the last event and counts those of each run") {
@@ -120,3 +125,55 @@
     CHECK(fault_of(position, "3") == sequence_fault::repeated);
     CHECK_FALSE(fault_of(position, "4"));
 }
+
+// Guards against sound streams that end broken, and against numbers that go back (ORDER).
+TEST_CASE("a block without data may name the event before or behind it, but does not go back") {
+    stream_position position;
+    position.advance({.id = "1"});
+    position.advance({.id = "2"});
+    CHECK_FALSE(position.find_fault(block("2")));
+    CHECK(position.find_fault(block("1")) == sequence_fault::repeated);
+    position.advance(block("2"));
+    CHECK(position.events() == 2);
+    CHECK(fault_of(position, "2") == sequence_fault::repeated);
+    CHECK_FALSE(position.find_fault(block("3")));
+    position.advance(block("3"));
+    CHECK(position.last_event_id() == "3");
+    CHECK(fault_of(position, "2") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(position, "3"));
+    position.advance({.id = "3"});
+    CHECK(fault_of(position, "3") == sequence_fault::repeated);
+}
+
+// Guards against a run that begins with such a block and is then not compared with the run before (ORDER).
+TEST_CASE("a run that begins with a block without data goes on behind the run before") {
+    const auto behind = [](std::initializer_list<const char*> ids, const char* id) {
+        auto position = position_behind(ids);
+        position.advance(block(id));
+        return position;
+    };
+    CHECK_FALSE(position_behind({"1", "2"}).find_fault(block("2")));
+    CHECK(position_behind({"1", "2"}).find_fault(block("1")) == sequence_fault::repeated);
+    CHECK(position_behind({"1", "2"}).find_fault(block("4")) == sequence_fault::omitted);
+    CHECK(position_behind({"1", "2"}).find_fault(block("")) == sequence_fault::unnumbered);
+    CHECK(position_behind({"a", "b"}).find_fault(block("a")) == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(behind({"1", "2"}, "2"), "3"));
+    CHECK(fault_of(behind({"1", "2"}, "2"), "2") == sequence_fault::repeated);
+    CHECK(fault_of(behind({"1", "2"}, "2"), "4") == sequence_fault::omitted);
+    CHECK(fault_of(behind({"a", "b"}, "x"), "a") == sequence_fault::repeated);
+    CHECK(fault_of(behind({"a", "b"}, "x"), "b") == sequence_fault::repeated);
+    CHECK_FALSE(fault_of(behind({"a", "b"}, "b"), "c"));
+}
+
+// Guards against events without identifier that come twice, as a block behind them names an earlier one.
+TEST_CASE("a block that names the last event again does not give the events behind it a place") {
+    stream_position position;
+    position.advance({.id = "1"});
+    position.advance({});
+    position.advance(block("1"));
+    CHECK_FALSE(position.is_resumable());
+    position.advance(block("2"));
+    CHECK(position.is_resumable());
+    position.advance(block(""));
+    CHECK_FALSE(position.is_resumable());
+}
--- a/packages/traffic/include/citronwick/traffic/event_splitter.hpp
+++ b/packages/traffic/include/citronwick/traffic/event_splitter.hpp
@@ -12,8 +12,8 @@
 
 /// Events that are complete.
 struct complete_events {
-    std::string bytes; ///< as received, with the comments before and between the events
-    std::vector<stream_event> events;
+    std::string bytes;                ///< as received, with the comments before and between the events
+    std::vector<stream_event> events; ///< and the blocks that only set the last identifier
 };
 
 /// Splits a `text/event-stream` at event boundaries, so that a caller receives
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -74,7 +74,7 @@
 /// @param end position behind the event
 void event_splitter::end_event(std::size_t end) {
     if (event_has_data_ || event_id_) {
-        events_.push_back({end, std::move(event_id_), event_is_final_});
+        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_});
     }
     begin_event();
 }
--- a/packages/traffic/tests/event_splitter.tests.cpp
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -129,3 +129,14 @@
     followed.push("id: 3\ndata: c\n\n");
     CHECK(followed.position.is_resumable());
 }
+
+// Guards against sound streams that end broken, as a block that names their last event counts as one.
+TEST_CASE("a block without data sets the identifier of the stream and is no event") {
+    followed_stream followed;
+    CHECK(followed.push("id: 1\ndata: a\n\nid: 1\n\n") == "id: 1\ndata: a\n\nid: 1\n\n");
+    CHECK(followed.position.events() == 1);
+    CHECK(followed.push("id: 4\nretry: 10\n\n") == "id: 4\nretry: 10\n\n");
+    CHECK(followed.position.events() == 1);
+    CHECK(followed.position.last_event_id() == "4");
+    CHECK(followed.position.is_resumable());
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -54,6 +54,9 @@
     if (format == "unnumbered") {
         return "data: " + data + "\n\n";
     }
+    if (format == "id_behind") {
+        return "id: " + id + "\ndata: " + data + "\n\nid: " + id + "\n\n";
+    }
     if (format == "compact") {
         return "id:" + id + "\ndata:" + data + "\n\n";
     }
