Freeze the claimant in the proof of leases before it can have its claim

Cause, in the test: it gave itself 300 ms between the claim's write and its response to stop the claimant. If the stop comes later, the claimant has sent its booking before it freezes, the claim lapses with its lifetime (1 to 2 s, as set), and the resend runs again, which docs/LIMITATIONS.md says.

The proof now holds the responses of the key-value service back, waits until the claim is written, until all threads of the claimant are stopped, and until the lease has ended; no step waits for a time. It asks for more than before: the resend runs, exactly one run, 'not-run' for the claimant's caller, and the lease as the reason. The stand-in expires leases before it counts keys.

--- a/tests/harness/child_process.cpp
+++ b/tests/harness/child_process.cpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -90,6 +93,20 @@
     }
 }
 
+bool child_process::pause() const {
+    namespace fs = std::filesystem;
+    const auto is_stopped = [](const fs::directory_entry& thread) {
+        std::ifstream file{thread.path() / "stat"};
+        const std::string text{std::istreambuf_iterator<char>{file}, {}};
+        return text.find(") T ") != std::string::npos;
+    };
+    signal(SIGSTOP);
+    return wait_until([&] {
+        const fs::directory_iterator threads{"/proc/" + std::to_string(id_) + "/task"};
+        return std::ranges::all_of(fs::begin(threads), fs::end(threads), is_stopped);
+    });
+}
+
 bool child_process::is_running() {
     const std::scoped_lock lock{mutex_};
     int status = 0;
--- a/tests/harness/child_process.hpp
+++ b/tests/harness/child_process.hpp
@@ -43,6 +43,11 @@
     /// Sends a signal unless the process is known to have ended.
     void signal(int number) const;
 
+    /// Stops the process until it gets SIGCONT, and waits until none of its threads runs: after
+    /// `kill` returns, they go on until one of them has taken the signal.
+    /// @return whether they have stopped
+    bool pause() const;
+
     /// Waits for the process to end.
     /// @return the exit code, or 128 plus the number of the signal that
     ///         terminated it; nothing if it is still running
--- a/tests/integration/at_most_once.tests.cpp
+++ b/tests/integration/at_most_once.tests.cpp
@@ -189,26 +189,28 @@
 
 TEST_CASE("proof: a claimant frozen past its lease sends nothing when it wakes") {
     auto options = small_fleet(true);
-    options.platform_settings = "timeout = \"3s\"\nclaim_lifetime = \"1s\"";
+    options.platform_settings = "timeout = \"3s\"\nclaim_lifetime = \"2s\"";
     fleet system{options};
     REQUIRE(system.wait_ready());
     auto& claimant = system.routers()[0];
     CHECK(http_call(claimant.callers(), booking("warm")).status == 201);
-    set_proxy_fault(system.key_value(), R"({"delay_ms":300})");
+    const auto keys = [&] { return integer_member(stats(system.key_value()), "keys"); };
+    const auto before = keys();
+    set_proxy_fault(system.key_value(), R"({"hold_answers":1})"); // it cannot send before it is frozen
     auto call = std::async(std::launch::async, [&] { return http_call(claimant.callers(), booking("b8")); });
-    const auto writes = [&] { return integer_member(stats(system.key_value()), "writes"); };
-    const auto before = writes();
-    REQUIRE(wait_until([&] { return writes() > before; }));
-    claimant.process->signal(SIGSTOP);
+    REQUIRE(wait_until([&] { return keys() > before; }));
+    REQUIRE(claimant.process->pause());
     set_proxy_fault(system.key_value(), "{}");
-    std::this_thread::sleep_for(2500ms); // the lease expires: the claim's time to live is two seconds
+    REQUIRE(wait_until([&] { return keys() < before; })); // the lease of both claims has ended
     const auto resent = http_call(system.routers()[1].callers(), booking("b8"));
     claimant.process->signal(SIGCONT);
     const auto woken = call.get();
     CAPTURE(woken.body);
     CAPTURE(resent.body);
-    CHECK(runs_of(system, "b8") <= 1);
-    CHECK(woken.header("Citronwick-Outcome") != "complete");
+    CHECK(resent.header("Citronwick-Outcome") == "complete");
+    CHECK(runs_of(system, "b8") == 1);
+    CHECK(woken.header("Citronwick-Outcome") == "not-run");
+    CHECK(woken.body.find("the claim's lease has ended") != std::string::npos);
 }
 
 TEST_CASE("proof: an upstream that answers after the timeout runs a booking once") {
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -55,6 +55,7 @@
     faults_ = {.refuse = integer_member(fault_settings, "refuse") != 0,
                .blackhole = integer_member(fault_settings, "blackhole") != 0,
                .drop_responses = integer_member(fault_settings, "drop_answers") != 0,
+               .hold_responses = integer_member(fault_settings, "hold_answers") != 0,
                .cut_after_up = byte_limit(fault_settings, "cut_after_up"),
                .cut_after_down = byte_limit(fault_settings, "cut_after_down"),
                .delay = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")}};
@@ -136,6 +137,9 @@
         if (faults_.delay.count() > 0) {
             co_await sleep_for(faults_.delay);
         }
+        while (!to_target && faults_.hold_responses) {
+            co_await sleep_for(5ms);
+        }
         const std::int64_t limit = to_target ? faults_.cut_after_up : faults_.cut_after_down;
         const auto allowed =
             limit < 0 ? size
--- a/tests/standin/key_value_service.cpp
+++ b/tests/standin/key_value_service.cpp
@@ -84,6 +84,7 @@
         co_return co_await send_json(stream, std::move(response));
     }
     if (target == "/standin/stats") {
+        expire_leases();
         co_return co_await send_json(stream, statistics());
     }
     if (outage_) {
