Show that callers of a router that is cut from the upstreams are not served

Callers saw: 503 or a timeout from a router that is cut from all upstreams, for as long as the cut lasts, although callers, the store and the other routers reach it. The fault proxy drops packets of some sources by a filter on its sockets, so that connects hang as behind a partition. A refusal of the handshake is not covered: a refused source is accepted and reset.

--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 namespace citronwick::standin {
 
@@ -18,6 +20,21 @@
     return fault_settings.contains(name) ? integer_member(fault_settings, name) : -1;
 }
 
+/// Packet filter that drops what comes from some IPv4 addresses.
+std::vector<sock_filter> drop_filter(const std::vector<std::string>& sources) {
+    constexpr int source_offset = 12; // in the IPv4 header
+    std::vector<sock_filter> program{
+        {BPF_LD | BPF_W | BPF_ABS, 0, 0, static_cast<std::uint32_t>(SKF_NET_OFF + source_offset)}};
+    auto jump = static_cast<std::uint8_t>(sources.size());
+    for (const std::string& source : sources) {
+        program.push_back(
+            {BPF_JMP | BPF_JEQ | BPF_K, jump--, 0, asio::ip::make_address_v4(source).to_uint()});
+    }
+    program.push_back({BPF_RET | BPF_K, 0, 0, 0xffff'ffff});
+    program.push_back({BPF_RET | BPF_K, 0, 0, 0});
+    return program;
+}
+
 } // namespace
 
 void fault_proxy::connection_pair::close() {
@@ -60,6 +77,9 @@
                .delay = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")}};
     const auto sources = string_array_member(fault_settings, "refused_sources");
     faults_.refused_sources = {sources.begin(), sources.end()};
+    const auto newly_refused = string_array_member(fault_settings, "newly_refused_sources");
+    faults_.newly_refused_sources = {newly_refused.begin(), newly_refused.end()};
+    drop_packets(string_array_member(fault_settings, "dropped_sources"));
     const auto silenced = string_array_member(fault_settings, "silenced_sources");
     for (const auto& pair : connections_) {
         boost::system::error_code ignored;
@@ -72,6 +92,23 @@
     }
 }
 
+/// Drops the packets from some addresses in the kernel, so that connects from there and open
+/// connections hang.
+void fault_proxy::drop_packets(const std::vector<std::string>& sources) {
+    auto program = drop_filter(sources);
+    const sock_fprog filter{static_cast<unsigned short>(program.size()), program.data()};
+    const auto apply = [&](int socket) {
+        if (sources.empty()) {
+            const int unused = 0;
+            ::setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+        } else {
+            ::setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+        }
+    };
+    apply(acceptor_.native_handle());
+    std::ranges::for_each(connections_, [&](const auto& pair) { apply(pair->caller.native_handle()); });
+}
+
 bool fault_proxy::is_refused(const std::string& source) const {
     return faults_.refuse || faults_.refused_sources.contains(source);
 }
@@ -95,7 +132,8 @@
             continue;
         }
         boost::system::error_code ignored;
-        if (is_refused(pair->caller.remote_endpoint(ignored).address().to_string())) {
+        const std::string source = pair->caller.remote_endpoint(ignored).address().to_string();
+        if (is_refused(source) || faults_.newly_refused_sources.contains(source)) {
             pair->caller.set_option(asio::socket_base::linger{true, 0}, ignored);
             pair->close();
             continue;
--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace citronwick::standin {
 
@@ -30,6 +31,8 @@
         std::int64_t cut_after_down = -1; ///< close the connection after this many bytes from the target
         std::chrono::milliseconds delay{0};
         std::set<std::string> refused_sources; ///< source addresses whose traffic is refused
+        /// Source addresses whose new connections are reset when they have been accepted; open ones live on.
+        std::set<std::string> newly_refused_sources;
     };
 
     /// A connection from a caller and the one to the target that carries its bytes.
@@ -48,6 +51,7 @@
     task<void> forward_bytes(std::shared_ptr<connection_pair> pair, bool to_target);
     task<void> relay_datagrams();
     void apply_faults(const boost::json::object& fault_settings);
+    void drop_packets(const std::vector<std::string>& sources);
     bool is_refused(const std::string& source) const;
 
     asio::io_context& context_;
