Reach upstreams through other routers where this one is cut from them

Callers saw: a router that is cut from all upstreams answered nothing for as long as the cut lasted. Cause: a router knew only direct ways to the upstreams, and took its own cut for failures and crashes of the upstreams. Change: a router takes itself for cut if its connects to several distinct upstreams failed, none has succeeded since, and another router connected to one of them meanwhile (upstream_reach). While it is cut, or where an upstream alone is not reached, it opens the upstream's connection through another router, which relays the bytes (tunnel_opener, tunnel_server). Placement, retries, budgets and stream positions stay with the router that has the request. Refused connects count as a crash only if other routers are refused, too, and failures of a cut router are not reported to the others.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/control/fleet_channel.hpp"
 #include "citronwick/control/membership.hpp"
+#include "citronwick/fleet/fleet_directory.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
 #include "citronwick/fleet/missed_changes.hpp"
 #include "citronwick/fleet/permit_exchange.hpp"
@@ -65,7 +66,10 @@
 
     /// Sets the key that all routers of the fleet share.
     void set_key(const std::string& key);
-    bool has_key() const { return has_key_; }
+    bool has_key() const { return !key_.empty(); }
+
+    /// What is needed to connect to the other live routers.
+    fleet_directory directory(time_point now) const;
 
     /// Sets this router's incarnation. Nothing is sent before that.
     void set_incarnation(std::uint64_t incarnation);
@@ -155,7 +159,7 @@
     recent_changes recent_;
     missed_changes missed_;
     token_bucket budget_;
-    bool has_key_ = false;
+    std::string key_; ///< empty before it is known
     bool is_registered_ = false;
     bool is_leaving_ = false;
     time_point load_sent_at_;   ///< time of the last load report
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -17,6 +17,7 @@
 struct permit_decision;
 class begun_streams;
 class platform_adapter;
+class reach_monitor;
 class upstream_observations;
 class suspect_registry;
 class upstream_limits;
@@ -56,6 +57,8 @@
     upstream_observations& observations();
     suspect_registry& suspects();
     begun_streams& streams();
+    reach_monitor& reach();
+    const reach_monitor& reach() const;
     upstream_limits& limits();
     const upstream_limits& limits() const;
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -62,7 +62,7 @@
 
 void router_peers::set_key(const std::string& key) {
     envelope_ = wire::envelope{key};
-    has_key_ = true;
+    key_ = key;
 }
 
 void router_peers::set_incarnation(std::uint64_t incarnation) {
@@ -103,6 +103,17 @@
     return members_.live(now).size() + 1;
 }
 
+fleet_directory router_peers::directory(time_point now) const {
+    fleet_directory known{.key = key_,
+                          .self = members_.self_hash(),
+                          .incarnation = is_registered_ ? members_.self().incarnation : 0,
+                          .live = {}};
+    std::ranges::transform(members_.live(now), std::back_inserter(known.live), [](const member* other) {
+        return fleet_peer{other->hash, other->record.incarnation, other->address};
+    });
+    return known;
+}
+
 std::size_t router_peers::known_routers() const {
     return members_.known_count() + 1;
 }
@@ -283,7 +294,7 @@
         }
     }
     members_.remove_silent(now);
-    if (!has_key_ || !is_registered_) {
+    if (!has_key() || !is_registered_) {
         return;
     }
     query_watcher(now);
--- a/packages/fleet/src/router_peers_store.cpp
+++ b/packages/fleet/src/router_peers_store.cpp
@@ -116,7 +116,7 @@
 void router_peers::forward_changes(const kv_changes& seen, store_position previous,
                                    std::optional<time_point> lapse_window_end, time_point now) {
     recent_.record(seen, previous);
-    if (!has_key_ || !is_registered_ || !is_watcher(now)) {
+    if (!has_key() || !is_registered_ || !is_watcher(now)) {
         return;
     }
     std::vector<wire::change_entry> changes;
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -47,6 +47,14 @@
     return state_->suspects();
 }
 
+reach_monitor& routing_plane::reach() {
+    return state_->reach();
+}
+
+const reach_monitor& routing_plane::reach() const {
+    return state_->reach();
+}
+
 begun_streams& routing_plane::streams() {
     return state_->streams();
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
+#include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/router_peers.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
@@ -36,6 +37,8 @@
 
 inline constexpr duration tick_interval = 50ms;
 inline constexpr duration expiry_interval = 1s;
+/// Longest time after which the traffic threads learn that the live routers changed.
+inline constexpr duration directory_interval = 200ms;
 /// Interval at which the number of store calls is logged.
 inline constexpr duration calls_log_interval = 10s;
 /// Age of the newest confirmation from which a router requests another one from
@@ -111,6 +114,7 @@
     suspect_registry& suspects() { return suspects_; }
     upstream_limits& limits() { return limits_; }
     begun_streams& streams() { return streams_; }
+    reach_monitor& reach() { return reach_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
 
@@ -298,6 +302,10 @@
         follower_.set_watcher(peers_.is_watcher(now));
         check_freshness();
         peers_.tick(now);
+        if (fleet_changed || now - directory_set_at_ >= plane_timing::directory_interval) {
+            directory_set_at_ = now;
+            reach_.set_directory(peers_.directory(now));
+        }
         check_versions(now);
         gossip_bytes_.store(peers_.sent_bytes(), std::memory_order_relaxed);
         if (now - calls_logged_at_ >= plane_timing::calls_log_interval) {
@@ -360,6 +368,7 @@
     suspect_registry suspects_;
     upstream_limits limits_;
     begun_streams streams_;
+    reach_monitor reach_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
     store_follower follower_;
@@ -370,6 +379,7 @@
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_load>> loads_;
     time_point last_expiry_;
+    time_point directory_set_at_;
     time_point versions_checked_at_;
     time_point calls_logged_at_;
     bool staleness_logged_ = false;
--- a/packages/router/src/router_mode.cpp
+++ b/packages/router/src/router_mode.cpp
@@ -10,6 +10,7 @@
 #include "citronwick/traffic/metrics.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/route_server.hpp"
+#include "citronwick/traffic/tunnel_service.hpp"
 
 #include <chrono>
 
@@ -49,21 +50,34 @@
     explicit route_mode(const router_settings& settings)
         : settings_{settings.traffic},
           adapter_{registry<platform_adapter>::instance().make(settings.routing.platform)},
-          plane_{settings.routing, *adapter_} {}
-
-    io_result<endpoint> start() override { return plane_.start(); }
+          plane_{settings.routing, *adapter_}, tunnels_{settings.traffic, plane_} {}
+
+    io_result<endpoint> start() override {
+        const auto bound = plane_.start();
+        if (bound.has_value()) {
+            const auto listening = tunnels_.start(*bound);
+            if (listening.has_error()) {
+                return listening.error();
+            }
+        }
+        return bound;
+    }
     request_server_factory servers() override {
         return make_route_servers(settings_, plane_, *adapter_, metrics_);
     }
     operator_pages pages() override { return make_route_pages(plane_, *adapter_, metrics_); }
     void leave() override { plane_.leave(); }
-    void stop() override { plane_.stop(); }
+    void stop() override {
+        tunnels_.stop();
+        plane_.stop();
+    }
 
 private:
     const traffic_settings& settings_;
     route_metrics metrics_;
     std::unique_ptr<platform_adapter> adapter_;
     routing_plane plane_;
+    tunnel_service tunnels_;
 };
 
 } // namespace
--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -15,8 +15,9 @@
 public:
     /// @param idle_limit connections that are idle for this long are closed
     /// @param max_idle number of idle connections to all peers; the oldest one beyond it is closed
+    /// @param tunnels way to the upstreams through other routers, if there may be one
     connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit,
-                    std::size_t max_idle = default_max_idle);
+                    std::size_t max_idle = default_max_idle, tunnel_opener* tunnels = nullptr);
 
     /// Returns an idle connection, or a new one that is not connected yet.
     /// @param max_idle longest time for which a reused connection may have been idle
@@ -50,6 +51,7 @@
     asio::any_io_executor executor_;
     std::chrono::milliseconds idle_limit_;
     std::size_t max_idle_;
+    tunnel_opener* tunnels_;
     std::map<endpoint, std::vector<idle_connection>> idle_; ///< oldest first
     std::size_t idle_count_ = 0;
 };
--- /dev/null
+++ b/packages/traffic/include/citronwick/traffic/tunnel_service.hpp
@@ -0,0 +1,37 @@
+#ifndef CITRONWICK_TRAFFIC_TUNNEL_SERVICE_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_TUNNEL_SERVICE_HPP_INCLUDED
+
+#include "citronwick/core/endpoint.hpp"
+#include "citronwick/core/failure.hpp"
+
+#include <memory>
+
+namespace citronwick {
+
+class routing_plane;
+struct traffic_settings;
+
+/// Relays connections of routers that are cut from the upstreams, and finds out by probes whether
+/// this router is. Has a thread of its own.
+class tunnel_service {
+public:
+    tunnel_service(const traffic_settings& settings, routing_plane& plane);
+    tunnel_service(const tunnel_service&) = delete;
+    tunnel_service& operator=(const tunnel_service&) = delete;
+    ~tunnel_service();
+
+    /// Listens and starts the thread.
+    /// @param listen address of the fleet channel, whose port number is used for TCP, too
+    io_result<void> start(const endpoint& listen);
+
+    /// Stops the thread. Open tunnels are reset.
+    void stop();
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_TRAFFIC_UPSTREAM_CONNECTION_HPP_INCLUDED
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/fleet/fleet_directory.hpp"
 #include "citronwick/io/http_connection.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -14,13 +15,17 @@
 
 namespace citronwick {
 
+class tunnel_opener;
+
 /// HTTP/1.1 connection to an upstream that carries one request at a time.
 ///
 /// Any error or timeout closes it permanently, so that a late response can never
 /// be taken for the response to another request.
 class upstream_connection {
 public:
-    upstream_connection(const asio::any_io_executor& executor, endpoint peer);
+    /// @param tunnels way to the upstream through other routers, if there may be one
+    upstream_connection(const asio::any_io_executor& executor, endpoint peer,
+                        tunnel_opener* tunnels = nullptr);
 
     /// Step of a failure to connect that is due to a lack of descriptors or memory on this VM.
     static constexpr const char* open_step = "open socket";
@@ -28,6 +33,13 @@
     /// A failure to connect guarantees that no byte of a request was sent.
     task<io_result<void>> connect(std::chrono::milliseconds timeout);
 
+    /// Connects through another router. Same guarantee.
+    /// @param request hash by which requests are spread over the routers
+    task<io_result<void>> connect_through_peer(std::uint64_t request, std::chrono::milliseconds timeout);
+
+    /// The router that relays the connection, if it is not direct.
+    const std::optional<fleet_peer>& through() const { return through_; }
+
     /// Starts sending a request without waiting for completion. The response may be
     /// read concurrently, since an upstream may respond before it has read a long
     /// body.
@@ -99,10 +111,13 @@
     };
 
     void adapt_ack_timeout(std::size_t body_bytes);
+    void set_connected();
     failure close_with_failure(std::string step, const boost::system::error_code& error,
                                bool may_have_taken_effect);
 
     endpoint peer_;
+    tunnel_opener* tunnels_;
+    std::optional<fleet_peer> through_;
     std::shared_ptr<boost::beast::tcp_stream> stream_;
     std::shared_ptr<pending_send> pending_send_;
     boost::beast::flat_buffer buffer_;
--- a/packages/traffic/src/connection_pool.cpp
+++ b/packages/traffic/src/connection_pool.cpp
@@ -5,8 +5,8 @@
 namespace citronwick {
 
 connection_pool::connection_pool(asio::any_io_executor executor, std::chrono::milliseconds idle_limit,
-                                 std::size_t max_idle)
-    : executor_{std::move(executor)}, idle_limit_{idle_limit}, max_idle_{max_idle} {}
+                                 std::size_t max_idle, tunnel_opener* tunnels)
+    : executor_{std::move(executor)}, idle_limit_{idle_limit}, max_idle_{max_idle}, tunnels_{tunnels} {}
 
 std::unique_ptr<upstream_connection> connection_pool::acquire(const endpoint& peer, time_point now,
                                                               duration max_idle) {
@@ -26,7 +26,7 @@
 }
 
 std::unique_ptr<upstream_connection> connection_pool::create(const endpoint& peer) const {
-    return std::make_unique<upstream_connection>(executor_, peer);
+    return std::make_unique<upstream_connection>(executor_, peer, tunnels_);
 }
 
 void connection_pool::release(std::unique_ptr<upstream_connection> connection, time_point now,
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -1,9 +1,11 @@
 #include "crash_probe.hpp"
 
+#include "citronwick/core/hash.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/spawn.hpp"
+#include "citronwick/traffic/tunnel_opener.hpp"
 
 #include <algorithm>
 #include <array>
@@ -32,19 +34,70 @@
     }
 }
 
-task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address) {
+/// Connects through another router and waits for a reset.
+/// @param through router to ask, any if empty
+task<boost::system::error_code> crash_probe::ask_peers(endpoint address, tunnel_opener& tunnels,
+                                                       std::optional<fleet_peer> through,
+                                                       std::chrono::milliseconds timeout) {
+    const std::uint64_t spread = hash64(to_text(address));
+    io_result<opened_tunnel> opened{failure{}};
+    if (through) {
+        opened = co_await tunnels.open_through(std::move(*through), std::move(address), timeout);
+    } else {
+        opened = co_await tunnels.open(std::move(address), spread, timeout);
+    }
+    if (opened.has_error()) {
+        co_return opened.error().step == tunnel_opener::refused_step ? asio::error::connection_refused
+                                                                     : asio::error::timed_out;
+    }
+    std::array<char, 1> byte{};
+    const auto space = asio::buffer(byte);
+    opened->stream->expires_after(std::min(timeout, 2 * reset_delay));
+    auto [read_error, size] = co_await opened->stream->async_read_some(space, use_tuple);
+    if (read_error == boost::beast::error::timeout) {
+        co_return boost::system::error_code{};
+    }
+    co_return read_error ? read_error : asio::error::connection_reset;
+}
+
+task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address, tunnel_opener* tunnels,
+                                                                 std::optional<fleet_peer> through) {
     const auto executor = co_await asio::this_coro::executor;
     asio::steady_timer timer{executor, probe_delay};
     co_await timer.async_wait(use_tuple);
+    if (tunnels != nullptr && (through || tunnels->is_needed())) {
+        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(through), connect_timeout);
+        co_return told;
+    }
     const auto peer = to_tcp(address);
     boost::beast::tcp_stream stream{executor};
     open_outbound(stream.socket(), peer);
     stream.expires_after(connect_timeout);
     auto [error] = co_await stream.async_connect(peer, use_tuple);
+    if (error == asio::error::connection_refused && tunnels != nullptr) {
+        std::optional<fleet_peer> any;
+        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(any), connect_timeout);
+        co_return told ? error : told;
+    }
     co_return error;
 }
 
-task<bool> crash_probe::lives_on(endpoint address, std::chrono::milliseconds timeout) {
+task<bool> crash_probe::lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
+                                 std::optional<fleet_peer> through) {
+    const bool is_direct = !through && (tunnels == nullptr || !tunnels->is_needed());
+    if (is_direct) {
+        endpoint asked = address;
+        const bool lives = co_await lives_on_directly(std::move(asked), timeout);
+        if (lives || tunnels == nullptr) {
+            co_return lives;
+        }
+    }
+    const auto ask_timeout = std::min(timeout, connect_timeout);
+    const auto error = co_await ask_peers(std::move(address), *tunnels, std::move(through), ask_timeout);
+    co_return !error;
+}
+
+task<bool> crash_probe::lives_on_directly(endpoint address, std::chrono::milliseconds timeout) {
     const auto executor = co_await asio::this_coro::executor;
     const auto peer = to_tcp(address);
     boost::beast::tcp_stream first{executor};
@@ -74,7 +127,8 @@
 }
 
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
-    const auto error = co_await connect_after_pause(std::move(address));
+    std::optional<fleet_peer> direct;
+    const auto error = co_await connect_after_pause(std::move(address), &tunnels_, std::move(direct));
     in_progress_.erase(upstream);
     if (error == asio::error::connection_refused) {
         plane_.observations().record_unreachable(upstream, clock::now());
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -1,15 +1,18 @@
 #ifndef CITRONWICK_TRAFFIC_CRASH_PROBE_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_CRASH_PROBE_HPP_INCLUDED
 
+#include "citronwick/fleet/fleet_directory.hpp"
 #include "citronwick/io/task.hpp"
 
 #include <boost/system/error_code.hpp>
 #include <chrono>
+#include <optional>
 #include <set>
 
 namespace citronwick {
 
 class routing_plane;
+class tunnel_opener;
 struct routed_upstream;
 
 /// Finds out whether an upstream whose connection broke has crashed.
@@ -19,16 +22,20 @@
 /// cut off does not answer, and one that only closed a connection accepts another.
 class crash_probe {
 public:
-    explicit crash_probe(routing_plane& plane) : plane_{plane} {}
+    crash_probe(routing_plane& plane, tunnel_opener& tunnels) : plane_{plane}, tunnels_{tunnels} {}
 
     /// Starts probing an upstream unless that is under way, and reports to the
     /// control thread if it refuses connections.
     void start(const asio::any_io_executor& executor, const routed_upstream& upstream);
 
     /// Connects to an upstream that has just closed a connection. Waits before, as a process that
-    /// ends closes its listener after its connections.
+    /// ends closes its listener after its connections. If this router is refused or cut from the
+    /// upstreams, others are asked.
+    /// @param tunnels way through other routers, if there may be one
+    /// @param through router that relayed the connection, if it was not direct; it must live on, too
     /// @return why no connection was accepted; refused if the process has ended
-    static task<boost::system::error_code> connect_after_pause(endpoint address);
+    static task<boost::system::error_code> connect_after_pause(endpoint address, tunnel_opener* tunnels,
+                                                               std::optional<fleet_peer> through);
 
     /// Longest time that `connect_after_pause` takes.
     static constexpr std::chrono::milliseconds longest_time{400};
@@ -37,12 +44,20 @@
     /// another connection and does not reset it within a moment. A process that ends after this
     /// moment, or one that takes over the address, is not told from one that lives on.
     /// @param timeout for each connection
-    static task<bool> lives_on(endpoint address, std::chrono::milliseconds timeout);
+    /// @param tunnels, through as above
+    static task<bool> lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
+                               std::optional<fleet_peer> through);
 
 private:
     task<void> run(endpoint address, std::uint64_t upstream);
 
+    static task<boost::system::error_code> ask_peers(endpoint address, tunnel_opener& tunnels,
+                                                     std::optional<fleet_peer> through,
+                                                     std::chrono::milliseconds timeout);
+    static task<bool> lives_on_directly(endpoint address, std::chrono::milliseconds timeout);
+
     routing_plane& plane_;
+    tunnel_opener& tunnels_;
     std::set<std::uint64_t> in_progress_; ///< hashes of the upstreams
 };
 
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/policy/retry_window.hpp"
 #include "citronwick/policy/return_schedule.hpp"
 #include "citronwick/traffic/connection_pool.hpp"
+#include "citronwick/traffic/tunnel_opener.hpp"
 #include "crash_probe.hpp"
 
 #include <map>
@@ -30,7 +31,10 @@
     routing_plane& plane;
     const request_dialect& dialect;
     route_metrics& counters;
+    tunnel_opener tunnels; ///< used by the connections of the pools
     connection_pool pool;
+    connection_pool relayed_pool;                                   ///< connections through other routers
+    time_point relayed_at{};                                        ///< when one was last used
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
     crash_probe probe;
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -1,5 +1,6 @@
 // Sends a routed request to an upstream, and relays responses that are no streams.
 
+#include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
@@ -63,6 +64,9 @@
     if (!is_stream(route_->kind)) {
         max_body_bytes = context_.settings.answer_bytes;
     }
+    if (!connection.through()) {
+        context_.plane.reach().record_sent(now);
+    }
     upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id};
     auto forwarded = make_forwarded_header();
     auto result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, attempt_deadline(now));
@@ -70,6 +74,10 @@
         result.outcome = attempt_outcome::failed_run;
     }
     in_flight.mark_prompt_processed();
+    if (!connection.through() && exchange.has_response()) {
+        context_.plane.reach().record_received();
+    }
+    record_reach(connection, result);
     if (exchange.has_response()) {
         limits.record_response(upstream, placement_->upstream.entry.id, exchange.traits().rate_limit, now,
                                clock::now());
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
@@ -197,6 +198,7 @@
          {"upstream", placement_->upstream.entry.id},
          {"software", placement_->upstream.entry.version},
          {"reason", std::string{placement_->reason}},
+         {"directly", needs_peer() ? "no" : "yes"},
          {"prefix",
           std::to_string(placement_request_.prefixes.empty() ? 0 : placement_request_.prefixes.back().key)},
          {"in_flight", std::to_string(static_cast<int>(placement_->in_flight))},
@@ -212,36 +214,99 @@
     {
         in_flight_guard in_flight{placement_->upstream.load,
                                   placement_->uncached_tokens - placement_->fetched_tokens};
-        const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
-        auto connection = context_.pool.acquire(placement_->upstream.entry.address, started, max_idle);
+        auto connection = acquire_connection(started);
         active_connection_ = connection.get();
         co_await connect_if_needed(*connection, result);
         if (result.detail.empty()) {
             result = co_await send_request(*connection, in_flight);
         }
         active_connection_ = nullptr;
-        if (connection->reusable()) {
-            const auto traits = context_.dialect.read_response(connection->header());
-            const duration idle_timeout =
-                traits.idle_timeout ? duration{*traits.idle_timeout - idle_timeout_margin} : duration::max();
-            context_.pool.release(std::move(connection), clock::now(), idle_timeout);
-        }
+        release_connection(std::move(connection));
     }
     log_attempt(result, clock::now() - started);
     co_return record_attempt(result);
 }
 
+/// Whether the attempt's upstream is to be reached through another router.
+bool route_exchange::needs_peer() const {
+    return context_.plane.reach().is_cut() || !placement_->is_reachable;
+}
+
+/// Takes an idle connection to the attempt's upstream, or a new one. Open direct connections of a
+/// router that is cut are used unless they hang.
+std::unique_ptr<upstream_connection> route_exchange::acquire_connection(time_point now) {
+    constexpr duration relayed_idle_time = 2s;
+    const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
+    const endpoint& address = placement_->upstream.entry.address;
+    if (context_.plane.reach().connections_hang()) {
+        context_.pool.close_idle();
+    }
+    if (now - context_.relayed_at > relayed_idle_time) {
+        context_.relayed_pool.close_idle();
+    }
+    auto connection = context_.pool.acquire(address, now, max_idle);
+    if (!connection->is_open() && needs_peer()) {
+        context_.relayed_at = now;
+        connection = context_.relayed_pool.acquire(address, now, max_idle);
+    }
+    return connection;
+}
+
+void route_exchange::release_connection(std::unique_ptr<upstream_connection> connection) {
+    if (!connection->reusable()) {
+        return;
+    }
+    const auto traits = context_.dialect.read_response(connection->header());
+    const duration idle_timeout =
+        traits.idle_timeout ? duration{*traits.idle_timeout - idle_timeout_margin} : duration::max();
+    auto& pool = connection->through() ? context_.relayed_pool : context_.pool;
+    pool.release(std::move(connection), clock::now(), idle_timeout);
+}
+
+/// Connects through another router if the upstream is not reached directly. If none can be asked,
+/// the upstream may be reached directly after all.
+task<io_result<void>> route_exchange::connect(upstream_connection& connection,
+                                              std::chrono::milliseconds timeout) {
+    if (needs_peer()) {
+        auto relayed = co_await connection.connect_through_peer(placement_request_.request_hash, timeout);
+        if (relayed.has_value() || relayed.error().step != tunnel_opener::no_peer_step) {
+            co_return relayed;
+        }
+    }
+    const auto time_left = std::clamp(remaining_time(clock::now()), 1ms, connect_timeout);
+    auto connected = co_await connection.connect(time_left);
+    co_return connected;
+}
+
+/// Records whether this router reaches the upstream by itself. A new connection that is reset before
+/// a response may not have been accepted.
+void route_exchange::record_reach(const upstream_connection& connection, const exchange_result& result) {
+    reach_monitor& reach = context_.plane.reach();
+    if (connection.through() || !is_new_connection_) {
+        return;
+    }
+    const auto now = clock::now();
+    if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::not_run) {
+        reach.record_reached(placement_->upstream.hash, now);
+    } else if (result.is_broken && !caller_.disconnected()) {
+        reach.record_not_reached(placement_->upstream.hash, upstream_reach::connect_failure::refused, now);
+    }
+}
+
 task<void> route_exchange::connect_if_needed(upstream_connection& connection, exchange_result& result) {
+    is_new_connection_ = !connection.is_open();
+    is_relayed_ = connection.through().has_value();
     if (connection.is_open()) {
         co_return;
     }
     const auto now = clock::now();
     const auto timeout = std::clamp(remaining_time(now), 1ms, connect_timeout);
-    auto connected = co_await connection.connect(timeout);
+    auto connected = co_await connect(connection, timeout);
     if (lacks_descriptors(connected)) {
         context_.pool.close_idle();
-        connected = co_await connection.connect(timeout);
+        connected = co_await connect(connection, timeout);
     }
+    is_relayed_ = connection.through().has_value();
     if (lacks_descriptors(connected)) {
         result = {attempt_outcome::not_sent, to_text(connected.error())};
         refusal_before_send_ =
@@ -251,7 +316,19 @@
     context_.counters.count_connection(service_->name);
     if (connected.has_error()) {
         result = {attempt_outcome::not_sent, to_text(connected.error())};
-        context_.plane.observations().record_unreachable(placement_->upstream.hash, clock::now());
+        reach_monitor& reach = context_.plane.reach();
+        const bool is_direct = connected.error().step == "connect";
+        if (is_direct) {
+            const bool is_timeout =
+                connected.error().detail == make_error_code(boost::beast::error::timeout).message();
+            reach.record_not_reached(placement_->upstream.hash,
+                                     is_timeout ? upstream_reach::connect_failure::timed_out
+                                                : upstream_reach::connect_failure::refused,
+                                     clock::now());
+        }
+        if (!is_direct || !reach.is_doubtful()) {
+            context_.plane.observations().record_unreachable(placement_->upstream.hash, clock::now());
+        }
     }
 }
 
@@ -313,7 +390,10 @@
     state_.rejections += may_have_run ? 0 : 1;
     const bool tells_of_upstream =
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::unproved_end;
-    if (tells_of_upstream && !result.is_local && !caller_disconnected) {
+    // What fails on direct connections of a cut router tells nothing of the upstream.
+    const bool is_own_fault =
+        !is_relayed_ && result.outcome != attempt_outcome::answered && context_.plane.reach().is_doubtful();
+    if (tells_of_upstream && !result.is_local && !caller_disconnected && !is_own_fault) {
         context_.plane.observations().record_outcome(upstream, result.outcome == attempt_outcome::answered,
                                                      now);
     }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_TRAFFIC_ROUTE_EXCHANGE_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_ROUTE_EXCHANGE_HPP_INCLUDED
 
+#include "citronwick/fleet/fleet_directory.hpp"
 #include "citronwick/fleet/request_dialect.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/policy/attempt_policy.hpp"
@@ -74,13 +75,18 @@
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
     bool service_ends_early(time_point now) const;
-    task<bool> upstream_accepts(endpoint peer);
+    task<bool> upstream_accepts(endpoint peer, std::optional<fleet_peer> through);
     task<void> accept_unproved_end();
     task<std::optional<exchange_result>> check_end(const upstream_connection& connection);
     exchange_result end_run(stream_end end, std::string detail);
     task<bool> begin_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, complete_events arrived);
+    std::unique_ptr<upstream_connection> acquire_connection(time_point now);
+    void release_connection(std::unique_ptr<upstream_connection> connection);
+    bool needs_peer() const;
+    task<io_result<void>> connect(upstream_connection& connection, std::chrono::milliseconds timeout);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
+    void record_reach(const upstream_connection& connection, const exchange_result& result);
     bool record_attempt(const exchange_result& result);
     bool spend_retry_budget();
     bool withholds_status(unsigned status) const;
@@ -112,6 +118,8 @@
     std::vector<std::uint64_t> part_fingerprints_; ///< of the prompt's shared parts
     time_point deadline_;
     time_point attempt_sent_at_;
+    bool is_relayed_ = false;        ///< the attempt passes through another router
+    bool is_new_connection_ = false; ///< the attempt opened its connection
     attempt_state state_;
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
@@ -125,6 +133,7 @@
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
     std::optional<std::uint64_t> unproved_end_;  ///< events behind which a run ended without proof
     endpoint unproved_at_;                       ///< upstream of that run
+    std::optional<fleet_peer> unproved_through_; ///< router that relayed it, if any
     std::size_t unproved_run_ = 0;               ///< number of that run
     std::size_t runs_ = 0;                       ///< responses of upstreams that were relayed as streams
     stream_end stream_end_ = stream_end::broken; ///< of the last run
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -163,6 +163,7 @@
                                        .in_flight = chosen.in_flight,
                                        .expected_wait_ms = decision.expected_wait_ms,
                                        .reason = decision.reason,
+                                       .is_reachable = summaries[*decision.index].is_reachable,
                                        .rate_limit = limited[*decision.index].per_second,
                                        .saving_ms = decision.saving_ms,
                                        .queue_wait_ms = decision.queue_wait_ms};
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -37,6 +37,7 @@
     double in_flight = 0.0;            ///< estimated requests in flight on the upstream
     double expected_wait_ms = 0.0;
     std::string_view reason;
+    bool is_reachable = true;                   ///< directly, as far as this router knows
     std::optional<double> rate_limit;           ///< requests a second, if the upstream named a limit
     double saving_ms = 0.0;                     ///< see `routed_decision`
     double queue_wait_ms = 0.0;                 ///< see `routed_decision`
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/traffic/route_server.hpp"
 
 #include "citronwick/fleet/platform_adapter.hpp"
+#include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/traffic/connection_end.hpp"
@@ -23,14 +24,15 @@
 public:
     route_server(const traffic_settings& settings, routing_plane& plane, const platform_adapter& adapter,
                  route_metrics& counters, const asio::any_io_executor& executor)
-        : context_{settings,
-                   plane,
-                   adapter.dialect(),
-                   counters,
-                   connection_pool{executor, settings.pooled_connection_age,
-                                   shares_in_force(settings).upstreams / (2 * std::size_t{settings.threads})},
-                   {},
-                   crash_probe{plane}} {}
+        : context_{.settings = settings,
+                   .plane = plane,
+                   .dialect = adapter.dialect(),
+                   .counters = counters,
+                   .tunnels = tunnel_opener{executor, plane.reach()},
+                   .pool = make_pool(settings, executor),
+                   .relayed_pool = make_pool(settings, executor),
+                   .retry_windows = {},
+                   .probe = crash_probe{plane, context_.tunnels}} {}
 
     request_limits limits() const override {
         const auto view = context_.plane.view();
@@ -49,6 +51,12 @@
     }
 
 private:
+    connection_pool make_pool(const traffic_settings& settings, const asio::any_io_executor& executor) {
+        return connection_pool{executor, settings.pooled_connection_age,
+                               shares_in_force(settings).upstreams / (2 * std::size_t{settings.threads}),
+                               &context_.tunnels};
+    }
+
     route_context context_;
 };
 
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -29,6 +29,7 @@
     if (route_->kind == request_kind::resumable_stream && !had_nothing_to_add) {
         unproved_end_ = position_.events();
         unproved_at_ = connection.peer();
+        unproved_through_ = connection.through();
         unproved_run_ = runs_;
         stream_end_ = stream_end::unproved;
         co_return exchange_result{attempt_outcome::unproved_end,
@@ -38,7 +39,8 @@
         co_return end_run(stream_end::unproved, "the service has closed connections before the end lately");
     }
     endpoint peer = connection.peer();
-    const bool is_alive = co_await upstream_accepts(std::move(peer));
+    auto through = connection.through();
+    const bool is_alive = co_await upstream_accepts(std::move(peer), std::move(through));
     if (!is_alive) {
         co_return end_run(stream_end::upstream_gone, "the upstream accepts no connection after its close");
     }
@@ -52,11 +54,13 @@
 }
 
 /// Whether the upstream accepts a connection after it has closed one, so that its process has not ended.
-task<bool> route_exchange::upstream_accepts(endpoint peer) {
+/// The router that relayed the connection must not have ended either.
+task<bool> route_exchange::upstream_accepts(endpoint peer, std::optional<fleet_peer> through) {
     if (remaining_time(clock::now()) <= crash_probe::longest_time) {
         co_return false;
     }
-    const auto error = co_await crash_probe::connect_after_pause(std::move(peer));
+    const auto error =
+        co_await crash_probe::connect_after_pause(std::move(peer), &context_.tunnels, std::move(through));
     // One beyond the limit of its connections resets some.
     co_return !error || error == asio::error::connection_reset;
 }
@@ -70,7 +74,8 @@
         co_return;
     }
     endpoint peer = unproved_at_;
-    const bool is_alive = co_await upstream_accepts(std::move(peer));
+    auto through = unproved_through_;
+    const bool is_alive = co_await upstream_accepts(std::move(peer), std::move(through));
     if (!is_alive) {
         stream_end_ = stream_end::upstream_gone;
         co_return;
--- /dev/null
+++ b/packages/traffic/src/tunnel_server.hpp
@@ -0,0 +1,52 @@
+#ifndef CITRONWICK_TRAFFIC_TUNNEL_SERVER_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_TUNNEL_SERVER_HPP_INCLUDED
+
+#include "citronwick/io/task.hpp"
+#include "citronwick/wire/sequence_window.hpp"
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace citronwick {
+
+class routing_plane;
+struct traffic_settings;
+
+/// Connects to upstreams for other routers and relays the bytes in both directions.
+///
+/// Only registered routers of the fleet are served, each request once, and only addresses of
+/// upstreams. A router that is cut from the upstreams itself refuses, so a tunnel has one hop. The
+/// upstream's orderly end is passed on as one; an error, and the end of this process, reset the
+/// connection.
+class tunnel_server {
+public:
+    tunnel_server(asio::any_io_executor executor, const traffic_settings& settings, routing_plane& plane);
+
+    io_result<void> open(const endpoint& listen);
+
+    /// Accepts connections until the listener is closed.
+    task<void> serve();
+
+private:
+    struct tunnel;
+    struct accepted_request;
+
+    task<void> serve_connection(asio::ip::tcp::socket socket);
+    io_result<accepted_request> open_request(const std::string& sealed, const std::string& peer);
+    task<void> relay(std::shared_ptr<tunnel> both);
+    static task<void> forward(std::shared_ptr<tunnel> both, bool to_upstream);
+
+    asio::any_io_executor executor_;
+    routing_plane& plane_;
+    asio::ip::tcp::acceptor acceptor_;
+    wire::sequence_window window_;
+    std::size_t max_tunnels_;
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0); ///< connections from routers
+};
+
+} // namespace citronwick
+
+#endif
--- /dev/null
+++ b/packages/traffic/src/tunnel_service.cpp
@@ -0,0 +1,61 @@
+#include "citronwick/traffic/tunnel_service.hpp"
+
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/io/event_loop.hpp"
+#include "citronwick/io/spawn.hpp"
+#include "reach_prober.hpp"
+#include "tunnel_server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <thread>
+
+namespace citronwick {
+
+class tunnel_service::state {
+public:
+    state(const traffic_settings& settings, routing_plane& plane)
+        : server_{context_.get_executor(), settings, plane}, prober_{context_.get_executor(), plane} {}
+
+    io_result<void> start(const endpoint& listen) {
+        auto opened = server_.open(listen);
+        if (opened.has_error()) {
+            return opened;
+        }
+        spawn_restarting(context_.get_executor(), "tunnels", [this] { return server_.serve(); });
+        spawn_restarting(context_.get_executor(), "reach_probes", [this] { return prober_.run(); });
+        thread_ = std::jthread{[this] { run_event_loop(context_, "tunnels"); }};
+        return opened;
+    }
+
+    void stop() {
+        context_.stop();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+private:
+    asio::io_context context_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work_{context_.get_executor()};
+    tunnel_server server_;
+    reach_prober prober_;
+    std::jthread thread_;
+};
+
+tunnel_service::tunnel_service(const traffic_settings& settings, routing_plane& plane)
+    : state_{std::make_unique<state>(settings, plane)} {}
+
+tunnel_service::~tunnel_service() {
+    stop();
+}
+
+io_result<void> tunnel_service::start(const endpoint& listen) {
+    return state_->start(listen);
+}
+
+void tunnel_service::stop() {
+    state_->stop();
+}
+
+} // namespace citronwick
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/traffic/upstream_connection.hpp"
 
+#include "citronwick/traffic/tunnel_opener.hpp"
 #include "crash_probe.hpp"
 
 #include <algorithm>
@@ -58,9 +59,10 @@
 
 } // namespace
 
-upstream_connection::upstream_connection(const asio::any_io_executor& executor, endpoint peer)
-    : peer_{std::move(peer)}, stream_{std::make_shared<boost::beast::tcp_stream>(executor)},
-      buffer_{max_read_buffer_bytes} {}
+upstream_connection::upstream_connection(const asio::any_io_executor& executor, endpoint peer,
+                                         tunnel_opener* tunnels)
+    : peer_{std::move(peer)}, tunnels_{tunnels},
+      stream_{std::make_shared<boost::beast::tcp_stream>(executor)}, buffer_{max_read_buffer_bytes} {}
 
 failure upstream_connection::close_with_failure(std::string step, const boost::system::error_code& error,
                                                 bool may_have_taken_effect) {
@@ -84,12 +86,33 @@
     if (error) {
         co_return close_with_failure(is_local_shortage(error) ? open_step : "connect", error, false);
     }
+    through_.reset();
+    set_connected();
+    co_return io_result<void>{};
+}
+
+task<io_result<void>> upstream_connection::connect_through_peer(std::uint64_t request,
+                                                                std::chrono::milliseconds timeout) {
+    if (tunnels_ == nullptr) {
+        co_return failure{tunnel_opener::no_peer_step, to_text(peer_), "there are no other routers"};
+    }
+    endpoint upstream = peer_;
+    auto opened = co_await tunnels_->open(std::move(upstream), request, timeout);
+    if (opened.has_error()) {
+        co_return opened.error();
+    }
+    stream_ = std::move(opened->stream);
+    through_ = std::move(opened->through);
+    set_connected();
+    co_return io_result<void>{};
+}
+
+void upstream_connection::set_connected() {
     boost::system::error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
     enable_dead_peer_detection(stream_->socket());
     limits_ack_time_ = true;
     open_ = true;
-    co_return io_result<void>{};
 }
 
 /// The acknowledgement timeout also ends connections whose peer is alive and keeps its receive
@@ -201,7 +224,9 @@
     const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
     const auto timeout = std::min(std::max(time_left, 1ms), idle_timeout);
     endpoint peer = peer_;
-    const bool lives_on = co_await crash_probe::lives_on(std::move(peer), timeout);
+    auto through = through_;
+    const bool lives_on =
+        co_await crash_probe::lives_on(std::move(peer), timeout, tunnels_, std::move(through));
     if (!lives_on) {
         close();
         co_return failure{"read response body", to_text(peer_),
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -300,6 +300,30 @@
     std::string body; ///< at most 65,535 bytes
 };
 
+/// Asks a router over TCP to connect to an upstream and to relay the bytes of the connection.
+struct tunnel_request {
+    std::string upstream;                   ///< "ip:port"
+    std::uint16_t timeout = 0;              ///< milliseconds for the connect
+    std::uint64_t receiver = 0;             ///< hash of the receiving router's name
+    std::uint64_t receiver_incarnation = 0; ///< as the sender knows it
+    std::uint64_t nonce = 0;                ///< echoed in the reply
+};
+
+/// Result of a `tunnel_request`.
+enum class tunnel_result : std::uint8_t {
+    connected = 0,
+    refused = 1,     ///< by the upstream
+    timed_out = 2,   ///< the upstream did not answer the router that was asked
+    not_allowed = 3, ///< the address is no upstream's, or the request is not valid
+    unavailable = 4, ///< the router that was asked is cut, too, or has too many tunnels
+};
+
+/// Reply to `tunnel_request`. The bytes of the connection follow if it is connected.
+struct tunnel_reply {
+    std::uint64_t nonce = 0;
+    tunnel_result result = tunnel_result::unavailable;
+};
+
 } // namespace citronwick::wire
 
 #endif
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -247,6 +247,17 @@
     serialize_lists(archive, answer.content_type, answer.body);
 }
 
+template <class Archive>
+void serialize(Archive& archive, tunnel_request& request) {
+    serialize_lists(archive, request.upstream);
+    archive(request.timeout, request.receiver, request.receiver_incarnation, request.nonce);
+}
+
+template <class Archive>
+void serialize(Archive& archive, tunnel_reply& reply) {
+    archive(reply.nonce, reply.result);
+}
+
 } // namespace citronwick::wire
 
 #endif
--- a/packages/wire/src/envelope.cpp
+++ b/packages/wire/src/envelope.cpp
@@ -26,6 +26,10 @@
 constexpr std::uint8_t type_code<claim_query> = 4;
 template <>
 constexpr std::uint8_t type_code<claim_answer> = 5;
+template <>
+constexpr std::uint8_t type_code<tunnel_request> = 6;
+template <>
+constexpr std::uint8_t type_code<tunnel_reply> = 7;
 
 std::string compute_tag(const std::string& key, std::string_view body) {
     return hmac_sha256(key, body).substr(0, tag_bytes);
@@ -97,5 +101,9 @@
 template result<opened_message<claim_query>> envelope::open(std::string_view, const std::string&) const;
 template std::string envelope::seal(const header&, const claim_answer&) const;
 template result<opened_message<claim_answer>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const tunnel_request&) const;
+template result<opened_message<tunnel_request>> envelope::open(std::string_view, const std::string&) const;
+template std::string envelope::seal(const header&, const tunnel_reply&) const;
+template result<opened_message<tunnel_reply>> envelope::open(std::string_view, const std::string&) const;
 
 } // namespace citronwick::wire
