--- a/packages/traffic/src/tunnel_server.cpp
+++ b/packages/traffic/src/tunnel_server.cpp
@@ -1,6 +1,5 @@
 #include "tunnel_server.hpp"
 
-#include "citronwick/config/io_result_of.hpp"
 #include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/routing_view.hpp"
@@ -15,7 +14,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
-#include <ranges>
 #include <vector>
 
 namespace citronwick {
@@ -51,15 +49,6 @@
     socket.set_option(socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{keepalive_probes}, ignored);
 }
 
-bool is_upstream(const routing_view& view, const endpoint& address) {
-    const auto has_address = [&address](const auto& service) {
-        return std::ranges::any_of(service.second, [&address](const routed_upstream& each) {
-            return each.entry.address == address;
-        });
-    };
-    return std::ranges::any_of(view.upstreams, has_address) || std::ranges::any_of(view.leaving, has_address);
-}
-
 wire::tunnel_result result_of(const boost::system::error_code& error) {
     if (!error) {
         return wire::tunnel_result::connected;
@@ -90,13 +79,6 @@
     bool is_open = true;
 };
 
-/// A valid request, and the message that the reply answers.
-struct tunnel_server::accepted_request {
-    endpoint upstream;
-    std::chrono::milliseconds timeout;
-    std::uint64_t nonce = 0;
-};
-
 tunnel_server::tunnel_server(asio::any_io_executor executor, const traffic_settings& settings,
                              routing_plane& plane)
     : executor_{std::move(executor)}, plane_{plane}, acceptor_{executor_},
@@ -125,37 +107,6 @@
     }
 }
 
-/// Opens a request and checks that it is authentic, new, meant for this router, and names an upstream.
-io_result<tunnel_server::accepted_request> tunnel_server::open_request(const std::string& sealed,
-                                                                       const std::string& peer) {
-    const auto known = plane_.reach().directory();
-    const wire::envelope envelope{known->key};
-    const auto opened = io_result_of<wire::opened_message<wire::tunnel_request>>(
-        [&] { return envelope.open<wire::tunnel_request>(sealed, peer); });
-    if (known->key.empty() || opened.has_error()) {
-        return opened.has_error() ? opened.error() : failure{"open tunnel", peer, "no fleet key"};
-    }
-    const wire::tunnel_request& request = opened->message;
-    if (request.receiver != known->self || request.receiver_incarnation != known->incarnation) {
-        return failure{"open tunnel", peer, "the request is for another router"};
-    }
-    const auto sender = std::ranges::find(known->live, opened->header.sender, &fleet_peer::hash);
-    if (sender == known->live.end() || sender->incarnation != opened->header.incarnation) {
-        return failure{"open tunnel", peer, "the sender is no live router"};
-    }
-    if (!window_.accept(opened->header)) {
-        return failure{"open tunnel", peer, "the request is not new"};
-    }
-    const auto upstream = parse_endpoint(request.upstream);
-    if (!upstream || !is_upstream(*plane_.view(), *upstream)) {
-        return failure{"open tunnel", peer, request.upstream + " is no upstream"};
-    }
-    return accepted_request{
-        *upstream,
-        std::min<std::chrono::milliseconds>(std::chrono::milliseconds{request.timeout}, max_connect_timeout),
-        request.nonce};
-}
-
 task<void> tunnel_server::serve_connection(asio::ip::tcp::socket socket) {
     ++*open_;
     const std::shared_ptr<void> counted{open_.get(), [count = open_](void*) { --*count; }};
@@ -168,7 +119,7 @@
     if (sealed.has_error()) {
         co_return;
     }
-    const auto request = open_request(*sealed, peer);
+    const auto request = gate_.open(*sealed, peer, *plane_.reach().directory(), *plane_.view());
     if (request.has_error()) {
         log_failure("tunnel_refused", request.error());
         co_return;
@@ -177,7 +128,7 @@
     if (!plane_.reach().is_cut()) {
         const auto address = to_tcp(request->upstream);
         open_outbound(both->upstream.socket(), address);
-        both->upstream.expires_after(request->timeout);
+        both->upstream.expires_after(std::min(request->timeout, max_connect_timeout));
         auto [error] = co_await both->upstream.async_connect(address, use_tuple);
         reply.result = result_of(error);
     }
--- a/packages/traffic/src/tunnel_server.hpp
+++ b/packages/traffic/src/tunnel_server.hpp
@@ -1,14 +1,12 @@
 #ifndef CITRONWICK_TRAFFIC_TUNNEL_SERVER_HPP_INCLUDED
 #define CITRONWICK_TRAFFIC_TUNNEL_SERVER_HPP_INCLUDED
 
+#include "citronwick/fleet/tunnel_gate.hpp"
 #include "citronwick/io/task.hpp"
-#include "citronwick/wire/sequence_window.hpp"
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <cstddef>
 #include <memory>
-#include <optional>
-#include <string>
 
 namespace citronwick {
 
@@ -32,17 +30,15 @@
 
 private:
     struct tunnel;
-    struct accepted_request;
 
     task<void> serve_connection(asio::ip::tcp::socket socket);
-    io_result<accepted_request> open_request(const std::string& sealed, const std::string& peer);
     task<void> relay(std::shared_ptr<tunnel> both);
     static task<void> forward(std::shared_ptr<tunnel> both, bool to_upstream);
 
     asio::any_io_executor executor_;
     routing_plane& plane_;
     asio::ip::tcp::acceptor acceptor_;
-    wire::sequence_window window_;
+    tunnel_gate gate_;
     std::size_t max_tunnels_;
     std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0); ///< connections from routers
 };
