--- a/tests/soak/fleet_faults.cpp
+++ b/tests/soak/fleet_faults.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <csignal>
 #include <mutex>
 #include <string>
@@ -94,6 +97,32 @@
     run.set_link_fault(target, "{}");
 }
 
+/// Cuts some routers, but not all, from all workers: packets are dropped, connections are reset, or
+/// open ones live on while new ones are reset.
+void cut_from_upstreams(soak_run& run, std::mt19937_64& random) {
+    constexpr std::array kinds{"dropped_sources", "refused_sources", "newly_refused_sources"};
+    const std::string kind = kinds.at(random() % kinds.size());
+    const std::size_t count = 1 + random() % std::max<std::size_t>(run.routers.size() - 1, 1);
+    const std::size_t first = random() % run.routers.size();
+    const auto time = pick_time(random, 500, 6'000);
+    const std::unique_lock used{run.engine_links, std::try_to_lock};
+    if (!used.owns_lock()) {
+        return;
+    }
+    boost::json::array sources;
+    for (std::size_t index = first; index < first + count; ++index) {
+        sources.emplace_back(run.fleet.routers()[index % run.routers.size()].source_address);
+    }
+    const auto set_faults = [&run](const std::string& fault) {
+        for (auto* const workers : {&run.fleet.plain_workers(), &run.fleet.engines()}) {
+            std::ranges::for_each(*workers, [&](const node& each) { run.set_link_fault(each, fault); });
+        }
+    };
+    set_faults(boost::json::serialize(boost::json::object{{kind, sources}}));
+    std::this_thread::sleep_for(time);
+    set_faults("{}");
+}
+
 void disturb_store(soak_run& run, std::mt19937_64& random) {
     constexpr std::array faults{R"({"mode":"busy"})",  R"({"mode":"reset"})",   R"({"mode":"silent"})",
                                 R"({"delay_ms":300})", R"({"lose_answers":5})", R"({"forget_history":1})"};
@@ -155,6 +184,7 @@
     fault{"change_keys", &change_keys},
     fault{"restore_store", &restore_store},
     fault{"limit_worker", &limit_worker, disturbs_upstreams},
+    fault{"cut_from_upstreams", &cut_from_upstreams, disturbs_upstreams},
 };
 
 } // namespace
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -43,7 +43,7 @@
   --only FAULT  Draws this kind of fault alone, without overlaps. Kinds:
                 pause_router kill_router stop_router disturb_worker cut_streams
                 disturb_link disturb_store drain_worker change_keys restore_store
-                limit_worker unread_output abandoned_output hang_up hang_up_at_start
+                limit_worker cut_from_upstreams unread_output abandoned_output hang_up hang_up_at_start
                 stop_at_start signal_while_stopping replace_router
                 replace_on_same_ports held_port few_descriptors idle_callers
                 unfinished_bodies slow_router kill_engine close_streams
