--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -87,7 +87,8 @@
     return version == versions_.end() ? "v1" : version->second;
 }
 
-void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation) {
+void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
+                                  const std::string& fault) {
     node started = start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name));
     worker.process = std::move(started.process);
     worker.addresses = std::move(started.addresses);
@@ -97,6 +98,9 @@
         }
         set_proxy_target(*worker.proxy, worker);
     }
+    if (!fault.empty()) {
+        set_fault(worker, fault);
+    }
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
@@ -205,10 +209,14 @@
 
 void routed_fleet::register_worker(const node& worker, const std::string& service, const std::string& state,
                                    std::int64_t incarnation, const std::string& version) {
-    const json::object entry{{"service", service},   {"address", to_text(worker.address())},
-                             {"zone", domain},       {"version", version},
-                             {"slots", 8},           {"state", state},
-                             {"coldRemainingMs", 0}, {"seq", 1},
+    const json::object entry{{"service", service},
+                             {"address", to_text(worker.address())},
+                             {"zone", domain},
+                             {"version", version},
+                             {"slots", options_.worker_slots},
+                             {"state", state},
+                             {"coldRemainingMs", 0},
+                             {"seq", 1},
                              {"born", incarnation}};
     put_key("servers/" + worker.name, json::serialize(entry));
 }
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -33,6 +33,7 @@
     std::int64_t body_bytes = 65'536; ///< largest request body, as declared
     process_options router_process{}; ///< how the routers are started
     std::chrono::milliseconds balancer_lag{300};
+    int worker_slots = 8; ///< as the entries of the workers say
 };
 
 /// Runs routers, workers and the metadata store as processes on this machine.
@@ -74,7 +75,9 @@
     /// Starts a worker whose process has ended, at another port, and writes its entry. Its proxy is
     /// started, too, if it has ended.
     /// @param incarnation higher than that of the process that ended
-    void restart_worker(node& worker, const std::string& service, std::int64_t incarnation);
+    /// @param fault set before the entry is written, none if empty
+    void restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
+                        const std::string& fault = {});
 
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <iostream>
+#include <limits>
 #include <numeric>
 
 namespace citronwick::standin {
@@ -38,6 +39,23 @@
             .only_path = string_member(settings, "only_path")};
 }
 
+std::shared_ptr<slot_queue> read_slots(const json::object& settings) {
+    const auto count = [&settings](const char* name) {
+        return static_cast<std::size_t>(integer_member(settings, name));
+    };
+    if (count("slots") == 0) {
+        return nullptr;
+    }
+    const std::string brittle = string_member(settings, "brittle");
+    const slot_queue::settings set{
+        .slots = count("slots"),
+        .room = count("room"),
+        .later_room = count("later_room"),
+        .shrinks_after = std::chrono::milliseconds{integer_member(settings, "shrinks_after_ms")},
+        .allowed_refusals = brittle.empty() ? std::numeric_limits<std::size_t>::max() : std::stoul(brittle)};
+    return std::make_shared<slot_queue>(set, clock::now());
+}
+
 } // namespace
 
 routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id,
@@ -73,6 +91,8 @@
         stream_faults_ = read_stream_faults(fault_settings);
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
+        brittle_ = string_member(fault_settings, "brittle");
+        slots_ = read_slots(fault_settings);
         retry_after_ = string_member(fault_settings, "retry_after");
         says_leaving_ = !string_member(fault_settings, "leaving").empty();
         co_return co_await send_response(stream, http::status::ok, "{}");
@@ -89,9 +109,37 @@
         auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
         co_return !error;
     }
+    if (slots_) {
+        co_return co_await run_in_slot(stream, std::move(request), slots_);
+    }
     co_return co_await run(stream, std::move(request));
 }
 
+/// Runs a request as soon as a slot is free, or refuses it for want of room.
+task<bool> routed_worker::run_in_slot(tcp_stream& stream, http_request request,
+                                      std::shared_ptr<slot_queue> queue) {
+    const bool is_admitted = co_await queue->acquire();
+    if (!is_admitted) {
+        if (queue->record_refusal(clock::now())) {
+            std::cout << "event=fell_over" << std::endl;
+            std::_Exit(EXIT_FAILURE);
+        }
+        http_response refusal{make_header(request)};
+        refusal.erase("Citronwick-Server-Stamp");
+        refusal.result(http::status::service_unavailable);
+        refusal.set("Citronwick-Not-Run", "1");
+        refusal.prepare_payload();
+        auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
+        co_return !error;
+    }
+    bool may_go_on = false;
+    if (!is_closed(stream)) {
+        may_go_on = co_await run(stream, std::move(request));
+    }
+    queue->release();
+    co_return may_go_on;
+}
+
 void routed_worker::record_run(const http_request& request) {
     const std::string attempt{request[attempt_header]};
     const auto* const previous = runs_.if_contains(attempt);
@@ -114,10 +162,13 @@
     header.result(http::status::ok);
     header.set(attempt_header, request[attempt_header]);
     header.set("Citronwick-Server-Stamp", "stamp." + id_);
-    header.set("Citronwick-Server-Load", "1,0,8");
+    header.set("Citronwick-Server-Load", slots_ ? slots_->load_text() : "1,0,8");
     if (!limit_.empty()) {
         header.set("Server-Limit", limit_);
     }
+    if (!brittle_.empty()) {
+        header.set("Server-Brittle", brittle_);
+    }
     if (says_leaving_) {
         header.set("Server-Leaving", "1");
     }
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_TESTS_STANDIN_ROUTED_WORKER_HPP_INCLUDED
 #define CITRONWICK_TESTS_STANDIN_ROUTED_WORKER_HPP_INCLUDED
 
+#include "slot_queue.hpp"
 #include "standin_server.hpp"
 #include "stream_faults.hpp"
 
@@ -8,6 +9,7 @@
 #include <boost/json/object.hpp>
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +28,8 @@
 
 private:
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
+    task<bool> run_in_slot(boost::beast::tcp_stream& stream, http_request request,
+                           std::shared_ptr<slot_queue> queue);
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
     task<bool> begin_stream(boost::beast::tcp_stream& stream, const http_request& request, bool is_unframed);
@@ -54,13 +58,15 @@
     std::chrono::milliseconds delay_{0};
     std::int64_t event_count_ = 6;
     stream_faults stream_faults_;
-    std::string crashing_part_;     ///< part of a prompt on which the process ends, empty for none
-    std::int64_t aborted_runs_ = 0; ///< runs whose caller closed the connection
-    std::string retry_after_;       ///< seconds that it names when it sheds a request, empty for none
-    bool says_leaving_ = false;     ///< in its responses
-    std::string limit_;             ///< rate limit that it names in its responses, empty for none
-    boost::json::object runs_;      ///< by attempt id
-    boost::json::array arrivals_;   ///< of requests, in milliseconds of the steady clock
+    std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
+    std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
+    std::string retry_after_;           ///< seconds that it names when it sheds a request, empty for none
+    bool says_leaving_ = false;         ///< in its responses
+    std::string limit_;                 ///< rate limit that it names in its responses, empty for none
+    std::string brittle_;               ///< refusals a second that it names in its responses, empty for none
+    std::shared_ptr<slot_queue> slots_; ///< null while it runs all requests at once
+    boost::json::object runs_;          ///< by attempt id
+    boost::json::array arrivals_;       ///< of requests, in milliseconds of the steady clock
     standin_server server_;
 };
 
