Read from responses that an upstream is brittle

The number of refusals a second that it bears becomes a property of the response, as a rate limit does: a value that is no number is told from none. Callers do not get the field.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -50,6 +50,9 @@
     /// Requests a second that the upstream takes from all routers together; not a
     /// finite number, or negative, if what it names is unusable. Empty if it names none.
     std::optional<double> rate_limit{};
+    /// Refusals a second for want of room behind which the upstream ends, as it is brittle; not a
+    /// finite number, or negative, if what it names is unusable. Empty if it is not brittle.
+    std::optional<double> refusals_per_second{};
     /// Time for which a refusal asks for no further requests; empty if it names none.
     std::optional<std::chrono::milliseconds> retry_after{};
     std::optional<std::chrono::milliseconds> idle_timeout{}; ///< of the connection
