--- a/packages/policy/include/citronwick/policy/rate_limit_table.hpp
+++ b/packages/policy/include/citronwick/policy/rate_limit_table.hpp
@@ -50,6 +50,9 @@
     /// @param upstreams the known ones
     void expire(const std::set<std::uint32_t>& upstreams, time_point now);
 
+    /// Removes limits that no response has named since `oldest`.
+    void remove_named_before(time_point oldest);
+
 private:
     std::map<std::uint32_t, rate_limit> entries_;
 };
--- a/packages/policy/src/rate_limit_table.cpp
+++ b/packages/policy/src/rate_limit_table.cpp
@@ -54,4 +54,8 @@
     });
 }
 
+void rate_limit_table::remove_named_before(time_point oldest) {
+    std::erase_if(entries_, [oldest](const auto& entry) { return entry.second.named_at < oldest; });
+}
+
 } // namespace citronwick
