Tell other routers which upstreams are brittle

The knowledge travels with the rate limits, by the same messages, lists and rules of age. An entry with a negative rate means refusals; routers that do not know that ignore it, so no format changes. An upstream of which nothing is known, as one that has just started, counts as brittle if others of its service are.

--- a/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/policy/rate_limit_table.hpp"
 #include "citronwick/wire/messages.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -17,8 +18,8 @@
 
 struct permit_decision;
 
-/// Rate limits of the upstreams, as this router's responses and other routers tell, and
-/// the pauses that they ask this router for.
+/// Rate limits of the upstreams and which of them are brittle, as this router's responses and other
+/// routers tell, and the pauses that they ask this router for.
 /// Shared by the traffic threads; the control thread exchanges it with other routers.
 /// Every change is logged.
 class upstream_limits {
@@ -32,6 +33,21 @@
     void record_response(std::uint64_t upstream, const std::string& id, std::optional<double> limit,
                          time_point sent_at, time_point now);
 
+    /// Records whether an upstream said in a response that it is brittle.
+    /// @param upstream hash of its incarnation
+    /// @param id for the log
+    /// @param refusals a second that it bears, none if it is not brittle; ignored if this is not a
+    ///        finite, non-negative number
+    /// @param sent_at when the request was sent
+    void record_brittle(std::uint64_t upstream, const std::string& id, std::optional<double> refusals,
+                        time_point sent_at, time_point now);
+
+    /// Whether any upstream is known to be brittle. Takes no lock.
+    bool has_brittle() const { return has_brittle_.load(std::memory_order_relaxed); }
+
+    /// Records that a brittle upstream refused a request for want of room.
+    void record_refusal(std::uint64_t upstream, const std::string& id, time_point now);
+
     /// Records that an upstream refused a request and wants no others from this router
     /// for a while.
     void record_pause(std::uint64_t upstream, const std::string& id, duration pause, time_point now);
@@ -49,10 +65,14 @@
     struct summary {
         std::optional<double> per_second; ///< empty if no limit holds
         bool may_request_permit = true;
-        bool is_paused = false;       ///< it wants no requests from this router now
-        double permit_price_ms = 0.0; ///< estimated from the coordinator's last decision
+        bool is_paused = false;                      ///< it wants no requests from this router now
+        double permit_price_ms = 0.0;                ///< estimated from the coordinator's last decision
+        std::optional<double> refusals_per_second{}; ///< that it bears; empty if it is not brittle
+        bool has_refused_lately = false;             ///< this router, although it is brittle
     };
 
+    /// An upstream of which nothing is known counts as brittle if others of its service are.
+    /// @param upstreams hashes of all upstreams of a service
     /// @return one summary for each upstream, in the same order
     std::vector<summary> summaries(const std::vector<std::uint64_t>& upstreams, time_point now) const;
 
@@ -78,12 +98,26 @@
     void expire(const std::set<std::uint64_t>& upstreams, time_point now);
 
 private:
-    void log_change(std::uint32_t upstream, const std::string& id, const char* source) const;
+    /// What upstreams name of one kind.
+    struct tables {
+        rate_limit_table known;
+        rate_limit_table own;    ///< observed by this router
+        rate_limit_table domain; ///< observed by this router or reported to it as coordinator
+
+        void expire(const std::set<std::uint32_t>& upstreams, time_point now);
+    };
+
+    bool record(tables& kind, std::uint32_t upstream, std::optional<double> named, time_point sent_at,
+                time_point now);
+    void note_brittle();
+    void log_limit(std::uint32_t upstream, const std::string& id, const char* source) const;
+    void log_brittle(std::uint32_t upstream, const std::string& id, const char* source) const;
+    std::optional<double> refusals_of(std::uint32_t upstream, time_point now) const;
 
     mutable std::mutex mutex_;
-    rate_limit_table known_;
-    rate_limit_table own_;    ///< observed by this router
-    rate_limit_table domain_; ///< observed by this router or reported to it as coordinator
+    tables rates_;
+    tables refusals_;                                ///< a second that brittle upstreams bear
+    std::map<std::uint64_t, time_point> refused_at_; ///< by brittle upstream
     struct permit_terms {
         time_point rejected_until; ///< time from which a permit may be requested again
         double price_ms = 0.0;     ///< at that time
@@ -93,6 +127,7 @@
     };
     std::map<std::uint32_t, permit_terms> permit_terms_;
     std::map<std::uint64_t, time_point> paused_until_; ///< by upstream
+    std::atomic<bool> has_brittle_{false};             ///< whether `refusals_` has entries
     bool report_is_urgent_ = false;
     time_point reported_at_;
     std::uint64_t changes_ = 0;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -161,11 +161,13 @@
     std::uint32_t upstream = 0;
 };
 
-/// Rate limit of one upstream. Without a `list_id` in the message, these are
+/// Rate limit of one upstream, or that it is brittle. Without a `list_id` in the message, these are
 /// the sender's own observations.
 struct limit_entry {
     std::uint32_t upstream = 0;
-    float per_second = 0.0F;     ///< requests that it takes from all routers together
+    /// Requests that it takes from all routers together. If negative, it is brittle and bears
+    /// -1 - `per_second` refusals a second; routers that do not know this ignore the entry.
+    float per_second = 0.0F;
     std::uint16_t named_age = 0; ///< milliseconds since a response named the limit
     /// Milliseconds since a request was sent whose response named none; `no_age` for never.
     std::uint16_t unlimited_age = 0;
