Keep the requests on a brittle upstream within its slots

Routers learnt that an upstream is full only by its refusal, and sent the request on to the next full one.

Now a router has at most its places in flight on a brittle upstream (brittle_places), checked again where the request is counted, for first attempts, retries and requests that a broken connection returned. What finds no place waits for at most twice the target latency, or a third of the time left, by priority, or is refused at once with the time after which places become free. An unreachable upstream is not tried while reachable ones are only full. While no upstream is brittle, one atomic flag is read more.

The bound needs no news of other routers: the parts of all add up to the slots, and what may exceed them is less than the refusals that the upstream bears.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -88,9 +88,10 @@
     /// Number of other known routers, live or silent.
     std::size_t known_count() const { return others_.size(); }
 
-    /// Number of other routers that may still send requests: those with an entry in
+    /// Hashes of the other routers that may still send requests: those with an entry in
     /// the store, or live, except for those that announced their end and are silent.
-    std::size_t active_count(time_point now) const;
+    std::vector<std::uint64_t> active(time_point now) const;
+    std::size_t active_count(time_point now) const { return active(now).size(); }
 
     /// Records that a router's entry was removed from the store.
     void record_unregistered(const std::string& vm);
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -149,12 +149,14 @@
     return found;
 }
 
-std::size_t membership::active_count(time_point now) const {
+std::vector<std::uint64_t> membership::active(time_point now) const {
     const auto is_active = [&](const member& other) {
         const bool is_silent = !other.last_heard_at || now - *other.last_heard_at >= base_silence_timeout;
         return other.record.leaving ? !is_silent : other.is_registered || is_live(other, now);
     };
-    return static_cast<std::size_t>(std::ranges::count_if(others_ | std::views::values, is_active));
+    auto found = others_ | std::views::values | std::views::filter(is_active) |
+                 std::views::transform(&member::hash) | std::views::common;
+    return {found.begin(), found.end()};
 }
 
 void membership::record_unregistered(const std::string& vm) {
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -42,8 +42,10 @@
     std::map<std::string, std::vector<routed_upstream>, std::less<>> upstreams; ///< by service
     /// Upstreams that accept no new requests but still run, by service.
     std::map<std::string, std::vector<routed_upstream>, std::less<>> leaving;
-    std::size_t live_routers = 1;  ///< including this one
-    std::size_t known_routers = 1; ///< registered routers, including this one
+    std::size_t live_routers = 1;              ///< including this one
+    std::size_t known_routers = 1;             ///< registered routers, including this one
+    std::vector<std::uint64_t> active_routers; ///< hashes of those that may send requests, and this one
+    std::uint64_t self = 0;                    ///< hash of this router
     /// Assignment of resumable streams to software versions, by service.
     std::map<std::string, std::shared_ptr<const version_slots>, std::less<>> stream_versions;
     store_position position{}; ///< of the store, up to which this view includes all changes
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -107,6 +107,13 @@
     return members_.known_count() + 1;
 }
 
+std::vector<std::uint64_t> router_peers::active_routers(time_point now) const {
+    auto routers = members_.active(now);
+    routers.push_back(members_.self_hash());
+    std::ranges::sort(routers);
+    return routers;
+}
+
 void router_peers::handle_message(const wire::header& from, const wire::gossip& message) {
     const auto now = clock::now();
     std::ranges::for_each(message.members,
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -262,6 +262,8 @@
         next->leaving = declared_.leaving();
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
+        next->active_routers = peers_.active_routers(now);
+        next->self = peers_.self_hash();
         next->stream_versions = versions_.slots();
         next->position = follower_.position();
         loads_.clear();
@@ -291,7 +293,8 @@
         const bool upstreams_changed = declared_.expire(now);
         const auto current = view_.load();
         const bool fleet_changed = peers_.live_routers(now) != current->live_routers ||
-                                   peers_.known_routers() != current->known_routers;
+                                   peers_.known_routers() != current->known_routers ||
+                                   peers_.active_routers(now) != current->active_routers;
         if (upstreams_changed || fleet_changed) {
             publish(now);
         }
--- /dev/null
+++ b/packages/traffic/src/place_queue.hpp
@@ -0,0 +1,68 @@
+#ifndef CITRONWICK_TRAFFIC_PLACE_QUEUE_HPP_INCLUDED
+#define CITRONWICK_TRAFFIC_PLACE_QUEUE_HPP_INCLUDED
+
+#include "citronwick/core/time.hpp"
+#include "citronwick/io/task.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+namespace citronwick {
+
+/// Requests of one traffic thread that wait for a place on a service's brittle upstreams, the more
+/// urgent ones first, and those of one priority in the order of their arrival.
+class place_queue {
+public:
+    /// One waiting request. It leaves the queue at its end.
+    class ticket {
+    public:
+        /// Adds a request. If the queue is full, the last one leaves it, which may be this one.
+        /// @param priority 0 is the highest
+        /// @param most number of requests that may wait
+        ticket(place_queue& queue, const asio::any_io_executor& executor, std::uint32_t priority,
+               std::size_t most);
+        ticket(const ticket&) = delete;
+        ticket& operator=(const ticket&) = delete;
+        ~ticket();
+
+        /// Waits until a place may be free, or until some time.
+        task<void> wait(time_point until);
+
+        /// Whether the request still waits, and is the next.
+        bool is_queued() const { return is_queued_; }
+        bool is_next() const;
+
+    private:
+        friend class place_queue;
+
+        void leave();
+
+        place_queue& queue_;
+        asio::steady_timer timer_;
+        std::multimap<std::uint32_t, ticket*>::iterator position_;
+        bool is_queued_ = true;
+    };
+
+    /// Whether requests wait that come before one of this priority.
+    bool has_before(std::uint32_t priority) const;
+
+    /// Records that a request has left its place.
+    /// @param held time for which it had the place
+    void release(duration held);
+
+    /// Lets the next request look for a place.
+    void wake_next();
+
+    /// Average time for which requests have a place.
+    duration mean_held() const { return mean_held_; }
+
+private:
+    std::multimap<std::uint32_t, ticket*> waiting_; ///< by priority
+    duration mean_held_{std::chrono::milliseconds{100}};
+};
+
+} // namespace citronwick
+
+#endif
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/policy/return_schedule.hpp"
 #include "citronwick/traffic/connection_pool.hpp"
 #include "crash_probe.hpp"
+#include "place_queue.hpp"
 
 #include <map>
 #include <string>
@@ -34,6 +35,7 @@
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
     crash_probe probe;
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
+    std::map<std::string, place_queue, std::less<>> place_queues{};    ///< by service with brittle upstreams
     time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
     /// When an upstream of a service last closed a connection before the end of its stream.
     std::map<std::string, time_point, std::less<>> early_ends{};
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -148,6 +148,7 @@
     if (is_confirmation_) {
         placement_->reason = "may have more events";
         placement_->fetch_from.reset();
+        placement_->most_in_flight.reset();
         placement_->uncached_tokens = 0;
         placement_->fetched_tokens = 0;
         placement_request_.has_permit = false;
@@ -180,9 +181,10 @@
         co_return false;
     }
     if (!is_confirmation_) {
-        co_await place(started);
+        co_await place_when_free(started);
     }
     refuse_if_late(clock::now());
+    refuse_if_full(clock::now());
     record_capacity(clock::now());
     refuse_if_paused(clock::now());
     if (!placement_) {
@@ -205,17 +207,26 @@
          {"fetch_tokens", std::to_string(placement_->fetched_tokens)},
          {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
+         {"places", placement_->most_in_flight ? std::to_string(*placement_->most_in_flight) : "-"},
          {"position", to_text(view_->position)}});
     log_suspicions(started);
     placement_request_.tried.push_back(placement_->upstream.hash);
+    const auto placed_at = clock::now();
     exchange_result result;
     {
         in_flight_guard in_flight{placement_->upstream.load,
                                   placement_->uncached_tokens - placement_->fetched_tokens};
+        const bool has_place =
+            !placement_->most_in_flight || in_flight.in_flight_then() <= *placement_->most_in_flight;
+        if (!has_place) {
+            result = {attempt_outcome::not_sent, "the place was taken meanwhile"};
+        }
         const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
         auto connection = context_.pool.acquire(placement_->upstream.entry.address, started, max_idle);
         active_connection_ = connection.get();
-        co_await connect_if_needed(*connection, result);
+        if (has_place) {
+            co_await connect_if_needed(*connection, result);
+        }
         if (result.detail.empty()) {
             result = co_await send_request(*connection, in_flight);
         }
@@ -227,6 +238,9 @@
             context_.pool.release(std::move(connection), clock::now(), idle_timeout);
         }
     }
+    if (placement_->most_in_flight) {
+        release_place(clock::now() - placed_at);
+    }
     log_attempt(result, clock::now() - started);
     co_return record_attempt(result);
 }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -21,6 +21,7 @@
 class upstream_connection;
 class upstream_exchange;
 struct route_context;
+struct service_capacity;
 struct version_decision;
 
 /// Processes one routed request.
@@ -31,8 +32,8 @@
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
 /// route_delivery.cpp, the relaying of streams in route_streams.cpp, the proof of
-/// their end in route_stream_ends.cpp, what concerns crashes of upstreams in
-/// route_crashes.cpp, the software version of streams in route_versions.cpp, and the
+/// their end in route_stream_ends.cpp, what concerns brittle upstreams in route_places.cpp, what concerns
+/// crashes of upstreams in route_crashes.cpp, the software version of streams in route_versions.cpp, and the
 /// choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
@@ -60,6 +61,13 @@
     void record_stream();
     void log_version(const version_decision& decision) const;
     task<void> place(time_point started);
+    task<void> place_when_free(time_point started);
+    task<void> wait_for_place(time_point started);
+    time_point last_wait(time_point now) const;
+    void refuse_if_full(time_point now);
+    void record_scarce_capacity(service_capacity& capacity, time_point now) const;
+    void record_brittle(const response_traits& traits, unsigned status, time_point sent_at);
+    void release_place(duration held);
     bool may_use_scarce_capacity(time_point now);
     void refuse_if_late(time_point now);
     void refuse_if_paused(time_point now);
@@ -108,6 +116,7 @@
     const routed_team* team_ = nullptr;
     routed_placement_request placement_request_;
     std::optional<routed_placement> placement_;
+    std::optional<std::int32_t> places_; ///< of this router on the service's brittle upstreams, if it has any
     std::uint64_t fingerprint_ = 0;
     std::vector<std::uint64_t> part_fingerprints_; ///< of the prompt's shared parts
     time_point deadline_;
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -152,6 +152,14 @@
     }
 }
 
+/// Records whether scarce capacity was found for the request.
+void route_exchange::record_scarce_capacity(service_capacity& capacity, time_point now) const {
+    const std::uint64_t team = hash64(team_ == nullptr ? std::string_view{} : team_->name);
+    capacity.by_team.record(team, 1.0, placement_.has_value(), now);
+    capacity.by_route.record(hash64(route_->name), priority_weight(route_->priority), placement_.has_value(),
+                             now);
+}
+
 /// While upstreams of the service have rate limits, records whether it had capacity
 /// for the request, and prepares its refusal if it had none.
 void route_exchange::record_capacity(time_point now) {
@@ -171,11 +179,10 @@
         return;
     }
     service_capacity& capacity = context_.capacities[service_->name];
-    const bool is_served = placement_.has_value();
-    const std::uint64_t team = hash64(team_ == nullptr ? std::string_view{} : team_->name);
-    capacity.by_team.record(team, 1.0, is_served, now);
-    capacity.by_route.record(hash64(route_->name), priority_weight(route_->priority), is_served, now);
-    if (!is_served && !refusal_before_send_ && !state_.may_have_run_before) {
+    if (!places_) {
+        record_scarce_capacity(capacity, now);
+    }
+    if (!placement_ && !refusal_before_send_ && !state_.may_have_run_before) {
         const auto sharers = static_cast<double>(view_->known_routers * context_.settings.threads);
         refusal_before_send_ =
             problem{503, "upstreams-limited", "the upstreams take no more requests than they named",
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
+#include "citronwick/policy/brittle_places.hpp"
 
 #include <algorithm>
 #include <array>
@@ -47,6 +48,23 @@
     return hashes;
 }
 
+/// Requests that this router may have in flight on an upstream, none if it is not brittle.
+std::optional<std::int32_t> most_in_flight(const routed_upstream& upstream,
+                                           const upstream_limits::summary& limits, const routing_view& view) {
+    if (!limits.refusals_per_second) {
+        return std::nullopt;
+    }
+    const brittle_places places{upstream.hash, upstream.entry.slots, *limits.refusals_per_second, view.self,
+                                view.active_routers};
+    return places.allowed(
+        {.remote_in_flight = upstream.load->remote_in_flight.load(std::memory_order_relaxed),
+         .has_refused_lately = limits.has_refused_lately});
+}
+
+bool was_tried(const routed_upstream& upstream, const routed_placement_request& request) {
+    return std::ranges::find(request.tried, upstream.hash) != request.tried.end();
+}
+
 bool has_version(const routed_upstream& upstream, const routed_placement_request& request) {
     return !request.version || upstream.entry.version == *request.version;
 }
@@ -133,7 +151,9 @@
     // of it, so the average load from other routers is used.
     const bool use_mean_load = !request.service->engine && parameters.load_tie_threshold > 0.0;
     std::vector<routed_candidate> candidates;
+    std::vector<std::optional<std::int32_t>> most;
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        most.push_back(most_in_flight(upstreams[index], limited[index], view));
         candidates.push_back(
             make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
         candidates.back().usable = has_version(upstreams[index], request);
@@ -144,14 +164,19 @@
         request.prefixes.empty() ? request.request_hash : request.prefixes.back().key;
     assume_cached_on_first_ranked(request, affinity, upstreams, candidates, sources);
     for (const exclusion_rules& level : exclusion_levels) {
+        bool is_full = false; // some upstream that may be chosen at this level lacks a place only
         for (std::size_t index = 0; index < candidates.size(); ++index) {
-            const bool was_tried = std::ranges::find(request.tried, hashes[index]) != request.tried.end();
             const bool may_send =
                 !limited[index].is_paused && (!candidates[index].rate_limited ||
                                               (request.may_use_limited && limited[index].may_request_permit));
-            candidates[index].usable = has_version(upstreams[index], request) && !was_tried && may_send &&
+            const bool has_place = !most[index] || upstreams[index].load->in_flight.load(
+                                                       std::memory_order_relaxed) < *most[index];
+            candidates[index].usable = has_version(upstreams[index], request) &&
+                                       !was_tried(upstreams[index], request) && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
+            is_full = is_full || (candidates[index].usable && !has_place);
+            candidates[index].usable = candidates[index].usable && has_place;
         }
         const auto decision = request.service->engine
                                   ? place_on_engine(affinity, candidates, parameters, sources.sources)
@@ -165,7 +190,8 @@
                                        .reason = decision.reason,
                                        .rate_limit = limited[*decision.index].per_second,
                                        .saving_ms = decision.saving_ms,
-                                       .queue_wait_ms = decision.queue_wait_ms};
+                                       .queue_wait_ms = decision.queue_wait_ms,
+                                       .most_in_flight = most[*decision.index]};
             if (decision.fetch) {
                 placement.fetch_from = sources.upstreams[decision.fetch->source]->entry;
                 placement.fetched_tokens = static_cast<std::uint32_t>(decision.fetch->tokens);
@@ -176,13 +202,37 @@
             }
             return placement;
         }
+        if (is_full) {
+            return std::nullopt;
+        }
     }
     return std::nullopt;
 }
 
+std::optional<std::int32_t> places_on_brittle(const routed_placement_request& request,
+                                              const routing_view& view, const upstream_limits& limits,
+                                              time_point now) {
+    const auto found = view.upstreams.find(request.service->name);
+    if (!limits.has_brittle() || found == view.upstreams.end()) {
+        return std::nullopt;
+    }
+    const auto& upstreams = found->second;
+    const auto limited = limits.summaries(hashes_of(upstreams), now);
+    std::optional<std::int32_t> places;
+    for (std::size_t index = 0; index < upstreams.size(); ++index) {
+        if (!has_version(upstreams[index], request) || was_tried(upstreams[index], request)) {
+            continue;
+        }
+        if (const auto most = most_in_flight(upstreams[index], limited[index], view)) {
+            places = places.value_or(0) + *most;
+        }
+    }
+    return places;
+}
+
 in_flight_guard::in_flight_guard(std::shared_ptr<upstream_load> load, std::uint32_t uncached_tokens)
-    : load_{std::move(load)}, unprocessed_tokens_{static_cast<std::int32_t>(uncached_tokens)} {
-    load_->in_flight.fetch_add(1, std::memory_order_relaxed);
+    : load_{std::move(load)}, unprocessed_tokens_{static_cast<std::int32_t>(uncached_tokens)},
+      in_flight_then_{load_->in_flight.fetch_add(1, std::memory_order_relaxed) + 1} {
     load_->backlog.fetch_add(unprocessed_tokens_, std::memory_order_relaxed);
 }
 
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -42,18 +42,27 @@
     double queue_wait_ms = 0.0;                 ///< see `routed_decision`
     std::optional<upstream_entry> fetch_from{}; ///< upstream whose cache holds prompt tokens that it lacks
     std::uint32_t fetched_tokens = 0;           ///< part of the uncached tokens that it can fetch there
+    /// Requests that this router may have in flight on the upstream, this one included; none if
+    /// it is not brittle.
+    std::optional<std::int32_t> most_in_flight{};
 };
 
 /// Chooses the upstream of a request from the current view and from observations
 /// of earlier requests.
 /// @param failure_domain failure domain of this router
 /// @return none if the service has no untried upstream, or all of them have reached
-///         their rate limits
+///         their rate limits, or are brittle and have no place for a request of this router
 std::optional<routed_placement>
 choose_upstream(const routed_placement_request& request, const routing_view& view,
                 const upstream_observations& observations, const upstream_limits& limits,
                 const placement_parameters& parameters, std::string_view failure_domain, time_point now);
 
+/// Requests that this router may have in flight on the upstreams that could still take a request.
+/// @return none if no upstream of these is brittle
+std::optional<std::int32_t> places_on_brittle(const routed_placement_request& request,
+                                              const routing_view& view, const upstream_limits& limits,
+                                              time_point now);
+
 /// Counts a request as in flight on an upstream during its lifetime.
 class in_flight_guard {
 public:
@@ -63,12 +72,16 @@
     in_flight_guard& operator=(const in_flight_guard&) = delete;
     ~in_flight_guard();
 
+    /// This router's requests in flight on the upstream when this one was added, itself included.
+    std::int32_t in_flight_then() const { return in_flight_then_; }
+
     /// Removes the request's prompt tokens from the upstream's backlog.
     void mark_prompt_processed();
 
 private:
     std::shared_ptr<upstream_load> load_;
     std::int32_t unprocessed_tokens_;
+    std::int32_t in_flight_then_;
 };
 
 } // namespace citronwick
