--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -32,6 +32,10 @@
 std::span<const fault> stream_faults();
 constexpr std::size_t drawn_stream_fault_count = 6;
 
+/// Faults under more load than the workers bear. They run by name only, since other faults replace
+/// those of the workers.
+std::span<const fault> load_faults();
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -105,6 +105,11 @@
     fleet.restart_worker(engine, "bench", ++newest_incarnation);
 }
 
+void soak_run::restart_plain_worker(harness::node& worker, const std::string& fault) {
+    const std::scoped_lock lock{nodes_mutex_};
+    fleet.restart_worker(worker, "desk", ++newest_incarnation, fault);
+}
+
 void soak_run::check_idle_routers() {
     constexpr auto span = 1s;
     constexpr std::chrono::milliseconds max_used = 500ms;
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -63,6 +63,10 @@
     void kill_engine(harness::node& engine);
     void restart_engine(harness::node& engine);
 
+    /// Starts a plain worker again whose process has ended.
+    /// @param fault that it has from the start
+    void restart_plain_worker(harness::node& worker, const std::string& fault);
+
     /// Held while links to engines are disturbed, or while streams of engines are not framed: no
     /// router can tell a connection that a link closes in order from the end of such a stream.
     std::mutex engine_links;
