--- a/packages/traffic/src/connection_pool.cpp
+++ b/packages/traffic/src/connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 
 namespace citronwick {
 
@@ -16,9 +17,10 @@
         return now - each.since >= std::min<duration>(idle_limit_, each.idle_timeout);
     });
     while (true) {
-        const auto newest = std::find_if(idle.rbegin(), idle.rend(), [&](const idle_connection& each) {
-            return now - each.since < max_idle && each.connection->may_carry(request);
-        });
+        const auto newest =
+            std::ranges::find_if(idle | std::views::reverse, [&](const idle_connection& each) {
+                return now - each.since < max_idle && each.connection->may_carry(request);
+            });
         if (newest == idle.rend()) {
             return create(peer);
         }
