Soak routers with workers that copy their refusals

The fault copy_refusals lets all workers refuse a third of the requests, in turn with 503 that bears the identifier and with 421 that bears none, and send a copy of the last refusal of a connection before each later response on it.

--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -32,6 +32,9 @@
 std::span<const fault> stream_faults();
 constexpr std::size_t drawn_stream_fault_count = 6;
 
+/// Faults that run by name only, each with a test of its own.
+std::span<const fault> separate_faults();
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/soak/fleet_faults.cpp
+++ b/tests/soak/fleet_faults.cpp
@@ -139,6 +139,18 @@
     }
 }
 
+/// All workers refuse a third of the requests, and send copies of the refusals before later responses.
+void copy_refusals(soak_run& run, std::mt19937_64& random) {
+    const auto set_all = [&run](const std::string& fault) {
+        const auto set = [&](const node& worker) { run.set_worker_fault(worker, fault); };
+        std::ranges::for_each(run.fleet.plain_workers(), set);
+        std::ranges::for_each(run.fleet.engines(), set);
+    };
+    set_all(R"({"mode":"copy_refusals"})");
+    std::this_thread::sleep_for(pick_time(random, 500, 3'000));
+    set_all("{}");
+}
+
 constexpr bool disturbs_upstreams = true;
 
 constexpr std::array faults{
@@ -157,12 +169,18 @@
     fault{"limit_worker", &limit_worker, disturbs_upstreams},
 };
 
+constexpr std::array faults_by_name{fault{"copy_refusals", &copy_refusals}};
+
 } // namespace
 
 std::span<const fault> fleet_faults() {
     return faults;
 }
 
+std::span<const fault> separate_faults() {
+    return faults_by_name;
+}
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most) {
     return std::chrono::milliseconds{std::uniform_int_distribution<int>{least, most}(random)};
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -48,6 +48,7 @@
                 replace_on_same_ports held_port few_descriptors idle_callers
                 unfinished_bodies slow_router kill_engine close_streams
                 unframed_streams resume_elsewhere full_buffers;
+                not drawn unless named: copy_refusals;
                 and, as known to break guarantees, not drawn unless named:
                 close_unframed_streams omit_resumed.
 
@@ -93,7 +94,7 @@
 
 /// The fault with a name, if there is one.
 std::span<const fault> find_faults(std::string_view name) {
-    for (const auto all : {fleet_faults(), process_faults(), stream_faults()}) {
+    for (const auto all : {fleet_faults(), process_faults(), stream_faults(), separate_faults()}) {
         const auto found = std::ranges::find(all, name, &fault::name);
         if (found != all.end()) {
             return {found, 1};
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -71,6 +71,7 @@
         failure_status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         stream_faults_ = read_stream_faults(fault_settings);
+        refusals_.clear();
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
         retry_after_ = string_member(fault_settings, "retry_after");
@@ -134,6 +135,33 @@
     co_return !error;
 }
 
+/// Refuses a request, in one of two forms, and keeps the refusal to copy it.
+task<bool> routed_worker::refuse_and_keep(tcp_stream& stream, const http_request& request) {
+    http_response refusal{http::status::misdirected_request, 11};
+    if (requests_with_copies_ % 2 == 0) {
+        refusal.result(http::status::service_unavailable);
+        refusal.set(attempt_header, request[attempt_header]);
+        refusal.set("Citronwick-Not-Run", "1");
+    }
+    refusal.prepare_payload();
+    boost::system::error_code ignored;
+    refusals_[stream.socket().remote_endpoint(ignored).port()] = refusal;
+    auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
+    co_return !error;
+}
+
+/// Sends a copy of the last refusal of this connection, if there is one.
+task<bool> routed_worker::send_copies(tcp_stream& stream) {
+    boost::system::error_code ignored;
+    const auto found = refusals_.find(stream.socket().remote_endpoint(ignored).port());
+    if (found == refusals_.end()) {
+        co_return true;
+    }
+    http_response copy = found->second;
+    auto [error, size] = co_await http::async_write(stream, copy, use_tuple);
+    co_return !error;
+}
+
 task<bool> routed_worker::run(tcp_stream& stream, http_request request) {
     std::string fault = fault_mode_;
     if (!fault.empty() && --remaining_faults_ < 0) {
@@ -150,6 +178,16 @@
         auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
         co_return !error;
     }
+    if (fault == "copy_refusals") {
+        constexpr std::int64_t requests_a_refusal = 3;
+        const bool sent = co_await send_copies(stream);
+        if (!sent) {
+            co_return false;
+        }
+        if (++requests_with_copies_ % requests_a_refusal == 0) {
+            co_return co_await refuse_and_keep(stream, request);
+        }
+    }
     record_run(request);
     co_await sleep_for(delay_);
     if (is_closed(stream)) {
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -8,6 +8,7 @@
 #include <boost/json/object.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,8 @@
                             const std::string& fault);
     task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request,
                              const std::string& fault);
+    task<bool> refuse_and_keep(boost::beast::tcp_stream& stream, const http_request& request);
+    task<bool> send_copies(boost::beast::tcp_stream& stream);
     task<bool> send(boost::beast::tcp_stream& stream, const http_request& request, unsigned status,
                     std::string body);
     http::response_header<> make_header(const http_request& request) const;
@@ -54,13 +57,15 @@
     std::chrono::milliseconds delay_{0};
     std::int64_t event_count_ = 6;
     stream_faults stream_faults_;
-    std::string crashing_part_;     ///< part of a prompt on which the process ends, empty for none
-    std::int64_t aborted_runs_ = 0; ///< runs whose caller closed the connection
-    std::string retry_after_;       ///< seconds that it names when it sheds a request, empty for none
-    bool says_leaving_ = false;     ///< in its responses
-    std::string limit_;             ///< rate limit that it names in its responses, empty for none
-    boost::json::object runs_;      ///< by attempt id
-    boost::json::array arrivals_;   ///< of requests, in milliseconds of the steady clock
+    std::string crashing_part_;             ///< part of a prompt on which the process ends, empty for none
+    std::int64_t aborted_runs_ = 0;         ///< runs whose caller closed the connection
+    std::string retry_after_;               ///< seconds that it names when it sheds a request, empty for none
+    bool says_leaving_ = false;             ///< in its responses
+    std::string limit_;                     ///< rate limit that it names in its responses, empty for none
+    std::int64_t requests_with_copies_ = 0; ///< that came while copies of refusals are sent
+    std::map<std::uint16_t, http_response> refusals_; ///< last ones to copy, by port of the connection
+    boost::json::object runs_;                        ///< by attempt id
+    boost::json::array arrivals_;                     ///< of requests, in milliseconds of the steady clock
     standin_server server_;
 };
 
