--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -36,6 +36,9 @@
 /// those of the workers.
 std::span<const fault> load_faults();
 
+/// Faults that run by name only, each with a test of its own.
+std::span<const fault> separate_faults();
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -9,6 +9,7 @@
 #include <boost/json/object.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
                             const std::string& fault);
     task<bool> send_unframed(boost::beast::tcp_stream& stream, const http_request& request,
                              const std::string& fault);
+    task<bool> refuse_and_keep(boost::beast::tcp_stream& stream, const http_request& request);
+    task<bool> send_copies(boost::beast::tcp_stream& stream);
     task<bool> send(boost::beast::tcp_stream& stream, const http_request& request, unsigned status,
                     std::string body);
     http::response_header<> make_header(const http_request& request) const;
@@ -65,8 +68,10 @@
     std::string limit_;                 ///< rate limit that it names in its responses, empty for none
     std::string brittle_;               ///< refusals a second that it names in its responses, empty for none
     std::shared_ptr<slot_queue> slots_; ///< null while it runs all requests at once
-    boost::json::object runs_;          ///< by attempt id
-    boost::json::array arrivals_;       ///< of requests, in milliseconds of the steady clock
+    std::int64_t requests_with_copies_ = 0;           ///< that came while copies of refusals are sent
+    std::map<std::uint16_t, http_response> refusals_; ///< last ones to copy, by port of the connection
+    boost::json::object runs_;                        ///< by attempt id
+    boost::json::array arrivals_;                     ///< of requests, in milliseconds of the steady clock
     standin_server server_;
 };
 
