End no connection to an upstream for a silence of less than 2 s

Callers got 502, or a stream that broke, from a sound upstream that was silent for 1.5 s and went on.

Cause: TCP_USER_TIMEOUT of 1.5 s ended connections with unacknowledged data after 1.5 s, and those that were quiet at the second keep-alive probe, 3 s after their last byte: about 1 s of silence was enough, since it also decides which probe is the last one. Data is not sent again when it expires either, so 3 s would survive 1.4 s only.

Change: keep-alive 1 s + 3 x 1 s and 3.5 s for unacknowledged data. dead_peer_timing computes what Linux makes of the options and says which silence ends what; the options are set in one place. Connecting (300 ms) and the time until the response of a repeatable request begins are as before: both send the request elsewhere, the first one without it having run.

Cost: a dead upstream is noticed 3 to 4 s after its silence began (1.5 to 3 s before), so streams of one are taken up elsewhere later than callers wait (2 s). A probe a second on quiet connections instead of one in two seconds.

Limit: with a retransmission timeout of 234 to 285 ms (round trips of some 34 to 85 ms) data is sent again 1.64 to 2 s after the silence began and then not before the timeout, so silences of that length may end such connections. From the kernel's documented behaviour; not played, as loopback loses no packets.

Before the change the new case of dead_peer_timing.tests.cpp fails 4 checks (1.4 s, 0.69 s and 0 s where 2 s are asked for).

--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -1,11 +1,12 @@
 #include "citronwick/traffic/upstream_connection.hpp"
 
+#include "citronwick/policy/dead_peer_timing.hpp"
 #include "crash_probe.hpp"
+#include "dead_peer_detection.hpp"
 
 #include <algorithm>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <netinet/tcp.h>
 
 namespace citronwick {
 
@@ -17,37 +18,8 @@
 /// Largest body that is buffered, whatever its length field states.
 constexpr std::size_t max_buffered_bytes = 16'777'216;
 
-/// Time without a TCP acknowledgement after which a connection counts as broken.
-constexpr std::chrono::milliseconds ack_timeout{1'500};
 /// Largest body that fits into the receive window of an upstream that does not read at the moment.
 constexpr std::size_t max_unread_body = 16'384;
-/// TCP keepalive probes of a connection that is idle in both directions.
-constexpr std::chrono::seconds keepalive_idle{2};
-constexpr std::chrono::seconds keepalive_interval{1};
-constexpr int keepalive_probes = 2;
-
-/// Sets the time after which unacknowledged data breaks a connection; 0 for the system's own.
-void set_ack_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout) {
-    namespace socket_option = boost::asio::detail::socket_option;
-    boost::system::error_code ignored;
-    socket.set_option(
-        socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{static_cast<int>(timeout.count())}, ignored);
-}
-
-/// Makes the kernel detect an unreachable peer. Without this, a connection to a
-/// VM that lost power stays open for minutes.
-void enable_dead_peer_detection(boost::asio::ip::tcp::socket& socket) {
-    namespace socket_option = boost::asio::detail::socket_option;
-    boost::system::error_code ignored;
-    socket.set_option(boost::asio::socket_base::keep_alive{true}, ignored);
-    set_ack_timeout(socket, ack_timeout);
-    socket.set_option(
-        socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>{static_cast<int>(keepalive_idle.count())}, ignored);
-    socket.set_option(
-        socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>{static_cast<int>(keepalive_interval.count())},
-        ignored);
-    socket.set_option(socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>{keepalive_probes}, ignored);
-}
 
 /// Whether a socket could not be opened for lack of resources, which says nothing of the peer.
 bool is_local_shortage(const boost::system::error_code& error) {
@@ -86,7 +58,7 @@
     }
     boost::system::error_code ignored;
     stream_->socket().set_option(asio::ip::tcp::no_delay{true}, ignored);
-    enable_dead_peer_detection(stream_->socket());
+    enable_dead_peer_detection(stream_->socket(), upstream_dead_peer_timing);
     limits_ack_time_ = true;
     open_ = true;
     co_return io_result<void>{};
@@ -98,7 +70,7 @@
     const bool limits_ack_time = body_bytes <= max_unread_body;
     if (limits_ack_time != limits_ack_time_) {
         limits_ack_time_ = limits_ack_time;
-        set_ack_timeout(stream_->socket(), limits_ack_time ? ack_timeout : std::chrono::milliseconds{0});
+        set_ack_timeout(stream_->socket(), limits_ack_time ? upstream_dead_peer_timing.ack_timeout : 0ms);
     }
 }
 
