Prove that a stream that runs is not taken for refused because of a copy

Streams met the same fault as bookings: the copy of a 421 without identifier was taken for the response to the stream that ran behind it on the connection. Streams that may not be resumed were answered 503 (REFUSED) or ran at a second and third worker (TWICE, BUDGET); resumable ones ran twice at the same time.

--- a/tests/integration/copied_refusals.tests.cpp
+++ b/tests/integration/copied_refusals.tests.cpp
@@ -69,17 +69,22 @@
             const std::string header = read_request(connection);
             runs.record(attempt_of(header));
             asio::write(connection, asio::buffer(refusal(refused)));
-            const std::string answer = response_header(header) + "Content-Length: 4\r\n\r\ndone";
+            const std::string event = "id: 1\ndata: done\n\n";
+            const std::string answer =
+                response_header(header) +
+                "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(event.size()) +
+                "\r\n\r\n" + event;
             asio::write(connection, asio::buffer(answer));
         }
     };
 }
 
 /// Waits until the router sends requests to the workers.
-bool wait_until_used(routed_fleet& system, const std::atomic<int>& refusals) {
+bool wait_until_used(routed_fleet& system, const std::atomic<int>& refusals,
+                     const std::string& path = "/book/1") {
     int asked = 0;
     return system.wait_ready() && wait_until([&] {
-               system.ask(system.routers()[0], "/book/1", "ready-" + std::to_string(asked++));
+               system.ask(system.routers()[0], path, "ready-" + std::to_string(asked++));
                return refusals > 0;
            });
 }
@@ -128,3 +133,28 @@
         CHECK((answer.status != 503 || runs.runs_of(attempt) == 0));
     }
 }
+
+TEST_CASE("proof: a stream that runs is not taken for refused because of the copy of another refusal") {
+    constexpr int streams = 30;
+    for (const refusal_writer refusal : {misdirected_without_id, refusal_with_id}) {
+        run_counter runs;
+        std::atomic<int> refusals = 0;
+        std::vector<std::unique_ptr<scripted_worker>> workers;
+        routed_fleet system{{.routers = 1, .plain_workers = 0, .engines = 0}};
+        for (const std::string name : {"bench-a", "bench-b", "bench-c"}) {
+            workers.push_back(
+                std::make_unique<scripted_worker>(name, copy_refusals(runs, refusals, refusal)));
+            system.register_worker(workers.back()->entry(), "bench");
+        }
+        REQUIRE(wait_until_used(system, refusals, "/guide/stream/1"));
+        for (const std::string path : {"/guide/stream/", "/quote/stream/"}) {
+            for (int index = 0; index < streams; ++index) {
+                const std::string attempt = path + std::to_string(index);
+                const auto answer = system.ask(system.routers()[0], path + "1", attempt);
+                CAPTURE(attempt);
+                CHECK(runs.runs_of(attempt) <= 1);
+                CHECK((answer.status != 503 || runs.runs_of(attempt) == 0));
+            }
+        }
+    }
+}
