Keep the requests that wait for a place apart from what their thread shares

Requests that still wait when a traffic thread stops are destroyed with its event loop, after the server and its context; their tickets then left a queue that was gone. Found by reading; no run has shown it. A ticket now shares its queue. Also only answered requests count for the time that a place is held, by which refused callers are told when to return.

--- a/packages/traffic/src/place_queue.cpp
+++ b/packages/traffic/src/place_queue.cpp
@@ -1,6 +1,7 @@
 #include "place_queue.hpp"
 
 #include <iterator>
+#include <utility>
 
 namespace citronwick {
 
@@ -11,11 +12,11 @@
 
 } // namespace
 
-place_queue::ticket::ticket(place_queue& queue, const asio::any_io_executor& executor, std::uint32_t priority,
-                            std::size_t most)
-    : queue_{queue}, timer_{executor}, position_{queue.waiting_.emplace(priority, this)} {
-    if (queue_.waiting_.size() > most) {
-        std::prev(queue_.waiting_.end())->second->leave();
+place_queue::ticket::ticket(std::shared_ptr<place_queue> queue, const asio::any_io_executor& executor,
+                            std::uint32_t priority, std::size_t most)
+    : queue_{std::move(queue)}, timer_{executor}, position_{queue_->waiting_.emplace(priority, this)} {
+    if (queue_->waiting_.size() > most) {
+        std::prev(queue_->waiting_.end())->second->leave();
     }
 }
 
@@ -26,7 +27,7 @@
 void place_queue::ticket::leave() {
     if (is_queued_) {
         is_queued_ = false;
-        queue_.waiting_.erase(position_);
+        queue_->waiting_.erase(position_);
         timer_.cancel();
     }
 }
@@ -37,16 +38,15 @@
 }
 
 bool place_queue::ticket::is_next() const {
-    return is_queued_ && position_ == queue_.waiting_.begin();
+    return is_queued_ && position_ == queue_->waiting_.begin();
 }
 
 bool place_queue::has_before(std::uint32_t priority) const {
     return !waiting_.empty() && waiting_.begin()->first <= priority;
 }
 
-void place_queue::release(duration held) {
+void place_queue::record_held(duration held) {
     mean_held_ += (held - mean_held_) / averaging_weight;
-    wake_next();
 }
 
 void place_queue::wake_next() {
--- a/packages/traffic/src/place_queue.hpp
+++ b/packages/traffic/src/place_queue.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 
 namespace citronwick {
 
@@ -15,14 +16,15 @@
 /// urgent ones first, and those of one priority in the order of their arrival.
 class place_queue {
 public:
-    /// One waiting request. It leaves the queue at its end.
+    /// One waiting request. It leaves the queue at its end. It shares the queue, as requests that still
+    /// wait when a traffic thread stops are destroyed after what the thread's requests have in common.
     class ticket {
     public:
         /// Adds a request. If the queue is full, the last one leaves it, which may be this one.
         /// @param priority 0 is the highest
         /// @param most number of requests that may wait
-        ticket(place_queue& queue, const asio::any_io_executor& executor, std::uint32_t priority,
-               std::size_t most);
+        ticket(std::shared_ptr<place_queue> queue, const asio::any_io_executor& executor,
+               std::uint32_t priority, std::size_t most);
         ticket(const ticket&) = delete;
         ticket& operator=(const ticket&) = delete;
         ~ticket();
@@ -39,7 +41,7 @@
 
         void leave();
 
-        place_queue& queue_;
+        std::shared_ptr<place_queue> queue_;
         asio::steady_timer timer_;
         std::multimap<std::uint32_t, ticket*>::iterator position_;
         bool is_queued_ = true;
@@ -48,9 +50,8 @@
     /// Whether requests wait that come before one of this priority.
     bool has_before(std::uint32_t priority) const;
 
-    /// Records that a request has left its place.
-    /// @param held time for which it had the place
-    void release(duration held);
+    /// Records for how long a request had its place.
+    void record_held(duration held);
 
     /// Lets the next request look for a place.
     void wake_next();
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -9,6 +9,7 @@
 #include "place_queue.hpp"
 
 #include <map>
+#include <memory>
 #include <string>
 
 namespace citronwick {
@@ -35,7 +36,8 @@
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
     crash_probe probe;
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
-    std::map<std::string, place_queue, std::less<>> place_queues{};    ///< by service with brittle upstreams
+    /// By service with brittle upstreams.
+    std::map<std::string, std::shared_ptr<place_queue>, std::less<>> place_queues{};
     time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
     /// When an upstream of a service last closed a connection before the end of its stream.
     std::map<std::string, time_point, std::less<>> early_ends{};
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -239,7 +239,7 @@
         }
     }
     if (placement_->most_in_flight) {
-        release_place(clock::now() - placed_at);
+        release_place(result, clock::now() - placed_at);
     }
     log_attempt(result, clock::now() - started);
     co_return record_attempt(result);
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -17,6 +17,7 @@
 namespace citronwick {
 
 class buffer_reservation;
+class place_queue;
 struct exchange_result;
 class upstream_connection;
 class upstream_exchange;
@@ -67,7 +68,8 @@
     void refuse_if_full(time_point now);
     void record_scarce_capacity(service_capacity& capacity, time_point now) const;
     void record_brittle(const response_traits& traits, unsigned status, time_point sent_at);
-    void release_place(duration held);
+    void release_place(const exchange_result& result, duration held);
+    std::shared_ptr<place_queue> waiting_requests();
     bool may_use_scarce_capacity(time_point now);
     void refuse_if_late(time_point now);
     void refuse_if_paused(time_point now);
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -6,6 +6,7 @@
 #include "place_queue.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
+#include "upstream_exchange.hpp"
 
 #include <algorithm>
 
@@ -38,7 +39,7 @@
     if (!may_use_scarce_capacity(started)) {
         co_return;
     }
-    if (!context_.place_queues[service_->name].has_before(route_->priority)) {
+    if (!waiting_requests()->has_before(route_->priority)) {
         co_await place(started);
     }
     if (!placement_) {
@@ -52,7 +53,7 @@
 }
 
 task<void> route_exchange::wait_for_place(time_point started) {
-    place_queue& queue = context_.place_queues[service_->name];
+    const auto queue = waiting_requests();
     const auto most = static_cast<std::size_t>(*places_ * waiting_per_place) / context_.settings.threads;
     const auto executor = co_await asio::this_coro::executor;
     {
@@ -67,7 +68,7 @@
             }
         }
     }
-    queue.wake_next();
+    queue->wake_next();
 }
 
 /// While upstreams of the service are brittle, records whether they had a place for the request, and
@@ -81,7 +82,7 @@
     if (placement_ || refusal_before_send_ || state_.may_have_run_before) {
         return;
     }
-    const std::chrono::duration<double> held = context_.place_queues[service_->name].mean_held();
+    const std::chrono::duration<double> held = waiting_requests()->mean_held();
     const double rate = std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
     refusal_before_send_ = problem{503, "upstreams-full", "the upstreams have no place for more requests",
                                    outcome::not_run, capacity.returns.next(rate, now)};
@@ -102,8 +103,21 @@
 }
 
 /// Lets the next request have the place of an attempt that has ended.
-void route_exchange::release_place(duration held) {
-    context_.place_queues[service_->name].release(held);
+void route_exchange::release_place(const exchange_result& result, duration held) {
+    const auto queue = waiting_requests();
+    if (result.outcome == attempt_outcome::answered) {
+        queue->record_held(held);
+    }
+    queue->wake_next();
+}
+
+/// Requests of this thread that wait for a place on the service's upstreams.
+std::shared_ptr<place_queue> route_exchange::waiting_requests() {
+    auto& queue = context_.place_queues[service_->name];
+    if (!queue) {
+        queue = std::make_shared<place_queue>();
+    }
+    return queue;
 }
 
 } // namespace citronwick
--- /dev/null
+++ b/packages/traffic/tests/place_queue.tests.cpp
@@ -0,0 +1,35 @@
+#include "place_queue.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+
+using namespace citronwick;
+
+TEST_CASE("the most urgent request is next for a place, and the last one leaves a queue that is full") {
+    asio::io_context context;
+    const auto queue = std::make_shared<place_queue>();
+    const place_queue::ticket first{queue, context.get_executor(), 1, 2};
+    const place_queue::ticket second{queue, context.get_executor(), 1, 2};
+    CHECK(first.is_next());
+    CHECK(queue->has_before(1));
+    CHECK_FALSE(queue->has_before(0));
+    const place_queue::ticket urgent{queue, context.get_executor(), 0, 2};
+    CHECK(urgent.is_next());
+    CHECK(first.is_queued());
+    CHECK_FALSE(second.is_queued());
+    const place_queue::ticket late{queue, context.get_executor(), 2, 2};
+    CHECK_FALSE(late.is_queued());
+}
+
+TEST_CASE("a request that waits for a place may outlive what the requests of its thread share") {
+    asio::io_context context;
+    auto queue = std::make_shared<place_queue>();
+    const std::weak_ptr<place_queue> observed = queue;
+    {
+        const place_queue::ticket ticket{queue, context.get_executor(), 1, 2};
+        queue.reset();
+        CHECK_FALSE(observed.expired());
+    }
+    CHECK(observed.expired());
+}
