--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -235,7 +235,7 @@
         release_connection(std::move(connection));
     }
     if (placement_->most_in_flight) {
-        release_place(clock::now() - placed_at);
+        release_place(result, clock::now() - placed_at);
     }
     log_attempt(result, clock::now() - started);
     co_return record_attempt(result);
