--- a/tests/integration/copied_chat_refusals.tests.cpp
+++ b/tests/integration/copied_chat_refusals.tests.cpp
@@ -35,7 +35,7 @@
 /// one, it sends what the test sets.
 class refusing_upstream {
 public:
-    refusing_upstream(std::string name, refusal_form refusal)
+    refusing_upstream(const std::string& name, refusal_form refusal)
         : refusal_{std::move(refusal)},
           worker_{name, [this](asio::ip::tcp::socket& connection) { serve(connection); }} {}
 
