--- a/tests/integration/misattributed_responses.tests.cpp
+++ b/tests/integration/misattributed_responses.tests.cpp
@@ -71,10 +71,12 @@
         const std::string body = response_header(header) + "Content-Length: 6\r\n\r\nwithin";
         const std::string start =
             response_header(header) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-        const std::string copy =
-            last_head.empty() ? ""
-                              : last_head + "Content-Length: " + std::to_string(start.size()) + "\r\n\r\n";
-        asio::write(connection, asio::buffer(copy + start + body));
+        std::string bytes;
+        if (!last_head.empty()) {
+            bytes = last_head + "Content-Length: " + std::to_string(start.size()) + "\r\n\r\n";
+        }
+        bytes.append(start).append(body);
+        asio::write(connection, asio::buffer(bytes));
     }
 }
 
