Wait for an overdue response if there is no repeat left to ask another upstream

Callers of repeatable requests got 502 from workers that were silent for 1.2 s and then answered.

Cause: the wait for a response ended at attempt_deadline (three times the target latency, 400 ms or more) by closing the connection, and only then was the retry budget asked. Without a repeat left the request failed, although its upstream worked on it.

Change: when a response is overdue, the repeat is taken first; only with one is the connection closed and the request sent elsewhere. A repeat costs the budget as before, and one attempt takes one. Confirmations of a stream's end keep their deadline.

The proxy of the tests can fall silent, once a connection, behind a number of bytes in either direction, and delivers what it held back.

--- a/packages/traffic/src/dead_peer_detection.cpp
+++ b/packages/traffic/src/dead_peer_detection.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-template <int name>
-using tcp_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, name>;
+template <int Name>
+using tcp_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 } // namespace
 
--- /dev/null
+++ b/packages/traffic/src/overdue_response.cpp
@@ -0,0 +1,35 @@
+#include "overdue_response.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace citronwick {
+
+struct overdue_response::state {
+    asio::steady_timer timer;
+    std::function<bool()> give_up; ///< empty once the response is not waited for any more
+};
+
+overdue_response::overdue_response(const asio::any_io_executor& executor, time_point overdue,
+                                   std::function<bool()> give_up)
+    : state_{std::make_shared<state>(asio::steady_timer{executor}, std::move(give_up))} {
+    if (overdue != time_point::max()) {
+        wait(state_, overdue);
+    }
+}
+
+overdue_response::~overdue_response() {
+    state_->give_up = nullptr;
+    state_->timer.cancel();
+}
+
+void overdue_response::wait(const std::shared_ptr<state>& watched, time_point until) {
+    watched->timer.expires_at(until);
+    watched->timer.async_wait([watched](const boost::system::error_code& error) {
+        if (!error && watched->give_up && !watched->give_up()) {
+            wait(watched, clock::now() + interval);
+        }
+    });
+}
+
+} // namespace citronwick
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -6,6 +6,7 @@
 #include "citronwick/policy/buffer_reservation.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
+#include "overdue_response.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
 #include "upstream_exchange.hpp"
@@ -65,7 +66,15 @@
     }
     upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id};
     auto forwarded = make_forwarded_header();
-    auto result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, attempt_deadline(now));
+    const time_point overdue = attempt_deadline(now);
+    const time_point latest = is_confirmation_ ? overdue : deadline_;
+    exchange_result result;
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        const overdue_response watched{executor, overdue < latest ? overdue : time_point::max(),
+                                       [&] { return give_up_response(connection); }};
+        result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, latest);
+    }
     if (result.outcome == attempt_outcome::answered && withholds_status(connection.status())) {
         result.outcome = attempt_outcome::failed_run;
     }
@@ -96,6 +105,15 @@
     co_return result;
 }
 
+/// Closes the connection to an upstream whose response is overdue if another one may be asked instead.
+bool route_exchange::give_up_response(upstream_connection& connection) {
+    const bool has_repeat = take_repeat();
+    if (has_repeat) {
+        connection.close();
+    }
+    return has_repeat;
+}
+
 http_response route_exchange::make_response_head(const upstream_connection& connection) const {
     http_response head;
     head.version(11);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -255,7 +255,7 @@
     }
 }
 
-/// Time by which the response must have begun. The caller has all events of a stream that is only
+/// Time from which on the response is overdue. The caller has all events of a stream that is only
 /// to be confirmed.
 time_point route_exchange::attempt_deadline(time_point now) const {
     const bool may_retry = state_.sent + 1 < state_.max_attempts && is_repeatable(route_->kind);
@@ -289,6 +289,18 @@
     return forwarded;
 }
 
+/// Takes a repeat for a request whose response is overdue, if another upstream may be asked for it.
+/// Without one, the upstream is waited for, as giving it up would fail the request.
+bool route_exchange::take_repeat() {
+    attempt_state given_up = state_;
+    given_up.last_outcome = attempt_outcome::may_have_run;
+    ++given_up.sent;
+    given_up.time_left = remaining_time(clock::now()) > 0ms;
+    given_up.caller_connected = !caller_.disconnected();
+    has_taken_repeat_ = may_try_elsewhere(given_up) && spend_retry_budget();
+    return has_taken_repeat_;
+}
+
 bool route_exchange::spend_retry_budget() {
     const routing_settings& settings = context_.plane.settings();
     const std::size_t budget_sharers = view_->known_routers * context_.settings.threads;
@@ -327,7 +339,8 @@
     }
     const bool may_retry = !refusal_before_send_ && (may_try_elsewhere(state_) || may_confirm_end(state_));
     const bool uses_retry_budget = result.outcome != attempt_outcome::not_sent;
-    const bool granted = may_retry && (!uses_retry_budget || spend_retry_budget());
+    const bool has_repeat = std::exchange(has_taken_repeat_, false);
+    const bool granted = may_retry && (!uses_retry_budget || has_repeat || spend_retry_budget());
     next_step_ = choose_next_step(state_, granted);
     state_.may_have_run_before = state_.may_have_run_before || may_have_run;
     if (next_step_ == next_step::try_elsewhere) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -90,6 +90,8 @@
     http::request_header<> make_forwarded_header() const;
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
+    bool take_repeat();
+    bool give_up_response(upstream_connection& connection);
     std::chrono::milliseconds remaining_time(time_point now) const;
     void log_attempt(const exchange_result& result, duration elapsed) const;
     std::string last_event_text() const;
@@ -113,6 +115,7 @@
     time_point deadline_;
     time_point attempt_sent_at_;
     attempt_state state_;
+    bool has_taken_repeat_ = false; ///< from the retry budget, for the next attempt
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
     std::optional<problem> refusal_before_send_; ///< set if the request is refused after its arrival
--- a/tests/integration/event_streams.tests.cpp
+++ b/tests/integration/event_streams.tests.cpp
@@ -23,7 +23,9 @@
         const std::string number = std::to_string(id);
         text.append("id").append(separator).append(number).append(line_end);
         text.append("data").append(separator).append("piece ").append(number).append(line_end + line_end);
-        text.append(names_id_behind ? "id" + separator + number + line_end + line_end : "");
+        if (names_id_behind) {
+            text.append("id").append(separator).append(number).append(line_end).append(line_end);
+        }
     }
     return text;
 }
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -1,5 +1,6 @@
 #include "fault_proxy.hpp"
 
+#include "citronwick/core/time.hpp"
 #include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
@@ -57,7 +58,10 @@
                .drop_responses = integer_member(fault_settings, "drop_answers") != 0,
                .cut_after_up = byte_limit(fault_settings, "cut_after_up"),
                .cut_after_down = byte_limit(fault_settings, "cut_after_down"),
-               .delay = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")}};
+               .delay = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")},
+               .silence = std::chrono::milliseconds{integer_member(fault_settings, "silence_ms")},
+               .silent_after_up = byte_limit(fault_settings, "silent_after_up"),
+               .silent_after_down = byte_limit(fault_settings, "silent_after_down")};
     const auto sources = string_array_member(fault_settings, "refused_sources");
     faults_.refused_sources = {sources.begin(), sources.end()};
     const auto silenced = string_array_member(fault_settings, "silenced_sources");
@@ -66,6 +70,9 @@
         const std::string source = pair->caller.remote_endpoint(ignored).address().to_string();
         const bool is_silenced = std::ranges::find(silenced, source) != silenced.end();
         pair->blackholed = pair->blackholed || faults_.blackhole || is_silenced;
+        pair->was_silent = false;
+        pair->bytes_up = 0;
+        pair->bytes_down = 0;
         if (faults_.refuse || is_refused(source)) {
             pair->close();
         }
@@ -121,7 +128,6 @@
 
 task<void> fault_proxy::forward_bytes(std::shared_ptr<connection_pair> pair, bool to_target) {
     auto& from = to_target ? pair->caller : pair->target;
-    auto& to = to_target ? pair->target : pair->caller;
     std::array<char, 16'384> buffer{};
     std::int64_t forwarded = 0;
     while (true) {
@@ -141,11 +147,11 @@
             limit < 0 ? size
                       : std::min<std::size_t>(
                             size, static_cast<std::size_t>(std::max<std::int64_t>(limit - forwarded, 0)));
-        const auto outgoing = asio::buffer(buffer, allowed);
-        auto [write_error, written] = co_await asio::async_write(to, outgoing, use_tuple);
+        const std::string_view outgoing{buffer.data(), allowed};
+        const std::size_t written = co_await write_around_silence(pair, to_target, outgoing);
         forwarded += static_cast<std::int64_t>(written);
         bytes_up_ += to_target ? static_cast<std::int64_t>(written) : 0;
-        if (write_error || (limit >= 0 && forwarded >= limit)) {
+        if (written < allowed || (limit >= 0 && forwarded >= limit)) {
             break;
         }
     }
@@ -155,6 +161,37 @@
     connections_.erase(pair);
 }
 
+/// Writes bytes, and holds back those behind the point at which the connection falls silent.
+/// @return number of bytes that were written
+task<std::size_t> fault_proxy::write_around_silence(std::shared_ptr<connection_pair> pair, bool to_target,
+                                                    std::string_view bytes) {
+    auto& to = to_target ? pair->target : pair->caller;
+    std::int64_t& forwarded = to_target ? pair->bytes_up : pair->bytes_down;
+    std::size_t total = 0;
+    while (true) {
+        while (clock::now() < pair->silent_until) {
+            co_await sleep_for(
+                std::chrono::ceil<std::chrono::milliseconds>(pair->silent_until - clock::now()));
+        }
+        const std::int64_t begin = to_target ? faults_.silent_after_up : faults_.silent_after_down;
+        const auto left = static_cast<std::int64_t>(bytes.size() - total);
+        const bool falls_silent = begin >= 0 && !pair->was_silent && forwarded + left >= begin;
+        const auto size =
+            static_cast<std::size_t>(falls_silent ? std::max(begin - forwarded, std::int64_t{0}) : left);
+        const auto outgoing = asio::buffer(bytes.substr(total, size));
+        auto [error, written] = co_await asio::async_write(to, outgoing, use_tuple);
+        forwarded += static_cast<std::int64_t>(written);
+        total += written;
+        if (falls_silent) {
+            pair->was_silent = true;
+            pair->silent_until = clock::now() + faults_.silence;
+        }
+        if (error || total == bytes.size()) {
+            co_return total;
+        }
+    }
+}
+
 task<void> fault_proxy::relay_datagrams() {
     while (true) {
         asio::ip::udp::endpoint sender;
--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace citronwick::standin {
 
@@ -29,6 +30,10 @@
         std::int64_t cut_after_up = -1;   ///< close the connection after this many bytes to the target
         std::int64_t cut_after_down = -1; ///< close the connection after this many bytes from the target
         std::chrono::milliseconds delay{0};
+        /// Silence of a connection, once, during which it holds back the bytes of both directions
+        std::chrono::milliseconds silence{0};
+        std::int64_t silent_after_up = -1;     ///< begins behind this many bytes to the target
+        std::int64_t silent_after_down = -1;   ///< or behind this many bytes from the target
         std::set<std::string> refused_sources; ///< source addresses whose traffic is refused
     };
 
@@ -38,6 +43,10 @@
         asio::ip::tcp::socket caller;
         asio::ip::tcp::socket target;
         bool blackholed = false;
+        bool was_silent = false; ///< by the active faults
+        time_point silent_until;
+        std::int64_t bytes_up = 0; ///< to the target since the faults were set
+        std::int64_t bytes_down = 0;
         void close();
     };
 
@@ -46,6 +55,8 @@
     task<void> accept();
     task<void> connect(std::shared_ptr<connection_pair> pair);
     task<void> forward_bytes(std::shared_ptr<connection_pair> pair, bool to_target);
+    task<std::size_t> write_around_silence(std::shared_ptr<connection_pair> pair, bool to_target,
+                                           std::string_view bytes);
     task<void> relay_datagrams();
     void apply_faults(const boost::json::object& fault_settings);
     bool is_refused(const std::string& source) const;
