--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronwick::standin {
@@ -31,6 +32,10 @@
         std::int64_t cut_after_up = -1;   ///< close the connection after this many bytes to the target
         std::int64_t cut_after_down = -1; ///< close the connection after this many bytes from the target
         std::chrono::milliseconds delay{0};
+        /// Silence of a connection, once, during which it holds back the bytes of both directions
+        std::chrono::milliseconds silence{0};
+        std::int64_t silent_after_up = -1;     ///< begins behind this many bytes to the target
+        std::int64_t silent_after_down = -1;   ///< or behind this many bytes from the target
         std::set<std::string> refused_sources; ///< source addresses whose traffic is refused
         /// Source addresses whose new connections are reset when they have been accepted; open ones live on.
         std::set<std::string> newly_refused_sources;
@@ -42,6 +47,10 @@
         asio::ip::tcp::socket caller;
         asio::ip::tcp::socket target;
         bool blackholed = false;
+        bool was_silent = false; ///< by the active faults
+        time_point silent_until;
+        std::int64_t bytes_up = 0; ///< to the target since the faults were set
+        std::int64_t bytes_down = 0;
         void close();
     };
 
@@ -50,6 +59,8 @@
     task<void> accept();
     task<void> connect(std::shared_ptr<connection_pair> pair);
     task<void> forward_bytes(std::shared_ptr<connection_pair> pair, bool to_target);
+    task<std::size_t> write_around_silence(std::shared_ptr<connection_pair> pair, bool to_target,
+                                           std::string_view bytes);
     task<void> relay_datagrams();
     void apply_faults(const boost::json::object& fault_settings);
     void drop_packets(const std::vector<std::string>& sources);
