Avoid upstreams that refuse connections although a cut is suspected

Callers saw: requests were tried at crashed upstreams again and again, so that a part that crashes engines was refused later. Cause: while connects to two upstreams had failed, a refused connect did not make a router avoid the upstream. The avoidance is the router's own and is not reported to others, so a cut is no reason to leave it out.

--- a/packages/fleet/include/citronwick/fleet/reach_monitor.hpp
+++ b/packages/fleet/include/citronwick/fleet/reach_monitor.hpp
@@ -33,7 +33,6 @@
     bool needs_check() const;
     bool is_cut() const { return is_cut_.load(std::memory_order_relaxed); }
     bool connections_hang() const { return connections_hang_.load(std::memory_order_relaxed); }
-    bool is_doubtful() const { return is_doubtful_.load(std::memory_order_relaxed); }
 
     /// Live routers in the order in which a request should try them. See `peer_selector`.
     std::vector<fleet_peer> ranked_peers(std::uint64_t request, time_point now) const;
@@ -53,7 +52,6 @@
     peer_selector peers_;
     std::atomic<bool> is_cut_{false};
     std::atomic<bool> connections_hang_{false};
-    std::atomic<bool> is_doubtful_{false};
     std::atomic<bool> has_failures_{false};
     std::atomic<duration::rep> unanswered_since_{0}; ///< 0 if there is none
     std::atomic<std::uint32_t> sequence_{0};
--- a/packages/fleet/src/reach_monitor.cpp
+++ b/packages/fleet/src/reach_monitor.cpp
@@ -54,7 +54,6 @@
     const bool is_cut = reach_.is_cut();
     connections_hang_.store(reach_.connections_hang(), std::memory_order_relaxed);
     has_failures_.store(reach_.has_failures(), std::memory_order_relaxed);
-    is_doubtful_.store(reach_.is_doubtful(), std::memory_order_relaxed);
     if (is_cut_.exchange(is_cut, std::memory_order_relaxed) != is_cut) {
         log_warn(is_cut ? "cut_from_upstreams" : "cut_from_upstreams_ended",
                  {{"open_connections", reach_.connections_hang() ? "dropped" : "kept"},
--- a/packages/policy/include/citronwick/policy/upstream_reach.hpp
+++ b/packages/policy/include/citronwick/policy/upstream_reach.hpp
@@ -41,9 +41,6 @@
 
     bool is_cut() const { return is_cut_; }
 
-    /// Whether failures tell more of this router than of the upstreams.
-    bool is_doubtful() const { return is_cut_ || failures_.size() > 1; }
-
     /// Whether a connect has failed since one last succeeded.
     bool has_failures() const { return !failures_.empty(); }
 
--- a/packages/policy/tests/upstream_reach.tests.cpp
+++ b/packages/policy/tests/upstream_reach.tests.cpp
@@ -26,7 +26,6 @@
 TEST_CASE("a router is cut only if others reach what it does not") {
     auto reach = make_failing(failure_cause::refused);
     CHECK_FALSE(reach.is_cut());
-    CHECK(reach.is_doubtful());
     SUBCASE("another router reaches one of them") {
         reach.record_reached_by_peer(2, start);
         CHECK(reach.is_cut());
@@ -56,7 +55,6 @@
         reach.record_reached_by_peer(1, start);
     }
     CHECK_FALSE(reach.is_cut());
-    CHECK_FALSE(reach.is_doubtful());
 }
 
 TEST_CASE("two distinct upstreams reached in a row end a cut") {
--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -29,6 +29,8 @@
 
     /// Step of a failure to connect that is due to a lack of descriptors or memory on this VM.
     static constexpr const char* open_step = "open socket";
+    /// Step of other failures to connect directly.
+    static constexpr const char* connect_step = "connect";
 
     /// A failure to connect guarantees that no byte of a request was sent.
     task<io_result<void>> connect(std::chrono::milliseconds timeout);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -317,8 +317,7 @@
     if (connected.has_error()) {
         result = {attempt_outcome::not_sent, to_text(connected.error())};
         reach_monitor& reach = context_.plane.reach();
-        const bool is_direct = connected.error().step == "connect";
-        if (is_direct) {
+        if (connected.error().step == upstream_connection::connect_step) {
             const bool is_timeout =
                 connected.error().detail == make_error_code(boost::beast::error::timeout).message();
             reach.record_not_reached(placement_->upstream.hash,
@@ -326,9 +325,7 @@
                                                 : upstream_reach::connect_failure::refused,
                                      clock::now());
         }
-        if (!is_direct || !reach.is_doubtful()) {
-            context_.plane.observations().record_unreachable(placement_->upstream.hash, clock::now());
-        }
+        context_.plane.observations().record_unreachable(placement_->upstream.hash, clock::now());
     }
 }
 
@@ -392,7 +389,7 @@
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::unproved_end;
     // What fails on direct connections of a cut router tells nothing of the upstream.
     const bool is_own_fault =
-        !is_relayed_ && result.outcome != attempt_outcome::answered && context_.plane.reach().is_doubtful();
+        !is_relayed_ && result.outcome != attempt_outcome::answered && context_.plane.reach().is_cut();
     if (tells_of_upstream && !result.is_local && !caller_disconnected && !is_own_fault) {
         context_.plane.observations().record_outcome(upstream, result.outcome == attempt_outcome::answered,
                                                      now);
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -84,7 +84,7 @@
     stream_->expires_after(timeout);
     auto [error] = co_await stream_->async_connect(address, use_tuple);
     if (error) {
-        co_return close_with_failure(is_local_shortage(error) ? open_step : "connect", error, false);
+        co_return close_with_failure(is_local_shortage(error) ? open_step : connect_step, error, false);
     }
     through_.reset();
     set_connected();
