Choose a free fleet port by TCP first

Seen: with port 0, 'listen for tunnels' found the number that UDP had got in use, and the router started again, in 2 of the 2 logs that were read. Free TCP ports are scarcer on a host with many connections, so TCP chooses the number now.

--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -37,8 +37,9 @@
     ~routing_plane();
 
     /// Binds the fleet channel and starts the thread.
+    /// @param listen UDP; port 0 selects a free port
     /// @return the bound endpoint
-    io_result<endpoint> start();
+    io_result<endpoint> start(const endpoint& listen);
 
     /// Tells the other routers that this one is leaving.
     void leave();
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -11,8 +11,8 @@
     stop();
 }
 
-io_result<endpoint> routing_plane::start() {
-    return state_->start();
+io_result<endpoint> routing_plane::start(const endpoint& listen) {
+    return state_->start(listen);
 }
 
 void routing_plane::leave() {
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -76,8 +76,8 @@
           freshness_{settings_.key_lifetime - plane_timing::key_margin},
           view_{std::make_shared<const routing_view>()} {}
 
-    io_result<endpoint> start() {
-        const auto bound = peers_.open(settings_.fleet_listen);
+    io_result<endpoint> start(const endpoint& listen) {
+        const auto bound = peers_.open(listen);
         if (bound.has_error()) {
             return bound;
         }
--- a/packages/router/src/router_mode.cpp
+++ b/packages/router/src/router_mode.cpp
@@ -53,12 +53,14 @@
           plane_{settings.routing, *adapter_}, tunnels_{settings.traffic, plane_} {}
 
     io_result<endpoint> start() override {
-        const auto bound = plane_.start();
+        // Free TCP ports are scarcer than those for UDP, so that one is chosen first.
+        const auto listening = tunnels_.open(plane_.settings().fleet_listen);
+        if (listening.has_error()) {
+            return listening.error();
+        }
+        const auto bound = plane_.start(*listening);
         if (bound.has_value()) {
-            const auto listening = tunnels_.start(*bound);
-            if (listening.has_error()) {
-                return listening.error();
-            }
+            tunnels_.start();
         }
         return bound;
     }
--- a/packages/traffic/include/citronwick/traffic/tunnel_service.hpp
+++ b/packages/traffic/include/citronwick/traffic/tunnel_service.hpp
@@ -20,9 +20,13 @@
     tunnel_service& operator=(const tunnel_service&) = delete;
     ~tunnel_service();
 
-    /// Listens and starts the thread.
-    /// @param listen address of the fleet channel, whose port number is used for TCP, too
-    io_result<void> start(const endpoint& listen);
+    /// Listens. Connections wait until the start.
+    /// @param listen address that the fleet channel uses for UDP; port 0 selects a free port
+    /// @return the bound endpoint
+    io_result<endpoint> open(const endpoint& listen);
+
+    /// Starts the thread, after open().
+    void start();
 
     /// Stops the thread. Open tunnels are reset.
     void stop();
--- a/packages/traffic/src/tunnel_server.cpp
+++ b/packages/traffic/src/tunnel_server.cpp
@@ -84,12 +84,8 @@
     : executor_{std::move(executor)}, plane_{plane}, acceptor_{executor_},
       max_tunnels_{std::max<std::size_t>(shares_in_force(settings).upstreams / tunnel_divisor, 1)} {}
 
-io_result<void> tunnel_server::open(const endpoint& listen) {
-    const auto bound = open_listener(acceptor_, listen, "listen for tunnels");
-    if (bound.has_error()) {
-        return bound.error();
-    }
-    return {};
+io_result<endpoint> tunnel_server::open(const endpoint& listen) {
+    return open_listener(acceptor_, listen, "listen for tunnels");
 }
 
 task<void> tunnel_server::serve() {
--- a/packages/traffic/src/tunnel_server.hpp
+++ b/packages/traffic/src/tunnel_server.hpp
@@ -23,7 +23,8 @@
 public:
     tunnel_server(asio::any_io_executor executor, const traffic_settings& settings, routing_plane& plane);
 
-    io_result<void> open(const endpoint& listen);
+    /// @return the bound endpoint
+    io_result<endpoint> open(const endpoint& listen);
 
     /// Accepts connections until the listener is closed.
     task<void> serve();
--- a/packages/traffic/src/tunnel_service.cpp
+++ b/packages/traffic/src/tunnel_service.cpp
@@ -17,15 +17,12 @@
     state(const traffic_settings& settings, routing_plane& plane)
         : server_{context_.get_executor(), settings, plane}, prober_{context_.get_executor(), plane} {}
 
-    io_result<void> start(const endpoint& listen) {
-        auto opened = server_.open(listen);
-        if (opened.has_error()) {
-            return opened;
-        }
+    io_result<endpoint> open(const endpoint& listen) { return server_.open(listen); }
+
+    void start() {
         spawn_restarting(context_.get_executor(), "tunnels", [this] { return server_.serve(); });
         spawn_restarting(context_.get_executor(), "reach_probes", [this] { return prober_.run(); });
         thread_ = std::jthread{[this] { run_event_loop(context_, "tunnels"); }};
-        return opened;
     }
 
     void stop() {
@@ -50,8 +47,12 @@
     stop();
 }
 
-io_result<void> tunnel_service::start(const endpoint& listen) {
-    return state_->start(listen);
+io_result<endpoint> tunnel_service::open(const endpoint& listen) {
+    return state_->open(listen);
+}
+
+void tunnel_service::start() {
+    state_->start();
 }
 
 void tunnel_service::stop() {
