Take neither refusals at cut routers nor resets for crashes of upstreams

Cause (inferred): a router that was asked reported every failure but a timeout as a refusal, also a reset, and a router that knew that it was cut took the refusals of others, which may be cut, too, for crashes.

--- a/packages/traffic/include/citronwick/traffic/tunnel_opener.hpp
+++ b/packages/traffic/include/citronwick/traffic/tunnel_opener.hpp
@@ -25,10 +25,10 @@
 public:
     tunnel_opener(asio::any_io_executor executor, reach_monitor& reach);
 
-    /// Steps of failures: the upstream refused the other router, it did not answer it, or no other
+    /// Steps of failures: the upstream refused the other router, it was not reached by it, or no other
     /// router could be asked.
     static constexpr const char* refused_step = "connect through another router: refused";
-    static constexpr const char* timed_out_step = "connect through another router: timed out";
+    static constexpr const char* not_reached_step = "connect through another router: not reached";
     static constexpr const char* no_peer_step = "ask another router to connect";
 
     /// Whether this router is cut from the upstreams.
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -130,7 +130,8 @@
     std::optional<fleet_peer> direct;
     const auto error = co_await connect_after_pause(std::move(address), &tunnels_, std::move(direct));
     in_progress_.erase(upstream);
-    if (error == asio::error::connection_refused) {
+    // Others that are asked may be cut without knowing.
+    if (error == asio::error::connection_refused && !tunnels_.is_needed()) {
         plane_.observations().record_unreachable(upstream, clock::now());
         plane_.report_refusing_upstream(upstream);
     }
--- a/packages/traffic/src/tunnel_opener.cpp
+++ b/packages/traffic/src/tunnel_opener.cpp
@@ -27,8 +27,8 @@
     switch (result) {
     case wire::tunnel_result::refused:
         return tunnel_opener::refused_step;
-    case wire::tunnel_result::timed_out:
-        return tunnel_opener::timed_out_step;
+    case wire::tunnel_result::not_reached:
+        return tunnel_opener::not_reached_step;
     default:
         return tunnel_opener::no_peer_step;
     }
@@ -38,8 +38,8 @@
     switch (result) {
     case wire::tunnel_result::refused:
         return "the upstream refused the connection";
-    case wire::tunnel_result::timed_out:
-        return "the upstream did not answer";
+    case wire::tunnel_result::not_reached:
+        return "the router did not reach the upstream";
     case wire::tunnel_result::not_allowed:
         return "the router knows no such upstream, or not this router";
     default:
--- a/packages/traffic/src/tunnel_server.cpp
+++ b/packages/traffic/src/tunnel_server.cpp
@@ -53,8 +53,9 @@
     if (!error) {
         return wire::tunnel_result::connected;
     }
-    return error == boost::beast::error::timeout ? wire::tunnel_result::timed_out
-                                                 : wire::tunnel_result::refused;
+    // A reset says nothing of the upstream's process: this router may be cut without knowing.
+    return error == asio::error::connection_refused ? wire::tunnel_result::refused
+                                                    : wire::tunnel_result::not_reached;
 }
 
 } // namespace
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -313,7 +313,7 @@
 enum class tunnel_result : std::uint8_t {
     connected = 0,
     refused = 1,     ///< by the upstream
-    timed_out = 2,   ///< the upstream did not answer the router that was asked
+    not_reached = 2, ///< the router that was asked timed out or was reset
     not_allowed = 3, ///< the address is no upstream's, or the request is not valid
     unavailable = 4, ///< the router that was asked is cut, too, or has too many tunnels
 };
