Give the connections of a routed request a file of their own

Choosing, opening and releasing connections is in route_connections.cpp, the forwarded header in route_delivery.cpp beside its only use. The functions are moved as they are.

--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr unsigned unavailable = 503;
+constexpr std::uint32_t lowest_priority = 9;
+/// Number of route priorities within each team priority.
+constexpr std::uint32_t route_priority_levels = 3;
 
 } // namespace
 
@@ -132,6 +135,28 @@
     return has_repeat;
 }
 
+http::request_header<> route_exchange::make_forwarded_header() const {
+    http::request_header<> forwarded = request_.base();
+    forward_metadata metadata{.upstream = placement_->upstream.entry.id,
+                              .team = team_ == nullptr ? std::string{} : team_->name,
+                              .time_left = remaining_time(clock::now()),
+                              .last_event_id = traits_.last_event_id};
+    if (service_->engine) {
+        const std::uint32_t team_priority = team_ == nullptr ? 0 : team_->priority;
+        metadata.priority = std::min(team_priority * route_priority_levels +
+                                         std::min(route_->priority, route_priority_levels - 1),
+                                     lowest_priority);
+    }
+    if (!position_.last_event_id().empty()) {
+        metadata.last_event_id = position_.last_event_id();
+    }
+    if (placement_->fetch_from) {
+        metadata.fetch_from = placement_->fetch_from->address;
+    }
+    context_.dialect.prepare_forward(forwarded, metadata);
+    return forwarded;
+}
+
 http_response route_exchange::make_response_head(const upstream_connection& connection) const {
     http_response head;
     head.version(11);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -20,29 +20,15 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds connect_timeout = 300ms;
 /// A repeatable request is sent to another upstream if no response begins within
 /// this multiple of its target latency.
 constexpr int attempt_timeout_factor = 3;
 constexpr std::chrono::milliseconds min_attempt_timeout = 400ms;
-/// Subtracted from the upstream's idle timeout, so that the upstream does not close
-/// the connection while a request is being sent.
-constexpr std::chrono::milliseconds idle_timeout_margin = 500ms;
-/// Longest idle time of a connection that is reused for a request that must not be
-/// repeated.
-constexpr duration max_idle_for_unrepeatable = 4s;
-constexpr std::uint32_t lowest_priority = 9;
-/// Number of route priorities within each team priority.
-constexpr std::uint32_t route_priority_levels = 3;
 
 std::string milliseconds_text(duration value) {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
-bool lacks_descriptors(const io_result<void>& connected) {
-    return connected.has_error() && connected.error().step == upstream_connection::open_step;
-}
-
 } // namespace
 
 route_exchange::route_exchange(route_context& context, caller& from, http_request request,
@@ -241,108 +227,6 @@
     co_return record_attempt(result);
 }
 
-/// Whether the attempt's upstream is to be reached through another router.
-bool route_exchange::needs_peer() const {
-    return context_.plane.reach().is_cut() || !placement_->is_reachable;
-}
-
-/// Takes an idle connection to the attempt's upstream, or a new one. Open direct connections of a
-/// router that is cut are used unless they hang.
-std::unique_ptr<upstream_connection> route_exchange::acquire_connection(time_point now) {
-    constexpr duration relayed_idle_time = 2s;
-    const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
-    const endpoint& address = placement_->upstream.entry.address;
-    if (context_.plane.reach().connections_hang()) {
-        context_.pool.close_idle();
-    }
-    if (now - context_.relayed_at > relayed_idle_time) {
-        context_.relayed_pool.close_idle();
-    }
-    auto connection = context_.pool.acquire(address, placement_request_.request_hash, now, max_idle);
-    if (!connection->is_open() && needs_peer()) {
-        context_.relayed_at = now;
-        connection = context_.relayed_pool.acquire(address, placement_request_.request_hash, now, max_idle);
-    }
-    return connection;
-}
-
-void route_exchange::release_connection(std::unique_ptr<upstream_connection> connection) {
-    if (!connection->reusable()) {
-        return;
-    }
-    const auto traits = context_.dialect.read_response(connection->header());
-    const duration idle_timeout =
-        traits.idle_timeout ? duration{*traits.idle_timeout - idle_timeout_margin} : duration::max();
-    auto& pool = connection->through() ? context_.relayed_pool : context_.pool;
-    pool.release(std::move(connection), clock::now(), idle_timeout);
-}
-
-/// Connects through another router if the upstream is not reached directly. If none can be asked,
-/// the upstream may be reached directly after all.
-task<io_result<void>> route_exchange::connect(upstream_connection& connection,
-                                              std::chrono::milliseconds timeout) {
-    if (needs_peer()) {
-        auto relayed = co_await connection.connect_through_peer(placement_request_.request_hash, timeout);
-        if (relayed.has_value() || relayed.error().step != tunnel_opener::no_peer_step) {
-            co_return relayed;
-        }
-    }
-    const auto time_left = std::clamp(remaining_time(clock::now()), 1ms, connect_timeout);
-    auto connected = co_await connection.connect(time_left);
-    co_return connected;
-}
-
-/// Records whether this router reaches the upstream by itself. A new connection that is reset before
-/// a response may not have been accepted.
-void route_exchange::record_reach(const upstream_connection& connection, const exchange_result& result) {
-    reach_monitor& reach = context_.plane.reach();
-    if (connection.through() || !is_new_connection_) {
-        return;
-    }
-    const auto now = clock::now();
-    if (result.outcome == attempt_outcome::answered || result.outcome == attempt_outcome::not_run) {
-        reach.record_reached(placement_->upstream.hash, now);
-    } else if (result.is_broken && !caller_.disconnected()) {
-        reach.record_not_reached(placement_->upstream.hash, upstream_reach::connect_failure::refused, now);
-    }
-}
-
-task<void> route_exchange::connect_if_needed(upstream_connection& connection, exchange_result& result) {
-    is_new_connection_ = !connection.is_open();
-    is_relayed_ = connection.through().has_value();
-    if (connection.is_open()) {
-        co_return;
-    }
-    const auto now = clock::now();
-    const auto timeout = std::clamp(remaining_time(now), 1ms, connect_timeout);
-    auto connected = co_await connect(connection, timeout);
-    if (lacks_descriptors(connected)) {
-        context_.pool.close_idle();
-        connected = co_await connect(connection, timeout);
-    }
-    is_relayed_ = connection.through().has_value();
-    if (lacks_descriptors(connected)) {
-        result = {attempt_outcome::not_sent, to_text(connected.error())};
-        refusal_before_send_ =
-            problem{503, "no-descriptors", "the router cannot open a connection now", outcome::not_run, 1s};
-        co_return;
-    }
-    context_.counters.count_connection(service_->name);
-    if (connected.has_error()) {
-        result = {attempt_outcome::not_sent, to_text(connected.error())};
-        reach_monitor& reach = context_.plane.reach();
-        if (connected.error().step == upstream_connection::connect_step) {
-            const bool is_timeout =
-                connected.error().detail == make_error_code(boost::beast::error::timeout).message();
-            reach.record_not_reached(placement_->upstream.hash,
-                                     is_timeout ? upstream_reach::connect_failure::timed_out
-                                                : upstream_reach::connect_failure::refused,
-                                     clock::now());
-        }
-        context_.plane.observations().record_unreachable(placement_->upstream.hash, clock::now());
-    }
-}
-
 /// Time from which on the response is overdue. The caller has all events of a stream that is only
 /// to be confirmed.
 time_point route_exchange::attempt_deadline(time_point now) const {
@@ -355,28 +239,6 @@
     return std::min(deadline_, now + attempt_timeout);
 }
 
-http::request_header<> route_exchange::make_forwarded_header() const {
-    http::request_header<> forwarded = request_.base();
-    forward_metadata metadata{.upstream = placement_->upstream.entry.id,
-                              .team = team_ == nullptr ? std::string{} : team_->name,
-                              .time_left = remaining_time(clock::now()),
-                              .last_event_id = traits_.last_event_id};
-    if (service_->engine) {
-        const std::uint32_t team_priority = team_ == nullptr ? 0 : team_->priority;
-        metadata.priority = std::min(team_priority * route_priority_levels +
-                                         std::min(route_->priority, route_priority_levels - 1),
-                                     lowest_priority);
-    }
-    if (!position_.last_event_id().empty()) {
-        metadata.last_event_id = position_.last_event_id();
-    }
-    if (placement_->fetch_from) {
-        metadata.fetch_from = placement_->fetch_from->address;
-    }
-    context_.dialect.prepare_forward(forwarded, metadata);
-    return forwarded;
-}
-
 /// Takes a repeat for a request whose response is overdue, if another upstream may be asked for it.
 /// Without one, the upstream is waited for, as giving it up would fail the request.
 bool route_exchange::take_repeat() {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -33,9 +33,10 @@
 /// response; `record_attempt` updates the state and decides whether to try another
 /// upstream. `send_final_response` completes the exchange unless the events of a
 /// stream were already relayed. Sending and relaying are implemented in
-/// route_delivery.cpp, the relaying of streams in route_streams.cpp, the proof of
-/// their end in route_stream_ends.cpp, what concerns brittle upstreams in route_places.cpp, what concerns
-/// crashes of upstreams in route_crashes.cpp, the software version of streams in route_versions.cpp, and the
+/// route_delivery.cpp, connections in route_connections.cpp, the relaying of streams in
+/// route_streams.cpp, the proof of their end in route_stream_ends.cpp, what concerns
+/// brittle upstreams in route_places.cpp, what concerns crashes of upstreams in
+/// route_crashes.cpp, the software version of streams in route_versions.cpp, and the
 /// choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
