--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -275,7 +275,7 @@
     state_.rejections += may_have_run ? 0 : 1;
     const bool tells_of_upstream =
         result.outcome != attempt_outcome::not_sent && result.outcome != attempt_outcome::unproved_end;
-    // What fails on direct connections of a cut router tells nothing of the upstream.
+    // Failures on direct connections of a router that is cut say nothing about the upstream.
     const bool is_own_fault =
         !is_relayed_ && result.outcome != attempt_outcome::answered && context_.plane.reach().is_cut();
     if (tells_of_upstream && !result.is_local && !caller_disconnected && !is_own_fault) {
--- a/packages/traffic/src/upstream_exchange.hpp
+++ b/packages/traffic/src/upstream_exchange.hpp
@@ -24,7 +24,7 @@
 ///
 /// Tells the response from late copies of others that the upstream sends on the same connection.
 /// Other responses bear the identifiers of other requests and are skipped, and the connection is
-/// closed behind them. What cannot be told by its identifier never meets a request: a connection
+/// closed behind them. Copies that the identifier does not distinguish are ruled out: a connection
 /// does not carry a request again that was refused or failed there, and none at all behind a
 /// response without an identifier.
 class upstream_exchange {
--- a/tests/standin/slot_queue.hpp
+++ b/tests/standin/slot_queue.hpp
@@ -33,7 +33,7 @@
     void release();
 
     /// Records a refusal for want of room.
-    /// @return whether the worker falls over
+    /// @return whether the worker's process has to end
     bool record_refusal(time_point now);
 
     /// Running, waiting and slots, as workers report them.
