Let routers of routes learn that another one is leaving, and serve it until it ends

Callers saw nothing of this by itself: it kept routers from avoiding one that stops. The fleet channel's address is set once it is bound.

Read alone, the announcement would take the ways from a router that is cut and stops: tunnel_gate accepted requests from live routers only, which excludes leaving ones. The directory names leaving routers apart; they may ask, and are not asked.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -64,6 +64,9 @@
     /// except this one.
     std::vector<const member*> live(time_point now) const;
 
+    /// Routers that sent a message within the silence timeout and are leaving, except this one.
+    std::vector<const member*> heard_leaving(time_point now) const;
+
     /// Other live routers of this router's failure domain and region.
     std::vector<const member*> live_in_domain(time_point now) const;
 
@@ -117,6 +120,7 @@
     duration silence_timeout() const;
 
 private:
+    bool is_heard(const member& other, time_point now) const;
     bool is_live(const member& other, time_point now) const;
 
     wire::member_record self_;
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -78,8 +78,12 @@
     return base_silence_timeout + 2 * rounds * heartbeat_interval;
 }
 
+bool membership::is_heard(const member& other, time_point now) const {
+    return other.last_heard_at && now - *other.last_heard_at < silence_timeout();
+}
+
 bool membership::is_live(const member& other, time_point now) const {
-    return other.last_heard_at && now - *other.last_heard_at < silence_timeout() && !other.record.leaving;
+    return is_heard(other, now) && !other.record.leaving;
 }
 
 std::vector<const member*> membership::live(time_point now) const {
@@ -92,6 +96,16 @@
     return found;
 }
 
+std::vector<const member*> membership::heard_leaving(time_point now) const {
+    std::vector<const member*> found;
+    for (const member& other : others_ | std::views::values) {
+        if (is_heard(other, now) && other.record.leaving) {
+            found.push_back(&other);
+        }
+    }
+    return found;
+}
+
 std::vector<const member*> membership::live_in_domain(time_point now) const {
     auto found = live_in_region(now);
     std::erase_if(
--- a/packages/fleet/include/citronwick/fleet/fleet_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/fleet_directory.hpp
@@ -9,7 +9,7 @@
 
 namespace citronwick {
 
-/// Another live router.
+/// Another router.
 struct fleet_peer {
     std::uint64_t hash = 0; ///< of its VM's name
     std::uint64_t incarnation = 0;
@@ -22,8 +22,9 @@
 struct fleet_directory {
     std::string key; ///< of the fleet, empty before it is known
     std::uint64_t self = 0;
-    std::uint64_t incarnation = 0; ///< 0 before this router is registered
-    std::vector<fleet_peer> live;  ///< without this router
+    std::uint64_t incarnation = 0;     ///< 0 before this router is registered
+    std::vector<fleet_peer> live;      ///< without this router
+    std::vector<fleet_peer> leaving{}; ///< that still run; they may ask for tunnels and relay no new ones
 
     bool operator==(const fleet_directory&) const = default;
 };
--- a/packages/fleet/include/citronwick/fleet/tunnel_gate.hpp
+++ b/packages/fleet/include/citronwick/fleet/tunnel_gate.hpp
@@ -24,8 +24,8 @@
 /// Decides which requests for tunnels a router accepts.
 class tunnel_gate {
 public:
-    /// Opens a request. Fails unless it is authentic and new, comes from a live router, is meant for
-    /// this incarnation of this one, and names an upstream.
+    /// Opens a request. Fails unless it is authentic and new, comes from a router that is heard, also
+    /// one that is leaving, is meant for this incarnation of this one, and names an upstream.
     /// @param peer address of the sender, for errors
     io_result<accepted_tunnel> open(const std::string& sealed, const std::string& peer,
                                     const fleet_directory& known, const routing_view& view);
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -52,7 +52,12 @@
                                          burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
 io_result<endpoint> router_peers::open(const endpoint& listen) {
-    return channel_.open(listen);
+    auto bound = channel_.open(listen);
+    if (bound.has_value()) {
+        // Others ignore the announcement that this router is leaving if it names no address.
+        members_.set_address(to_text(*bound));
+    }
+    return bound;
 }
 
 task<void> router_peers::receive() {
@@ -108,9 +113,11 @@
                           .self = members_.self_hash(),
                           .incarnation = is_registered_ ? members_.self().incarnation : 0,
                           .live = {}};
-    std::ranges::transform(members_.live(now), std::back_inserter(known.live), [](const member* other) {
+    const auto to_peer = [](const member* other) {
         return fleet_peer{other->hash, other->record.incarnation, other->address};
-    });
+    };
+    std::ranges::transform(members_.live(now), std::back_inserter(known.live), to_peer);
+    std::ranges::transform(members_.heard_leaving(now), std::back_inserter(known.leaving), to_peer);
     return known;
 }
 
--- a/packages/fleet/src/tunnel_gate.cpp
+++ b/packages/fleet/src/tunnel_gate.cpp
@@ -20,6 +20,13 @@
     return std::ranges::any_of(view.upstreams, has_address) || std::ranges::any_of(view.leaving, has_address);
 }
 
+bool is_running(const fleet_directory& known, const wire::header& sender) {
+    const auto sent_it = [&sender](const fleet_peer& each) {
+        return each.hash == sender.sender && each.incarnation == sender.incarnation;
+    };
+    return std::ranges::any_of(known.live, sent_it) || std::ranges::any_of(known.leaving, sent_it);
+}
+
 } // namespace
 
 io_result<accepted_tunnel> tunnel_gate::open(const std::string& sealed, const std::string& peer,
@@ -34,9 +41,8 @@
     if (request.receiver != known.self || request.receiver_incarnation != known.incarnation) {
         return failure{"open tunnel", peer, "the request is for another router"};
     }
-    const auto sender = std::ranges::find(known.live, opened->header.sender, &fleet_peer::hash);
-    if (sender == known.live.end() || sender->incarnation != opened->header.incarnation) {
-        return failure{"open tunnel", peer, "the sender is no live router"};
+    if (!is_running(known, opened->header)) {
+        return failure{"open tunnel", peer, "the sender is no running router"};
     }
     if (!window_.accept(opened->header)) {
         return failure{"open tunnel", peer, "the request is not new"};
--- a/packages/fleet/tests/tunnel_gate.tests.cpp
+++ b/packages/fleet/tests/tunnel_gate.tests.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/wire/envelope.hpp"
 
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace citronwick;
 
@@ -50,6 +51,13 @@
     CHECK(accepts(seal(2)));
 }
 
+TEST_CASE_FIXTURE(gate_fixture, "a request from a router that is leaving is accepted") {
+    known.leaving = std::exchange(known.live, {});
+    CHECK(accepts(seal()));
+    known.leaving.clear();
+    CHECK_FALSE(accepts(seal(2)));
+}
+
 TEST_CASE_FIXTURE(gate_fixture, "forged requests for tunnels are refused") {
     SUBCASE("another key") {
         key = "other key";
--- a/tests/integration/cut_routers.tests.cpp
+++ b/tests/integration/cut_routers.tests.cpp
@@ -1,11 +1,8 @@
 // Callers of a router that is cut from the upstreams are served through routers that reach them.
 
-#include "routed_fleet.hpp"
+#include "upstream_cuts.hpp"
 #include "waiting.hpp"
 
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
@@ -18,53 +15,6 @@
 using namespace citronwick::harness;
 using namespace std::chrono_literals;
 
-namespace {
-
-namespace json = boost::json;
-
-/// Time from the beginning of a cut after which callers are to be served as before.
-constexpr std::chrono::seconds time_to_recover{3};
-constexpr std::chrono::milliseconds request_interval{100};
-
-/// Ways in which the proxies cut routers off: packets are dropped, all connections are reset, or
-/// open ones live on while new ones are reset. A refusal of the handshake itself is not covered.
-constexpr const char* packets_dropped = "dropped_sources";
-constexpr const char* connections_reset = "refused_sources";
-constexpr const char* new_connections_reset = "newly_refused_sources";
-
-void cut_off(routed_fleet& system, const std::vector<std::size_t>& routers, const char* how) {
-    json::array sources;
-    for (const std::size_t index : routers) {
-        sources.emplace_back(system.routers()[index].source_address);
-    }
-    const std::string fault = json::serialize(json::object{{how, sources}});
-    for (auto* const workers : {&system.plain_workers(), &system.engines()}) {
-        for (const node& worker : *workers) {
-            set_proxy_fault(worker, fault);
-        }
-    }
-}
-
-reply ask_once(routed_fleet& system, const node& router, const std::string& path,
-               const std::string& attempt) {
-    return system.ask(router, path, attempt, {{"Citronwick-Deadline-Ms", "600"}});
-}
-
-/// Sends requests to a router for some time, one after another.
-/// @return number of requests that got no success
-int failures_of(routed_fleet& system, const node& router, const std::string& path, const std::string& name,
-                std::chrono::milliseconds time) {
-    int failures = 0;
-    const auto end = std::chrono::steady_clock::now() + time;
-    for (int count = 0; std::chrono::steady_clock::now() < end; ++count) {
-        failures += ask_once(system, router, path, name + std::to_string(count)).status == 200 ? 0 : 1;
-        std::this_thread::sleep_for(request_interval);
-    }
-    return failures;
-}
-
-} // namespace
-
 TEST_CASE("proof: callers of a router that is cut from all upstreams are served as at the others") {
     routed_fleet system{{.routers = 3, .plain_workers = 4, .proxies = true}};
     REQUIRE(system.wait_ready());
--- /dev/null
+++ b/tests/integration/relaying_routers.tests.cpp
@@ -0,0 +1,63 @@
+// Callers of a router that is cut from the upstreams, while routers that could relay for it stop or
+// are cut themselves.
+
+#include "upstream_cuts.hpp"
+#include "waiting.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sends bookings at a fixed rate, each on a thread of its own.
+std::vector<std::future<reply>> start_bookings(routed_fleet& system, const node& router,
+                                               const std::string& name, int count,
+                                               std::chrono::milliseconds interval) {
+    std::vector<std::future<reply>> bookings;
+    for (int number = 0; number < count; ++number) {
+        const std::string attempt = name + std::to_string(number);
+        bookings.push_back(std::async(std::launch::async, [&system, &router, attempt] {
+            return system.ask(router, "/book/1", attempt);
+        }));
+        std::this_thread::sleep_for(interval);
+    }
+    return bookings;
+}
+
+int count_failures(std::vector<std::future<reply>>& requests) {
+    int failures = 0;
+    for (auto& each : requests) {
+        const reply answer = each.get();
+        failures += answer.status == 200 ? 0 : 1;
+        if (answer.status != 200) {
+            MESSAGE(answer.status, " ", answer.error, " ", answer.body.substr(0, 300));
+        }
+    }
+    return failures;
+}
+
+} // namespace
+
+TEST_CASE("proof: a router that is cut and stops serves its last callers through other routers") {
+    routed_fleet system{{.routers = 3, .plain_workers = 4, .proxies = true, .balancer_lag = 1s}};
+    REQUIRE(system.wait_ready());
+    node& cut = system.routers()[0];
+    cut_off(system, {0}, packets_dropped);
+    failures_of(system, cut, "/book/1", "early", time_to_recover);
+    set_faults(system.plain_workers(), R"({"delay_ms":600})");
+    cut.process->signal(SIGTERM);
+    std::this_thread::sleep_for(100ms);
+    auto late = start_bookings(system, cut, "late", 12, 10ms);
+    CHECK(count_failures(late) == 0);
+    CHECK(cut.process->wait(5s) == 0);
+}
