Wait for the connections that a stopping router relays, and use it for no new requests

The stopping router waited for its own callers only, and others went on using its tunnels until it ended.

It refuses requests for tunnels from its SIGTERM on, so that the next router is asked, and waits for those that are open within the same limits.

--- a/packages/fleet/include/citronwick/fleet/reach_monitor.hpp
+++ b/packages/fleet/include/citronwick/fleet/reach_monitor.hpp
@@ -37,6 +37,8 @@
     /// Live routers in the order in which a request should try them. See `peer_selector`.
     std::vector<fleet_peer> ranked_peers(std::uint64_t request, time_point now) const;
     void record_peer_failure(std::uint64_t peer, time_point now);
+    /// Whether a router may relay requests now: it is live and does not stop.
+    bool may_relay(const fleet_peer& peer) const;
 
     std::shared_ptr<const fleet_directory> directory() const { return directory_.load(); }
     void set_directory(fleet_directory next);
--- a/packages/fleet/src/reach_monitor.cpp
+++ b/packages/fleet/src/reach_monitor.cpp
@@ -81,6 +81,13 @@
     peers_.record_failure(peer, now);
 }
 
+bool reach_monitor::may_relay(const fleet_peer& peer) const {
+    const auto known = directory();
+    return std::ranges::any_of(known->live, [&peer](const fleet_peer& each) {
+        return each.hash == peer.hash && each.incarnation == peer.incarnation;
+    });
+}
+
 void reach_monitor::set_directory(fleet_directory next) {
     if (next != *directory()) {
         directory_.store(std::make_shared<const fleet_directory>(std::move(next)));
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -72,8 +72,8 @@
     return std::nullopt;
 }
 
-/// Closes the callers' connections once their requests have ended. Requests are
-/// cut only at the drain deadline.
+/// Closes the callers' connections once their requests have ended, and waits for the connections
+/// that it relays for other routers. They are cut only at the drain deadline.
 void drain(const traffic_settings& settings, router_mode& mode, http_server& callers,
            operator_server& operators) {
     const auto signalled_at = clock::now();
@@ -86,10 +86,12 @@
     const auto listener_closed_at = clock::now();
     const auto deadline = drain_deadline(settings, signalled_at, listener_closed_at);
     bool closed_idle = false;
-    while (callers.open_connections() > 0) {
+    while (callers.open_connections() > 0 || mode.relayed_connections() > 0) {
         const auto now = clock::now();
         if (deadline && now >= *deadline) {
-            log_warn("drain_limit_reached", {{"requests_cut", std::to_string(callers.requests_in_flight())}});
+            log_warn("drain_limit_reached",
+                     {{"requests_cut", std::to_string(callers.requests_in_flight())},
+                      {"relayed_connections_cut", std::to_string(mode.relayed_connections())}});
             break;
         }
         if (!closed_idle && now - listener_closed_at >= idle_close_delay) {
--- a/packages/router/src/router_mode.cpp
+++ b/packages/router/src/router_mode.cpp
@@ -37,6 +37,7 @@
     request_server_factory servers() override { return make_chat_servers(settings_, control_, metrics_); }
     operator_pages pages() override { return make_chat_pages(control_, metrics_); }
     void leave() override { control_.leave(); }
+    std::size_t relayed_connections() const override { return 0; }
     void stop() override { control_.stop(); }
 
 private:
@@ -68,7 +69,11 @@
         return make_route_servers(settings_, plane_, *adapter_, metrics_);
     }
     operator_pages pages() override { return make_route_pages(plane_, *adapter_, metrics_); }
-    void leave() override { plane_.leave(); }
+    void leave() override {
+        tunnels_.announce_shutdown();
+        plane_.leave();
+    }
+    std::size_t relayed_connections() const override { return tunnels_.open_connections(); }
     void stop() override {
         tunnels_.stop();
         plane_.stop();
--- a/packages/router/src/router_mode.hpp
+++ b/packages/router/src/router_mode.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/traffic/operator_server.hpp"
 #include "citronwick/traffic/request_server.hpp"
 
+#include <cstddef>
 #include <memory>
 
 namespace citronwick {
@@ -28,6 +29,10 @@
 
     /// Tells the other routers that this one is leaving.
     virtual void leave() = 0;
+
+    /// Connections that this router relays for other routers.
+    virtual std::size_t relayed_connections() const = 0;
+
     virtual void stop() = 0;
 };
 
--- a/packages/traffic/include/citronwick/traffic/connection_pool.hpp
+++ b/packages/traffic/include/citronwick/traffic/connection_pool.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/traffic/upstream_connection.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -37,6 +38,11 @@
     /// Closes all idle connections, to free their descriptors.
     void close_idle();
 
+    /// Closes idle connections of which a condition holds.
+    void close_idle_if(const std::function<bool(const upstream_connection&)>& condition);
+
+    bool has_idle() const { return idle_count_ > 0; }
+
     const asio::any_io_executor& executor() const { return executor_; }
 
 private:
--- a/packages/traffic/include/citronwick/traffic/tunnel_service.hpp
+++ b/packages/traffic/include/citronwick/traffic/tunnel_service.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/core/endpoint.hpp"
 #include "citronwick/core/failure.hpp"
 
+#include <cstddef>
 #include <memory>
 
 namespace citronwick {
@@ -28,6 +29,12 @@
     /// Starts the thread, after open().
     void start();
 
+    /// Refuses new tunnels from now on, as this router stops.
+    void announce_shutdown();
+
+    /// Connections of other routers that this one relays.
+    std::size_t open_connections() const;
+
     /// Stops the thread. Open tunnels are reset.
     void stop();
 
--- a/packages/traffic/src/connection_pool.cpp
+++ b/packages/traffic/src/connection_pool.cpp
@@ -55,6 +55,13 @@
     idle_count_ = 0;
 }
 
+void connection_pool::close_idle_if(const std::function<bool(const upstream_connection&)>& condition) {
+    for (auto& idle : idle_ | std::views::values) {
+        idle_count_ -=
+            std::erase_if(idle, [&](const idle_connection& each) { return condition(*each.connection); });
+    }
+}
+
 void connection_pool::close_oldest() {
     std::erase_if(idle_, [](const auto& each) { return each.second.empty(); });
     const auto oldest =
--- a/packages/traffic/src/route_connections.cpp
+++ b/packages/traffic/src/route_connections.cpp
@@ -39,19 +39,14 @@
 /// Takes an idle connection to the attempt's upstream, or a new one. Open direct connections of a
 /// router that is cut are used unless they hang.
 std::unique_ptr<upstream_connection> route_exchange::acquire_connection(time_point now) {
-    constexpr duration relayed_idle_time = 2s;
     const duration max_idle = is_repeatable(route_->kind) ? duration::max() : max_idle_for_unrepeatable;
     const endpoint& address = placement_->upstream.entry.address;
     if (context_.plane.reach().connections_hang()) {
         context_.pool.close_idle();
     }
-    if (now - context_.relayed_at > relayed_idle_time) {
-        context_.relayed_pool.close_idle();
-    }
     auto connection = context_.pool.acquire(address, placement_request_.request_hash, now, max_idle);
     if (!connection->is_open() && needs_peer()) {
-        context_.relayed_at = now;
-        connection = context_.relayed_pool.acquire(address, placement_request_.request_hash, now, max_idle);
+        connection = context_.relayed.acquire(address, placement_request_.request_hash, now, max_idle);
     }
     return connection;
 }
@@ -63,8 +58,11 @@
     const auto traits = context_.dialect.read_response(connection->header());
     const duration idle_timeout =
         traits.idle_timeout ? duration{*traits.idle_timeout - idle_timeout_margin} : duration::max();
-    auto& pool = connection->through() ? context_.relayed_pool : context_.pool;
-    pool.release(std::move(connection), clock::now(), idle_timeout);
+    if (connection->through()) {
+        context_.relayed.release(std::move(connection), clock::now(), idle_timeout);
+    } else {
+        context_.pool.release(std::move(connection), clock::now(), idle_timeout);
+    }
 }
 
 /// Connects through another router if the upstream is not reached directly. If none can be asked,
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -8,6 +8,7 @@
 #include "citronwick/traffic/tunnel_opener.hpp"
 #include "crash_probe.hpp"
 #include "place_queue.hpp"
+#include "relayed_connections.hpp"
 
 #include <map>
 #include <memory>
@@ -35,8 +36,7 @@
     route_metrics& counters;
     tunnel_opener tunnels; ///< used by the connections of the pools
     connection_pool pool;
-    connection_pool relayed_pool;                                   ///< connections through other routers
-    time_point relayed_at{};                                        ///< when one was last used
+    relayed_connections relayed;                                    ///< connections through other routers
     std::map<std::string, retry_window, std::less<>> retry_windows; ///< by service
     crash_probe probe;
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
--- a/packages/traffic/src/route_server.cpp
+++ b/packages/traffic/src/route_server.cpp
@@ -30,7 +30,7 @@
                    .counters = counters,
                    .tunnels = tunnel_opener{executor, plane.reach()},
                    .pool = make_pool(settings, executor),
-                   .relayed_pool = make_pool(settings, executor),
+                   .relayed = relayed_connections{make_pool(settings, executor), plane.reach()},
                    .retry_windows = {},
                    .probe = crash_probe{plane, context_.tunnels}} {}
 
--- a/packages/traffic/src/tunnel_server.cpp
+++ b/packages/traffic/src/tunnel_server.cpp
@@ -122,7 +122,7 @@
         co_return;
     }
     wire::tunnel_reply reply{request->nonce, wire::tunnel_result::unavailable};
-    if (!plane_.reach().is_cut()) {
+    if (!plane_.reach().is_cut() && !is_stopping_) {
         const auto address = to_tcp(request->upstream);
         open_outbound(both->upstream.socket(), address);
         both->upstream.expires_after(std::min(request->timeout, max_connect_timeout));
--- a/packages/traffic/src/tunnel_server.hpp
+++ b/packages/traffic/src/tunnel_server.hpp
@@ -4,6 +4,7 @@
 #include "citronwick/fleet/tunnel_gate.hpp"
 #include "citronwick/io/task.hpp"
 
+#include <atomic>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <cstddef>
 #include <memory>
@@ -16,9 +17,9 @@
 /// Connects to upstreams for other routers and relays the bytes in both directions.
 ///
 /// Only registered routers of the fleet are served, each request once, and only addresses of
-/// upstreams. A router that is cut from the upstreams itself refuses, so a tunnel has one hop. The
-/// upstream's orderly end is passed on as one; an error, and the end of this process, reset the
-/// connection.
+/// upstreams. A router that is cut from the upstreams itself refuses, so a tunnel has one hop, and so
+/// does one that stops. The upstream's orderly end is passed on as one; an error, and the end of this
+/// process, reset the connection.
 class tunnel_server {
 public:
     tunnel_server(asio::any_io_executor executor, const traffic_settings& settings, routing_plane& plane);
@@ -29,6 +30,12 @@
     /// Accepts connections until the listener is closed.
     task<void> serve();
 
+    /// Refuses further requests, as this router stops. Tunnels go on. May be called by any thread.
+    void announce_shutdown() { is_stopping_ = true; }
+
+    /// Connections from other routers. May be called by any thread.
+    std::size_t open_connections() const { return *open_; }
+
 private:
     struct tunnel;
 
@@ -41,7 +48,9 @@
     asio::ip::tcp::acceptor acceptor_;
     tunnel_gate gate_;
     std::size_t max_tunnels_;
-    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0); ///< connections from routers
+    /// Connections from routers.
+    std::shared_ptr<std::atomic<std::size_t>> open_ = std::make_shared<std::atomic<std::size_t>>(0);
+    std::atomic<bool> is_stopping_{false};
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/tunnel_service.cpp
+++ b/packages/traffic/src/tunnel_service.cpp
@@ -25,6 +25,9 @@
         thread_ = std::jthread{[this] { run_event_loop(context_, "tunnels"); }};
     }
 
+    void announce_shutdown() { server_.announce_shutdown(); }
+    std::size_t open_connections() const { return server_.open_connections(); }
+
     void stop() {
         context_.stop();
         if (thread_.joinable()) {
@@ -55,6 +58,14 @@
     state_->start();
 }
 
+void tunnel_service::announce_shutdown() {
+    state_->announce_shutdown();
+}
+
+std::size_t tunnel_service::open_connections() const {
+    return state_->open_connections();
+}
+
 void tunnel_service::stop() {
     state_->stop();
 }
--- a/tests/integration/relaying_routers.tests.cpp
+++ b/tests/integration/relaying_routers.tests.cpp
@@ -48,6 +48,46 @@
 
 } // namespace
 
+TEST_CASE("proof: a planned stop of a router fails no request that it relays for a router that is cut") {
+    routed_fleet system{{.routers = 3, .plain_workers = 4, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    const node& cut = system.routers()[0];
+    node& stopped = system.routers()[1];
+    cut_off(system, {0}, packets_dropped);
+    failures_of(system, cut, "/book/1", "early", time_to_recover);
+    int failures = 0;
+    SUBCASE("requests that last longer than its own callers stay") {
+        set_faults(system.plain_workers(), R"({"delay_ms":1500})");
+        auto before = start_bookings(system, cut, "before", 20, 10ms);
+        stopped.process->signal(SIGTERM);
+        auto after = start_bookings(system, cut, "after", 20, 40ms);
+        failures = count_failures(before) + count_failures(after);
+    }
+    SUBCASE("requests in quick succession on idle connections") {
+        std::atomic<bool> is_over{false};
+        std::vector<std::future<int>> callers;
+        for (int caller = 0; caller < 6; ++caller) {
+            callers.push_back(std::async(std::launch::async, [&, caller] {
+                int failed = 0;
+                for (int count = 0; !is_over; ++count) {
+                    const auto attempt = std::to_string(caller) + "-" + std::to_string(count);
+                    failed += system.ask(cut, "/book/1", attempt).status == 200 ? 0 : 1;
+                }
+                return failed;
+            }));
+        }
+        std::this_thread::sleep_for(300ms);
+        stopped.process->signal(SIGTERM);
+        CHECK(wait_until([&] { return !stopped.process->is_running(); }));
+        is_over = true;
+        for (auto& each : callers) {
+            failures += each.get();
+        }
+    }
+    CHECK(failures == 0);
+    CHECK(stopped.process->wait(5s) == 0);
+}
+
 TEST_CASE("proof: a router that is cut and stops serves its last callers through other routers") {
     routed_fleet system{{.routers = 3, .plain_workers = 4, .proxies = true, .balancer_lag = 1s}};
     REQUIRE(system.wait_ready());
