Take a refused connect for the end of an upstream only if a router that reaches another one confirms it

A router says that it was refused only after it has reached another upstream and was refused again after that (reach_witness); the asker counts nothing less. Without other routers it does the same itself. What cannot be told so is told by the upstream's entry in the store later.

--- a/packages/traffic/include/citronwick/traffic/tunnel_opener.hpp
+++ b/packages/traffic/include/citronwick/traffic/tunnel_opener.hpp
@@ -34,8 +34,11 @@
     /// Whether this router is cut from the upstreams.
     bool is_needed() const;
 
-    /// Asks live routers in turn. One that is cut without knowing may report a refusal, so others are
-    /// asked after one, too. A failure guarantees that no byte was sent to the upstream.
+    /// Whether there is a router to ask.
+    bool has_peers() const;
+
+    /// Asks live routers in turn. One that is cut from this upstream alone reports a refusal, so others
+    /// are asked after one, too. A failure guarantees that no byte was sent to the upstream.
     /// @param request hash by which requests are spread over the routers
     /// @param timeout for all of them together
     task<io_result<opened_tunnel>> open(endpoint upstream, std::uint64_t request,
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -6,6 +6,7 @@
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/spawn.hpp"
 #include "citronwick/traffic/tunnel_opener.hpp"
+#include "reach_witness.hpp"
 
 #include <algorithm>
 #include <array>
@@ -74,10 +75,10 @@
     open_outbound(stream.socket(), peer);
     stream.expires_after(connect_timeout);
     auto [error] = co_await stream.async_connect(peer, use_tuple);
-    if (error == asio::error::connection_refused && tunnels != nullptr) {
+    if (error == asio::error::connection_refused && tunnels != nullptr && tunnels->has_peers()) {
         std::optional<fleet_peer> any;
         auto told = co_await ask_peers(std::move(address), *tunnels, std::move(any), connect_timeout);
-        co_return told ? error : told;
+        co_return told;
     }
     co_return error;
 }
@@ -128,10 +129,16 @@
 
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
     std::optional<fleet_peer> direct;
-    const auto error = co_await connect_after_pause(std::move(address), &tunnels_, std::move(direct));
+    endpoint asked = address;
+    const auto error = co_await connect_after_pause(std::move(asked), &tunnels_, std::move(direct));
     in_progress_.erase(upstream);
-    // Others that are asked may be cut without knowing.
-    if (error == asio::error::connection_refused && !tunnels_.is_needed()) {
+    bool has_ended = error == asio::error::connection_refused && !tunnels_.is_needed();
+    if (has_ended && !tunnels_.has_peers()) {
+        reach_witness witness{plane_.reach()};
+        auto known = all_upstreams(*plane_.view());
+        has_ended = co_await witness.has_ended(std::move(address), std::move(known), connect_timeout);
+    }
+    if (has_ended) {
         plane_.observations().record_unreachable(upstream, clock::now());
         plane_.report_refusing_upstream(upstream);
     }
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -33,7 +33,8 @@
     /// upstreams, others are asked.
     /// @param tunnels way through other routers, if there may be one
     /// @param through router that relayed the connection, if it was not direct; it must live on, too
-    /// @return why no connection was accepted; refused if the process has ended
+    /// @return why no connection was accepted; refused if the process has ended, as others report or as
+    ///         this router alone sees it if there are no others
     static task<boost::system::error_code> connect_after_pause(endpoint address, tunnel_opener* tunnels,
                                                                std::optional<fleet_peer> through);
 
--- a/packages/traffic/src/reach_prober.cpp
+++ b/packages/traffic/src/reach_prober.cpp
@@ -3,13 +3,12 @@
 #include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/io/spawn.hpp"
+#include "direct_connect.hpp"
+#include "reach_witness.hpp"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <iterator>
-#include <ranges>
 
 namespace citronwick {
 
@@ -19,16 +18,6 @@
 
 constexpr std::chrono::milliseconds check_interval = 100ms;
 constexpr std::chrono::milliseconds connect_timeout = 300ms;
-/// Time for the reset of a connection that was established and then not accepted.
-constexpr std::chrono::milliseconds reset_delay = 10ms;
-
-std::vector<routed_upstream> all_upstreams(const routing_view& view) {
-    std::vector<routed_upstream> all;
-    for (const auto& upstreams : view.upstreams | std::views::values) {
-        std::ranges::copy(upstreams, std::back_inserter(all));
-    }
-    return all;
-}
 
 } // namespace
 
@@ -54,25 +43,13 @@
 }
 
 task<void> reach_prober::probe(routed_upstream target) {
-    const auto address = to_tcp(target.entry.address);
-    boost::beast::tcp_stream stream{executor_};
-    open_outbound(stream.socket(), address);
-    stream.expires_after(connect_timeout);
-    auto [error] = co_await stream.async_connect(address, use_tuple);
+    endpoint address = target.entry.address;
+    const auto error = co_await try_direct_connect(std::move(address), connect_timeout);
     if (!error) {
-        std::array<char, 1> byte{};
-        const auto space = asio::buffer(byte);
-        stream.expires_after(reset_delay);
-        auto [read_error, size] = co_await stream.async_read_some(space, use_tuple);
-        if (read_error == boost::beast::error::timeout) {
-            plane_.reach().record_reached(target.hash, clock::now());
-            co_return;
-        }
-        error = read_error;
+        plane_.reach().record_reached(target.hash, clock::now());
+        co_return;
     }
-    const auto cause = error == boost::beast::error::timeout ? upstream_reach::connect_failure::timed_out
-                                                             : upstream_reach::connect_failure::refused;
-    plane_.reach().record_not_reached(target.hash, cause, clock::now());
+    plane_.reach().record_not_reached(target.hash, connect_failure_of(error), clock::now());
     if (!plane_.reach().is_cut()) {
         co_await ask_peers(std::move(target));
     }
--- a/packages/traffic/src/tunnel_opener.cpp
+++ b/packages/traffic/src/tunnel_opener.cpp
@@ -56,6 +56,10 @@
     return reach_.is_cut();
 }
 
+bool tunnel_opener::has_peers() const {
+    return !reach_.directory()->live.empty();
+}
+
 task<io_result<opened_tunnel>> tunnel_opener::open(endpoint upstream, std::uint64_t request,
                                                    std::chrono::milliseconds timeout) {
     const auto deadline = clock::now() + timeout;
--- a/packages/traffic/src/tunnel_server.cpp
+++ b/packages/traffic/src/tunnel_server.cpp
@@ -8,6 +8,7 @@
 #include "citronwick/io/spawn.hpp"
 #include "citronwick/traffic/process_limits.hpp"
 #include "citronwick/wire/envelope.hpp"
+#include "reach_witness.hpp"
 #include "tunnel_frame.hpp"
 
 #include <algorithm>
@@ -123,11 +124,8 @@
     }
     wire::tunnel_reply reply{request->nonce, wire::tunnel_result::unavailable};
     if (!plane_.reach().is_cut() && !is_stopping_) {
-        const auto address = to_tcp(request->upstream);
-        open_outbound(both->upstream.socket(), address);
-        both->upstream.expires_after(std::min(request->timeout, max_connect_timeout));
-        auto [error] = co_await both->upstream.async_connect(address, use_tuple);
-        reply.result = result_of(error);
+        accepted_tunnel asked = *request;
+        reply.result = co_await connect(*both, std::move(asked));
     }
     const auto known = plane_.reach().directory();
     auto sealed_reply = wire::envelope{known->key}.seal(
@@ -151,6 +149,26 @@
     co_await relay(std::move(both));
 }
 
+/// A refusal is reported only if this router is not cut: the other one takes it for the end of the
+/// upstream's process.
+task<wire::tunnel_result> tunnel_server::connect(tunnel& both, accepted_tunnel request) {
+    const auto timeout = std::min(request.timeout, max_connect_timeout);
+    const auto deadline = clock::now() + timeout;
+    const auto address = to_tcp(request.upstream);
+    open_outbound(both.upstream.socket(), address);
+    both.upstream.expires_after(timeout);
+    auto [error] = co_await both.upstream.async_connect(address, use_tuple);
+    const auto result = result_of(error);
+    if (result != wire::tunnel_result::refused) {
+        co_return result;
+    }
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline - clock::now());
+    reach_witness witness{plane_.reach()};
+    auto known = all_upstreams(*plane_.view());
+    const bool has_ended = co_await witness.has_ended(std::move(request.upstream), std::move(known), left);
+    co_return has_ended ? result : wire::tunnel_result::not_reached;
+}
+
 task<void> tunnel_server::relay(std::shared_ptr<tunnel> both) {
     both->router.expires_never();
     both->upstream.expires_never();
--- a/packages/traffic/src/tunnel_server.hpp
+++ b/packages/traffic/src/tunnel_server.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/fleet/tunnel_gate.hpp"
 #include "citronwick/io/task.hpp"
+#include "citronwick/wire/messages.hpp"
 
 #include <atomic>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -40,6 +41,7 @@
     struct tunnel;
 
     task<void> serve_connection(asio::ip::tcp::socket socket);
+    task<wire::tunnel_result> connect(tunnel& both, accepted_tunnel request);
     task<void> relay(std::shared_ptr<tunnel> both);
     static task<void> forward(std::shared_ptr<tunnel> both, bool to_upstream);
 
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -314,8 +314,8 @@
 /// Result of a `tunnel_request`.
 enum class tunnel_result : std::uint8_t {
     connected = 0,
-    refused = 1,     ///< by the upstream
-    not_reached = 2, ///< the router that was asked timed out or was reset
+    refused = 1,     ///< by the upstream, while the router that was asked reaches others
+    not_reached = 2, ///< the router that was asked timed out or was reset, or does not reach others either
     not_allowed = 3, ///< the address is no upstream's, or the request is not valid
     unavailable = 4, ///< the router that was asked is cut, too, or has too many tunnels
 };
