--- a/tests/integration/relaying_routers.tests.cpp
+++ b/tests/integration/relaying_routers.tests.cpp
@@ -101,3 +101,22 @@
     CHECK(count_failures(late) == 0);
     CHECK(cut.process->wait(5s) == 0);
 }
+
+TEST_CASE("proof: an upstream that comes back does not make a router count as cut") {
+    routed_fleet system{{.routers = 2, .plain_workers = 4, .engines = 1, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers()[0];
+    const node& peer = system.routers()[1];
+    for (int round = 0; round < 12; ++round) {
+        const std::string name = "round" + std::to_string(round) + "-";
+        ask_once(system, router, "/read/1", name + "before");
+        cut_off(system, {0, 1}, connections_reset);
+        REQUIRE(peer.process->pause());
+        ask_once(system, router, "/read/1", name + "during");
+        std::this_thread::sleep_for(200ms); // until the upstreams are probed and the other router is asked
+        cut_off(system, {}, connections_reset);
+        peer.process->signal(SIGCONT);
+        std::this_thread::sleep_for(700ms);
+    }
+    CHECK(find_log_lines(router, "cut_from_upstreams").empty());
+}
