Tell apart in the proof of frozen claimants whether the write has timed out

The booking ran once, but the claimant's caller got the response of that run instead of 'not-run'.

Cause, in the test: both claims' leases lasted 4 s, the store's timeout 3 s. When the claimant wakes, its timer has expired and the response is there. If the timer is handled first, the write counts as unanswered, is read back, shows the other router's claim, and its recorded response is returned.

Each case is now certain, and asks for more than before: with a timeout longer than the pause, 'not-run', the lease as the reason, and no unanswered write; with the response kept from the claimant, exactly the recorded response, marked as replayed, one run, and `claim_write_unanswered` in its log, which is new. Leases last 8 s, so that the second claim needs no new lease on a slow machine. The stand-in proxy drops what it holds back for a connection that falls silent, and routers of `fleet` name their source address.

--- a/packages/control/src/claim_registry.cpp
+++ b/packages/control/src/claim_registry.cpp
@@ -150,6 +150,7 @@
     if (!error.may_have_taken_effect) {
         co_return error;
     }
+    log_failure("claim_write_unanswered", error);
     auto current = co_await service_.read(name);
     if (current.has_error()) {
         co_return error;
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -202,6 +202,7 @@
     router.failure_domain = failure_domain;
     router.log = file(router.name + ".log");
     if (options_.proxies) {
+        router.source_address = domain_ip(failure_domain);
         router.proxy = std::make_unique<node>(start_standin("proxy", router.name + "-proxy", {}));
     }
     start_router(router);
@@ -225,7 +226,7 @@
     std::ostringstream text;
     text << "[vm]\nname = \"" << router.name << "\"\nregion = \"kr-south\"\nfailure_domain = \""
          << router.failure_domain << "\"\n"
-         << (options_.proxies ? "source_address = \"" + domain_ip(router.failure_domain) + "\"\n" : "")
+         << (router.source_address.empty() ? "" : "source_address = \"" + router.source_address + "\"\n")
          << "\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
          << "fleet = \"" << domain_ip(router.failure_domain) << ":0\"\nport_file = \""
          << file(router.name + ".ports") << "\"\n\n[fleet]\nkey = \"" << fleet_key << "\"\nseeds = [" << seeds
--- a/tests/integration/at_most_once.tests.cpp
+++ b/tests/integration/at_most_once.tests.cpp
@@ -188,8 +188,14 @@
 }
 
 TEST_CASE("proof: a claimant frozen past its lease sends nothing when it wakes") {
+    bool write_times_out = false;
+    SUBCASE("and has the response to its claim") {}
+    SUBCASE("and the write of its claim has timed out") {
+        write_times_out = true;
+    }
     auto options = small_fleet(true);
-    options.platform_settings = "timeout = \"3s\"\nclaim_lifetime = \"2s\"";
+    const std::string timeout = write_times_out ? "6s" : "60s";
+    options.platform_settings = "timeout = \"" + timeout + "\"\nclaim_lifetime = \"4s\"";
     fleet system{options};
     REQUIRE(system.wait_ready());
     auto& claimant = system.routers()[0];
@@ -200,8 +206,9 @@
     auto call = std::async(std::launch::async, [&] { return http_call(claimant.callers(), booking("b8")); });
     REQUIRE(wait_until([&] { return keys() > before; }));
     REQUIRE(claimant.process->pause());
-    set_proxy_fault(system.key_value(), "{}");
-    REQUIRE(wait_until([&] { return keys() < before; })); // the lease of both claims has ended
+    const std::string silenced = R"({"silenced_sources":[")" + claimant.source_address + R"("]})";
+    set_proxy_fault(system.key_value(), write_times_out ? silenced : "{}");
+    REQUIRE(wait_until([&] { return keys() < before; }, 20s)); // the lease of both claims has ended
     const auto resent = http_call(system.routers()[1].callers(), booking("b8"));
     claimant.process->signal(SIGCONT);
     const auto woken = call.get();
@@ -209,8 +216,17 @@
     CAPTURE(resent.body);
     CHECK(resent.header("Citronwick-Outcome") == "complete");
     CHECK(runs_of(system, "b8") == 1);
-    CHECK(woken.header("Citronwick-Outcome") == "not-run");
-    CHECK(woken.body.find("the claim's lease has ended") != std::string::npos);
+    const auto lines = [&](const char* text) { return system.log_lines(claimant, text).size(); };
+    if (write_times_out) {
+        CHECK(woken.header("Citronwick-Outcome") == "complete");
+        CHECK(woken.header("Citronwick-Replayed") == "yes");
+        CHECK(woken.body == resent.body);
+        CHECK(lines("event=claim_write_unanswered") == 1);
+    } else {
+        CHECK(woken.header("Citronwick-Outcome") == "not-run");
+        CHECK(woken.body.find("the claim's lease has ended") != std::string::npos);
+        CHECK(lines("event=claim_write_unanswered") == 0);
+    }
 }
 
 TEST_CASE("proof: an upstream that answers after the timeout runs a booking once") {
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -175,7 +175,7 @@
         if (error) {
             break;
         }
-        if (pair->blackholed || (!to_target && faults_.drop_responses)) {
+        if (!to_target && faults_.drop_responses) {
             continue;
         }
         if (faults_.delay.count() > 0) {
@@ -184,6 +184,9 @@
         while (!to_target && faults_.hold_responses) {
             co_await sleep_for(5ms);
         }
+        if (pair->blackholed) {
+            continue;
+        }
         const std::int64_t limit = to_target ? faults_.cut_after_up : faults_.cut_after_down;
         const auto allowed =
             limit < 0 ? size
