Lend places on brittle upstreams between routers

Callers of services whose upstreams say that they are brittle were refused with 503 "upstreams-full" although most slots were free, where the fleet has more routers than the service has slots.

A router whose places are taken now asks one that has a part of an upstream's slots for one of its places, for one request. A lent place counts as taken at its lender (`taken_places`), so that all routers together stay within what `brittle_places` allows; it is returned when the attempt ends, and lapses at the request's deadline. Without a reply in 60 ms nothing is sent. There is no size of fleet from which this applies. Requests for places follow the lists of a fleet message, whose bit mask is full; older routers do not read them, so they lend nothing. A request asks up to six routers in one go, and again after 20 to 160 ms.

Unit tests with 9, 77, 91 and 295 routers show that no more places are lent than there are slots; no fleet of that size was run.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/fleet/load_exchange.hpp"
 #include "citronwick/fleet/missed_changes.hpp"
 #include "citronwick/fleet/permit_exchange.hpp"
+#include "citronwick/fleet/place_exchange.hpp"
 #include "citronwick/fleet/recent_changes.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_outage.hpp"
@@ -48,6 +49,7 @@
     /// @return whether they were new
     std::function<bool(const kv_changes&, store_position previous, duration lapse)> on_changes;
     std::function<void(boot_time asked_at, duration age, store_position)> on_freshness_answer;
+    place_exchange::lendable places_to_lend;
 };
 
 /// Exchanges state with the other routers: liveness, load, the freshness of the
@@ -95,6 +97,8 @@
     void request_permit(std::uint32_t upstream, double saving_ms, permit_exchange::reply_callback reply,
                         time_point now);
 
+    place_exchange& places() { return places_; }
+
     /// Asks the other routers at which version they saw a stream begin.
     /// @param key see `begun_streams::key`
     /// @param reply called with the short hash of the version, or never if nobody knows it
@@ -158,6 +162,7 @@
     watcher_selector watcher_selector_;
     load_exchange loads_;
     permit_exchange permits_;
+    place_exchange places_;
     suspect_exchange suspects_;
     stream_exchange streams_;
     recent_changes recent_;
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -16,6 +16,7 @@
 struct kv_call_counts;
 struct permit_decision;
 class begun_streams;
+class borrowed_place;
 class platform_adapter;
 class reach_monitor;
 class upstream_observations;
@@ -70,6 +71,15 @@
     ///        does not answer
     void request_permit(std::uint64_t upstream, double saving_ms, std::function<void(permit_decision)> reply);
 
+    /// Asks another router for one of its places on a brittle upstream, for one request.
+    /// @param lender its hash
+    /// @param upstream hash of its incarnation
+    /// @param lifetime time after which the request has ended in any case
+    /// @param reply called on the control thread with the place, null if there is none to lend, or
+    ///        never if the router does not reply
+    void borrow_place(std::uint64_t lender, std::uint64_t upstream, duration lifetime,
+                      std::function<void(std::shared_ptr<const borrowed_place>)> reply);
+
     /// Asks the other routers at which version they saw a stream begin.
     /// @param key see `begun_streams::key`
     /// @param reply called on the control thread with the short hash of the version, or
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,24 @@
     std::atomic<std::int32_t> remote_backlog{0};
     std::atomic<double> mean_remote_in_flight{0.0}; ///< `remote_in_flight` averaged over a few seconds
     std::atomic<std::int32_t> connections{0};       ///< open connections from this router
+    /// Of this router's places, if the upstream is brittle: by its own requests, and lent to others.
+    std::atomic<std::int32_t> taken_places{0};
+};
+
+/// One of this router's places on an upstream, taken for the lifetime of the object.
+class taken_place {
+public:
+    explicit taken_place(std::shared_ptr<upstream_load> load);
+    taken_place(const taken_place&) = delete;
+    taken_place& operator=(const taken_place&) = delete;
+    ~taken_place();
+
+    /// Places that were taken when this one was added, itself included.
+    std::int32_t taken_then() const { return taken_then_; }
+
+private:
+    std::shared_ptr<upstream_load> load_;
+    std::int32_t taken_then_;
 };
 
 /// An upstream that accepts requests.
@@ -55,6 +74,16 @@
     bool accepts_requests(std::string_view service, std::uint64_t upstream) const;
 };
 
+/// Places of this router on one upstream that it may lend.
+struct lendable_places {
+    std::shared_ptr<upstream_load> load;
+    std::int32_t own = 0; ///< see `brittle_places`
+};
+
+/// @param upstream short hash of its incarnation
+/// @return none if the view has no such upstream that accepts requests
+std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream);
+
 /// Hash that identifies an incarnation of an upstream.
 std::uint64_t upstream_hash(const upstream_entry& entry);
 
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -45,6 +45,11 @@
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
+      places_{callbacks_.places_to_lend,
+              [this](const wire::gossip& message, std::uint64_t to, time_point now) {
+                  send_to(message, to, now);
+              },
+              short_hash(hash64(random_id()))},
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
       streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
                                time_point now) { send_to(message, to, now); }},
@@ -160,6 +165,7 @@
     }
     answer_queries(message, *address, now);
     permits_.handle_message(from.sender, message, now);
+    places_.handle_message(from.sender, message, now);
     streams_.handle_message(from.sender, message, now);
 }
 
@@ -308,6 +314,7 @@
     send_updates(now);
     exchange_tables(now);
     permits_.tick(now);
+    places_.tick(now);
     suspects_.tick(now);
     streams_.expire(now);
 }
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -76,6 +76,11 @@
     state_->request_permit(upstream, saving_ms, std::move(reply));
 }
 
+void routing_plane::borrow_place(std::uint64_t lender, std::uint64_t upstream, duration lifetime,
+                                 std::function<void(std::shared_ptr<const borrowed_place>)> reply) {
+    state_->borrow_place(lender, upstream, lifetime, std::move(reply));
+}
+
 void routing_plane::report_broken_connection(std::vector<crash_suspect> suspects, std::uint64_t upstream) {
     state_->report_broken_connection(std::move(suspects), upstream);
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/borrowed_place.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/router_peers.hpp"
@@ -22,6 +23,7 @@
 #include "citronwick/policy/key_freshness.hpp"
 #include "declared_fleet.hpp"
 #include "fleet_registration.hpp"
+#include "plane_timing.hpp"
 #include "versioned_services.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -31,36 +33,6 @@
 
 namespace citronwick {
 
-namespace plane_timing {
-
-using namespace std::chrono_literals;
-
-inline constexpr duration tick_interval = 50ms;
-inline constexpr duration expiry_interval = 1s;
-/// Longest time after which the traffic threads learn that the live routers changed.
-inline constexpr duration directory_interval = 200ms;
-/// Interval at which the number of store calls is logged.
-inline constexpr duration calls_log_interval = 10s;
-/// Age of the newest confirmation from which a router requests another one from
-/// the store instead of waiting for a peer's. Bounds how late a router whose
-/// watcher has failed learns of a change.
-inline constexpr duration self_confirm_age = 1500ms;
-/// Subtracted from the key lifetime, to allow for the time that a request takes
-/// to reach its upstream.
-inline constexpr duration key_margin = 200ms;
-/// Interval at which the watchers compare the assignment of streams with the upstreams.
-inline constexpr duration version_check_interval = 200ms;
-/// Time that each watcher leaves the one before it to write a change of that assignment.
-inline constexpr duration writer_delay = 1s;
-inline constexpr const char* version_keys = "stream-versions/";
-inline constexpr const char* control_thread_name = "control";
-
-inline std::string to_milliseconds(duration value) {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
-} // namespace plane_timing
-
 class routing_plane::state {
 public:
     state(routing_settings settings, const platform_adapter& adapter)
@@ -141,6 +113,16 @@
         });
     }
 
+    void borrow_place(std::uint64_t lender, std::uint64_t upstream, duration lifetime,
+                      std::function<void(std::shared_ptr<const borrowed_place>)> reply) {
+        auto on_reply = [this, lender, reply = std::move(reply)](std::optional<std::uint32_t> nonce) {
+            reply(nonce ? make_borrowed_place(lender, *nonce) : nullptr);
+        };
+        asio::post(context_, [this, lender, upstream, lifetime, on_reply = std::move(on_reply)] {
+            peers_.places().request(lender, short_hash(upstream), lifetime, on_reply, clock::now());
+        });
+    }
+
     void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
         asio::post(context_, [this, key, reply = std::move(reply)]() mutable {
             peers_.ask_stream_version(key, std::move(reply), clock::now());
@@ -161,6 +143,13 @@
     }
 
 private:
+    std::shared_ptr<const borrowed_place> make_borrowed_place(std::uint64_t lender, std::uint32_t nonce) {
+        return std::make_shared<const borrowed_place>([this, lender, nonce] {
+            asio::post(context_,
+                       [this, lender, nonce] { peers_.places().give_back(lender, nonce, clock::now()); });
+        });
+    }
+
     void spawn(std::string name, std::function<task<void>()> start) {
         spawn_restarting(context_.get_executor(), std::move(name), std::move(start));
     }
@@ -202,7 +191,9 @@
                         if (freshness_.confirm_by_peer(asked_at, age, position, follower_.position())) {
                             publish_freshness();
                         }
-                    }};
+                    },
+                .places_to_lend =
+                    [this](std::uint32_t upstream) { return places_to_lend(*view_.load(), upstream); }};
     }
 
     registration_listener make_registration_listener() {
--- a/packages/fleet/src/routing_view.cpp
+++ b/packages/fleet/src/routing_view.cpp
@@ -1,9 +1,33 @@
 #include "citronwick/fleet/routing_view.hpp"
 
+#include "citronwick/core/hash.hpp"
+#include "citronwick/policy/brittle_places.hpp"
+
 #include <algorithm>
+#include <ranges>
+#include <utility>
 
 namespace citronwick {
 
+taken_place::taken_place(std::shared_ptr<upstream_load> load)
+    : load_{std::move(load)}, taken_then_{load_->taken_places.fetch_add(1, std::memory_order_relaxed) + 1} {}
+
+taken_place::~taken_place() {
+    load_->taken_places.fetch_sub(1, std::memory_order_relaxed);
+}
+
+std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream) {
+    for (const auto& upstreams : view.upstreams | std::views::values) {
+        const auto found = std::ranges::find(
+            upstreams, upstream, [](const routed_upstream& each) { return short_hash(each.hash); });
+        if (found != upstreams.end()) {
+            const brittle_places places{found->hash, found->entry.slots, 0.0, view.self, view.active_routers};
+            return lendable_places{found->load, places.own()};
+        }
+    }
+    return std::nullopt;
+}
+
 bool routing_view::accepts_requests(std::string_view service, std::uint64_t upstream) const {
     const auto found = upstreams.find(service);
     return found != upstreams.end() &&
--- a/packages/policy/include/citronwick/policy/brittle_places.hpp
+++ b/packages/policy/include/citronwick/policy/brittle_places.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <span>
+#include <vector>
 
 namespace citronwick {
 
@@ -41,6 +42,11 @@
     std::int32_t spare_; ///< requests beyond `own_` that the refusals allow
 };
 
+/// Routers that may have requests in flight on a brittle upstream whatever the others do.
+/// @param routers hashes of all routers that may send requests
+std::vector<std::uint64_t> place_holders(std::uint64_t upstream, std::uint32_t slots,
+                                         std::span<const std::uint64_t> routers);
+
 } // namespace citronwick
 
 #endif
--- a/packages/policy/src/brittle_places.cpp
+++ b/packages/policy/src/brittle_places.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -25,6 +26,11 @@
     return total / routers + (place < total % routers ? 1 : 0);
 }
 
+/// By which routers are ordered in the division of an upstream's slots, the largest one first.
+auto rank_key(std::uint64_t upstream, std::uint64_t router) {
+    return std::pair{rendezvous_score(upstream, router), router};
+}
+
 /// Refusals that routers may cause, as a whole number.
 std::int32_t spare_of_all(double refusals_per_second, std::int32_t slots) {
     if (!std::isfinite(refusals_per_second)) {
@@ -41,11 +47,9 @@
     : slots_{static_cast<std::int32_t>(
           std::min<std::uint32_t>(slots, std::numeric_limits<std::int16_t>::max()))},
       routers_{std::max(static_cast<std::int32_t>(routers.size()), 1)} {
-    const auto rank_key = [upstream](std::uint64_t router) {
-        return std::pair{rendezvous_score(upstream, router), router};
-    };
-    const auto rank = static_cast<std::int32_t>(std::ranges::count_if(
-        routers, [&](std::uint64_t router) { return rank_key(router) > rank_key(self); }));
+    const auto rank = static_cast<std::int32_t>(std::ranges::count_if(routers, [&](std::uint64_t router) {
+        return rank_key(upstream, router) > rank_key(upstream, self);
+    }));
     own_ = part_of(slots_, routers_, rank);
     // Those without a part of the remaining slots come first.
     const std::int32_t place = (rank + routers_ - slots_ % routers_) % routers_;
@@ -64,4 +68,15 @@
     return most;
 }
 
+std::vector<std::uint64_t> place_holders(std::uint64_t upstream, std::uint32_t slots,
+                                         std::span<const std::uint64_t> routers) {
+    std::vector<std::uint64_t> holders{routers.begin(), routers.end()};
+    if (slots < holders.size()) {
+        std::ranges::nth_element(holders, holders.begin() + slots, std::greater{},
+                                 [upstream](std::uint64_t router) { return rank_key(upstream, router); });
+        holders.resize(slots);
+    }
+    return holders;
+}
+
 } // namespace citronwick
--- a/packages/policy/tests/brittle_places.tests.cpp
+++ b/packages/policy/tests/brittle_places.tests.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/policy/brittle_places.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <limits>
 #include <numeric>
@@ -67,3 +68,19 @@
         CHECK(sum_allowed(6, 6, refusals, {}) == 6);
     }
 }
+
+TEST_CASE("the holders of places are the routers with a part, and their parts are all slots") {
+    for (const std::size_t routers : {1, 3, 9, 77, 91, 295}) {
+        const auto fleet = fleet_of(routers);
+        for (const std::uint32_t slots : {0, 1, 2, 6, 9, 100}) {
+            const auto holders = place_holders(upstream, slots, fleet);
+            int held = 0;
+            for (const std::uint64_t router : fleet) {
+                const auto own = brittle_places{upstream, slots, 5.0, router, fleet}.own();
+                CHECK((own > 0) == (std::ranges::find(holders, router) != holders.end()));
+                held += own;
+            }
+            CHECK(held == static_cast<int>(slots));
+        }
+    }
+}
--- a/packages/traffic/src/permit_waiter.cpp
+++ b/packages/traffic/src/permit_waiter.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-/// Longest wait for the coordinator, which is in the same failure domain.
+/// Longest wait for the coordinator, which is in the same failure domain, or a lender.
 constexpr duration reply_timeout = 60ms;
 
 } // namespace
@@ -24,4 +24,15 @@
     co_return decision;
 }
 
+task<std::optional<std::shared_ptr<const borrowed_place>>>
+acquire_place(routing_plane& plane, std::uint64_t lender, std::uint64_t upstream, duration lifetime) {
+    using loan = std::shared_ptr<const borrowed_place>;
+    std::function<void(std::function<void(loan)>)> ask = [&plane, lender, upstream,
+                                                          lifetime](std::function<void(loan)> reply) {
+        plane.borrow_place(lender, upstream, lifetime, std::move(reply));
+    };
+    auto reply = co_await wait_for_reply<loan>(reply_timeout, std::move(ask));
+    co_return reply;
+}
+
 } // namespace citronwick
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -42,6 +42,9 @@
     std::map<std::string, service_capacity, std::less<>> capacities{}; ///< by service
     /// By service with brittle upstreams.
     std::map<std::string, std::shared_ptr<place_queue>, std::less<>> place_queues{};
+    /// Routers that did not reply to a request for a place, until when they are not asked.
+    std::map<std::uint64_t, time_point> silent_lenders{};
+    std::uint64_t loan_requests = 0;   ///< number of requests for places of other routers
     time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
     /// When an upstream of a service last closed a connection before the end of its stream.
     std::map<std::string, time_point, std::less<>> early_ends{};
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -202,16 +202,13 @@
     const auto placed_at = clock::now();
     exchange_result result;
     {
-        in_flight_guard in_flight{placement_->upstream.load,
-                                  placement_->uncached_tokens - placement_->fetched_tokens};
-        const bool has_place =
-            !placement_->most_in_flight || in_flight.in_flight_then() <= *placement_->most_in_flight;
-        if (!has_place) {
+        in_flight_guard in_flight{*placement_};
+        if (!in_flight.has_place()) {
             result = {attempt_outcome::not_sent, "the place was taken meanwhile"};
         }
         auto connection = acquire_connection(started);
         active_connection_ = connection.get();
-        if (has_place) {
+        if (in_flight.has_place()) {
             co_await connect_if_needed(*connection, result);
         }
         if (result.detail.empty()) {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -66,6 +66,9 @@
     task<void> place(time_point started);
     task<void> place_when_free(time_point started);
     task<void> wait_for_place(time_point started);
+    task<void> borrow_place();
+    std::optional<std::uint64_t> choose_lender(const routed_upstream& upstream, time_point now);
+    placement_parameters current_parameters() const;
     time_point last_wait(time_point now) const;
     void refuse_if_full(time_point now);
     void record_scarce_capacity(service_capacity& capacity, time_point now) const;
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -54,13 +54,19 @@
 
 } // namespace
 
+placement_parameters route_exchange::current_parameters() const {
+    placement_parameters parameters =
+        adapt_to_fleet(context_.plane.settings().placement, view_->live_routers);
+    parameters.acceptable_wait_ms =
+        acceptable_wait_share * static_cast<double>(route_->target_latency.count());
+    return parameters;
+}
+
 /// Chooses the upstream of an attempt. One with a rate limit is chosen only if the
 /// permit coordinator admits the request; otherwise others are tried.
 task<void> route_exchange::place(time_point started) {
     const routing_settings& settings = context_.plane.settings();
-    placement_parameters parameters = adapt_to_fleet(settings.placement, view_->live_routers);
-    parameters.acceptable_wait_ms =
-        acceptable_wait_share * static_cast<double>(route_->target_latency.count());
+    const placement_parameters parameters = current_parameters();
     upstream_limits& limits = context_.plane.limits();
     bool may_use_limited = may_use_scarce_capacity(started);
     placement_request_.has_permit = false;
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -61,8 +61,12 @@
          .has_refused_lately = limits.has_refused_lately});
 }
 
+bool contains(const std::vector<std::uint64_t>& hashes, std::uint64_t hash) {
+    return std::ranges::find(hashes, hash) != hashes.end();
+}
+
 bool was_tried(const routed_upstream& upstream, const routed_placement_request& request) {
-    return std::ranges::find(request.tried, upstream.hash) != request.tried.end();
+    return contains(request.tried, upstream.hash);
 }
 
 bool has_version(const routed_upstream& upstream, const routed_placement_request& request) {
@@ -169,8 +173,10 @@
             const bool may_send =
                 !limited[index].is_paused && (!candidates[index].rate_limited ||
                                               (request.may_use_limited && limited[index].may_request_permit));
-            const bool has_place = !most[index] || upstreams[index].load->in_flight.load(
-                                                       std::memory_order_relaxed) < *most[index];
+            const bool has_place = request.borrows
+                                       ? !contains(request.not_lent, upstreams[index].hash)
+                                       : !most[index] || upstreams[index].load->taken_places.load(
+                                                             std::memory_order_relaxed) < *most[index];
             candidates[index].usable = has_version(upstreams[index], request) &&
                                        !was_tried(upstreams[index], request) && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
@@ -231,9 +237,14 @@
     return places;
 }
 
-in_flight_guard::in_flight_guard(std::shared_ptr<upstream_load> load, std::uint32_t uncached_tokens)
-    : load_{std::move(load)}, unprocessed_tokens_{static_cast<std::int32_t>(uncached_tokens)},
-      in_flight_then_{load_->in_flight.fetch_add(1, std::memory_order_relaxed) + 1} {
+in_flight_guard::in_flight_guard(const routed_placement& placement)
+    : load_{placement.upstream.load},
+      unprocessed_tokens_{static_cast<std::int32_t>(placement.uncached_tokens - placement.fetched_tokens)} {
+    if (!placement.borrowed) {
+        place_.emplace(load_);
+    }
+    has_place_ = !placement.most_in_flight || !place_ || place_->taken_then() <= *placement.most_in_flight;
+    load_->in_flight.fetch_add(1, std::memory_order_relaxed);
     load_->backlog.fetch_add(unprocessed_tokens_, std::memory_order_relaxed);
 }
 
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -15,6 +15,7 @@
 
 namespace citronwick {
 
+class borrowed_place;
 class upstream_limits;
 class upstream_observations;
 
@@ -28,6 +29,10 @@
     std::vector<std::uint64_t> tried;     ///< hashes of upstreams that earlier attempts used
     bool may_use_limited = true;          ///< whether upstreams with a rate limit may be chosen
     bool has_permit = false;              ///< for the chosen upstream, which has a rate limit
+    /// Whether to choose an upstream for which a place is to be borrowed, this router's own
+    /// being taken.
+    bool borrows = false;
+    std::vector<std::uint64_t> not_lent; ///< hashes of upstreams on which it found no place to borrow
 };
 
 /// Upstream chosen for a request, and the estimates behind the choice.
@@ -46,6 +51,7 @@
     /// Requests that this router may have in flight on the upstream, this one included; none if
     /// it is not brittle.
     std::optional<std::int32_t> most_in_flight{};
+    std::shared_ptr<const borrowed_place> borrowed{}; ///< place of another router, if it is used
 };
 
 /// Chooses the upstream of a request from the current view and from observations
@@ -67,14 +73,13 @@
 /// Counts a request as in flight on an upstream during its lifetime.
 class in_flight_guard {
 public:
-    /// @param uncached_tokens prompt tokens that the upstream has to process
-    in_flight_guard(std::shared_ptr<upstream_load> load, std::uint32_t uncached_tokens);
+    explicit in_flight_guard(const routed_placement& placement);
     in_flight_guard(const in_flight_guard&) = delete;
     in_flight_guard& operator=(const in_flight_guard&) = delete;
     ~in_flight_guard();
 
-    /// This router's requests in flight on the upstream when this one was added, itself included.
-    std::int32_t in_flight_then() const { return in_flight_then_; }
+    /// Whether the request has a place, if the upstream is brittle.
+    bool has_place() const { return has_place_; }
 
     /// Removes the request's prompt tokens from the upstream's backlog.
     void mark_prompt_processed();
@@ -82,7 +87,8 @@
 private:
     std::shared_ptr<upstream_load> load_;
     std::int32_t unprocessed_tokens_;
-    std::int32_t in_flight_then_;
+    std::optional<taken_place> place_; ///< of this router's own
+    bool has_place_;
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -1,8 +1,14 @@
 // Places on brittle upstreams: which requests wait for one, and which are refused at once.
 
+#include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/borrowed_place.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
+#include "citronwick/io/log.hpp"
+#include "citronwick/policy/brittle_places.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
+#include "permit_waiter.hpp"
 #include "place_queue.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
@@ -23,8 +29,26 @@
 constexpr std::int32_t waiting_per_place = 2;
 /// Interval at which places are looked for that other threads or routers have left.
 constexpr duration look_interval = 20ms;
+/// Requests of a thread that may wait also where this router has hardly a place of its own.
+constexpr std::size_t min_waiting = 2;
+/// Routers that are asked for a place in one go, and the longest interval at which a waiting
+/// request asks again; the first one is `look_interval`.
+constexpr int max_loan_requests = 6;
+constexpr duration max_loan_interval = 160ms;
+/// Time for which a router that did not reply is not asked again.
+constexpr duration silent_lender_pause = 1s;
 constexpr unsigned unavailable = 503;
 
+void log_loan(std::string_view request, const routed_placement& wanted, std::uint64_t lender,
+              const std::optional<std::shared_ptr<const borrowed_place>>& reply) {
+    if (reply && !*reply) {
+        return;
+    }
+    log_info(reply ? "place_borrowed" : "place_lender_silent", {{"request", std::string{request}},
+                                                                {"upstream", wanted.upstream.entry.id},
+                                                                {"lender_hash", std::to_string(lender)}});
+}
+
 } // namespace
 
 /// Chooses the upstream of an attempt. While the upstreams are brittle and this router has no place
@@ -41,12 +65,69 @@
     }
     if (!waiting_requests()->has_before(route_->priority)) {
         co_await place(started);
+        if (!placement_) {
+            co_await borrow_place();
+        }
     }
     if (!placement_) {
         co_await wait_for_place(started);
     }
 }
 
+/// A router that may have a place to lend on an upstream. Each request asks another one, since
+/// nobody knows which places are free.
+std::optional<std::uint64_t> route_exchange::choose_lender(const routed_upstream& upstream, time_point now) {
+    std::erase_if(context_.silent_lenders, [now](const auto& each) { return now >= each.second; });
+    auto lenders = place_holders(upstream.hash, upstream.entry.slots, view_->active_routers);
+    std::erase_if(lenders, [this](std::uint64_t router) {
+        return router == view_->self || context_.silent_lenders.contains(router);
+    });
+    if (lenders.empty()) {
+        return std::nullopt;
+    }
+    return lenders[hash_combine(view_->self, ++context_.loan_requests) % lenders.size()];
+}
+
+/// Asks other routers for a place on one of the upstreams on which this one has none left.
+task<void> route_exchange::borrow_place() {
+    routed_placement_request request = placement_request_;
+    request.may_use_limited = false;
+    request.borrows = true;
+    for (int asked = 0; asked < max_loan_requests && !placement_; ++asked) {
+        const auto now = clock::now();
+        const auto choose = [&] {
+            return choose_upstream(request, *view_, context_.plane.observations(), context_.plane.limits(),
+                                   current_parameters(), context_.plane.settings().failure_domain, now);
+        };
+        auto wanted = choose();
+        if (!wanted && !request.not_lent.empty()) {
+            request.not_lent.clear();
+            wanted = choose();
+        }
+        if (!wanted || !wanted->most_in_flight) {
+            co_return;
+        }
+        request.not_lent.push_back(wanted->upstream.hash);
+        const auto lender = choose_lender(wanted->upstream, now);
+        if (!lender) {
+            continue;
+        }
+        const auto reply =
+            co_await acquire_place(context_.plane, *lender, wanted->upstream.hash, remaining_time(now));
+        if (!reply) {
+            context_.silent_lenders[*lender] = clock::now() + silent_lender_pause;
+        }
+        log_loan(caller_.request_id(), *wanted, *lender, reply);
+        if (reply && *reply) {
+            wanted->borrowed = *reply;
+            wanted->reason = "borrowed place";
+            placement_ = std::move(wanted);
+        } else {
+            co_await place(clock::now());
+        }
+    }
+}
+
 /// Time up to which the request may wait for a place.
 time_point route_exchange::last_wait(time_point now) const {
     return now + std::min(target_latencies * route_->target_latency, remaining_time(now) / time_left_part);
@@ -57,14 +138,21 @@
     const auto most = static_cast<std::size_t>(*places_ * waiting_per_place) / context_.settings.threads;
     const auto executor = co_await asio::this_coro::executor;
     {
-        place_queue::ticket ticket{queue, executor, route_->priority, std::max<std::size_t>(most, 1)};
+        place_queue::ticket ticket{queue, executor, route_->priority, std::max(most, min_waiting)};
         const auto until = last_wait(started);
+        duration loan_interval = look_interval;
+        auto borrow_at = started + loan_interval;
         for (auto now = started; !placement_ && ticket.is_queued() && now < until && !caller_.disconnected();
              now = clock::now()) {
             co_await ticket.wait(std::min(until, now + look_interval));
             if (ticket.is_next()) {
                 view_ = context_.plane.view();
                 co_await place(clock::now());
+                if (!placement_ && clock::now() >= borrow_at) {
+                    co_await borrow_place();
+                    loan_interval = std::min(2 * loan_interval, max_loan_interval);
+                    borrow_at = clock::now() + loan_interval;
+                }
             }
         }
     }
@@ -104,6 +192,7 @@
 
 /// Lets the next request have the place of an attempt that has ended.
 void route_exchange::release_place(const exchange_result& result, duration held) {
+    placement_->borrowed.reset();
     const auto queue = waiting_requests();
     if (result.outcome == attempt_outcome::answered) {
         queue->record_held(held);
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -219,6 +219,19 @@
     std::uint32_t version = 0; ///< short hash of its name
 };
 
+/// Asks for a place of the receiver on a brittle upstream, for one request.
+struct place_request {
+    std::uint32_t upstream = 0;
+    std::uint32_t nonce = 0;    ///< names the loan
+    std::uint32_t lifetime = 0; ///< milliseconds after which the request has ended in any case
+};
+
+/// Reply to `place_request`.
+struct place_reply {
+    std::uint32_t nonce = 0;
+    bool granted = false;
+};
+
 /// One datagram of the fleet channel.
 struct gossip {
     std::vector<member_record> members;
@@ -259,6 +272,9 @@
     std::vector<std::uint16_t> suspect_digest;
     std::vector<std::uint64_t> stream_queries; ///< streams whose version the sender asks for
     std::vector<stream_version> stream_versions;
+    std::vector<place_request> place_requests;
+    std::vector<place_reply> place_replies;
+    std::vector<std::uint32_t> returned_places; ///< nonces of loans that the sender no longer needs
 };
 
 /// Incarnation that numbered the load table or list in a message, 0 if unknown.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -193,6 +193,16 @@
     archive(entry.key, entry.version);
 }
 
+template <class Archive>
+void serialize(Archive& archive, place_request& request) {
+    archive(request.upstream, request.nonce, request.lifetime);
+}
+
+template <class Archive>
+void serialize(Archive& archive, place_reply& reply) {
+    archive(reply.nonce, reply.granted);
+}
+
 /// Serializes only the lists that are not empty, preceded by a bit mask of them.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
@@ -224,6 +234,18 @@
                       message.suspect_digest, message.stream_queries, message.stream_versions);
 }
 
+/// Serializes the lists for which the bit mask of `serialize` has no room. They follow the message;
+/// routers that do not know them do not read on.
+template <class Archive>
+void serialize_more_lists(Archive& archive, gossip& message) {
+    serialize_present(archive, message.place_requests, message.place_replies, message.returned_places);
+}
+
+inline bool has_more_lists(const gossip& message) {
+    return !message.place_requests.empty() || !message.place_replies.empty() ||
+           !message.returned_places.empty();
+}
+
 template <class Archive>
 void serialize(Archive& archive, document_request& request) {
     archive(request.kind);
--- a/packages/wire/src/envelope.cpp
+++ b/packages/wire/src/envelope.cpp
@@ -5,6 +5,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
+#include <type_traits>
 
 namespace citronwick::wire {
 
@@ -53,6 +54,11 @@
     opened_message<Message> result;
     serialize_header(archive, result.header);
     archive(result.message);
+    if constexpr (std::is_same_v<Message, gossip>) {
+        if (stream.peek() != std::istringstream::traits_type::eof()) {
+            serialize_more_lists(archive, result.message);
+        }
+    }
     return result;
 }
 
@@ -69,6 +75,12 @@
         header copy = from;
         serialize_header(archive, copy);
         archive(message);
+        if constexpr (std::is_same_v<Message, gossip>) {
+            if (has_more_lists(message)) {
+                gossip lists = message;
+                serialize_more_lists(archive, lists);
+            }
+        }
     }
     std::string body = std::move(stream).str();
     body += compute_tag(key_, body);
--- a/packages/wire/tests/envelope.tests.cpp
+++ b/packages/wire/tests/envelope.tests.cpp
@@ -47,6 +47,22 @@
     CHECK(sealed.size() < 160);
 }
 
+TEST_CASE("requests for places and their replies reach the receiver") {
+    const wire::envelope envelope{"key"};
+    wire::gossip message = sample_message();
+    message.place_requests.push_back({0xabcd, 70'000, 90'000});
+    message.place_replies.push_back({8, true});
+    message.returned_places.push_back(9);
+    const auto opened = envelope.open<wire::gossip>(envelope.seal({1, 2, 3}, message), "peer");
+    REQUIRE(opened);
+    CHECK(opened->message.documents.at(0).generation == 9);
+    CHECK(opened->message.place_requests.at(0).upstream == 0xabcd);
+    CHECK(opened->message.place_requests.at(0).nonce == 70'000);
+    CHECK(opened->message.place_requests.at(0).lifetime == 90'000);
+    CHECK(opened->message.place_replies.at(0).granted);
+    CHECK(opened->message.returned_places.at(0) == 9);
+}
+
 TEST_CASE("forged and truncated messages and those of another type are rejected") {
     const wire::envelope envelope{"key"};
     const auto sealed = envelope.seal({1, 2, 3}, sample_message());
