Restart routers in the soak as a service manager does

Cause, in the soak: its supervisor started the next process without a pause, 10 times at most, while a series of 20 signals lasts up to 400 ms. A count of starts says little of the program: it depends on how many of them fall into one series.

The supervisor now pauses for 100 ms between starts, and the router must be ready within 15 s after the start or after the last SIGHUP or SIGTERM that it got. That is as strict: ten starts could take 15 s each before. A start that ends after the program's first instruction, or without a signal, is a violation, as before.

--- a/tests/soak/process_faults.cpp
+++ b/tests/soak/process_faults.cpp
@@ -69,7 +69,7 @@
 }
 
 void hang_up(soak_run& run, std::mt19937_64& random) {
-    const router_supervisor& router = pick_router(run, random);
+    router_supervisor& router = pick_router(run, random);
     for (const auto& [delay, number] : pick_signals(random, 20, 20, {SIGHUP})) {
         std::this_thread::sleep_for(delay);
         router.signal(number);
--- a/tests/soak/router_supervisor.cpp
+++ b/tests/soak/router_supervisor.cpp
@@ -18,9 +18,11 @@
 
 namespace {
 
+/// Time within which a router must be ready, from the start or from the last signal that may have
+/// ended one.
 constexpr auto start_timeout = 15s;
-/// Starts in a row that may fail, each a violation.
-constexpr int max_starts = 10;
+/// Pause before a start in place of one that failed, as of a service manager.
+constexpr auto restart_pause = 100ms;
 /// Time after the grace within which a process must have ended.
 constexpr auto stop_margin = 2s;
 /// A router cuts what is left this long before its grace ends.
@@ -29,6 +31,11 @@
 /// Added to the number of the signal that ended a process.
 constexpr int signal_base = 128;
 
+/// Whether a signal ends a process that the loader has not yet passed control to.
+bool may_end_while_loading(int signal) {
+    return signal == SIGHUP || signal == SIGTERM;
+}
+
 std::string describe_end(int exit_code) {
     return exit_code > signal_base ? "signal " + std::to_string(exit_code - signal_base)
                                    : "exit code " + std::to_string(exit_code);
@@ -58,8 +65,11 @@
     return node_.process->id();
 }
 
-void router_supervisor::signal(int number) const {
+void router_supervisor::signal(int number) {
     const std::scoped_lock lock{mutex_};
+    if (may_end_while_loading(number)) {
+        last_signal_at_ = steady::now();
+    }
     node_.process->signal(number);
 }
 
@@ -74,7 +84,7 @@
     return {.output = outputs.at(random_() % outputs.size()), .pipe_bytes = small_pipe_bytes};
 }
 
-void router_supervisor::send_signals(const std::vector<delayed_signal>& signals) const {
+void router_supervisor::send_signals(const std::vector<delayed_signal>& signals) {
     for (const auto& [delay, number] : signals) {
         std::this_thread::sleep_for(delay);
         signal(number);
@@ -93,7 +103,7 @@
 /// Whether a signal ended the process before the loader passed control to the program,
 /// which could not have handled it. The loader writes its statistics just before.
 bool router_supervisor::ended_while_loading(const harness::child_process& process, int exit_code) {
-    if (exit_code != signal_base + SIGHUP && exit_code != signal_base + SIGTERM) {
+    if (!may_end_while_loading(exit_code - signal_base)) {
         return false;
     }
     const std::string start = std::to_string(process.id()) + ":";
@@ -130,16 +140,25 @@
 }
 
 void router_supervisor::start(const router_start& how) {
+    const auto started_at = steady::now();
+    const auto is_overdue = [&] {
+        const std::scoped_lock lock{mutex_};
+        return steady::now() >= std::max(started_at, last_signal_at_) + start_timeout;
+    };
     launch(how);
-    for (int starts = 1; !wait_listening(); ++starts) {
+    while (!wait_listening()) {
         if (!has_ended_by_itself()) {
             kill();
         }
-        if (starts == max_starts) {
+        if (is_overdue()) {
             throw std::runtime_error(name_ + " did not start; see its log, " + node_.log);
         }
+        std::this_thread::sleep_for(restart_pause);
         launch({});
     }
+    if (is_overdue()) {
+        checker_.add_violation(name_ + " was not ready within 15 s: " + last_log_lines());
+    }
 }
 
 void router_supervisor::kill() {
--- a/tests/soak/router_supervisor.hpp
+++ b/tests/soak/router_supervisor.hpp
@@ -54,10 +54,11 @@
     std::vector<std::uint16_t> ports() const;
     pid_t process_id() const;
 
-    void signal(int number) const;
+    void signal(int number);
 
-    /// Starts a process and waits until it listens. One that ends before is a violation,
-    /// and others are started in its place.
+    /// Starts a process and waits until it listens. One that ends before is a violation, unless a
+    /// signal ended it while it was loaded. Others are started in its place, until none is ready
+    /// within the time for a start after the last signal.
     void start(const router_start& how);
 
     /// Starts a process with the standard output that is drawn for it.
@@ -92,7 +93,7 @@
 private:
     harness::process_options draw_options();
     void tell_to_stop();
-    void send_signals(const std::vector<delayed_signal>& signals) const;
+    void send_signals(const std::vector<delayed_signal>& signals);
     bool wait_listening();
     bool has_ended_by_itself();
     void await_end(harness::child_process& process, std::chrono::steady_clock::time_point told_at);
@@ -112,6 +113,7 @@
     bool may_end_ = false;     ///< the process was told to end, or its end has been reported
     bool memory_reported_ = false;
     std::atomic<std::size_t> ends_while_loading_{0};
+    std::chrono::steady_clock::time_point last_signal_at_; ///< that may end a process while it is loaded
     std::chrono::steady_clock::time_point told_at_;
     /// Time from which the process that was told to stop last may cut requests.
     std::chrono::steady_clock::time_point may_cut_at_ = std::chrono::steady_clock::time_point::max();
