Soak with links to upstreams that are silent for 0.5 to 1.9 s

`silent_links` holds back the bytes of both directions, ends of connections included, between some routers and some workers, and drops the routers' packets half of the time so that connects hang, too. A response may be late for it, but neither 502 nor cut before the caller's deadline (100 ms less).

--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -17,6 +17,7 @@
     void (*inject)(soak_run&, std::mt19937_64&); ///< returns when the fault is over
     bool disturbs_upstreams = false;
     bool disturbs_engines = false;
+    bool silences_links = false;
 };
 
 /// Faults of routers, workers, links and the store. The first `router_fault_count` of
--- a/tests/soak/fleet_faults.cpp
+++ b/tests/soak/fleet_faults.cpp
@@ -8,9 +8,11 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <csignal>
+#include <iterator>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace citronwick::soak {
 
@@ -180,6 +182,34 @@
     set_all("{}");
 }
 
+/// Links between some routers and some workers are silent and go on: bytes are kept back, and packets
+/// of the routers are lost at times, so that connects hang.
+void silence_links(soak_run& run, std::mt19937_64& random) {
+    boost::json::array sources;
+    const std::size_t first = random() % run.routers.size();
+    const std::size_t count = 1 + random() % run.routers.size();
+    for (std::size_t index = first; index < first + count; ++index) {
+        sources.emplace_back(run.fleet.routers()[index % run.routers.size()].source_address);
+    }
+    boost::json::object fault{{"held_sources", sources}};
+    if (random() % 2 == 0) {
+        fault["dropped_sources"] = sources;
+    }
+    std::vector<const node*> workers;
+    for (const auto* const each : {&run.fleet.plain_workers(), &run.fleet.engines()}) {
+        std::ranges::transform(*each, std::back_inserter(workers),
+                               [](const node& worker) { return &worker; });
+    }
+    std::erase_if(workers, [&](const node*) { return random() % 2 == 0; });
+    const auto time = pick_time(random, 500, 1'900);
+    const auto set_faults = [&](const std::string& json) {
+        std::ranges::for_each(workers, [&](const node* worker) { run.set_link_fault(*worker, json); });
+    };
+    set_faults(boost::json::serialize(fault));
+    std::this_thread::sleep_for(time);
+    set_faults("{}");
+}
+
 constexpr bool disturbs_upstreams = true;
 
 constexpr std::array faults{
@@ -199,7 +229,10 @@
     fault{"cut_from_upstreams", &cut_from_upstreams, disturbs_upstreams},
 };
 
-constexpr std::array faults_by_name{fault{"copy_refusals", &copy_refusals}};
+constexpr std::array faults_by_name{
+    fault{"copy_refusals", &copy_refusals},
+    fault{.name = "silent_links", .inject = &silence_links, .silences_links = true},
+};
 
 } // namespace
 
--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -11,7 +11,9 @@
 
 /// Time after a caller's deadline within which the final response must arrive.
 constexpr auto response_margin = 1s;
-constexpr auto deadline = 2s;
+/// Time before a caller's deadline from which on a router may give a response up.
+constexpr auto deadline_precision = 100ms;
+
 bool means_not_run(unsigned status) {
     constexpr std::array statuses{408U, 421U, 429U, 503U};
     return std::ranges::find(statuses, status) != statuses.end();
@@ -72,22 +74,38 @@
         (request.reused_connection ? "a kept connection to " : "a new connection to ") + request.router;
     if (request.response.status == 0) {
         add_request_violation(request, "sent on " + connection + " and ended without a response");
-    } else if (request.upstreams_were_undisturbed) {
+    } else if (request.upstreams_were_undisturbed && !request.links_were_silent) {
         add_request_violation(request, "sent on " + connection + " and its response is incomplete");
     }
 }
 
+/// Silent links may make a response late, which no router may take for a failure.
+void guarantee_checker::check_silence(const observed_request& request) {
+    const bool is_checked = request.links_were_silent && request.upstreams_were_undisturbed &&
+                            request.router_was_undisturbed && request.was_sent;
+    if (!is_checked || request.elapsed >= request.deadline - deadline_precision) {
+        return;
+    }
+    constexpr unsigned bad_gateway = 502;
+    if (request.response.status == bad_gateway) {
+        add_request_violation(request, "the response of a sound worker was given up before the deadline");
+    } else if (request.response.status != 0 && !request.response.error.empty()) {
+        add_request_violation(request, "the response of a sound worker was cut before the deadline");
+    }
+}
+
 void guarantee_checker::record(observed_request request) {
     const std::scoped_lock lock{mutex_};
     check_body(request);
     check_answered(request);
+    check_silence(request);
     const auto revoked = revoked_keys_.find(request.key);
     constexpr unsigned ok = 200;
     if (revoked != revoked_keys_.end() && request.sent_at > revoked->second + key_lifetime_ &&
         request.response.status == ok) {
         add_request_violation(request, "a revoked key is still served");
     }
-    if (request.router_was_undisturbed && request.elapsed > deadline + response_margin) {
+    if (request.router_was_undisturbed && request.elapsed > request.deadline + response_margin) {
         add_request_violation(request, "no final response by the deadline");
     }
     requests_.push_back(std::move(request));
--- a/tests/soak/guarantee_checker.hpp
+++ b/tests/soak/guarantee_checker.hpp
@@ -32,7 +32,9 @@
     bool router_was_undisturbed = true; ///< neither paused nor stopped meanwhile
     bool router_had_to_answer = true;   ///< neither paused nor killed meanwhile, nor at the end of its grace
     bool upstreams_were_undisturbed = true; ///< nor the links to them
-    bool was_sent = true;                   ///< whole, before the router closed the connection
+    bool links_were_silent = false;         ///< between routers and upstreams, for a while
+    std::chrono::milliseconds deadline{0};
+    bool was_sent = true; ///< whole, before the router closed the connection
     bool reused_connection = false;
     harness::reply response;
 };
@@ -76,6 +78,7 @@
 
 private:
     void add_request_violation(const observed_request& request, std::string_view description);
+    void check_silence(const observed_request& request);
     void check_body(const observed_request& request);
     void check_stream(const observed_request& request, bool is_complete);
     void check_answered(const observed_request& request);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,6 +31,7 @@
 
 Usage:
   citronsoak --seed N [--seconds S] [--routers R] [--callers C] [--memory MB] [--only FAULT]
+             [--deadline MS] [--booking-bytes B]
   citronsoak (-h | --help)
 
 Options:
@@ -48,9 +49,11 @@
                 replace_on_same_ports held_port few_descriptors idle_callers
                 unfinished_bodies slow_router kill_engine close_streams
                 unframed_streams resume_elsewhere full_buffers;
-                not drawn unless named: brittle_upstreams copy_refusals;
+                not drawn unless named: brittle_upstreams copy_refusals silent_links;
                 and, as known to break guarantees, not drawn unless named:
                 close_unframed_streams omit_resumed.
+  --deadline MS  Time that callers give each request [default: 2000].
+  --booking-bytes B  Least size of the bodies of bookings [default: 0].
 
 Exit codes: 0 every guarantee held, 1 one was violated, 2 bad usage, 3 a process did not start.
 )";
@@ -79,6 +82,10 @@
     if (drawn.disturbs_engines) {
         engines.emplace(run.engine_disturbances);
     }
+    std::optional<disturbance> links;
+    if (drawn.silences_links) {
+        links.emplace(run.link_silences);
+    }
     drawn.inject(run, random);
 }
 
@@ -241,7 +248,9 @@
             .callers = static_cast<std::size_t>(arguments.at("--callers").asLong()),
             .memory_bytes = static_cast<std::uint64_t>(megabytes) * bytes_per_megabyte,
             .limits_memory = limits_memory,
-            .only = arguments.at("--only") ? arguments.at("--only").asString() : std::string{}};
+            .only = arguments.at("--only") ? arguments.at("--only").asString() : std::string{},
+            .deadline = std::chrono::milliseconds{arguments.at("--deadline").asLong()},
+            .booking_bytes = static_cast<std::size_t>(arguments.at("--booking-bytes").asLong())};
 }
 
 } // namespace
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -152,14 +152,15 @@
     std::int64_t last_event = 0; ///< that the caller has of it
 };
 
-harness::call make_call(const caller_request& request, const std::string& attempt) {
+harness::call make_call(const caller_request& request, const std::string& attempt,
+                        std::chrono::milliseconds deadline) {
     harness::call made{.method = request.kind == request_kind::read ? "GET" : "POST",
                        .target = request_paths.at(static_cast<std::size_t>(request.kind)),
                        .body = request.body,
                        .headers = {{"Host", "shop.example"},
                                    {"X-Api-Key", request.key},
                                    {"Citronwick-Attempt-Id", attempt},
-                                   {"Citronwick-Deadline-Ms", "2000"}},
+                                   {"Citronwick-Deadline-Ms", std::to_string(deadline.count())}},
                        .timeout = caller_timeout};
     if (!request.stream.empty()) {
         made.headers.emplace_back("Resumes", request.stream);
@@ -176,13 +177,15 @@
     const auto planned_stops = router.planned_stops().now();
     const auto upstream_disturbances = run.upstream_disturbances.now();
     const auto engine_disturbances = run.engine_disturbances.now();
+    const auto link_silences = run.link_silences.now();
     observed_request observed{.attempt = attempt,
                               .kind = request.kind,
                               .key = request.key,
                               .router = router.name(),
                               .stream = request.stream,
-                              .sent_at = steady::now()};
-    auto result = client.send(make_call(request, attempt));
+                              .sent_at = steady::now(),
+                              .deadline = run.options.deadline};
+    auto result = client.send(make_call(request, attempt, run.options.deadline));
     const auto ended_at = steady::now();
     observed.response = std::move(result.response);
     observed.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(ended_at - observed.sent_at);
@@ -200,6 +203,7 @@
     observed.upstreams_were_undisturbed =
         was_quiet(run.upstream_disturbances, upstream_disturbances) &&
         (!is_stream || was_quiet(run.engine_disturbances, engine_disturbances));
+    observed.links_were_silent = !was_quiet(run.link_silences, link_silences);
     const bool has_response = observed.response.status != 0;
     run.checker.record(std::move(observed));
     return has_response;
@@ -255,6 +259,9 @@
         const std::string key = random() % 4 == 0 ? "second-key" : "club-key";
         caller_request request{
             .kind = kind, .key = key, .body = kind == request_kind::read ? "" : "a cup " + attempt};
+        if (kind == request_kind::book) {
+            request.body.resize(std::max(request.body.size(), run.options.booking_bytes), '.');
+        }
         if (kind == request_kind::resumable && stream_random() % 4 != 0) {
             request.body.resize(large_body_bytes, '.');
         }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -32,6 +32,8 @@
     std::uint64_t memory_bytes = 0; ///< that a router may use
     bool limits_memory = false;     ///< whether routers are set to that instead of their default
     std::string only{};             ///< name of the only fault, empty for all
+    std::chrono::milliseconds deadline{0};
+    std::size_t booking_bytes = 0; ///< of the bodies of bookings, at least
 };
 
 /// State shared by the threads that send requests and those that inject faults.
@@ -45,6 +47,7 @@
     std::deque<router_supervisor> routers;
     disturbance_count upstream_disturbances;
     disturbance_count engine_disturbances; ///< others, which excuse incomplete streams only
+    disturbance_count link_silences;       ///< between routers and upstreams, which excuse lateness only
     std::atomic<bool> stopping{false};
     std::atomic<int> load_pauses{0}; ///< callers send nothing while there is one
     std::atomic<int> requests_in_flight{0};
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -84,11 +84,12 @@
     faults_.refused_sources = {sources.begin(), sources.end()};
     const auto newly_refused = string_array_member(fault_settings, "newly_refused_sources");
     faults_.newly_refused_sources = {newly_refused.begin(), newly_refused.end()};
+    const auto held = string_array_member(fault_settings, "held_sources");
+    faults_.held_sources = {held.begin(), held.end()};
     drop_packets(string_array_member(fault_settings, "dropped_sources"));
     const auto silenced = string_array_member(fault_settings, "silenced_sources");
     for (const auto& pair : connections_) {
-        boost::system::error_code ignored;
-        const std::string source = pair->caller.remote_endpoint(ignored).address().to_string();
+        const std::string& source = pair->source;
         const bool is_silenced = std::ranges::find(silenced, source) != silenced.end();
         pair->blackholed = pair->blackholed || faults_.blackhole || is_silenced;
         pair->was_silent = false;
@@ -140,7 +141,8 @@
             continue;
         }
         boost::system::error_code ignored;
-        const std::string source = pair->caller.remote_endpoint(ignored).address().to_string();
+        pair->source = pair->caller.remote_endpoint(ignored).address().to_string();
+        const std::string& source = pair->source;
         if (is_refused(source) || faults_.newly_refused_sources.contains(source)) {
             pair->caller.set_option(asio::socket_base::linger{true, 0}, ignored);
             pair->close();
@@ -172,6 +174,7 @@
     while (true) {
         const auto space = asio::buffer(buffer);
         auto [error, size] = co_await from.async_read_some(space, use_tuple);
+        co_await wait_while_held(pair);
         if (error) {
             break;
         }
@@ -203,6 +206,12 @@
     connections_.erase(pair);
 }
 
+task<void> fault_proxy::wait_while_held(std::shared_ptr<connection_pair> pair) const {
+    while (faults_.held_sources.contains(pair->source)) {
+        co_await sleep_for(5ms);
+    }
+}
+
 /// Writes bytes, and holds back those behind the point at which the connection falls silent.
 /// @return number of bytes that were written
 task<std::size_t> fault_proxy::write_around_silence(std::shared_ptr<connection_pair> pair, bool to_target,
--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -39,6 +39,9 @@
         std::set<std::string> refused_sources; ///< source addresses whose traffic is refused
         /// Source addresses whose new connections are reset when they have been accepted; open ones live on.
         std::set<std::string> newly_refused_sources;
+        /// Source addresses whose bytes, ends of connections included, are kept in both directions until
+        /// the fault ends.
+        std::set<std::string> held_sources;
     };
 
     /// A connection from a caller and the one to the target that carries its bytes.
@@ -46,6 +49,7 @@
         explicit connection_pair(asio::io_context& context) : caller{context}, target{context} {}
         asio::ip::tcp::socket caller;
         asio::ip::tcp::socket target;
+        std::string source; ///< address of the caller
         bool blackholed = false;
         bool was_silent = false; ///< by the active faults
         time_point silent_until;
@@ -61,6 +65,7 @@
     task<void> forward_bytes(std::shared_ptr<connection_pair> pair, bool to_target);
     task<std::size_t> write_around_silence(std::shared_ptr<connection_pair> pair, bool to_target,
                                            std::string_view bytes);
+    task<void> wait_while_held(std::shared_ptr<connection_pair> pair) const;
     task<void> relay_datagrams();
     void apply_faults(const boost::json::object& fault_settings);
     void drop_packets(const std::vector<std::string>& sources);
