Take no unanswered connect for the end of an upstream's process

Callers got 502, or a stream that ended broken, for sound responses without length or chunks whose upstream was silent for a second behind them.

The router connects to the upstream behind such a response, since the end of the connection does not show whether the process has ended. It took a connect that nobody answered within 300 ms for the end. Only a refused or reset connect tells of the process, so an unanswered one is now repeated as long as sound upstreams may be silent, and within the request's deadline. An upstream that never answers is still not believed.

--- a/packages/policy/include/citronwick/policy/dead_peer_timing.hpp
+++ b/packages/policy/include/citronwick/policy/dead_peer_timing.hpp
@@ -35,6 +35,9 @@
     duration longest_unacknowledged_silence(duration retransmission_timeout) const;
 };
 
+/// Sound upstreams may be silent for less than this.
+inline constexpr std::chrono::seconds longest_sound_silence{2};
+
 /// For connections to upstreams: no silence of less than 2 s ends one whose round trip is up to 30 ms, and
 /// a dead peer is noticed 3 to 4 s after its silence began.
 inline constexpr dead_peer_timing upstream_dead_peer_timing{.keepalive_idle = std::chrono::seconds{1},
--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/spawn.hpp"
+#include "citronwick/policy/dead_peer_timing.hpp"
 #include "citronwick/traffic/tunnel_opener.hpp"
 
 #include <algorithm>
@@ -21,9 +22,39 @@
 
 /// Time for an upstream that ends to close its listener after its connections.
 constexpr std::chrono::milliseconds probe_delay = 100ms;
-constexpr std::chrono::milliseconds connect_timeout = crash_probe::longest_time - probe_delay;
+/// Time for one round of connects.
+constexpr std::chrono::milliseconds connect_timeout = crash_probe::shortest_time - probe_delay;
 /// Time for the reset of a connection that such an upstream had not accepted.
 constexpr std::chrono::milliseconds reset_delay = 10ms;
+/// Time after which an upstream that still answers no connect is not taken for a sound one. The last
+/// round begins behind the longest silence of those.
+constexpr auto longest_silence =
+    std::chrono::duration_cast<std::chrono::milliseconds>(longest_sound_silence) + connect_timeout;
+
+/// Whether a connect tells of the process. One without an answer tells of the way to it only.
+bool is_answer(const boost::system::error_code& error) {
+    return !error || error == asio::error::connection_refused || error == asio::error::connection_reset;
+}
+
+task<boost::system::error_code> connect_once(boost::beast::tcp_stream& stream, endpoint address,
+                                             std::chrono::milliseconds timeout) {
+    const auto peer = to_tcp(address);
+    open_outbound(stream.socket(), peer);
+    stream.expires_after(std::min(timeout, connect_timeout));
+    auto [error] = co_await stream.async_connect(peer, use_tuple);
+    co_return error;
+}
+
+/// Waits for the end of a round of connects.
+task<void> wait_for_next_round(time_point begin, time_point end) {
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer{executor, std::min(begin + connect_timeout, end)};
+    co_await timer.async_wait(use_tuple);
+}
+
+std::chrono::milliseconds time_until(time_point end) {
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(end - clock::now()), 1ms);
+}
 
 } // namespace
 
@@ -60,23 +91,43 @@
     co_return read_error ? read_error : asio::error::connection_reset;
 }
 
-task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address, tunnel_opener* tunnels,
+task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address,
+                                                                 std::chrono::milliseconds timeout,
+                                                                 tunnel_opener* tunnels,
                                                                  std::optional<fleet_peer> through) {
     const auto executor = co_await asio::this_coro::executor;
+    const auto end = clock::now() + std::min(timeout, probe_delay + longest_silence);
     asio::steady_timer timer{executor, probe_delay};
     co_await timer.async_wait(use_tuple);
+    while (true) {
+        const auto begin = clock::now();
+        endpoint asked = address;
+        auto way = through;
+        const auto error =
+            co_await connect_directly_or_through(std::move(asked), tunnels, std::move(way), time_until(end));
+        if (is_answer(error) || clock::now() >= end) {
+            co_return error;
+        }
+        co_await wait_for_next_round(begin, end);
+    }
+}
+
+task<boost::system::error_code> crash_probe::connect_directly_or_through(endpoint address,
+                                                                         tunnel_opener* tunnels,
+                                                                         std::optional<fleet_peer> through,
+                                                                         std::chrono::milliseconds timeout) {
+    const auto ask_timeout = std::min(timeout, connect_timeout);
     if (tunnels != nullptr && (through || tunnels->is_needed())) {
-        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(through), connect_timeout);
+        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(through), ask_timeout);
         co_return told;
     }
-    const auto peer = to_tcp(address);
+    const auto executor = co_await asio::this_coro::executor;
     boost::beast::tcp_stream stream{executor};
-    open_outbound(stream.socket(), peer);
-    stream.expires_after(connect_timeout);
-    auto [error] = co_await stream.async_connect(peer, use_tuple);
+    endpoint asked = address;
+    const auto error = co_await connect_once(stream, std::move(asked), timeout);
     if (error == asio::error::connection_refused && tunnels != nullptr) {
         std::optional<fleet_peer> any;
-        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(any), connect_timeout);
+        auto told = co_await ask_peers(std::move(address), *tunnels, std::move(any), ask_timeout);
         co_return told ? error : told;
     }
     co_return error;
@@ -84,30 +135,48 @@
 
 task<bool> crash_probe::lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
                                  std::optional<fleet_peer> through) {
+    const auto end = clock::now() + std::min(timeout, longest_silence);
+    while (true) {
+        const auto begin = clock::now();
+        endpoint asked = address;
+        auto way = through;
+        const auto lives =
+            co_await find_whether_it_lives(std::move(asked), time_until(end), tunnels, std::move(way));
+        if (lives || clock::now() >= end) {
+            co_return lives.value_or(false);
+        }
+        co_await wait_for_next_round(begin, end);
+    }
+}
+
+task<std::optional<bool>> crash_probe::find_whether_it_lives(endpoint address,
+                                                             std::chrono::milliseconds timeout,
+                                                             tunnel_opener* tunnels,
+                                                             std::optional<fleet_peer> through) {
+    std::optional<bool> lives;
     const bool is_direct = !through && (tunnels == nullptr || !tunnels->is_needed());
     if (is_direct) {
         endpoint asked = address;
-        const bool lives = co_await lives_on_directly(std::move(asked), timeout);
-        if (lives || tunnels == nullptr) {
+        lives = co_await find_directly_whether_it_lives(std::move(asked), timeout);
+        if (lives == true || tunnels == nullptr) {
             co_return lives;
         }
     }
     const auto ask_timeout = std::min(timeout, connect_timeout);
     const auto error = co_await ask_peers(std::move(address), *tunnels, std::move(through), ask_timeout);
-    co_return !error;
+    co_return is_answer(error) ? std::optional{!error} : lives;
 }
 
-task<bool> crash_probe::lives_on_directly(endpoint address, std::chrono::milliseconds timeout) {
+task<std::optional<bool>> crash_probe::find_directly_whether_it_lives(endpoint address,
+                                                                      std::chrono::milliseconds timeout) {
     const auto executor = co_await asio::this_coro::executor;
-    const auto peer = to_tcp(address);
     boost::beast::tcp_stream first{executor};
-    open_outbound(first.socket(), peer);
-    first.expires_after(std::min(timeout, connect_timeout));
-    auto [error] = co_await first.async_connect(peer, use_tuple);
+    endpoint asked = address;
+    const auto error = co_await connect_once(first, std::move(asked), timeout);
     // The kernel resets connections that a process has not accepted when it closes the listener.
     // The reset may be found while connecting.
     if (error && error != asio::error::connection_reset) {
-        co_return false;
+        co_return is_answer(error) ? std::optional{false} : std::nullopt;
     }
     if (!error) {
         std::array<char, 1> byte{};
@@ -120,15 +189,15 @@
     }
     // An upstream that has too many connections resets some as well, but does not refuse the next one.
     boost::beast::tcp_stream second{executor};
-    open_outbound(second.socket(), peer);
-    second.expires_after(std::min(timeout, connect_timeout));
-    auto [second_error] = co_await second.async_connect(peer, use_tuple);
-    co_return !second_error || second_error == asio::error::connection_reset;
+    const auto second_error = co_await connect_once(second, std::move(address), timeout);
+    co_return is_answer(second_error) ? std::optional{second_error != asio::error::connection_refused}
+                                      : std::nullopt;
 }
 
 task<void> crash_probe::run(endpoint address, std::uint64_t upstream) {
     std::optional<fleet_peer> direct;
-    const auto error = co_await connect_after_pause(std::move(address), &tunnels_, std::move(direct));
+    const auto error =
+        co_await connect_after_pause(std::move(address), shortest_time, &tunnels_, std::move(direct));
     in_progress_.erase(upstream);
     // Others that are asked may be cut without knowing.
     if (error == asio::error::connection_refused && !tunnels_.is_needed()) {
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -31,19 +31,25 @@
     /// Connects to an upstream that has just closed a connection. Waits before, as a process that
     /// ends closes its listener after its connections. If this router is refused or cut from the
     /// upstreams, others are asked.
+    /// A connect that is not answered says nothing of the process, so it is repeated as long as sound
+    /// upstreams may be silent.
+    /// @param timeout for all of it, `shortest_time` for a single round of connects
     /// @param tunnels way through other routers, if there may be one
     /// @param through router that relayed the connection, if it was not direct; it must live on, too
     /// @return why no connection was accepted; refused if the process has ended
-    static task<boost::system::error_code> connect_after_pause(endpoint address, tunnel_opener* tunnels,
+    static task<boost::system::error_code> connect_after_pause(endpoint address,
+                                                               std::chrono::milliseconds timeout,
+                                                               tunnel_opener* tunnels,
                                                                std::optional<fleet_peer> through);
 
-    /// Longest time that `connect_after_pause` takes.
-    static constexpr std::chrono::milliseconds longest_time{400};
+    /// Time that `connect_after_pause` needs.
+    static constexpr std::chrono::milliseconds shortest_time{400};
 
     /// Whether the process of an upstream that has just closed a connection outlives it: it accepts
     /// another connection and does not reset it within a moment. A process that ends after this
-    /// moment, or one that takes over the address, is not told from one that lives on.
-    /// @param timeout for each connection
+    /// moment, or one that takes over the address, is not told from one that lives on. Connects that
+    /// are not answered are repeated as above.
+    /// @param timeout for all of it
     /// @param tunnels, through as above
     static task<bool> lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
                                std::optional<fleet_peer> through);
@@ -54,7 +60,17 @@
     static task<boost::system::error_code> ask_peers(endpoint address, tunnel_opener& tunnels,
                                                      std::optional<fleet_peer> through,
                                                      std::chrono::milliseconds timeout);
-    static task<bool> lives_on_directly(endpoint address, std::chrono::milliseconds timeout);
+    static task<boost::system::error_code> connect_directly_or_through(endpoint address,
+                                                                       tunnel_opener* tunnels,
+                                                                       std::optional<fleet_peer> through,
+                                                                       std::chrono::milliseconds timeout);
+    /// @return empty if nothing answered
+    static task<std::optional<bool>> find_whether_it_lives(endpoint address,
+                                                           std::chrono::milliseconds timeout,
+                                                           tunnel_opener* tunnels,
+                                                           std::optional<fleet_peer> through);
+    static task<std::optional<bool>> find_directly_whether_it_lives(endpoint address,
+                                                                    std::chrono::milliseconds timeout);
 
     routing_plane& plane_;
     tunnel_opener& tunnels_;
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -56,11 +56,12 @@
 /// Whether the upstream accepts a connection after it has closed one, so that its process has not ended.
 /// The router that relayed the connection must not have ended either.
 task<bool> route_exchange::upstream_accepts(endpoint peer, std::optional<fleet_peer> through) {
-    if (remaining_time(clock::now()) <= crash_probe::longest_time) {
+    const auto time_left = remaining_time(clock::now());
+    if (time_left <= crash_probe::shortest_time) {
         co_return false;
     }
-    const auto error =
-        co_await crash_probe::connect_after_pause(std::move(peer), &context_.tunnels, std::move(through));
+    const auto error = co_await crash_probe::connect_after_pause(std::move(peer), time_left,
+                                                                 &context_.tunnels, std::move(through));
     // One beyond the limit of its connections resets some.
     co_return !error || error == asio::error::connection_reset;
 }
