Wait for an overdue response if no untried upstream is left

Callers got 502 within 0.4 to 0.7 s for reads and resumable streams whose upstream was silent for a second, long before their deadline.

An overdue response is given up for a repeat. `take_repeat` asked for attempts and retry budget only, so that it also gave up the last upstream: the placer then had none left, and the request failed. It now looks for an upstream that the request has not tried.

The new test with one upstream and a silence of 1.2 s fails before and passes after.

--- a/packages/traffic/src/route_connections.cpp
+++ b/packages/traffic/src/route_connections.cpp
@@ -133,4 +133,17 @@
     }
 }
 
+/// Whether the service has an upstream that this request has not tried.
+bool route_exchange::has_untried_upstream() const {
+    const auto view = context_.plane.view();
+    const auto found = view->upstreams.find(service_->name);
+    return found != view->upstreams.end() &&
+           std::ranges::any_of(found->second, [this](const routed_upstream& each) {
+               const auto& version = placement_request_.version;
+               const auto& tried = placement_request_.tried;
+               return (!version || each.entry.version == *version) &&
+                      std::ranges::find(tried, each.hash) == tried.end();
+           });
+}
+
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -247,7 +247,7 @@
     ++given_up.sent;
     given_up.time_left = remaining_time(clock::now()) > 0ms;
     given_up.caller_connected = !caller_.disconnected();
-    has_taken_repeat_ = may_try_elsewhere(given_up) && spend_retry_budget();
+    has_taken_repeat_ = may_try_elsewhere(given_up) && has_untried_upstream() && spend_retry_budget();
     return has_taken_repeat_;
 }
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -108,6 +108,7 @@
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
     bool take_repeat();
+    bool has_untried_upstream() const;
     bool give_up_response(upstream_connection& connection);
     std::chrono::milliseconds remaining_time(time_point now) const;
     void log_attempt(const exchange_result& result, duration elapsed) const;
--- a/tests/integration/silent_upstreams.tests.cpp
+++ b/tests/integration/silent_upstreams.tests.cpp
@@ -133,3 +133,11 @@
         std::ranges::count_if(answers, [](std::future<reply>& each) { return is_whole(each.get(), false); });
     CHECK(whole == requests);
 }
+
+// Guards against repeatable requests that are given up although no other upstream is left for them.
+TEST_CASE("proof: a repeatable request whose response is overdue is waited for if no upstream is left") {
+    routed_fleet system{{.routers = 1, .plain_workers = 1, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    set_proxy_fault(system.plain_workers()[0], R"({"silence_ms":1200,"silent_after_up":0})");
+    CHECK(is_whole(ask(system.routers()[0].address(), "/read/1", "only", ""), false));
+}
