--- a/packages/traffic/tests/crash_probe.tests.cpp
+++ b/packages/traffic/tests/crash_probe.tests.cpp
@@ -83,7 +83,8 @@
     replying_router other{context, reply};
     reach.set_directory({.key = "fleet key", .self = 1, .incarnation = 5, .live = {other.peer()}});
     tunnel_opener tunnels{context.get_executor(), reach};
-    return run(context, crash_probe::connect_after_pause(refusing_address(context), &tunnels, std::nullopt));
+    return run(context, crash_probe::connect_after_pause(refusing_address(context),
+                                                         crash_probe::shortest_time, &tunnels, std::nullopt));
 }
 
 } // namespace
