Count a router that is leaving as live until it is silent

Since routers of routes learn that another one is leaving, they took its roles, its part of brittle upstreams and its load away at once, while it still served its last requests: they logged `router_silent` and dropped its load 50 ms after the announcement, took it up again with its next report, and so on; a second watcher and coordinator stood beside it, and the routers disagreed on who is active. Found by a review; 'proof: a router ends with 0 soon after a permit was not answered' failed in a run of all tests for the same cause ("no permit was left unanswered": the stopped coordinator was none any more).

Membership now says what a leaving router counts as: not live for chats, as before; live for routes, as before. Only the ways through other routers need the announcement, and the directory names leaving routers apart for them.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -34,8 +34,11 @@
 /// removed after a timeout.
 class membership {
 public:
+    /// What a router that has announced its end counts as until it is silent.
+    enum class leaving_counts_as : std::uint8_t { not_live, live };
+
     /// @param self record of this router; its incarnation increases with each start
-    explicit membership(wire::member_record self);
+    explicit membership(wire::member_record self, leaving_counts_as leaving = leaving_counts_as::not_live);
 
     const wire::member_record& self() const { return self_; }
     std::uint64_t self_hash() const { return self_hash_; }
@@ -60,8 +63,8 @@
     /// @return false if no record of the sender with this incarnation is known yet
     bool record_message(const wire::header& from, time_point now);
 
-    /// Routers that sent a message within the silence timeout and are not leaving,
-    /// except this one.
+    /// Routers that sent a message within the silence timeout, except this one, and except those that
+    /// are leaving if these do not count as live.
     std::vector<const member*> live(time_point now) const;
 
     /// Routers that sent a message within the silence timeout and are leaving, except this one.
@@ -92,7 +95,7 @@
     std::size_t known_count() const { return others_.size(); }
 
     /// Hashes of the other routers that may still send requests: those with an entry in
-    /// the store, or live, except for those that announced their end and are silent.
+    /// the store, or live. If leaving ones do not count as live, those are active until they are silent.
     std::vector<std::uint64_t> active(time_point now) const;
     std::size_t active_count(time_point now) const { return active(now).size(); }
 
@@ -120,11 +123,13 @@
     duration silence_timeout() const;
 
 private:
+    bool has_left(const member& other) const;
     bool is_heard(const member& other, time_point now) const;
     bool is_live(const member& other, time_point now) const;
 
     wire::member_record self_;
     std::uint64_t self_hash_;
+    leaving_counts_as leaving_;
     std::map<std::uint64_t, member> others_;
     std::uint64_t gossip_cursor_ = 0;
     std::uint64_t target_cursor_ = 0;
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -29,7 +29,8 @@
 
 } // namespace
 
-membership::membership(wire::member_record self) : self_{std::move(self)}, self_hash_{hash64(self_.vm)} {}
+membership::membership(wire::member_record self, leaving_counts_as leaving)
+    : self_{std::move(self)}, self_hash_{hash64(self_.vm)}, leaving_{leaving} {}
 
 bool membership::merge(const wire::member_record& record, time_point now) {
     const std::uint64_t hash = hash64(record.vm);
@@ -78,12 +79,16 @@
     return base_silence_timeout + 2 * rounds * heartbeat_interval;
 }
 
+bool membership::has_left(const member& other) const {
+    return other.record.leaving && leaving_ == leaving_counts_as::not_live;
+}
+
 bool membership::is_heard(const member& other, time_point now) const {
     return other.last_heard_at && now - *other.last_heard_at < silence_timeout();
 }
 
 bool membership::is_live(const member& other, time_point now) const {
-    return is_heard(other, now) && !other.record.leaving;
+    return is_heard(other, now) && !has_left(other);
 }
 
 std::vector<const member*> membership::live(time_point now) const {
@@ -139,7 +144,7 @@
         const bool is_new = !other.last_heard_at && now - other.discovered_at < silence_timeout();
         const bool is_here =
             other.record.failure_domain == self_.failure_domain && other.record.region == self_.region;
-        if (is_here && !other.record.leaving && (is_new || is_live(other, now))) {
+        if (is_here && !has_left(other) && (is_new || is_live(other, now))) {
             found.push_back(&other);
         }
     }
@@ -166,7 +171,7 @@
 std::vector<std::uint64_t> membership::active(time_point now) const {
     const auto is_active = [&](const member& other) {
         const bool is_silent = !other.last_heard_at || now - *other.last_heard_at >= base_silence_timeout;
-        return other.record.leaving ? !is_silent : other.is_registered || is_live(other, now);
+        return has_left(other) ? !is_silent : other.is_registered || is_live(other, now);
     };
     auto found = others_ | std::views::values | std::views::filter(is_active) |
                  std::views::transform(&member::hash) | std::views::common;
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -41,7 +41,7 @@
                            upstream_observations& observations, suspect_registry& suspects,
                            upstream_limits& limits, const begun_streams& streams, peer_callbacks callbacks)
     : settings_{settings}, observations_{observations}, callbacks_{std::move(callbacks)},
-      envelope_{random_id()}, members_{self_record(settings)},
+      envelope_{random_id()}, members_{self_record(settings), membership::leaving_counts_as::live},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
@@ -121,7 +121,9 @@
     const auto to_peer = [](const member* other) {
         return fleet_peer{other->hash, other->record.incarnation, other->address};
     };
-    std::ranges::transform(members_.live(now), std::back_inserter(known.live), to_peer);
+    const auto stays = [](const member* other) { return !other->record.leaving; };
+    auto staying = members_.live(now) | std::views::filter(stays);
+    std::ranges::transform(staying, std::back_inserter(known.live), to_peer);
     std::ranges::transform(members_.heard_leaving(now), std::back_inserter(known.leaving), to_peer);
     return known;
 }
--- a/tests/integration/relaying_routers.tests.cpp
+++ b/tests/integration/relaying_routers.tests.cpp
@@ -158,3 +158,17 @@
     }
     CHECK(failures == 0);
 }
+
+TEST_CASE("proof: a router that leaves does not count as silent while it serves its last requests") {
+    routed_fleet system{{.routers = 3, .plain_workers = 4, .balancer_lag = 1s}};
+    REQUIRE(system.wait_ready());
+    node& leaving = system.routers()[0];
+    const node& other = system.routers()[1];
+    set_faults(system.plain_workers(), R"({"delay_ms":600})");
+    leaving.process->signal(SIGTERM);
+    auto last = start_bookings(system, leaving, "last", 12, 50ms);
+    REQUIRE(wait_until([&] { return !find_log_lines(other, "leaving=yes").empty(); }));
+    CHECK(count_failures(last) == 0);
+    CHECK(find_log_lines(other, "router_silent").empty());
+    CHECK(leaving.process->wait(5s) == 0);
+}
