Lend no places on upstreams whose load counts are trusted beyond the parts

A router that gets most of the load could send a brittle upstream more than it runs and may refuse: with 24 slots and 3 routers its own limit is 18, since counts are trusted where there are four slots and more for each router, and it borrowed 8 places from each of the two idle ones, 34 in all.

Such upstreams are left out of lending, by lender and borrower: the router with the load gets three quarters of the slots there without it.

--- a/packages/fleet/src/routing_view.cpp
+++ b/packages/fleet/src/routing_view.cpp
@@ -21,7 +21,12 @@
         const auto found = std::ranges::find(
             upstreams, upstream, [](const routed_upstream& each) { return short_hash(each.hash); });
         if (found != upstreams.end()) {
-            const brittle_places places{found->hash, found->entry.slots, 0.0, view.self, view.active_routers};
+            if (!are_places_lent(found->entry.slots, view.active_routers.size())) {
+                return std::nullopt;
+            }
+            constexpr double no_refusals = 0.0; // only what exceeds the part depends on them
+            const brittle_places places{found->hash, found->entry.slots, no_refusals, view.self,
+                                        view.active_routers};
             return lendable_places{found->load, places.own()};
         }
     }
--- a/packages/policy/include/citronwick/policy/brittle_places.hpp
+++ b/packages/policy/include/citronwick/policy/brittle_places.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_POLICY_BRITTLE_PLACES_HPP_INCLUDED
 #define CITRONWICK_POLICY_BRITTLE_PLACES_HPP_INCLUDED
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <vector>
@@ -47,6 +48,10 @@
 std::vector<std::uint64_t> place_holders(std::uint64_t upstream, std::uint32_t slots,
                                          std::span<const std::uint64_t> routers);
 
+/// Whether routers lend each other places on a brittle upstream. They do not where load counts are
+/// trusted beyond the parts: what is lent besides could exceed the slots.
+bool are_places_lent(std::uint32_t slots, std::size_t routers);
+
 } // namespace citronwick
 
 #endif
--- a/packages/policy/src/brittle_places.cpp
+++ b/packages/policy/src/brittle_places.cpp
@@ -17,7 +17,7 @@
 constexpr double spare_share = 0.6;
 /// Slots for each router from which load counts are trusted: the requests of so large an
 /// upstream last for many times the age of the counts.
-constexpr std::int32_t trusted_slots_per_router = 4;
+constexpr std::size_t trusted_slots_per_router = 4;
 /// Part of the slots of such an upstream that is left for requests that are not counted yet.
 constexpr std::int32_t uncounted_part = 4;
 
@@ -62,7 +62,7 @@
     }
     const std::int32_t free = std::max(slots_ - load.remote_in_flight, 0);
     std::int32_t most = std::max(own_, std::min(own_ + spare_, free));
-    if (slots_ >= trusted_slots_per_router * routers_) {
+    if (!are_places_lent(static_cast<std::uint32_t>(slots_), static_cast<std::size_t>(routers_))) {
         most = std::max(most, free - std::max(routers_, slots_ / uncounted_part));
     }
     return most;
@@ -79,4 +79,8 @@
     return holders;
 }
 
+bool are_places_lent(std::uint32_t slots, std::size_t routers) {
+    return slots < trusted_slots_per_router * routers;
+}
+
 } // namespace citronwick
--- a/packages/policy/tests/brittle_places.tests.cpp
+++ b/packages/policy/tests/brittle_places.tests.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 #include <limits>
 #include <numeric>
+#include <ranges>
 #include <vector>
 
 using namespace citronwick;
@@ -84,3 +85,19 @@
         }
     }
 }
+
+TEST_CASE("a router with all of the load gets no more places than the slots and the refusals allow") {
+    constexpr double refusals_per_second = 5.0;
+    for (const std::size_t routers : {3, 9}) {
+        const auto fleet = fleet_of(routers);
+        for (const std::uint32_t slots : {3, 6, 24, 36, 100}) {
+            const brittle_places busy{upstream, slots, refusals_per_second, fleet.front(), fleet};
+            int most = busy.allowed({});
+            for (const std::uint64_t idle : fleet | std::views::drop(1)) {
+                const brittle_places lender{upstream, slots, refusals_per_second, idle, fleet};
+                most += are_places_lent(slots, routers) ? lender.own() : 0;
+            }
+            CHECK(most <= static_cast<int>(slots) + 3);
+        }
+    }
+}
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -78,6 +78,9 @@
 /// nobody knows which places are free.
 std::optional<std::uint64_t> route_exchange::choose_lender(const routed_upstream& upstream, time_point now) {
     std::erase_if(context_.silent_lenders, [now](const auto& each) { return now >= each.second; });
+    if (!are_places_lent(upstream.entry.slots, view_->active_routers.size())) {
+        return std::nullopt;
+    }
     auto lenders = place_holders(upstream.hash, upstream.entry.slots, view_->active_routers);
     std::erase_if(lenders, [this](std::uint64_t router) {
         return router == view_->self || context_.silent_lenders.contains(router);
