Bound the pace at which the requests of a thread ask for places

Above the capacity of brittle upstreams each request that came to the head of the queue asked six routers for a place at once, whatever they had replied to the one before it, and the messages drew on the byte budget of the load reports, which then fell to one a second (by reading; the rate was not measured). A router that does not reply held the queue for up to 360 ms.

The interval belongs to the queue of a thread and service now, and doubles while the others have no place; as it bounds the bytes, the messages are not charged to the budget. The first router that does not reply ends a round. A loan of a stream lasts `caller_write_timeout` longer than its deadline, as its last events may be written until then.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -140,7 +140,7 @@
     void exchange_tables(time_point now);
     void relay_changes(const wire::gossip& message, std::uint64_t watcher, time_point now);
     void relay_table(const wire::gossip& message, time_point now);
-    void send_table(const wire::gossip& message, std::uint64_t to);
+    void send_uncharged(const wire::gossip& message, std::uint64_t to);
     coordinator_network make_coordinator_network();
     void send(const wire::gossip& message, const endpoint& to, time_point now);
     void send_to(const wire::gossip& message, std::uint64_t router, time_point now);
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -45,11 +45,10 @@
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
-      places_{callbacks_.places_to_lend,
-              [this](const wire::gossip& message, std::uint64_t to, time_point now) {
-                  send_to(message, to, now);
-              },
-              short_hash(hash64(random_id()))},
+      places_{
+          callbacks_.places_to_lend,
+          [this](const wire::gossip& message, std::uint64_t to, time_point) { send_uncharged(message, to); },
+          short_hash(hash64(random_id()))},
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
       streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
                                time_point now) { send_to(message, to, now); }},
@@ -288,7 +287,7 @@
     }
     for (const std::uint64_t aggregator :
          members_.assigned_in_other_domains(watcher_selector::role(), aggregators_per_domain, now)) {
-        send_table(tables->domain, aggregator);
+        send_uncharged(tables->domain, aggregator);
     }
     relay_table(tables->fleet, now);
 }
@@ -296,13 +295,13 @@
 void router_peers::relay_table(const wire::gossip& message, time_point now) {
     const wire::load_table_id& table_id = message.load_table_ids.front();
     for (const std::uint64_t child : children(table_id.aggregator, table_id.number, now)) {
-        send_table(message, child);
+        send_uncharged(message, child);
     }
 }
 
-/// Sends a table without charging the byte budget, since the interval between
-/// tables already bounds their bytes.
-void router_peers::send_table(const wire::gossip& message, std::uint64_t to) {
+/// Sends a message without charging the byte budget, since the interval between tables and that
+/// between requests for places bound their bytes already.
+void router_peers::send_uncharged(const wire::gossip& message, std::uint64_t to) {
     if (const auto address = members_.address_of(to)) {
         sent_bytes_ += channel_.send(message, *address);
     }
--- a/packages/traffic/src/place_queue.cpp
+++ b/packages/traffic/src/place_queue.cpp
@@ -1,5 +1,6 @@
 #include "place_queue.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -7,6 +8,11 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/// Bounds of the interval at which the requests of one queue ask for places of other routers.
+constexpr duration min_borrow_interval = 20ms;
+constexpr duration max_borrow_interval = 160ms;
 /// Weight of one request in the average time.
 constexpr int averaging_weight = 16;
 
@@ -49,6 +55,12 @@
     mean_held_ += (held - mean_held_) / averaging_weight;
 }
 
+void place_queue::record_borrowing(bool is_lent, time_point now) {
+    borrow_interval_ =
+        is_lent ? duration{0} : std::clamp(2 * borrow_interval_, min_borrow_interval, max_borrow_interval);
+    borrow_at_ = now + borrow_interval_;
+}
+
 void place_queue::wake_next() {
     if (!waiting_.empty()) {
         waiting_.begin()->second->timer_.cancel();
--- a/packages/traffic/src/place_queue.hpp
+++ b/packages/traffic/src/place_queue.hpp
@@ -56,11 +56,19 @@
     /// Lets the next request look for a place.
     void wake_next();
 
+    /// Whether other routers may be asked for a place now.
+    bool may_borrow(time_point now) const { return now >= borrow_at_; }
+
+    /// Records whether other routers lent a place. While they have none, they are asked ever more rarely.
+    void record_borrowing(bool is_lent, time_point now);
+
     /// Average time for which requests have a place.
     duration mean_held() const { return mean_held_; }
 
 private:
     std::multimap<std::uint32_t, ticket*> waiting_; ///< by priority
+    time_point borrow_at_;                          ///< time from which other routers may be asked
+    duration borrow_interval_{0};                   ///< doubled with each time that they have no place
     duration mean_held_{std::chrono::milliseconds{100}};
 };
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -67,6 +67,7 @@
     task<void> place_when_free(time_point started);
     task<void> wait_for_place(time_point started);
     task<void> borrow_place();
+    task<void> ask_lenders();
     std::optional<std::uint64_t> choose_lender(const routed_upstream& upstream, time_point now);
     placement_parameters current_parameters() const;
     time_point last_wait(time_point now) const;
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -31,10 +31,8 @@
 constexpr duration look_interval = 20ms;
 /// Requests of a thread that may wait also where this router has hardly a place of its own.
 constexpr std::size_t min_waiting = 2;
-/// Routers that are asked for a place in one go, and the longest interval at which a waiting
-/// request asks again; the first one is `look_interval`.
+/// Routers that are asked for a place in one go.
 constexpr int max_loan_requests = 6;
-constexpr duration max_loan_interval = 160ms;
 /// Time for which a router that did not reply is not asked again.
 constexpr duration silent_lender_pause = 1s;
 constexpr unsigned unavailable = 503;
@@ -91,8 +89,19 @@
     return lenders[hash_combine(view_->self, ++context_.loan_requests) % lenders.size()];
 }
 
-/// Asks other routers for a place on one of the upstreams on which this one has none left.
+/// Asks other routers for a place on one of the upstreams on which this one has none left, unless they
+/// had none for the queue a moment ago.
 task<void> route_exchange::borrow_place() {
+    const auto queue = waiting_requests();
+    if (!queue->may_borrow(clock::now())) {
+        co_return;
+    }
+    co_await ask_lenders();
+    queue->record_borrowing(placement_.has_value(), clock::now());
+}
+
+/// Asks routers in turn. One that does not reply ends this, as the request's time passes meanwhile.
+task<void> route_exchange::ask_lenders() {
     routed_placement_request request = placement_request_;
     request.may_use_limited = false;
     request.borrows = true;
@@ -115,13 +124,15 @@
         if (!lender) {
             continue;
         }
-        const auto reply =
-            co_await acquire_place(context_.plane, *lender, wanted->upstream.hash, remaining_time(now));
+        const auto lifetime =
+            remaining_time(now) + (is_stream(route_->kind) ? context_.settings.caller_write_timeout : 0ms);
+        const auto reply = co_await acquire_place(context_.plane, *lender, wanted->upstream.hash, lifetime);
+        log_loan(caller_.request_id(), *wanted, *lender, reply);
         if (!reply) {
             context_.silent_lenders[*lender] = clock::now() + silent_lender_pause;
+            co_return;
         }
-        log_loan(caller_.request_id(), *wanted, *lender, reply);
-        if (reply && *reply) {
+        if (*reply) {
             wanted->borrowed = *reply;
             wanted->reason = "borrowed place";
             placement_ = std::move(wanted);
@@ -143,18 +154,14 @@
     {
         place_queue::ticket ticket{queue, executor, route_->priority, std::max(most, min_waiting)};
         const auto until = last_wait(started);
-        duration loan_interval = look_interval;
-        auto borrow_at = started + loan_interval;
         for (auto now = started; !placement_ && ticket.is_queued() && now < until && !caller_.disconnected();
              now = clock::now()) {
             co_await ticket.wait(std::min(until, now + look_interval));
             if (ticket.is_next()) {
                 view_ = context_.plane.view();
                 co_await place(clock::now());
-                if (!placement_ && clock::now() >= borrow_at) {
+                if (!placement_) {
                     co_await borrow_place();
-                    loan_interval = std::min(2 * loan_interval, max_loan_interval);
-                    borrow_at = clock::now() + loan_interval;
                 }
             }
         }
--- a/packages/traffic/tests/place_queue.tests.cpp
+++ b/packages/traffic/tests/place_queue.tests.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 using namespace citronwick;
+using namespace std::chrono_literals;
 
 TEST_CASE("the most urgent request is next for a place, and the last one leaves a queue that is full") {
     asio::io_context context;
@@ -33,3 +34,22 @@
     }
     CHECK(observed.expired());
 }
+
+TEST_CASE("other routers are asked for places ever more rarely while they have none") {
+    place_queue queue;
+    time_point now{1h};
+    const auto refusals_in = [&](duration time) {
+        int refusals = 0;
+        for (const auto end = now + time; now < end; now += 1ms) {
+            if (queue.may_borrow(now)) {
+                queue.record_borrowing(false, now);
+                ++refusals;
+            }
+        }
+        return refusals;
+    };
+    CHECK(refusals_in(200ms) > 2);
+    CHECK(refusals_in(1600ms) <= 10);
+    queue.record_borrowing(true, now);
+    CHECK(queue.may_borrow(now));
+}
