--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -41,15 +41,14 @@
                            upstream_observations& observations, suspect_registry& suspects,
                            upstream_limits& limits, const begun_streams& streams, peer_callbacks callbacks)
     : settings_{settings}, observations_{observations}, callbacks_{std::move(callbacks)},
-      envelope_{random_id()}, members_{self_record(settings)},
+      envelope_{random_id()}, members_{self_record(settings), membership::leaving_counts_as::live},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
-      places_{callbacks_.places_to_lend,
-              [this](const wire::gossip& message, std::uint64_t to, time_point now) {
-                  send_to(message, to, now);
-              },
-              short_hash(hash64(random_id()))},
+      places_{
+          callbacks_.places_to_lend,
+          [this](const wire::gossip& message, std::uint64_t to, time_point) { send_uncharged(message, to); },
+          short_hash(hash64(random_id()))},
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
       streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
                                time_point now) { send_to(message, to, now); }},
@@ -121,7 +120,9 @@
     const auto to_peer = [](const member* other) {
         return fleet_peer{other->hash, other->record.incarnation, other->address};
     };
-    std::ranges::transform(members_.live(now), std::back_inserter(known.live), to_peer);
+    const auto stays = [](const member* other) { return !other->record.leaving; };
+    auto staying = members_.live(now) | std::views::filter(stays);
+    std::ranges::transform(staying, std::back_inserter(known.live), to_peer);
     std::ranges::transform(members_.heard_leaving(now), std::back_inserter(known.leaving), to_peer);
     return known;
 }
@@ -286,7 +287,7 @@
     }
     for (const std::uint64_t aggregator :
          members_.assigned_in_other_domains(watcher_selector::role(), aggregators_per_domain, now)) {
-        send_table(tables->domain, aggregator);
+        send_uncharged(tables->domain, aggregator);
     }
     relay_table(tables->fleet, now);
 }
@@ -294,13 +295,13 @@
 void router_peers::relay_table(const wire::gossip& message, time_point now) {
     const wire::load_table_id& table_id = message.load_table_ids.front();
     for (const std::uint64_t child : children(table_id.aggregator, table_id.number, now)) {
-        send_table(message, child);
+        send_uncharged(message, child);
     }
 }
 
-/// Sends a table without charging the byte budget, since the interval between
-/// tables already bounds their bytes.
-void router_peers::send_table(const wire::gossip& message, std::uint64_t to) {
+/// Sends a message without charging the byte budget, since the interval between tables and that
+/// between requests for places bound their bytes already.
+void router_peers::send_uncharged(const wire::gossip& message, std::uint64_t to) {
     if (const auto address = members_.address_of(to)) {
         sent_bytes_ += channel_.send(message, *address);
     }
