--- a/packages/traffic/src/permit_waiter.cpp
+++ b/packages/traffic/src/permit_waiter.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-/// Longest wait for the coordinator, which is in the same failure domain, or a lender.
+/// Longest wait for the reply of a coordinator or a lender.
 constexpr duration reply_timeout = 60ms;
 
 } // namespace
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -22,8 +22,9 @@
 
 using namespace std::chrono_literals;
 
-/// Longest wait for a place, as a multiple of the target latency and as a part of the time left.
+/// Longest wait for a place, as a multiple of the target latency.
 constexpr int target_latencies = 2;
+/// The same as a divisor of the time left.
 constexpr int time_left_part = 3;
 /// Requests that may wait for each place of this router.
 constexpr std::int32_t waiting_per_place = 2;
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -333,7 +333,7 @@
     refused = 1,     ///< by the upstream, while the router that was asked reaches others
     not_reached = 2, ///< the router that was asked timed out or was reset, or does not reach others either
     not_allowed = 3, ///< the address is no upstream's, or the request is not valid
-    unavailable = 4, ///< the router that was asked is cut, too, or has too many tunnels
+    unavailable = 4, ///< the router that was asked is cut, too, or stops
 };
 
 /// Reply to `tunnel_request`. The bytes of the connection follow if it is connected.
