test: let the soak play releases, resets, early and surplus answers, and callers that leave

The soak lacked kinds of trouble that can touch a stream: engines replaced by another version under new identifiers or under the same identifier and address, addresses that go to another service, workers and the store that stand still, routers that lose the store, streams that are reset, streams and refusals that come before the body of the request was read, answers lost by a reset, surplus answers behind streams or where the next answer is due, and callers that leave a stream and take it up at two routers at once or behind an earlier event.

Runs are counted from all logs of the directory, since workers leave.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -87,8 +87,12 @@
     return version == versions_.end() ? "v1" : version->second;
 }
 
-void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
-                                  const std::string& fault) {
+node routed_fleet::start_engine(const std::string& name, const std::string& version) {
+    set_version(name, version);
+    return start_standin("worker", name, worker_arguments(name));
+}
+
+void routed_fleet::start_worker_again(node& worker, const std::string& fault) {
     node started = start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name));
     worker.process = std::move(started.process);
     worker.addresses = std::move(started.addresses);
@@ -101,6 +105,11 @@
     if (!fault.empty()) {
         set_fault(worker, fault);
     }
+}
+
+void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
+                                  const std::string& fault) {
+    start_worker_again(worker, fault);
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -79,6 +79,17 @@
     void restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
                         const std::string& fault = {});
 
+    /// Starts a worker whose process has ended at its proxy again, without writing its entry.
+    void start_worker_again(node& worker, const std::string& fault = {});
+
+    /// Starts a worker under a new identifier, without writing its entry.
+    /// @param version of its software
+    node start_engine(const std::string& name, const std::string& version);
+
+    /// Sets the software version of a worker, which its next process has.
+    void set_version(const std::string& worker, const std::string& version) { versions_[worker] = version; }
+    std::string version_of(const std::string& worker) const;
+
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
@@ -110,7 +121,6 @@
                        const std::vector<std::string>& arguments);
     void start_process(node& router) const;
     std::vector<std::string> worker_arguments(const std::string& name) const;
-    std::string version_of(const std::string& worker) const;
     std::string file(const std::string& name) const { return directory_ + "/" + name; }
 
     routed_options options_;
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -40,6 +40,11 @@
 /// Faults that run by name only, each with a test of its own.
 std::span<const fault> separate_faults();
 
+/// Faults that replace, freeze or exchange processes of upstreams and of the store, and faults of what
+/// workers and callers do to the connections of streams. They run by name only.
+std::span<const fault> release_faults();
+std::span<const fault> connection_faults();
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/soak/guarantee_checker.cpp
+++ b/tests/soak/guarantee_checker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
 
 namespace citronwick::soak {
 
@@ -19,11 +20,15 @@
     return std::ranges::find(statuses, status) != statuses.end();
 }
 
-std::map<std::string, std::int64_t> read_run_counts(const std::deque<harness::node>& workers) {
+/// Runs of each request by all workers, also by those that have left.
+std::map<std::string, std::int64_t> read_run_counts(const std::string& directory) {
     constexpr std::string_view field = "event=request_run request=";
     std::map<std::string, std::int64_t> counts;
-    for (const harness::node& worker : workers) {
-        for (const std::string& line : harness::find_log_lines(worker, std::string{field})) {
+    for (const auto& file : std::filesystem::directory_iterator{directory}) {
+        const harness::node worker{.log = file.path().string()};
+        const bool is_log = file.path().extension() == ".log";
+        for (const std::string& line :
+             is_log ? harness::find_log_lines(worker, std::string{field}) : std::vector<std::string>{}) {
             ++counts[line.substr(line.find(field) + field.size())];
         }
     }
@@ -61,13 +66,21 @@
 /// Compares the events with the last one of the same stream, over all requests that it took.
 void guarantee_checker::check_stream(const observed_request& request, bool is_complete) {
     const std::string& stream = request.stream.empty() ? request.attempt : request.stream;
+    if (request.branches_at) {
+        auto branch = streams_[stream].at(*request.branches_at);
+        if (const auto fault = branch.add(request.response.body, is_complete)) {
+            add_request_violation(request, "ORDER in a branch of the stream of " + stream + ": " + *fault);
+        }
+        return;
+    }
     if (const auto fault = streams_[stream].add(request.response.body, is_complete)) {
         add_request_violation(request, "ORDER in the stream of " + stream + ": " + *fault);
     }
 }
 
 void guarantee_checker::check_answered(const observed_request& request) {
-    if (!request.was_sent || !request.router_had_to_answer || request.response.error.empty()) {
+    if (request.gave_up || !request.was_sent || !request.router_had_to_answer ||
+        request.response.error.empty()) {
         return;
     }
     const std::string connection =
@@ -81,8 +94,9 @@
 
 /// Silent links may make a response late, which no router may take for a failure.
 void guarantee_checker::check_silence(const observed_request& request) {
-    const bool is_checked = request.links_were_silent && request.upstreams_were_undisturbed &&
-                            request.router_was_undisturbed && request.was_sent;
+    const bool is_checked = !request.gave_up && request.links_were_silent &&
+                            request.upstreams_were_undisturbed && request.router_was_undisturbed &&
+                            request.was_sent;
     if (!is_checked || request.elapsed >= request.deadline - deadline_precision) {
         return;
     }
@@ -156,12 +170,14 @@
     if (runs_once && runs > 0 && means_not_run(request.response.status)) {
         add_request_violation(request, "was reported as not run but has run");
     }
+    constexpr std::int64_t max_attempts = 3;
+    if (!runs_once && runs > max_attempts) {
+        ++often_repeated_;
+    }
 }
 
-void guarantee_checker::check_run_counts(const std::deque<harness::node>& plain_workers,
-                                         const std::deque<harness::node>& engines) {
-    auto runs = read_run_counts(plain_workers);
-    runs.merge(read_run_counts(engines));
+void guarantee_checker::check_run_counts(const std::string& directory) {
+    const auto runs = read_run_counts(directory);
     const std::scoped_lock lock{mutex_};
     for (const observed_request& request : requests_) {
         const auto found = runs.find(request.attempt);
@@ -169,6 +185,11 @@
     }
 }
 
+std::size_t guarantee_checker::often_repeated() const {
+    const std::scoped_lock lock{mutex_};
+    return often_repeated_;
+}
+
 std::vector<std::string> guarantee_checker::violations() const {
     const std::scoped_lock lock{mutex_};
     return violations_;
--- a/tests/soak/guarantee_checker.hpp
+++ b/tests/soak/guarantee_checker.hpp
@@ -27,6 +27,9 @@
     std::string key;    ///< API key of the team
     std::string router; ///< name of the one that it was sent to
     std::string stream; ///< attempt that brought the first event of the stream that is taken up, if any
+    std::optional<std::int64_t>
+        branches_at{};    ///< last event that it named, if others take up the stream, too
+    bool gave_up = false; ///< the caller may have closed the connection
     std::chrono::steady_clock::time_point sent_at;
     std::chrono::milliseconds elapsed{0};
     bool router_was_undisturbed = true; ///< neither paused nor stopped meanwhile
@@ -69,8 +72,12 @@
 
     /// Checks all requests against what the workers' logs say that they ran. The logs have the runs of
     /// killed processes, too.
-    void check_run_counts(const std::deque<harness::node>& plain_workers,
-                          const std::deque<harness::node>& engines);
+    /// @param directory that has the logs
+    void check_run_counts(const std::string& directory);
+
+    /// Requests that may be repeated and ran more than three times, as `check_run_counts` has found. Runs at
+    /// workers that were killed count too, so that it is a hint at BUDGET only.
+    std::size_t often_repeated() const;
 
     std::vector<std::string> violations() const;
     std::size_t request_count() const;
@@ -90,6 +97,7 @@
     std::map<std::string, received_stream> streams_; ///< by the attempt that brought the first event
     std::map<std::string, std::chrono::steady_clock::time_point> revoked_keys_;
     std::vector<std::string> violations_;
+    std::size_t often_repeated_ = 0;
 };
 
 } // namespace citronwick::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,11 +8,13 @@
 #include <array>
 #include <docopt/docopt.h>
 #include <exception>
+#include <filesystem>
 #include <iostream>
 #include <mutex>
 #include <numeric>
 #include <optional>
 #include <random>
+#include <ranges>
 #include <span>
 #include <stop_token>
 #include <thread>
@@ -31,7 +33,7 @@
 
 Usage:
   citronsoak --seed N [--seconds S] [--routers R] [--callers C] [--memory MB] [--only FAULT]
-             [--deadline MS] [--booking-bytes B]
+             [--deadline MS] [--booking-bytes B] [--engines E] [--stream-bytes B]
   citronsoak (-h | --help)
 
 Options:
@@ -41,7 +43,8 @@
   --callers C   Concurrent callers [default: 6].
   --memory MB   Memory that a router may use, which is set as its limit; 260 and its default limit if
                 not given.
-  --only FAULT  Draws this kind of fault alone, without overlaps. Kinds:
+  --only FAULT  Draws this kind of fault alone, without overlaps, or several kinds that are separated
+                by commas, which overlap. Kinds:
                 pause_router kill_router stop_router disturb_worker cut_streams
                 disturb_link disturb_store drain_worker change_keys restore_store
                 limit_worker cut_from_upstreams unread_output abandoned_output hang_up hang_up_at_start
@@ -49,11 +52,15 @@
                 replace_on_same_ports held_port few_descriptors idle_callers
                 unfinished_bodies slow_router kill_engine close_streams
                 unframed_streams resume_elsewhere full_buffers;
-                not drawn unless named: brittle_upstreams copy_refusals silent_links;
+                not drawn unless named: brittle_upstreams copy_refusals silent_links
+                release_engines change_version reuse_address freeze_worker freeze_store cut_from_store
+                reset_streams early_streams early_refusals lose_answers surplus_streams leave_streams;
                 and, as known to break guarantees, not drawn unless named:
                 close_unframed_streams omit_resumed.
   --deadline MS  Time that callers give each request [default: 2000].
   --booking-bytes B  Least size of the bodies of bookings [default: 0].
+  --engines E   Engines, each with a link [default: 4].
+  --stream-bytes B  Least size of the bodies of requests for streams [default: 0].
 
 Exit codes: 0 every guarantee held, 1 one was violated, 2 bad usage, 3 a process did not start.
 )";
@@ -101,8 +108,8 @@
 
 /// The fault with a name, if there is one.
 std::span<const fault> find_faults(std::string_view name) {
-    for (const auto all :
-         {fleet_faults(), process_faults(), stream_faults(), load_faults(), separate_faults()}) {
+    for (const auto all : {fleet_faults(), process_faults(), stream_faults(), load_faults(),
+                           separate_faults(), release_faults(), connection_faults()}) {
         const auto found = std::ranges::find(all, name, &fault::name);
         if (found != all.end()) {
             return {found, 1};
@@ -111,16 +118,25 @@
     return {};
 }
 
+/// The faults that a list names, an empty span for each that there is not.
+std::vector<std::span<const fault>> find_each(std::string_view list) {
+    std::vector<std::span<const fault>> found;
+    for (const auto part : std::views::split(list, ',')) {
+        found.push_back(find_faults({part.begin(), part.end()}));
+    }
+    return found;
+}
+
 /// Runs the streams of faults until `end`. The draws of a stream do not depend on the others.
 void run_all_faults(soak_run& run, steady::time_point end) {
+    std::vector streams{fleet_faults(), fleet_faults().subspan(router_fault_count), process_faults(),
+                        find_faults("hang_up"), stream_faults().first(drawn_stream_fault_count)};
+    // The last one excuses incomplete streams as long as it runs, so half of the time is left without it.
+    std::vector ends{end, end, end, end, end - run.options.time / 2};
     if (!run.options.only.empty()) {
-        run_faults(run, 0, find_faults(run.options.only), end);
-        return;
+        streams = find_each(run.options.only);
+        ends.assign(streams.size(), end);
     }
-    const std::array streams{fleet_faults(), fleet_faults().subspan(router_fault_count), process_faults(),
-                             find_faults("hang_up"), stream_faults().first(drawn_stream_fault_count)};
-    // The last one excuses incomplete streams as long as it runs, so half of the time is left without it.
-    const std::array ends{end, end, end, end, end - run.options.time / 2};
     std::exception_ptr failure;
     std::mutex failure_mutex;
     std::vector<std::jthread> threads;
@@ -199,6 +215,7 @@
     };
     const auto [take_ups, completed] = run.checker.take_ups();
     std::cout << " take_ups=" << take_ups << " completed_take_ups=" << completed
+              << " often_repeated=" << run.checker.often_repeated()
               << " undisturbed=" << run.checker.undisturbed_count();
     std::cout << " ended_while_loading="
               << std::accumulate(run.routers.begin(), run.routers.end(), std::size_t{0}, add_ends);
@@ -233,7 +250,7 @@
         }
     }
     callers.clear();
-    run.checker.check_run_counts(run.fleet.plain_workers(), run.fleet.engines());
+    run.checker.check_run_counts(std::filesystem::path{run.fleet.store().log}.parent_path().string());
     return report(run);
 }
 
@@ -250,7 +267,9 @@
             .limits_memory = limits_memory,
             .only = arguments.at("--only") ? arguments.at("--only").asString() : std::string{},
             .deadline = std::chrono::milliseconds{arguments.at("--deadline").asLong()},
-            .booking_bytes = static_cast<std::size_t>(arguments.at("--booking-bytes").asLong())};
+            .booking_bytes = static_cast<std::size_t>(arguments.at("--booking-bytes").asLong()),
+            .stream_bytes = static_cast<std::size_t>(arguments.at("--stream-bytes").asLong()),
+            .engines = static_cast<std::size_t>(arguments.at("--engines").asLong())};
 }
 
 } // namespace
@@ -261,7 +280,8 @@
     constexpr int exit_aborted = 3;
     try {
         const auto options = read_options(arguments);
-        if (!options.only.empty() && find_faults(options.only).empty()) {
+        if (!options.only.empty() &&
+            std::ranges::any_of(find_each(options.only), [](const auto& found) { return found.empty(); })) {
             std::cerr << "unknown fault " << options.only << "\n";
             return exit_usage;
         }
--- a/tests/soak/received_stream.cpp
+++ b/tests/soak/received_stream.cpp
@@ -54,6 +54,12 @@
     return result;
 }
 
+received_stream received_stream::at(std::int64_t last_event) const {
+    received_stream result = *this;
+    result.last_event_ = last_event;
+    return result;
+}
+
 std::optional<std::string> received_stream::add(std::string_view body, bool is_complete) {
     const std::string where = "behind event " + std::to_string(last_event_);
     const std::string events = normalize_events(body);
--- a/tests/soak/received_stream.hpp
+++ b/tests/soak/received_stream.hpp
@@ -25,6 +25,9 @@
 
     bool is_complete() const { return is_complete_; }
 
+    /// The same stream as a caller sees it that has its first `last_event` events.
+    received_stream at(std::int64_t last_event) const;
+
 private:
     /// What a response brings, if its stream is of a version.
     struct comparison {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,10 +1,12 @@
 #include "soak_run.hpp"
 
+#include "faults.hpp"
 #include "keep_alive_client.hpp"
 #include "process_usage.hpp"
 #include "waiting.hpp"
 
 #include <algorithm>
+#include <csignal>
 #include <memory>
 #include <optional>
 #include <random>
@@ -32,7 +34,7 @@
         "memory_mb = " + std::to_string(options.memory_bytes / bytes_per_mebibyte) + "\n";
     return {.routers = options.routers,
             .plain_workers = 3,
-            .engines = 4,
+            .engines = options.engines,
             .engine_versions = engine_versions,
             .key_lifetime = key_lifetime,
             .proxies = true,
@@ -41,6 +43,10 @@
             .body_bytes = max_body_bytes};
 }
 
+std::string other_version(const std::string& version) {
+    return *std::ranges::find_if(engine_versions, [&](const std::string& each) { return each != version; });
+}
+
 /// Counts a request as in flight during its lifetime.
 class in_flight_counter {
 public:
@@ -102,7 +108,48 @@
 
 void soak_run::restart_engine(harness::node& engine) {
     const std::scoped_lock lock{nodes_mutex_};
-    fleet.restart_worker(engine, "bench", ++newest_incarnation);
+    incarnations_[engine.name] = ++newest_incarnation;
+    fleet.restart_worker(engine, "bench", incarnations_[engine.name]);
+}
+
+void soak_run::replace_engine(harness::node& engine, std::chrono::milliseconds drain_time) {
+    const std::scoped_lock lock{nodes_mutex_};
+    const std::string version = other_version(fleet.version_of(engine.name));
+    harness::node started = fleet.start_engine("engine-new-" + std::to_string(++newest_incarnation), version);
+    incarnations_[started.name] = newest_incarnation;
+    fleet.register_worker(started, "bench", "ready", newest_incarnation, version);
+    const auto found = incarnations_.find(engine.name);
+    fleet.register_worker(engine, "bench", "draining", found == incarnations_.end() ? 1 : found->second,
+                          fleet.version_of(engine.name));
+    std::this_thread::sleep_for(drain_time);
+    fleet.unregister_worker(engine);
+    std::swap(engine, started);
+    started.proxy->process->kill();
+    started.process->kill();
+}
+
+void soak_run::restart_as_other_version(harness::node& engine, std::chrono::milliseconds entry_delay) {
+    const std::scoped_lock lock{nodes_mutex_};
+    engine.process->kill();
+    const std::string version = other_version(fleet.version_of(engine.name));
+    fleet.set_version(engine.name, version);
+    fleet.start_worker_again(engine);
+    std::this_thread::sleep_for(entry_delay);
+    incarnations_[engine.name] = ++newest_incarnation;
+    fleet.register_worker(engine, "bench", "ready", newest_incarnation, version);
+}
+
+void soak_run::give_address_to(harness::node& engine, const harness::node& other) {
+    const std::scoped_lock lock{nodes_mutex_};
+    engine.process->kill();
+    harness::set_proxy_target(*engine.proxy, other);
+}
+
+void soak_run::freeze_worker(const harness::node& worker, std::chrono::milliseconds time) {
+    const std::scoped_lock lock{nodes_mutex_};
+    worker.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(time);
+    worker.process->signal(SIGCONT);
 }
 
 void soak_run::restart_plain_worker(harness::node& worker, const std::string& fault) {
@@ -143,13 +190,19 @@
 
 namespace {
 
+bool is_stream(request_kind kind) {
+    return kind == request_kind::resumable || kind == request_kind::guide;
+}
+
 /// What a caller sends.
 struct caller_request {
     request_kind kind = request_kind::read;
     std::string key;
     std::string body;
     std::string stream{}; ///< attempt that brought the first event of the stream that is taken up, if any
-    std::int64_t last_event = 0; ///< that the caller has of it
+    std::int64_t last_event = 0;               ///< that the caller has of it
+    std::optional<std::int64_t> branches_at{}; ///< last event that it names, if others take it up, too
+    std::chrono::milliseconds patience{caller_timeout};
 };
 
 harness::call make_call(const caller_request& request, const std::string& attempt,
@@ -161,7 +214,7 @@
                                    {"X-Api-Key", request.key},
                                    {"Citronwick-Attempt-Id", attempt},
                                    {"Citronwick-Deadline-Ms", std::to_string(deadline.count())}},
-                       .timeout = caller_timeout};
+                       .timeout = request.patience};
     if (!request.stream.empty()) {
         made.headers.emplace_back("Resumes", request.stream);
         made.headers.emplace_back("Last-Event-Id", std::to_string(request.last_event));
@@ -183,6 +236,8 @@
                               .key = request.key,
                               .router = router.name(),
                               .stream = request.stream,
+                              .branches_at = request.branches_at,
+                              .gave_up = request.patience != caller_timeout,
                               .sent_at = steady::now(),
                               .deadline = run.options.deadline};
     auto result = client.send(make_call(request, attempt, run.options.deadline));
@@ -199,10 +254,9 @@
                                        const disturbance_count::sample& before) {
         return count.was_quiet_since(before) && observed.sent_at - before.last_end > upstream_recovery_time;
     };
-    const bool is_stream = request.kind == request_kind::resumable || request.kind == request_kind::guide;
     observed.upstreams_were_undisturbed =
         was_quiet(run.upstream_disturbances, upstream_disturbances) &&
-        (!is_stream || was_quiet(run.engine_disturbances, engine_disturbances));
+        (!is_stream(request.kind) || was_quiet(run.engine_disturbances, engine_disturbances));
     observed.links_were_silent = !was_quiet(run.link_silences, link_silences);
     const bool has_response = observed.response.status != 0;
     run.checker.record(std::move(observed));
@@ -213,18 +267,43 @@
     return std::to_string(run.options.seed) + "-" + std::to_string(run.next_attempt++);
 }
 
+/// Time after which a caller leaves a stream: the usual one, or a short one while callers leave.
+std::chrono::milliseconds draw_patience(const soak_run& run, std::mt19937_64& random) {
+    const int max_patience = run.max_patience_ms;
+    return max_patience == 0 ? caller_timeout : pick_time(random, 1, max_patience);
+}
+
+/// Sends a request that takes up a stream to any router, in the background.
+std::jthread start_branch(soak_run& run, std::mt19937_64& random, caller_request request) {
+    // At times behind an earlier event than the last one that the caller has.
+    const auto events_back = random() % 2 == 0 ? 0 : static_cast<std::int64_t>(random() % 3);
+    request.last_event = std::max<std::int64_t>(1, request.last_event - events_back);
+    request.branches_at = request.last_event;
+    request.patience = caller_timeout;
+    router_supervisor& router = run.routers[random() % run.routers.size()];
+    return std::jthread{[&run, &router, request = std::move(request)] {
+        keep_alive_client client{router.address()};
+        send_request(run, router, client, request, next_attempt(run));
+    }};
+}
+
 /// Takes up a stream that ended broken, a few times, at any router, at once or a little later.
 void take_up_stream(soak_run& run, std::mt19937_64& random, caller_request request,
                     const std::string& stream) {
     constexpr int max_take_ups = 4;
     constexpr int max_pause_ms = 400;
     request.stream = stream;
+    std::vector<std::jthread> branches;
     for (int count = 0; count < max_take_ups && !run.stopping && run.load_pauses == 0; ++count) {
         const auto last_event = run.checker.last_event_of_broken(stream);
         if (!last_event) {
             return;
         }
         request.last_event = *last_event;
+        if (run.max_patience_ms > 0 && random() % 2 == 0) {
+            branches.push_back(start_branch(run, random, request));
+        }
+        request.patience = draw_patience(run, random);
         router_supervisor& router = run.routers[random() % run.routers.size()];
         if (random() % 2 == 0) {
             std::this_thread::sleep_for(std::chrono::milliseconds{random() % max_pause_ms});
@@ -265,6 +344,10 @@
         if (kind == request_kind::resumable && stream_random() % 4 != 0) {
             request.body.resize(large_body_bytes, '.');
         }
+        if (is_stream(kind)) {
+            request.body.resize(std::max(request.body.size(), run.options.stream_bytes), '.');
+            request.patience = draw_patience(run, stream_random);
+        }
         const bool has_response = send_request(run, router, *client, request, attempt);
         if (kind == request_kind::resumable) {
             take_up_stream(run, stream_random, request, attempt);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -34,6 +34,8 @@
     std::string only{};             ///< name of the only fault, empty for all
     std::chrono::milliseconds deadline{0};
     std::size_t booking_bytes = 0; ///< of the bodies of bookings, at least
+    std::size_t stream_bytes = 0;  ///< of the bodies of requests for streams, at least
+    std::size_t engines = 0;
 };
 
 /// State shared by the threads that send requests and those that inject faults.
@@ -53,6 +55,7 @@
     std::atomic<int> requests_in_flight{0};
     std::atomic<std::uint64_t> next_attempt{0};
     std::atomic<bool> second_key_is_valid{true};
+    std::atomic<int> max_patience_ms{0};             ///< after which callers leave streams, 0 if they stay
     std::atomic<std::int64_t> newest_incarnation{1}; ///< of the workers
 
     void count_fault(const std::string& name);
@@ -66,6 +69,20 @@
     void kill_engine(harness::node& engine);
     void restart_engine(harness::node& engine);
 
+    /// Starts an engine of the other version under a new identifier. The old one is draining, then
+    /// its entry is removed, and its process killed.
+    void replace_engine(harness::node& engine, std::chrono::milliseconds drain_time);
+
+    /// Kills the process of an engine, and starts one of the other version at its address.
+    /// @param entry_delay from the start of the process until its entry is written
+    void restart_as_other_version(harness::node& engine, std::chrono::milliseconds entry_delay);
+
+    /// Kills the process of an engine, and has its address reach another worker.
+    void give_address_to(harness::node& engine, const harness::node& other);
+
+    /// Stops the process of a worker and has it go on.
+    void freeze_worker(const harness::node& worker, std::chrono::milliseconds time);
+
     /// Starts a plain worker again whose process has ended.
     /// @param fault that it has from the start
     void restart_plain_worker(harness::node& worker, const std::string& fault);
@@ -80,7 +97,8 @@
 private:
     mutable std::mutex mutex_;
     std::map<std::string, std::size_t> fault_counts_;
-    std::mutex nodes_mutex_; ///< guards the addresses of workers and links
+    std::mutex nodes_mutex_;                           ///< guards the addresses of workers and links
+    std::map<std::string, std::int64_t> incarnations_; ///< of engines that have others than the first
 };
 
 /// Stops the load as long as this object exists.
--- a/tests/standin/fault_proxy.cpp
+++ b/tests/standin/fault_proxy.cpp
@@ -73,6 +73,7 @@
     faults_ = {.refuse = integer_member(fault_settings, "refuse") != 0,
                .blackhole = integer_member(fault_settings, "blackhole") != 0,
                .drop_responses = integer_member(fault_settings, "drop_answers") != 0,
+               .pass_resets = integer_member(fault_settings, "pass_resets") != 0,
                .hold_responses = integer_member(fault_settings, "hold_answers") != 0,
                .cut_after_up = byte_limit(fault_settings, "cut_after_up"),
                .cut_after_down = byte_limit(fault_settings, "cut_after_down"),
@@ -176,6 +177,10 @@
         auto [error, size] = co_await from.async_read_some(space, use_tuple);
         co_await wait_while_held(pair);
         if (error) {
+            const bool is_passed = faults_.pass_resets && error == asio::error::connection_reset;
+            boost::system::error_code ignored;
+            auto& to = to_target ? pair->target : pair->caller;
+            to.set_option(asio::socket_base::linger{is_passed, 0}, ignored);
             break;
         }
         if (!to_target && faults_.drop_responses) {
--- a/tests/standin/fault_proxy.hpp
+++ b/tests/standin/fault_proxy.hpp
@@ -28,6 +28,7 @@
         bool refuse = false;              ///< open and new connections are closed, datagrams dropped
         bool blackhole = false;           ///< open connections stop forwarding for good; new ones work
         bool drop_responses = false;      ///< bytes to the target are forwarded, bytes back are discarded
+        bool pass_resets = false;         ///< a reset closes the other connection by a reset, too
         bool hold_responses = false;      ///< bytes back are kept until the fault ends
         std::int64_t cut_after_up = -1;   ///< close the connection after this many bytes to the target
         std::int64_t cut_after_down = -1; ///< close the connection after this many bytes from the target
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -32,6 +32,8 @@
             .is_unframed = string_member(settings, "framing") == "none",
             .segment_bytes = static_cast<std::size_t>(integer_member(settings, "segment_bytes")),
             .event_format = string_member(settings, "event_format"),
+            .answers_early = integer_member(settings, "early") != 0,
+            .resets = integer_member(settings, "reset") != 0,
             .only_path = string_member(settings, "only_path")};
 }
 
@@ -54,12 +56,22 @@
 
 } // namespace
 
+void reset_on_close(tcp_stream& stream, bool resets) {
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger{resets, 0}, ignored);
+}
+
 routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id,
                              std::string version)
     : id_{std::move(id)}, version_{std::move(version)},
-      server_{context, ip, 0, [this](tcp_stream& stream, http_request request) {
-                  return handle(stream, std::move(request));
-              }} {}
+      server_{context, ip, 0,
+              [this](tcp_stream& stream, http_request request) { return handle(stream, std::move(request)); },
+              [this](const http::request_header<>& header) { return answers_early(header); }} {}
+
+bool routed_worker::answers_early(const http::request_header<>& header) const {
+    return stream_faults_.answers_early && header.target().find("/stream/") != std::string_view::npos &&
+           header.target().find(stream_faults_.only_path) != std::string_view::npos;
+}
 
 task<bool> routed_worker::handle(tcp_stream& stream, http_request request) {
     const std::string_view target = request.target();
@@ -72,6 +84,7 @@
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         stream_faults_ = read_stream_faults(fault_settings);
         refusals_.clear();
+        surplus_.clear();
         crashing_part_ = string_member(fault_settings, "crash_on_part");
         limit_ = string_member(fault_settings, "limit");
         brittle_ = string_member(fault_settings, "brittle");
@@ -195,6 +208,26 @@
     co_return !error;
 }
 
+void routed_worker::keep_for_surplus(tcp_stream& stream, http_request request) {
+    boost::system::error_code ignored;
+    surplus_[stream.socket().remote_endpoint(ignored).port()] = std::move(request);
+}
+
+/// Sends a second response to the last request of this connection, if there was one.
+task<bool> routed_worker::send_late_surplus(tcp_stream& stream) {
+    boost::system::error_code ignored;
+    const auto found = surplus_.find(stream.socket().remote_endpoint(ignored).port());
+    if (found == surplus_.end()) {
+        co_return true;
+    }
+    const http_request request = std::move(found->second);
+    surplus_.erase(found);
+    if (request.target().find("/stream/") != std::string_view::npos) {
+        co_return co_await run_stream(stream, request);
+    }
+    co_return co_await send(stream, request, ok, "a second answer");
+}
+
 task<bool> routed_worker::run(tcp_stream& stream, http_request request) {
     std::string fault = fault_mode_;
     if (!fault.empty() && --remaining_faults_ < 0) {
@@ -221,6 +254,13 @@
             co_return co_await refuse_and_keep(stream, request);
         }
     }
+    const bool copies_answers = fault == "surplus" || fault == "late_surplus";
+    if (copies_answers) {
+        const bool sent = co_await send_late_surplus(stream);
+        if (!sent) {
+            co_return false;
+        }
+    }
     record_run(request);
     co_await sleep_for(delay_);
     if (is_closed(stream)) {
@@ -228,6 +268,7 @@
         co_return false;
     }
     if (fault == "lose_answer") {
+        reset_on_close(stream, stream_faults_.resets);
         co_return false;
     }
     if (fault == "silent") {
@@ -270,10 +311,21 @@
         co_return co_await send_unframed(stream, request, fault);
     }
     if (request.target().find("/stream/") != std::string_view::npos) {
+        const bool is_whole = co_await run_stream(stream, request);
+        if (!is_whole || !copies_answers) {
+            co_return is_whole;
+        }
+        if (fault == "late_surplus") {
+            keep_for_surplus(stream, std::move(request));
+            co_return true;
+        }
         co_return co_await run_stream(stream, request);
     }
     const bool sent = co_await send(stream, request, ok, "done by " + id_);
-    if (sent && fault == "extra") {
+    if (sent && fault == "late_surplus") {
+        keep_for_surplus(stream, std::move(request));
+    }
+    if (sent && (fault == "extra" || fault == "surplus")) {
         co_return co_await send(stream, request, ok, "a second answer");
     }
     co_return sent;
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -31,7 +31,10 @@
     task<bool> handle(boost::beast::tcp_stream& stream, http_request request);
     task<bool> run_in_slot(boost::beast::tcp_stream& stream, http_request request,
                            std::shared_ptr<slot_queue> queue);
+    bool answers_early(const http::request_header<>& header) const;
     task<bool> run(boost::beast::tcp_stream& stream, http_request request);
+    void keep_for_surplus(boost::beast::tcp_stream& stream, http_request request);
+    task<bool> send_late_surplus(boost::beast::tcp_stream& stream);
     task<bool> run_stream(boost::beast::tcp_stream& stream, const http_request& request);
     task<bool> begin_stream(boost::beast::tcp_stream& stream, const http_request& request, bool is_unframed);
     task<bool> write_parts(boost::beast::tcp_stream& stream, const stream_faults& faults,
@@ -70,11 +73,15 @@
     std::shared_ptr<slot_queue> slots_; ///< null while it runs all requests at once
     std::int64_t requests_with_copies_ = 0;           ///< that came while copies of refusals are sent
     std::map<std::uint16_t, http_response> refusals_; ///< last ones to copy, by port of the connection
+    std::map<std::uint16_t, http_request> surplus_;   ///< to answer again, by port of the connection
     boost::json::object runs_;                        ///< by attempt id
     boost::json::array arrivals_;                     ///< of requests, in milliseconds of the steady clock
     standin_server server_;
 };
 
+/// Has a connection reset when it is closed.
+void reset_on_close(boost::beast::tcp_stream& stream, bool resets);
+
 } // namespace citronwick::standin
 
 #endif
--- a/tests/standin/routed_worker_streams.cpp
+++ b/tests/standin/routed_worker_streams.cpp
@@ -128,6 +128,7 @@
     const std::int64_t first_event = first_event_of(request, faults);
     const bool is_whole = co_await write_parts(stream, faults, first_event);
     if (!is_whole || faults.is_unframed) {
+        reset_on_close(stream, faults.resets);
         co_return false;
     }
     const auto end = http::make_chunk_last();
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -15,8 +15,9 @@
 namespace citronwick::standin {
 
 standin_server::standin_server(asio::io_context& context, const std::string& ip, std::uint16_t port,
-                               handler handle)
-    : context_{context}, acceptor_{context, {asio::ip::make_address(ip), port}}, handle_{std::move(handle)} {
+                               handler handle, predicate is_early)
+    : context_{context}, acceptor_{context, {asio::ip::make_address(ip), port}}, handle_{std::move(handle)},
+      is_early_{std::move(is_early)} {
     asio::co_spawn(context_, accept(), asio::detached);
 }
 
@@ -43,6 +44,15 @@
     while (true) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(max_body_bytes);
+        auto [header_error, header_size] =
+            co_await http::async_read_header(stream, buffer, parser, use_tuple);
+        if (header_error) {
+            co_return;
+        }
+        if (is_early_ && is_early_(parser.get())) {
+            co_await handle_(stream, parser.release());
+            co_return; // resets the connection if part of the body is unread
+        }
         auto [error, size] = co_await http::async_read(stream, buffer, parser, use_tuple);
         if (error) {
             co_return;
--- a/tests/standin/standin_server.hpp
+++ b/tests/standin/standin_server.hpp
@@ -19,7 +19,11 @@
 public:
     using handler = std::function<task<bool>(boost::beast::tcp_stream& stream, http_request request)>;
 
-    standin_server(asio::io_context& context, const std::string& ip, std::uint16_t port, handler handle);
+    /// Whether a request is answered without its body, behind which the connection is closed.
+    using predicate = std::function<bool(const http::request_header<>& header)>;
+
+    standin_server(asio::io_context& context, const std::string& ip, std::uint16_t port, handler handle,
+                   predicate is_early = {});
 
     endpoint address() const;
 
@@ -30,6 +34,7 @@
     asio::io_context& context_;
     asio::ip::tcp::acceptor acceptor_;
     handler handle_;
+    predicate is_early_;
 };
 
 /// Sends a response with a body.
--- a/tests/standin/stream_faults.hpp
+++ b/tests/standin/stream_faults.hpp
@@ -22,8 +22,10 @@
     std::size_t segment_bytes =
         0; ///< sent at a time, wherever events begin and end; 0 for an event at a time
     std::string
-        event_format;      ///< "compact", "crlf", "cr", "unnumbered" or "id_behind"; empty for the usual one
-    std::string only_path; ///< part of the paths that are affected, empty for all
+        event_format; ///< "compact", "crlf", "cr", "unnumbered" or "id_behind"; empty for the usual one
+    bool answers_early = false; ///< before it has read the body of the request, which it then never reads
+    bool resets = false;        ///< connections that it closes
+    std::string only_path;      ///< part of the paths that are affected, empty for all
 };
 
 } // namespace citronwick::standin
