--- a/tests/soak/release_faults.cpp
+++ b/tests/soak/release_faults.cpp
@@ -19,15 +19,21 @@
 
 namespace {
 
+constexpr std::uint64_t max_events = 5; ///< before the last one
+constexpr int max_entry_delay_ms = 800; ///< until the store lists a worker that has started
+
 node& pick_engine(soak_run& run, std::mt19937_64& random) {
     return run.fleet.engines()[random() % run.fleet.engines().size()];
 }
 
-/// Streams of all engines take longer, so that they run while a fault strikes.
+/// Streams of all engines take longer, so that they run while a fault strikes, and engines cut theirs
+/// at times, so that streams go on elsewhere meanwhile.
 void slow_streams(soak_run& run, std::mt19937_64& random) {
     const auto gap = pick_time(random, 20, 120);
     for (const node& engine : run.fleet.engines()) {
-        run.set_worker_fault(engine, R"({"event_gap_ms":)" + std::to_string(gap.count()) + "}");
+        const auto cut_after = random() % 2 == 0 ? 0 : 1 + random() % max_events;
+        run.set_worker_fault(engine, R"({"event_gap_ms":)" + std::to_string(gap.count()) +
+                                         R"(,"cut_after":)" + std::to_string(cut_after) + "}");
     }
 }
 
@@ -56,7 +62,7 @@
     slow_streams(run, random);
     std::this_thread::sleep_for(pick_time(random, 50, 300));
     node& engine = pick_engine(run, random);
-    run.restart_as_other_version(engine, pick_time(random, 0, 100));
+    run.restart_as_other_version(engine, pick_time(random, 0, max_entry_delay_ms));
     std::this_thread::sleep_for(pick_time(random, 100, 800));
     end_slow_streams(run);
 }
