Believe the end of a connection only once the request on it is written

start_send writes the request while the response is read. Linux keeps a reset as one pending error of the socket and gives it to the operation that asks first; Asio's reactor runs a pending write before a pending read. The write took ECONNRESET, pending_send only noted that it was not done, and the read found 0 bytes, the same as behind an orderly close (shown with plain sockets: send fails with ECONNRESET, recv returns 0). The upstream lived, so lives_on, connect_after_pause and the second run of a resumable stream all confirmed the end.

read_some now waits at the end of an unframed body until the write has ended, and fails if it failed; all users of the connection read by it. An orderly end while the request is being written is believed if the rest of the request is taken within 2 s, the longest silence of a sound upstream, and not if the connection is reset behind it. reusable() asked for the success of the write already.

Looked at for the same class, by reading: chats, plain services, calls of the store and requests for tunnels write their request before they read. A tunnel resets both sides when a write fails, and its handler runs before that of the read. Framed responses end by their framing.

A request of 8 MB is needed on loopback, whose send buffer took 2.8 MB; x86-64 not run.

--- a/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
+++ b/packages/traffic/include/citronwick/traffic/upstream_connection.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/fleet/fleet_directory.hpp"
 #include "citronwick/io/http_connection.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -50,7 +51,7 @@
                     std::chrono::milliseconds timeout);
 
     /// Whether the last request has been written completely.
-    bool is_sent() const { return !pending_send_ || pending_send_->is_done; }
+    bool is_sent() const { return !pending_send_ || pending_send_->result == boost::system::error_code{}; }
 
     /// Sends a complete request, with the upstream's address as its Host field.
     task<io_result<void>> send(http_request request, std::chrono::milliseconds timeout);
@@ -70,7 +71,8 @@
     /// whole. Otherwise it ends with its connection.
     bool is_framed() const { return !parser_->need_eof(); }
 
-    /// Reads the next chunk of the body; empty at its end.
+    /// Reads the next chunk of the body; empty at its end. The end of the connection is the end of a
+    /// body without length or chunks only if no operation on the connection fails.
     task<io_result<std::string>> read_some(std::chrono::milliseconds idle_timeout);
 
     /// Decides whether a body that takes a number of bytes may be kept.
@@ -128,11 +130,13 @@
         http::request<http::span_body<const char>> request;
         std::shared_ptr<const std::string> body;
         std::shared_ptr<boost::beast::tcp_stream> stream;
-        bool is_done = false;
+        boost::asio::steady_timer end; ///< expires at the latest when the write ends
+        std::optional<boost::system::error_code> result{};
     };
 
     void adapt_ack_timeout(std::size_t body_bytes);
     void set_connected();
+    task<boost::system::error_code> wait_until_sent(std::chrono::milliseconds timeout);
     failure close_with_failure(std::string step, const boost::system::error_code& error,
                                bool may_have_taken_effect);
 
--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -23,6 +23,9 @@
 
 /// Largest body that fits into the receive window of an upstream that does not read at the moment.
 constexpr std::size_t max_unread_body = 16'384;
+/// Time for a request to be written whose response has already ended with the sending direction of
+/// its connection.
+constexpr std::chrono::milliseconds max_unsent_time = longest_sound_silence;
 /// Refused requests that one connection remembers. It is closed then.
 constexpr std::size_t max_refused_requests = 64;
 
@@ -109,14 +112,28 @@
     http::request<http::span_body<const char>> request{std::move(header)};
     request.body() = {body->data(), body->size()};
     request.prepare_payload();
-    pending_send_ = std::make_shared<pending_send>(std::move(request), std::move(body), stream_);
+    asio::steady_timer end{stream_->get_executor(), time_point::max()};
+    pending_send_ =
+        std::make_shared<pending_send>(std::move(request), std::move(body), stream_, std::move(end));
     stream_->expires_after(timeout);
     http::async_write(*stream_, pending_send_->request,
                       [sent = pending_send_](const boost::system::error_code& error, std::size_t) {
-                          sent->is_done = !error;
+                          sent->result = error;
+                          sent->end.cancel();
                       });
 }
 
+/// Waits for the end of the write. The kernel reports the error of a connection once, and to a write
+/// that is under way before a read, which then finds the same end as behind an orderly close.
+task<boost::system::error_code> upstream_connection::wait_until_sent(std::chrono::milliseconds timeout) {
+    const auto sent = pending_send_;
+    if (sent && !sent->result) {
+        sent->end.expires_after(timeout);
+        co_await sent->end.async_wait(use_tuple);
+    }
+    co_return sent ? sent->result.value_or(asio::error::timed_out) : boost::system::error_code{};
+}
+
 task<io_result<void>> upstream_connection::send(http_request request, std::chrono::milliseconds timeout) {
     is_head_request_ = request.method() == http::verb::head;
     has_carried_head_ = has_carried_head_ || is_head_request_;
@@ -172,6 +189,12 @@
             co_return chunk;
         }
     }
+    if (!is_framed()) {
+        const auto error = co_await wait_until_sent(std::min(idle_timeout, max_unsent_time));
+        if (error) {
+            co_return close_with_failure("send request", error, true);
+        }
+    }
     was_used_ = true;
     stream_->expires_never();
     co_return std::string{};
