Take no relay for the upstream whose connections it closes

Where a relay in front of a killed worker lived on, callers got half of an unframed body as a complete 200 (MIXED), and unframed streams ended as complete before their last event (ORDER). The relay closes the connections of the dead worker in order and accepts new ones, which it closes as well, as it does not reach the worker.

lives_on took the orderly close of its first connection for the reset by an upstream with too many connections and believed the second connect; connect_after_pause, which decides for streams, looked at the connect only. If it is closed in order, the upstream does not live. A reset still counts as before, since upstreams beyond the limit of their connections reset some. The end is an answer, so that it is not asked for again until the time is used up.

--- a/packages/traffic/src/crash_probe.cpp
+++ b/packages/traffic/src/crash_probe.cpp
@@ -34,7 +34,8 @@
 
 /// Whether a connect tells of the process. One without an answer tells of the way to it only.
 bool is_answer(const boost::system::error_code& error) {
-    return !error || error == asio::error::connection_refused || error == asio::error::connection_reset;
+    return !error || error == asio::error::connection_refused || error == asio::error::connection_reset ||
+           error == asio::error::eof;
 }
 
 task<boost::system::error_code> connect_once(boost::beast::tcp_stream& stream, endpoint address,
@@ -46,6 +47,21 @@
     co_return error;
 }
 
+/// Waits for the end of a new connection on which nothing is sent. The kernel resets one that a process
+/// has not accepted when it closes its listener. A relay whose upstream has ended closes it in order.
+/// @return how it ended; none if it lasts
+task<boost::system::error_code> wait_for_end(boost::beast::tcp_stream& stream,
+                                             std::chrono::milliseconds timeout) {
+    std::array<char, 1> byte{};
+    const auto space = asio::buffer(byte);
+    stream.expires_after(timeout);
+    auto [error, size] = co_await stream.async_read_some(space, use_tuple);
+    if (error == boost::beast::error::timeout) {
+        co_return boost::system::error_code{};
+    }
+    co_return error ? error : asio::error::connection_reset;
+}
+
 /// Waits for the end of a round of connects.
 task<void> wait_for_next_round(time_point begin, time_point end) {
     const auto executor = co_await asio::this_coro::executor;
@@ -82,14 +98,8 @@
         co_return opened.error().step == tunnel_opener::refused_step ? asio::error::connection_refused
                                                                      : asio::error::timed_out;
     }
-    std::array<char, 1> byte{};
-    const auto space = asio::buffer(byte);
-    opened->stream->expires_after(std::min(timeout, 2 * reset_delay));
-    auto [read_error, size] = co_await opened->stream->async_read_some(space, use_tuple);
-    if (read_error == boost::beast::error::timeout) {
-        co_return boost::system::error_code{};
-    }
-    co_return read_error ? read_error : asio::error::connection_reset;
+    const auto ended = co_await wait_for_end(*opened->stream, std::min(timeout, 2 * reset_delay));
+    co_return ended;
 }
 
 task<boost::system::error_code> crash_probe::connect_after_pause(endpoint address,
@@ -131,7 +141,11 @@
         auto told = co_await ask_peers(std::move(address), *tunnels, std::move(any), ask_timeout);
         co_return told;
     }
-    co_return error;
+    if (error) {
+        co_return error;
+    }
+    const auto ended = co_await wait_for_end(stream, std::min(timeout, reset_delay));
+    co_return ended;
 }
 
 task<bool> crash_probe::lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
@@ -174,18 +188,14 @@
     boost::beast::tcp_stream first{executor};
     endpoint asked = address;
     const auto error = co_await connect_once(first, std::move(asked), timeout);
-    // The kernel resets connections that a process has not accepted when it closes the listener.
-    // The reset may be found while connecting.
+    // The reset of a connection that was not accepted may be found while connecting.
     if (error && error != asio::error::connection_reset) {
         co_return is_answer(error) ? std::optional{false} : std::nullopt;
     }
     if (!error) {
-        std::array<char, 1> byte{};
-        const auto space = asio::buffer(byte);
-        first.expires_after(std::min(timeout, reset_delay));
-        auto [read_error, size] = co_await first.async_read_some(space, use_tuple);
-        if (read_error == boost::beast::error::timeout) {
-            co_return true;
+        const auto ended = co_await wait_for_end(first, std::min(timeout, reset_delay));
+        if (!ended || ended == asio::error::eof) {
+            co_return !ended;
         }
     }
     // An upstream that has too many connections resets some as well, but does not refuse the next one.
--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -36,7 +36,9 @@
     /// @param timeout for all of it, `shortest_time` for a single round of connects
     /// @param tunnels way through other routers, if there may be one
     /// @param through router that relayed the connection, if it was not direct; it must live on, too
-    /// @return why no connection was accepted; refused if the process has ended, as others report or as
+    /// A connection that is closed in order right away was not accepted by the process.
+    /// @return why no connection was accepted, or how it ended; refused if the process has ended, as others
+    /// report or as
     ///         this router alone sees it if there are no others
     static task<boost::system::error_code> connect_after_pause(endpoint address,
                                                                std::chrono::milliseconds timeout,
@@ -47,9 +49,9 @@
     static constexpr std::chrono::milliseconds shortest_time{400};
 
     /// Whether the process of an upstream that has just closed a connection outlives it: it accepts
-    /// another connection and does not reset it within a moment. A process that ends after this
-    /// moment, or one that takes over the address, is not told from one that lives on. Connects that
-    /// are not answered are repeated as above.
+    /// another connection, and this one is neither reset nor closed within a moment. A process that ends
+    /// after this moment, or one that takes over the address, is not told from one that lives on. Connects
+    /// that are not answered are repeated as above.
     /// @param timeout for all of it
     /// @param tunnels, through as above
     static task<bool> lives_on(endpoint address, std::chrono::milliseconds timeout, tunnel_opener* tunnels,
--- a/packages/traffic/tests/crash_probe.tests.cpp
+++ b/packages/traffic/tests/crash_probe.tests.cpp
@@ -63,6 +63,13 @@
     return to_endpoint(closed.local_endpoint());
 }
 
+/// Closes each connection in order, as a relay does that does not reach its target.
+task<void> close_all(acceptor& relay) {
+    while (true) {
+        const auto closed = co_await relay.async_accept(asio::use_awaitable);
+    }
+}
+
 template <class T>
 T run(asio::io_context& context, task<T> work) {
     std::optional<T> result;
@@ -97,6 +104,26 @@
     CHECK(probe_refusing_upstream(std::nullopt) != ended);
 }
 
+TEST_CASE("a connection that is closed at once does not show that an upstream lives") {
+    asio::io_context context;
+    acceptor relay{context, {asio::ip::address_v4::loopback(), 0}};
+    const acceptor living{context, {asio::ip::address_v4::loopback(), 0}};
+    asio::co_spawn(context, close_all(relay), asio::detached);
+    const auto lives_on = [&](const endpoint& address) {
+        context.restart();
+        return run(context, crash_probe::lives_on(address, 1s, nullptr, std::nullopt));
+    };
+    const auto connect_error = [&](const endpoint& address) {
+        context.restart();
+        return run(context, crash_probe::connect_after_pause(address, crash_probe::shortest_time, nullptr,
+                                                             std::nullopt));
+    };
+    CHECK(lives_on(to_endpoint(living.local_endpoint())));
+    CHECK_FALSE(lives_on(to_endpoint(relay.local_endpoint())));
+    CHECK_FALSE(connect_error(to_endpoint(living.local_endpoint())));
+    CHECK(connect_error(to_endpoint(relay.local_endpoint())) == asio::error::eof);
+}
+
 TEST_CASE("a refusal proves the end of an upstream only on a router that reaches another one") {
     asio::io_context context;
     acceptor living{context, {asio::ip::address_v4::loopback(), 0}};
--- a/tests/integration/unframed_responses.tests.cpp
+++ b/tests/integration/unframed_responses.tests.cpp
@@ -129,6 +129,38 @@
     }
 }
 
+// Guards against a relay in front of a worker that is taken for the worker (MIXED, ORDER).
+TEST_CASE("proof: a response without length or chunks is not complete if a relay outlives its worker") {
+    routed_fleet system{{.routers = 1, .plain_workers = 1, .engines = 1, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    SUBCASE("a body") {
+        set_faults(system.plain_workers(), R"({"mode":"unframed_pause","event_gap_ms":400})");
+        const auto answer = ask_and_kill(system, "/book/1", "book");
+        CHECK(answer.status == 502);
+        CHECK_FALSE(answer.body.starts_with("done"));
+    }
+    SUBCASE("a body of a request that may be repeated") {
+        set_faults(system.plain_workers(), R"({"mode":"unframed_pause","event_gap_ms":400})");
+        const auto answer = ask_and_kill(system, "/read/1", "read");
+        CHECK(answer.status == 502);
+        CHECK_FALSE(answer.body.starts_with("done"));
+    }
+    for (const std::string path : {"/guide/stream/1", "/quote/stream/1"}) {
+        SUBCASE(path.c_str()) {
+            node& engine = system.engines()[0];
+            set_fault(engine, R"({"framing":"none","event_gap_ms":100})");
+            auto asked = std::async(std::launch::async,
+                                    [&] { return system.ask(system.routers()[0], path, "stream"); });
+            REQUIRE(wait_until([&] { return runs_of(engine, "stream") == 1; }));
+            std::this_thread::sleep_for(half_is_sent);
+            engine.process->kill();
+            const auto answer = asked.get();
+            CHECK(answer.body.find("id: 6") == std::string::npos);
+            CHECK_FALSE(answer.error.empty());
+        }
+    }
+}
+
 TEST_CASE("contract: a response without length or chunks of a process that lives on is delivered") {
     constexpr int requests = 20;
     routed_fleet system{{.routers = 1, .plain_workers = 2, .engines = 0}};
