--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -322,12 +322,12 @@
         co_return co_await run_stream(stream, request);
     }
     const bool sent = co_await send(stream, request, ok, "done by " + id_);
-    if (sent && fault == "late_surplus") {
-        keep_for_surplus(stream, std::move(request));
-    }
     if (sent && (fault == "extra" || fault == "surplus")) {
         co_return co_await send(stream, request, ok, "a second answer");
     }
+    if (sent && fault == "late_surplus") {
+        keep_for_surplus(stream, std::move(request));
+    }
     co_return sent;
 }
 
