Refuse a take-up that nobody remembers unless the slots are proved to lack no change

Callers that took up a stream at a router that had started right after the store came back from a copy got events of two software versions in one stream (ORDER).

Cause: a router asked the others at which version the stream had begun, and took no reply within 80 ms for the reply that nobody had seen it. A router that starts has heard nobody, so it asked nobody; then the slots of the copy decided. The absence of a reply was taken for a reply. The same cause elsewhere: a busy or paused router, or a lost datagram, beside slots that another router had moved meanwhile; a take-up that names no first attempt; a route of two services whose weights had moved; a memory of begun streams that was full; slots that are not assigned yet, refused as final.

Now routers that do not remember a stream say so (unseen_streams). A router also asks those that the store names and that it had no time to hear. The slots decide if all have replied, or if the store confirms, asked after the caller's request came, that this router knows all of its changes; so a router that was killed, or one of an earlier landing, which never says "unseen", does not keep take-ups from being served. Slots of a store that came back from a copy are not believed: each key names the newest era in which its slots lack no change, and a watcher adds the present one once it has followed it for the settle time. Whoever may be told more later gets versions-not-confirmed with a Retry-After.

--- a/packages/control/include/citronwick/control/membership.hpp
+++ b/packages/control/include/citronwick/control/membership.hpp
@@ -84,6 +84,9 @@
     /// discovered too recently to count as silent.
     std::vector<const member*> expected_in_domain(time_point now) const;
 
+    /// Other routers that are live, or were discovered too recently to count as silent.
+    std::vector<const member*> expected(time_point now) const;
+
     /// Ranks the live routers of each other failure domain of the region by
     /// rendezvous hashing.
     /// @param key identifies the assigned role
--- a/packages/control/src/membership.cpp
+++ b/packages/control/src/membership.cpp
@@ -138,19 +138,25 @@
     return silent_since;
 }
 
-std::vector<const member*> membership::expected_in_domain(time_point now) const {
+std::vector<const member*> membership::expected(time_point now) const {
     std::vector<const member*> found;
     for (const member& other : others_ | std::views::values) {
         const bool is_new = !other.last_heard_at && now - other.discovered_at < silence_timeout();
-        const bool is_here =
-            other.record.failure_domain == self_.failure_domain && other.record.region == self_.region;
-        if (is_here && !has_left(other) && (is_new || is_live(other, now))) {
+        if (!has_left(other) && (is_new || is_live(other, now))) {
             found.push_back(&other);
         }
     }
     return found;
 }
 
+std::vector<const member*> membership::expected_in_domain(time_point now) const {
+    auto found = expected(now);
+    std::erase_if(found, [this](const member* other) {
+        return other->record.failure_domain != self_.failure_domain || other->record.region != self_.region;
+    });
+    return found;
+}
+
 std::vector<std::uint64_t> membership::assigned_in_other_domains(std::uint64_t key, std::size_t count,
                                                                  time_point now) const {
     std::map<std::string, std::vector<const member*>> by_domain;
--- a/packages/fleet/include/citronwick/fleet/begun_streams.hpp
+++ b/packages/fleet/include/citronwick/fleet/begun_streams.hpp
@@ -15,6 +15,9 @@
 /// Thread-safe: traffic threads record, the control thread answers other routers.
 class begun_streams {
 public:
+    /// Time after which no caller takes a stream up any more.
+    static constexpr duration lifetime = std::chrono::seconds{60};
+
     /// Identifies a stream of a team by the attempt that brought its first event.
     static std::uint64_t key(std::string_view team, std::string_view attempt);
 
@@ -26,6 +29,9 @@
 
     std::optional<std::uint32_t> version_of(std::uint64_t key, time_point now) const;
 
+    /// Whether the streams that are not known were not relayed by this process lately.
+    bool is_complete(time_point now) const;
+
     /// Removes expired streams.
     void expire(time_point now);
 
@@ -37,6 +43,7 @@
 
     mutable std::mutex mutex_;
     std::map<std::uint64_t, entry> entries_;
+    std::optional<time_point> omitted_at_; ///< when a stream last found no room
 };
 
 } // namespace citronwick
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -101,7 +101,7 @@
 
     /// Asks the other routers at which version they saw a stream begin.
     /// @param key see `begun_streams::key`
-    /// @param reply called with the short hash of the version, or never if nobody knows it
+    /// @param reply see `stream_exchange::ask`
     void ask_stream_version(std::uint64_t key, stream_exchange::reply_callback reply, time_point now);
 
     /// Announces that this router is leaving.
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -82,9 +82,13 @@
 
     /// Asks the other routers at which version they saw a stream begin.
     /// @param key see `begun_streams::key`
-    /// @param reply called on the control thread with the short hash of the version, or
-    ///        never if no router knows it
-    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply);
+    /// @param reply called on the control thread, see `stream_exchange::ask`
+    void ask_stream_version(std::uint64_t key, std::function<void(std::optional<std::uint32_t>)> reply);
+
+    /// Asks the store whether this router knows all of its changes.
+    /// @param since when the question may have been asked at the earliest
+    /// @param reply called on the control thread once it does, or never if the store does not answer
+    void request_confirmation(boot_time since, std::function<void(bool)> reply);
 
     /// Records that a connection broke while the upstream was running a request.
     /// @param suspects the request and the parts of its prompt that may have caused it
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -67,7 +67,10 @@
     std::uint64_t self = 0;                    ///< hash of this router
     /// Assignment of resumable streams to software versions, by service.
     std::map<std::string, std::shared_ptr<const version_slots>, std::less<>> stream_versions;
-    store_position position{}; ///< of the store, up to which this view includes all changes
+    /// Services whose assignment may be that of a copy from which the store came back, and until when.
+    std::map<std::string, time_point, std::less<>> unproven_versions;
+    time_point config_changed_at; ///< as seen by this router
+    store_position position{};    ///< of the store, up to which this view includes all changes
 
     /// Whether an incarnation is an upstream of the service that accepts new requests.
     /// @param upstream its hash
--- a/packages/fleet/include/citronwick/fleet/store_follower.hpp
+++ b/packages/fleet/include/citronwick/fleet/store_follower.hpp
@@ -84,6 +84,9 @@
     /// Requests a confirmation from the store.
     void request_confirmation();
 
+    /// Requests a confirmation at once, unless one was asked for since a moment.
+    void confirm_since(boot_time since);
+
     /// Position up to which all changes have been delivered to the listener.
     store_position position() const { return position_; }
 
@@ -95,6 +98,7 @@
     task<bool> watch(std::chrono::milliseconds wait);
     task<void> wait_for_work();
     task<bool> confirm();
+    void report_confirmed(boot_time asked_at);
     bool must_relist() const;
     bool has_era_changed() const;
     void refuse_older(store_position received);
@@ -108,6 +112,7 @@
     watched_kv_client& store_;
     store_listener listener_;
     asio::steady_timer wake_;
+    asio::steady_timer confirm_timer_;
     store_position position_;
     store_position notified_position_; ///< newest that a peer knows
     time_point notified_at_;
@@ -116,6 +121,7 @@
     bool prefers_listing_ = false;
     bool is_watcher_ = true;
     bool confirmation_requested_ = false;
+    std::optional<boot_time> confirmation_needed_since_;
     store_outage outage_;
     std::optional<time_point> calls_fail_since_; ///< set while this router's calls fail
     int failures_in_row_ = 0;
--- a/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
@@ -7,23 +7,30 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
+#include <vector>
 
 namespace citronwick {
 
 class begun_streams;
 
 /// Asks the other routers at which version they saw a stream begin. All are asked,
-/// since any may have relayed it; only those that know answer. Used by the control
+/// since any may have relayed it. Those that do not remember it reply that, so that a
+/// router that is late is not taken for one that knows nothing. Used by the control
 /// thread only.
 class stream_exchange {
 public:
-    using reply_callback = std::function<void(std::uint32_t version)>;
+    /// @param version short hash; none if no router remembers the stream
+    using reply_callback = std::function<void(std::optional<std::uint32_t> version)>;
     using sender = std::function<void(const wire::gossip&, std::uint64_t to, time_point)>;
 
     stream_exchange(const begun_streams& streams, sender send);
 
     /// @param key see `begun_streams::key`
-    /// @param reply called once with the version's short hash, or never if no router knows it
+    /// @param routers that may have relayed it
+    /// @param reply called once a router has named the version or all have replied that they
+    ///        do not remember the stream; never if one of these is silent
     void ask(std::uint64_t key, const std::vector<std::uint64_t>& routers, reply_callback reply,
              time_point now);
 
@@ -33,8 +40,12 @@
     void expire(time_point now);
 
 private:
+    void record_version(const wire::stream_version& seen);
+    void record_unseen(std::uint64_t key, std::uint64_t sender);
+
     struct question {
         reply_callback reply;
+        std::set<std::uint64_t> awaited; ///< routers that have not replied
         time_point asked_at;
     };
 
--- a/packages/fleet/include/citronwick/fleet/version_assignment.hpp
+++ b/packages/fleet/include/citronwick/fleet/version_assignment.hpp
@@ -25,6 +25,10 @@
 /// key a service. It must outlast the routers: those that start after all of them were
 /// killed must know at which version the streams began that callers take up.
 ///
+/// A store that comes back from a copy may lack changes of the slots by which streams that
+/// still run began. So each key names the newest era of the store in which its slots are known to
+/// lack none: a router adds the present one once it has followed it for the settle time.
+///
 /// All routers follow the keys; one writes. A change of a key by compare-and-swap is never
 /// lost, so it does no harm if several routers take themselves for the writer. Used by the
 /// control thread only.
@@ -42,7 +46,8 @@
     bool apply(const kv_change& change, time_point now);
 
     /// Records that the changes that follow are a complete listing of the store.
-    void begin_listing();
+    /// @param era of the store
+    void begin_listing(std::uint64_t era, time_point now);
 
     /// Records that the listing has been applied. Keys that it lacks are written again.
     void end_listing();
@@ -53,10 +58,15 @@
 
     const slots_by_service& slots() const { return published_; }
 
+    /// Services whose slots may lack changes that a store lost when it came back from a copy, and
+    /// until when.
+    std::map<std::string, time_point, std::less<>> unproven() const;
+
 private:
     struct tracked {
         std::optional<version_slots> slots;
         std::uint64_t number = 0;  ///< of the newest known state; increases with each write
+        std::uint64_t era = 0;     ///< newest one in which the slots are known to lack no change
         std::int64_t revision = 0; ///< of the key in the store, 0 if it is missing
         bool is_stored = false;    ///< whether the store holds the newest known state
         std::array<time_point, version_slots::slot_count> changed_at{}; ///< as seen by this router
@@ -65,11 +75,20 @@
         bool is_writing = false;
     };
 
-    static std::string to_text(const version_slots& slots, std::uint64_t number);
-    void adopt(const std::string& service, version_slots slots, std::uint64_t number, time_point now);
+    /// Slots as a key holds them.
+    struct stored_slots {
+        version_slots slots;
+        std::uint64_t number = 0;
+        std::uint64_t era = 0;
+    };
+
+    static std::optional<stored_slots> parse(const std::string& text);
+    static std::string to_text(const stored_slots& stored);
+    void adopt(const std::string& service, stored_slots stored, time_point now);
     std::optional<version_slots> next_slots(const tracked& known, const versioned_service& service,
                                             time_point now) const;
-    task<void> write(std::string service, version_slots slots, std::uint64_t number);
+    std::uint64_t proven_era(const tracked& known, duration settle_time, time_point now) const;
+    task<void> write(std::string service, stored_slots stored);
 
     asio::any_io_executor executor_;
     kv_client& store_;
@@ -77,6 +96,8 @@
     std::function<void()> on_change_;
     std::map<std::string, tracked, std::less<>> services_;
     slots_by_service published_;
+    std::uint64_t era_ = 0;    ///< of the store
+    time_point era_seen_at_{}; ///< when this router first followed it
     bool is_listed_ = false;
 };
 
--- a/packages/fleet/src/begun_streams.cpp
+++ b/packages/fleet/src/begun_streams.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-
-/// Time after which no caller takes a stream up any more.
-constexpr duration lifetime = 60s;
 /// Beyond that, new streams are not remembered until others have expired.
 constexpr std::size_t max_entries = 32'768;
 
@@ -27,6 +23,8 @@
     const std::scoped_lock lock{mutex_};
     if (entries_.size() < max_entries || entries_.contains(key)) {
         entries_[key] = {version, now};
+    } else {
+        omitted_at_ = now;
     }
 }
 
@@ -37,6 +35,11 @@
     return is_known ? std::optional{found->second.version} : std::nullopt;
 }
 
+bool begun_streams::is_complete(time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    return !omitted_at_ || now - *omitted_at_ >= lifetime;
+}
+
 void begun_streams::expire(time_point now) {
     const std::scoped_lock lock{mutex_};
     std::erase_if(entries_, [now](const auto& each) { return now - each.second.recorded_at >= lifetime; });
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -219,7 +219,7 @@
 void router_peers::ask_stream_version(std::uint64_t key, stream_exchange::reply_callback reply,
                                       time_point now) {
     std::vector<std::uint64_t> routers;
-    std::ranges::transform(members_.live(now), std::back_inserter(routers), &member::hash);
+    std::ranges::transform(members_.expected(now), std::back_inserter(routers), &member::hash);
     streams_.ask(key, routers, std::move(reply), now);
 }
 
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -59,10 +59,15 @@
     return state_->streams();
 }
 
-void routing_plane::ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+void routing_plane::ask_stream_version(std::uint64_t key,
+                                       std::function<void(std::optional<std::uint32_t>)> reply) {
     state_->ask_stream_version(key, std::move(reply));
 }
 
+void routing_plane::request_confirmation(boot_time since, std::function<void(bool)> reply) {
+    state_->request_confirmation(since, std::move(reply));
+}
+
 upstream_limits& routing_plane::limits() {
     return state_->limits();
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -123,12 +123,22 @@
         });
     }
 
-    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+    void ask_stream_version(std::uint64_t key, std::function<void(std::optional<std::uint32_t>)> reply) {
         asio::post(context_, [this, key, reply = std::move(reply)]() mutable {
             peers_.ask_stream_version(key, std::move(reply), clock::now());
         });
     }
 
+    void request_confirmation(boot_time since, std::function<void(bool)> reply) {
+        asio::post(context_, [this, since, reply = std::move(reply)]() mutable {
+            confirmation_requests_.push_back({since, std::move(reply), clock::now()});
+            answer_confirmation_requests();
+            if (!confirmation_requests_.empty()) {
+                follower_.confirm_since(since);
+            }
+        });
+    }
+
     void report_leaving_upstream(std::uint64_t upstream) {
         asio::post(context_, [this, upstream] {
             if (declared_.record_leaving(upstream)) {
@@ -213,6 +223,18 @@
         }
         confirmed_at_.store(static_cast<std::int64_t>(*confirmed), std::memory_order_release);
         staleness_logged_ = false;
+        answer_confirmation_requests();
+    }
+
+    void answer_confirmation_requests() {
+        const auto confirmed = freshness_.confirmed_at();
+        std::erase_if(confirmation_requests_, [&](const confirmation_request& each) {
+            const bool is_answered = confirmed && *confirmed >= each.since;
+            if (is_answered) {
+                each.reply(true);
+            }
+            return is_answered;
+        });
     }
 
     // Changes of the store
@@ -220,7 +242,7 @@
     void apply_listing(const kv_listing& listing, std::optional<time_point> usable_until) {
         const auto now = clock::now();
         registration_->begin_listing(listing.position);
-        versions_.begin_listing();
+        versions_.begin_listing(listing.position.era, now);
         for (const kv_item& item : listing.items) {
             apply_change({item.key, item.value, item.position}, usable_until, now);
         }
@@ -260,6 +282,9 @@
         next->active_routers = peers_.active_routers(now);
         next->self = peers_.self_hash();
         next->stream_versions = versions_.slots();
+        next->unproven_versions = versions_.unproven();
+        next->config_changed_at =
+            next->config == view_.load()->config ? view_.load()->config_changed_at : now;
         next->position = follower_.position();
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
@@ -312,6 +337,9 @@
             limits_.expire(declared_.hashes(), now);
             suspects_.expire(now);
             streams_.expire(now);
+            std::erase_if(confirmation_requests_, [now](const confirmation_request& each) {
+                return now - each.asked_at >= plane_timing::expiry_interval;
+            });
         }
     }
 
@@ -355,6 +383,12 @@
         }
     }
 
+    struct confirmation_request {
+        boot_time since;
+        std::function<void(bool)> reply;
+        time_point asked_at;
+    };
+
     routing_settings settings_;
     store_layout layout_;
     asio::io_context context_{1};
@@ -372,6 +406,7 @@
     version_assignment versions_;
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_load>> loads_;
+    std::vector<confirmation_request> confirmation_requests_;
     time_point last_expiry_;
     time_point directory_set_at_;
     time_point versions_checked_at_;
--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -22,6 +22,8 @@
 constexpr duration change_delay = 100ms;
 /// Interval at which other routers check whether a confirmation is requested.
 constexpr duration confirm_poll_interval = 100ms;
+/// Pause between two confirmations that requests wait for.
+constexpr duration needed_confirm_interval = 10ms;
 /// Delay between the announcement of a change and reading it. Most changes have
 /// been forwarded by then, and those in quick succession share one call.
 constexpr duration notification_delay = 300ms;
@@ -44,7 +46,8 @@
 
 store_follower::store_follower(const asio::any_io_executor& executor, watched_kv_client& store,
                                duration lapse_grace, store_listener listener)
-    : store_{store}, listener_{std::move(listener)}, wake_{executor}, outage_{lapse_grace} {}
+    : store_{store}, listener_{std::move(listener)}, wake_{executor}, confirm_timer_{executor},
+      outage_{lapse_grace} {}
 
 void store_follower::set_watcher(bool is_watcher) {
     if (is_watcher && !is_watcher_) {
@@ -80,6 +83,19 @@
     confirmation_requested_ = true;
 }
 
+void store_follower::confirm_since(boot_time since) {
+    confirmation_needed_since_ = since;
+    confirm_timer_.cancel();
+}
+
+/// Passes on that all changes were known when the store was asked.
+void store_follower::report_confirmed(boot_time asked_at) {
+    if (confirmation_needed_since_ && *confirmation_needed_since_ <= asked_at) {
+        confirmation_needed_since_.reset();
+    }
+    listener_.on_confirmed(asked_at);
+}
+
 /// Time until the next list or watch is due, zero if it is due now.
 duration store_follower::time_until_work(time_point now) const {
     if (is_watcher_ || !is_listed_) {
@@ -133,14 +149,14 @@
 }
 
 task<void> store_follower::run_confirmations() {
-    asio::steady_timer timer{wake_.get_executor()};
     while (true) {
         // The watch may be waiting on a dead connection, so announced changes
         // are also read here.
         const bool has_overdue_notification =
             notified_position_ > position_ && clock::now() - notified_at_ >= notification_delay;
-        const bool is_due = is_listed_ && (is_watcher_ || confirmation_requested_ ||
-                                           has_overdue_notification || calls_fail_since_.has_value());
+        const bool is_due =
+            is_listed_ && (is_watcher_ || confirmation_requested_ || confirmation_needed_since_ ||
+                           has_overdue_notification || calls_fail_since_.has_value());
         bool succeeded = true;
         if (must_relist() || has_era_changed()) {
             succeeded = co_await list();
@@ -151,8 +167,9 @@
             co_await back_off();
             continue;
         }
-        timer.expires_after(is_watcher_ ? confirm_interval : confirm_poll_interval);
-        co_await timer.async_wait(use_tuple);
+        const duration interval = is_watcher_ ? confirm_interval : confirm_poll_interval;
+        confirm_timer_.expires_after(confirmation_needed_since_ ? needed_confirm_interval : interval);
+        co_await confirm_timer_.async_wait(use_tuple);
     }
 }
 
@@ -186,7 +203,7 @@
     if (is_listed_ && *current <= position_) {
         prefers_listing_ = false;
         confirmation_requested_ = false;
-        listener_.on_confirmed(requested_at);
+        report_confirmed(requested_at);
     }
     co_return true;
 }
@@ -259,7 +276,7 @@
     position_ = listing->position;
     notified_position_ = std::max(notified_position_, position_);
     listener_.on_listing(*listing, outage_.lapse_window_end(clock::now()));
-    listener_.on_confirmed(requested_at);
+    report_confirmed(requested_at);
     co_return true;
 }
 
--- a/packages/fleet/src/stream_exchange.cpp
+++ b/packages/fleet/src/stream_exchange.cpp
@@ -21,7 +21,11 @@
 
 void stream_exchange::ask(std::uint64_t key, const std::vector<std::uint64_t>& routers, reply_callback reply,
                           time_point now) {
-    questions_[key].push_back({std::move(reply), now});
+    if (routers.empty()) {
+        reply(std::nullopt);
+        return;
+    }
+    questions_[key].push_back({std::move(reply), {routers.begin(), routers.end()}, now});
     wire::gossip message;
     message.stream_queries.push_back(key);
     std::ranges::for_each(routers, [&](std::uint64_t router) { send_(message, router, now); });
@@ -32,15 +36,38 @@
     for (const std::uint64_t key : message.stream_queries) {
         if (const auto version = streams_.version_of(key, now)) {
             answer.stream_versions.push_back({key, *version});
+        } else if (streams_.is_complete(now)) {
+            answer.unseen_streams.push_back(key);
         }
     }
-    if (!answer.stream_versions.empty()) {
+    if (!answer.stream_versions.empty() || !answer.unseen_streams.empty()) {
         send_(answer, sender, now);
     }
-    for (const wire::stream_version& each : message.stream_versions) {
-        if (auto found = questions_.extract(each.key)) {
-            std::ranges::for_each(found.mapped(), [&](const question& asked) { asked.reply(each.version); });
+    std::ranges::for_each(message.stream_versions,
+                          [this](const wire::stream_version& seen) { record_version(seen); });
+    std::ranges::for_each(message.unseen_streams, [&](std::uint64_t key) { record_unseen(key, sender); });
+}
+
+void stream_exchange::record_version(const wire::stream_version& seen) {
+    if (auto found = questions_.extract(seen.key)) {
+        std::ranges::for_each(found.mapped(), [&](const question& asked) { asked.reply(seen.version); });
+    }
+}
+
+void stream_exchange::record_unseen(std::uint64_t key, std::uint64_t sender) {
+    const auto found = questions_.find(key);
+    if (found == questions_.end()) {
+        return;
+    }
+    std::erase_if(found->second, [sender](question& asked) {
+        const bool is_last = asked.awaited.erase(sender) > 0 && asked.awaited.empty();
+        if (is_last) {
+            asked.reply(std::nullopt);
         }
+        return is_last;
+    });
+    if (found->second.empty()) {
+        questions_.erase(found);
     }
 }
 
--- a/packages/fleet/tests/store_follower.tests.cpp
+++ b/packages/fleet/tests/store_follower.tests.cpp
@@ -240,3 +240,21 @@
     seen.run(4s);
     CHECK(seen.follower.position() == seen.store.position());
 }
+
+TEST_CASE("a confirmation that a request waits for is asked for at once, also by the watcher") {
+    followed_store seen;
+    SUBCASE("by a router that does not watch") {}
+    SUBCASE("by the watcher") {
+        seen.follower.set_watcher(true);
+        seen.run(200ms);
+    }
+    const auto confirmations = seen.confirmations;
+    seen.follower.confirm_since(boot_now());
+    seen.run(60ms);
+    CHECK(seen.confirmations == confirmations + 1);
+    seen.store.set_serving(false);
+    seen.follower.confirm_since(boot_now());
+    seen.run(60ms);
+    CHECK(seen.confirmations == confirmations + 1);
+    CHECK(seen.store.failed_calls() <= 3);
+}
--- a/packages/fleet/tests/version_assignment.tests.cpp
+++ b/packages/fleet/tests/version_assignment.tests.cpp
@@ -26,11 +26,11 @@
             co_return failure{"write", "store", "down"};
         }
         if (expected_revision != revision) {
-            co_return swap_outcome{.revision = revision, .current = kv_entry{text, 1, revision}};
+            co_return swap_outcome{.revision = revision, .era = era, .current = kv_entry{text, 1, revision}};
         }
         text = std::move(value);
         ++revision;
-        co_return swap_outcome{.succeeded = true, .revision = revision};
+        co_return swap_outcome{.succeeded = true, .revision = revision, .era = era};
     }
 
     task<io_result<kv_lease>> grant_lease(std::chrono::seconds time_to_live) override {
@@ -44,10 +44,11 @@
 
     std::uint64_t take_byte_count() override { return 0; }
 
-    kv_change last_change() const { return {key, text, {revision, 0}}; }
+    kv_change last_change() const { return {key, text, {revision, era}}; }
 
     std::string text;
     std::int64_t revision = 0;
+    std::uint64_t era = 0;
     int calls = 0;
     bool serves = true;
 };
@@ -56,7 +57,11 @@
 struct router {
     explicit router(one_key_store& shared)
         : store{shared}, versions{context.get_executor(), shared, prefix, [] {}} {
-        versions.begin_listing();
+        list();
+    }
+
+    void list() {
+        versions.begin_listing(store.era, now);
         if (store.revision > 0) {
             versions.apply(store.last_change(), now);
         }
@@ -69,6 +74,11 @@
         context.run();
     }
 
+    bool may_be_of_copy() const {
+        const auto unproven = versions.unproven();
+        return unproven.contains("bench") && now < unproven.at("bench");
+    }
+
     const version_slots& slots() const { return *versions.slots().at("bench"); }
 
     one_key_store& store;
@@ -156,7 +166,7 @@
     first.tick({{"v2", 9.0}});
     const version_slots newest = first.slots();
     store.revision = 1;
-    first.versions.begin_listing();
+    first.versions.begin_listing(2, first.now);
     SUBCASE("older") {
         store.text = *old.value;
         first.versions.apply({key, old.value, {1, 2}}, first.now);
@@ -197,3 +207,66 @@
     CHECK(stale.slots() == first.slots());
     CHECK(first.slots().at(63).version == "v1");
 }
+
+// Guards against routers that start after a restore and know the copy only (ORDER).
+TEST_CASE("after a restore the slots may be those of the copy until no stream runs that began before it") {
+    one_key_store store;
+    store.era = 1;
+    router first{store};
+    first.tick({{"v1", 9.0}});
+    CHECK_FALSE(first.may_be_of_copy());
+    CHECK_FALSE(router{store}.may_be_of_copy());
+    store.era = 2;
+    first.now += 1s;
+    first.list();
+    router fresh{store};
+    fresh.now = first.now;
+    fresh.list();
+    CHECK(first.may_be_of_copy());
+    CHECK(fresh.may_be_of_copy());
+    SUBCASE("a change of the slots proves nothing") {
+        fresh.tick({{"v2", 9.0}});
+        CHECK(fresh.slots().at(0).version == "v2");
+        CHECK(fresh.may_be_of_copy());
+    }
+    SUBCASE("one router states that they lack no change, for those that start later") {
+        first.now += settle_time;
+        first.tick({{"v1", 9.0}});
+        CHECK_FALSE(first.may_be_of_copy());
+        CHECK_FALSE(router{store}.may_be_of_copy());
+    }
+    SUBCASE("none can state it") {
+        fresh.now += 59s;
+        CHECK(fresh.may_be_of_copy());
+        fresh.now += 2s;
+        CHECK_FALSE(fresh.may_be_of_copy());
+    }
+}
+
+// Both are as the landing fdbcbaf writes and reads them.
+TEST_CASE("an assignment of an earlier landing is read, and may be that of a copy, as it names no era") {
+    one_key_store store;
+    std::string rows = R"(["v2","v1"])";
+    for (std::size_t index = 1; index < version_slots::slot_count; ++index) {
+        rows += R"(,["v1"])";
+    }
+    store.text = R"({"number":7,"slots":[)" + rows + "]}";
+    store.revision = 3;
+    SUBCASE("of a store that names no era") {
+        const router reader{store};
+        CHECK(reader.slots().at(0).version == "v2");
+        CHECK(reader.slots().at(0).earlier == std::set<std::string>{"v1"});
+        CHECK(reader.slots().at(63).version == "v1");
+        CHECK_FALSE(reader.may_be_of_copy());
+    }
+    SUBCASE("of a store that names one") {
+        store.era = 4;
+        router reader{store};
+        CHECK(reader.may_be_of_copy());
+        reader.now += settle_time;
+        reader.tick({{"v1", 63.0}, {"v2", 1.0}});
+        CHECK_FALSE(reader.may_be_of_copy());
+        // The members that earlier landings read are unchanged.
+        CHECK(store.text.starts_with(R"({"number":8,"era":4,"slots":[["v2"],["v1"],)"));
+    }
+}
--- a/packages/policy/include/citronwick/policy/version_slots.hpp
+++ b/packages/policy/include/citronwick/policy/version_slots.hpp
@@ -75,7 +75,20 @@
     std::optional<std::uint64_t> origin{};   ///< hash of the attempt that brought its first event
     bool has_events = false;                 ///< whether the caller has received events of it
     std::optional<std::string> remembered{}; ///< version that a router saw it begin at
-    bool was_asked_for = false;              ///< whether the other routers were asked for that
+    /// What the other routers said of it.
+    enum class answers : std::uint8_t {
+        not_asked,
+        incomplete, ///< not all replied in time, as they are busy, have died, or never say no
+        all_unseen  ///< all replied that they do not remember it
+    };
+    answers others = answers::not_asked;
+    bool is_confirmed = false; ///< whether the slots are those of the store since the request came
+};
+
+/// What is known about the slots of a service besides them.
+struct slot_knowledge {
+    bool may_be_of_copy = false; ///< the store came back from a copy, which may lack changes of them
+    bool is_service_sure = true; ///< whether a stream cannot have begun at another service of its route
 };
 
 /// Where a stream may begin or go on.
@@ -83,6 +96,8 @@
     enum class step : std::uint8_t {
         use,         ///< only upstreams of `version`
         ask_routers, ///< another router may have seen the stream begin
+        confirm,     ///< the slots known here may be older than the store's
+        ask_later,   ///< somebody may know later
         refuse       ///< nobody can know
     };
 
@@ -93,7 +108,8 @@
 
 /// Decides at which version a stream begins or goes on.
 /// @param slots null if they have not been assigned yet
-version_decision decide_version(const version_slots* slots, const stream_identity& stream);
+version_decision decide_version(const version_slots* slots, const slot_knowledge& known,
+                                const stream_identity& stream);
 
 } // namespace citronwick
 
--- a/packages/policy/src/version_slots.cpp
+++ b/packages/policy/src/version_slots.cpp
@@ -123,10 +123,12 @@
     return divided;
 }
 
-version_decision decide_version(const version_slots* slots, const stream_identity& stream) {
+version_decision decide_version(const version_slots* slots, const slot_knowledge& known,
+                                const stream_identity& stream) {
     using step = version_decision::step;
+    using answers = stream_identity::answers;
     if (slots == nullptr) {
-        return {step::refuse, {}, "the versions are not assigned yet"};
+        return {step::ask_later, {}, "the versions are not assigned yet"};
     }
     if (!stream.has_events) {
         return {step::use, slots->at(version_slots::index_of(stream.attempt)).version, "new stream"};
@@ -134,18 +136,30 @@
     if (stream.remembered) {
         return {step::use, *stream.remembered, "seen to begin"};
     }
+    if (stream.origin && stream.others == answers::not_asked) {
+        // The slots known here may be older than those by which another router began the stream.
+        return {step::ask_routers, {}, "another router may have seen the stream begin"};
+    }
+    if (known.may_be_of_copy) {
+        return {step::ask_later, {}, "the slots may be those of a copy of the store"};
+    }
+    const bool may_be_remembered = stream.origin && stream.others == answers::incomplete;
+    if (may_be_remembered && !known.is_service_sure) {
+        return {step::ask_later, {}, "not all routers replied whether they saw the stream begin"};
+    }
+    if (stream.others != answers::all_unseen && !stream.is_confirmed) {
+        return {step::confirm, {}, "the slots may have changed"};
+    }
     if (!stream.origin) {
         const auto only = slots->only_version();
         return only ? version_decision{step::use, *only, "only version"}
                     : version_decision{step::refuse, {}, "the stream's first attempt is not named"};
     }
-    if (!stream.was_asked_for) {
-        // The slots known here may be older than those by which another router began the stream.
-        return {step::ask_routers, {}, "another router may have seen the stream begin"};
-    }
     const version_slots::slot& slot = slots->at(version_slots::index_of(*stream.origin));
     if (!slot.earlier.empty()) {
-        return {step::refuse, {}, "the stream may have begun at several versions"};
+        return {may_be_remembered ? step::ask_later : step::refuse,
+                {},
+                "the stream may have begun at several versions"};
     }
     return {step::use, slot.version, "slot of its first attempt"};
 }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/policy/attempt_policy.hpp"
 #include "citronwick/policy/stream_position.hpp"
+#include "citronwick/policy/version_slots.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/stream_end.hpp"
@@ -24,7 +25,6 @@
 class upstream_exchange;
 struct route_context;
 struct service_capacity;
-struct version_decision;
 
 /// Processes one routed request.
 ///
@@ -57,10 +57,13 @@
     task<void> choose_version();
     std::uint64_t stream_key() const;
     const version_slots* slots_of_service() const;
-    task<std::optional<std::uint32_t>> ask_routers();
+    slot_knowledge slot_knowledge_of_service() const;
+    task<version_decision> decide_version_of(stream_identity stream);
+    task<std::optional<std::optional<std::uint32_t>>> ask_routers();
+    task<bool> confirm_slots(boot_time since);
     std::optional<std::string> follow(std::optional<std::uint32_t> version);
     void refuse_if_version_is_gone();
-    void refuse_stream(std::string detail, bool has_events);
+    void refuse_stream(const version_decision& decision, bool has_events);
     void record_stream();
     void log_version(const version_decision& decision) const;
     task<void> place(time_point started);
--- a/packages/traffic/src/route_versions.cpp
+++ b/packages/traffic/src/route_versions.cpp
@@ -19,6 +19,8 @@
 
 /// Longest wait for a router that saw the stream begin.
 constexpr duration reply_timeout = 80ms;
+/// Longest wait for the store.
+constexpr duration confirmation_timeout = 200ms;
 constexpr std::chrono::milliseconds assignment_pause{300};
 
 } // namespace
@@ -54,22 +56,34 @@
         stream.origin = hash64(traits_.resumes);
         stream.remembered = follow(context_.plane.streams().version_of(stream_key(), clock::now()));
     }
-    auto decision = decide_version(slots_of_service(), stream);
-    if (decision.next == version_decision::step::ask_routers) {
-        const auto seen = co_await ask_routers();
-        stream.remembered = follow(seen);
-        stream.was_asked_for = true;
-        decision = decide_version(slots_of_service(), stream);
-    }
+    const auto decision = co_await decide_version_of(stream);
     log_version(decision);
-    if (decision.next == version_decision::step::refuse) {
-        refuse_stream(std::string{decision.reason}, stream.has_events);
+    if (decision.next != version_decision::step::use) {
+        refuse_stream(decision, stream.has_events);
         co_return;
     }
     placement_request_.version = decision.version;
     refuse_if_version_is_gone();
 }
 
+/// Decides with what this router knows, then with what the others and the store say.
+task<version_decision> route_exchange::decide_version_of(stream_identity stream) {
+    using step = version_decision::step;
+    const auto arrived = boot_now();
+    auto decision = decide_version(slots_of_service(), slot_knowledge_of_service(), stream);
+    if (decision.next == step::ask_routers) {
+        const auto answer = co_await ask_routers();
+        stream.remembered = answer ? follow(*answer) : std::nullopt;
+        stream.others = answer ? stream_identity::answers::all_unseen : stream_identity::answers::incomplete;
+        decision = decide_version(slots_of_service(), slot_knowledge_of_service(), stream);
+    }
+    if (decision.next == step::confirm) {
+        stream.is_confirmed = co_await confirm_slots(arrived);
+        decision = decide_version(slots_of_service(), slot_knowledge_of_service(), stream);
+    }
+    co_return decision;
+}
+
 /// Identifies the stream among those of all teams.
 std::uint64_t route_exchange::stream_key() const {
     return begun_streams::key(team_ == nullptr ? std::string_view{} : team_->name, stream_origin());
@@ -81,16 +95,36 @@
     return found == view_->stream_versions.end() ? nullptr : found->second.get();
 }
 
+slot_knowledge route_exchange::slot_knowledge_of_service() const {
+    const auto now = clock::now();
+    const auto unproven = view_->unproven_versions.find(service_->name);
+    return {.may_be_of_copy = unproven != view_->unproven_versions.end() && now < unproven->second,
+            .is_service_sure =
+                route_->services.size() == 1 || now - view_->config_changed_at >= begun_streams::lifetime};
+}
+
 /// Service and version at which another router saw the stream begin, see `begun_streams::version_hash`.
-task<std::optional<std::uint32_t>> route_exchange::ask_routers() {
-    std::function<void(std::function<void(std::uint32_t)>)> ask =
-        [this, key = stream_key()](std::function<void(std::uint32_t)> reply) {
+/// @return no answer if not all routers replied in time; no version if none remembers the stream
+task<std::optional<std::optional<std::uint32_t>>> route_exchange::ask_routers() {
+    using version = std::optional<std::uint32_t>;
+    std::function<void(std::function<void(version)>)> ask =
+        [this, key = stream_key()](std::function<void(version)> reply) {
             context_.plane.ask_stream_version(key, std::move(reply));
         };
-    const auto version = co_await wait_for_reply<std::uint32_t>(reply_timeout, std::move(ask));
+    const auto answer = co_await wait_for_reply<version>(reply_timeout, std::move(ask));
     // The wait may have been long enough for the upstreams to change.
     view_ = context_.plane.view();
-    co_return version;
+    co_return answer;
+}
+
+/// Whether the store confirms that the slots known here are its own.
+task<bool> route_exchange::confirm_slots(boot_time since) {
+    std::function<void(std::function<void(bool)>)> ask = [this, since](std::function<void(bool)> reply) {
+        context_.plane.request_confirmation(since, std::move(reply));
+    };
+    const auto confirmed = co_await wait_for_reply<bool>(confirmation_timeout, std::move(ask));
+    view_ = context_.plane.view();
+    co_return confirmed.value_or(false);
 }
 
 /// Chooses the service at which the stream was seen, whatever the weights of the route are now.
@@ -126,15 +160,24 @@
                                return each.entry.version == *placement_request_.version;
                            });
     if (!is_served) {
-        refuse_stream("no upstream serves version " + *placement_request_.version,
+        const std::string detail = "no upstream serves version " + *placement_request_.version;
+        refuse_stream({version_decision::step::refuse, {}, detail},
                       takes_up_stream() || state_.response_started);
     }
 }
 
-void route_exchange::refuse_stream(std::string detail, bool has_events) {
-    refusal_before_send_ =
-        has_events ? problem{503, "stream-not-resumable", std::move(detail), outcome::not_run}
-                   : problem{503, "no-upstream", std::move(detail), outcome::not_run, assignment_pause};
+/// @param has_events whether the caller has received events of it
+void route_exchange::refuse_stream(const version_decision& decision, bool has_events) {
+    std::string detail{decision.reason};
+    if (!has_events) {
+        refusal_before_send_ =
+            problem{503, "no-upstream", std::move(detail), outcome::not_run, assignment_pause};
+    } else if (decision.next == version_decision::step::refuse) {
+        refusal_before_send_ = problem{503, "stream-not-resumable", std::move(detail), outcome::not_run};
+    } else {
+        refusal_before_send_ =
+            problem{503, "versions-not-confirmed", std::move(detail), outcome::not_run, assignment_pause};
+    }
 }
 
 /// Remembers at which version the stream goes on, for callers that take it up at any router.
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -275,6 +275,8 @@
     std::vector<place_request> place_requests;
     std::vector<place_reply> place_replies;
     std::vector<std::uint32_t> returned_places; ///< nonces of loans that the sender no longer needs
+    /// Streams of `stream_queries` that the sender does not remember.
+    std::vector<std::uint64_t> unseen_streams;
 };
 
 /// Incarnation that numbered the load table or list in a message, 0 if unknown.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -238,12 +238,13 @@
 /// routers that do not know them do not read on.
 template <class Archive>
 void serialize_more_lists(Archive& archive, gossip& message) {
-    serialize_present(archive, message.place_requests, message.place_replies, message.returned_places);
+    serialize_present(archive, message.place_requests, message.place_replies, message.returned_places,
+                      message.unseen_streams);
 }
 
 inline bool has_more_lists(const gossip& message) {
     return !message.place_requests.empty() || !message.place_replies.empty() ||
-           !message.returned_places.empty();
+           !message.returned_places.empty() || !message.unseen_streams.empty();
 }
 
 template <class Archive>
