test: show streams joined by a router that does not know the process that began them

A router that takes a stream up asks the others at the addresses that it knows. One that has restarted since is not among them; without a reply the slots decide, which are as old as the view.

--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -222,6 +222,30 @@
     CHECK(used.size() == 2);
 }
 
+// Guards against a router that does not know the process which saw the stream begin (ORDER).
+TEST_CASE(
+    "proof: a stream that a restarted router began is joined nowhere by one that does not know it yet") {
+    routed_fleet system{{.routers = 2, .engines = 4, .key_lifetime = 20s, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    set_proxy_fault(system.store(),
+                    R"({"dropped_sources":[")" + system.routers()[1].source_address + R"("]})");
+    system.routers()[1].process->signal(SIGSTOP);
+    system.routers()[0].process->kill();
+    system.restart_router(system.routers()[0]);
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0}, 2));
+    auto begun = begin_streams(system);
+    auto taken_up = std::async(std::launch::async, [&] { ask_for_all(begun, {&system.routers()[1]}); });
+    std::this_thread::sleep_for(50ms);
+    system.routers()[1].process->signal(SIGCONT);
+    taken_up.get();
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 2).size() == 1);
+    }
+}
+
 // Guards against a service that is chosen again by weights that have moved (ORDER).
 TEST_CASE("proof: a stream is taken up at the service that began it after the weights of its route moved") {
     routed_fleet system{{.routers = 3, .engines = 2}};
