Learn from whole streams that events are numbered consecutively

Callers got streams with an event missing where a resumed run omitted it: behind a single event, or where the caller took the stream up. Cause: only two events of the same response showed that numbers are consecutive.

A version's numbering is now learnt from whole streams of one run, refuted for ten minutes by gaps within any run, told to the other routers with status messages, with replies about streams that are taken up, and again to routers that start. stream_position gets it as an input. The new list follows those of brittle upstreams; routers that do not know it do not read on.

--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -28,6 +28,7 @@
 namespace citronwick {
 
 class begun_streams;
+class stream_numberings;
 class upstream_observations;
 class suspect_registry;
 class upstream_limits;
@@ -58,7 +59,7 @@
 public:
     router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                  upstream_observations& observations, suspect_registry& suspects, upstream_limits& limits,
-                 const begun_streams& streams, peer_callbacks callbacks);
+                 const begun_streams& streams, stream_numberings& numberings, peer_callbacks callbacks);
 
     /// Binds the fleet channel.
     io_result<endpoint> open(const endpoint& listen);
@@ -155,6 +156,7 @@
 
     const routing_settings& settings_;
     upstream_observations& observations_;
+    stream_numberings& numberings_;
     peer_callbacks callbacks_;
     wire::envelope envelope_;
     membership members_;
--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -19,6 +19,7 @@
 class borrowed_place;
 class platform_adapter;
 class reach_monitor;
+class stream_numberings;
 class upstream_observations;
 class suspect_registry;
 class upstream_limits;
@@ -59,6 +60,8 @@
     upstream_observations& observations();
     suspect_registry& suspects();
     begun_streams& streams();
+    /// How versions of services number the events of their streams. Thread-safe.
+    stream_numberings& numberings();
     reach_monitor& reach();
     const reach_monitor& reach() const;
     upstream_limits& limits();
--- a/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
@@ -11,16 +11,17 @@
 namespace citronwick {
 
 class begun_streams;
+class stream_numberings;
 
 /// Asks the other routers at which version they saw a stream begin. All are asked,
-/// since any may have relayed it; only those that know answer. Used by the control
-/// thread only.
+/// since any may have relayed it; only those that know answer, and tell how that version
+/// numbers its events. Used by the control thread only.
 class stream_exchange {
 public:
     using reply_callback = std::function<void(std::uint32_t version)>;
     using sender = std::function<void(const wire::gossip&, std::uint64_t to, time_point)>;
 
-    stream_exchange(const begun_streams& streams, sender send);
+    stream_exchange(const begun_streams& streams, stream_numberings& numberings, sender send);
 
     /// @param key see `begun_streams::key`
     /// @param reply called once with the version's short hash, or never if no router knows it
@@ -39,6 +40,7 @@
     };
 
     const begun_streams& streams_;
+    stream_numberings& numberings_;
     sender send_;
     std::map<std::uint64_t, std::vector<question>> questions_; ///< by key
 };
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -4,6 +4,7 @@
 #include "citronwick/core/store_position.hpp"
 #include "citronwick/fleet/load_exchange.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/io/log.hpp"
 
@@ -39,9 +40,11 @@
 
 router_peers::router_peers(const asio::any_io_executor& executor, const routing_settings& settings,
                            upstream_observations& observations, suspect_registry& suspects,
-                           upstream_limits& limits, const begun_streams& streams, peer_callbacks callbacks)
-    : settings_{settings}, observations_{observations}, callbacks_{std::move(callbacks)},
-      envelope_{random_id()}, members_{self_record(settings), membership::leaving_counts_as::live},
+                           upstream_limits& limits, const begun_streams& streams,
+                           stream_numberings& numberings, peer_callbacks callbacks)
+    : settings_{settings}, observations_{observations}, numberings_{numberings},
+      callbacks_{std::move(callbacks)}, envelope_{random_id()},
+      members_{self_record(settings), membership::leaving_counts_as::live},
       channel_{executor, envelope_, {hash64(settings.vm), 0, 0}}, watcher_selector_{members_.self_hash()},
       loads_{members_.self_hash(), hash64(settings.failure_domain), callbacks_.loads},
       permits_{members_.self_hash(), limits, make_coordinator_network()},
@@ -50,8 +53,10 @@
           [this](const wire::gossip& message, std::uint64_t to, time_point) { send_uncharged(message, to); },
           short_hash(hash64(random_id()))},
       suspects_{members_.self_hash(), suspects, make_coordinator_network()},
-      streams_{streams, [this](const wire::gossip& message, std::uint64_t to,
-                               time_point now) { send_to(message, to, now); }},
+      streams_{streams, numberings,
+               [this](const wire::gossip& message, std::uint64_t to, time_point now) {
+                   send_to(message, to, now);
+               }},
       recent_{max_recent_bytes}, budget_{static_cast<double>(settings.control_bytes_per_second),
                                          burst_seconds * settings.control_bytes_per_second, clock::now()} {}
 
@@ -85,6 +90,7 @@
 
 void router_peers::merge_member(const wire::member_record& record, time_point now) {
     if (members_.merge(record, now)) {
+        numberings_.tell_again();
         log_info("router_learnt", {{"router", record.vm},
                                    {"failure_domain", record.failure_domain},
                                    {"incarnation", std::to_string(record.incarnation)},
@@ -174,6 +180,10 @@
     answer_queries(message, *address, now);
     permits_.handle_message(from.sender, message, now);
     places_.handle_message(from.sender, message, now);
+    // Before the replies to queries, whose streams then go on.
+    numberings_.merge(
+        message.stream_numberings,
+        members_.is_full_mesh() ? stream_numberings::relay::none : stream_numberings::relay::once, now);
     streams_.handle_message(from.sender, message, now);
 }
 
@@ -244,6 +254,7 @@
     wire::gossip message = load_message(now);
     add_service_span(message, now);
     observations_.add_updates(message);
+    message.stream_numberings = numberings_.take_updates(now);
     if (is_leaving_) {
         message.members.push_back(members_.self());
     }
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -59,6 +59,10 @@
     return state_->streams();
 }
 
+stream_numberings& routing_plane::numberings() {
+    return state_->numberings();
+}
+
 void routing_plane::ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
     state_->ask_stream_version(key, std::move(reply));
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -13,6 +13,7 @@
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_follower.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/fleet/version_assignment.hpp"
@@ -40,7 +41,7 @@
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
                  store_calls_},
           follower_{context_.get_executor(), store_, settings_.lapse_grace, make_store_listener()},
-          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_, streams_,
+          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_, streams_, numberings_,
                  make_peer_callbacks()},
           declared_{adapter, suspects_},
           versions_{context_.get_executor(), store_, layout_.own_prefix + plane_timing::version_keys,
@@ -86,6 +87,7 @@
     suspect_registry& suspects() { return suspects_; }
     upstream_limits& limits() { return limits_; }
     begun_streams& streams() { return streams_; }
+    stream_numberings& numberings() { return numberings_; }
     reach_monitor& reach() { return reach_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
@@ -312,6 +314,7 @@
             limits_.expire(declared_.hashes(), now);
             suspects_.expire(now);
             streams_.expire(now);
+            numberings_.expire(now);
         }
     }
 
@@ -362,6 +365,7 @@
     suspect_registry suspects_;
     upstream_limits limits_;
     begun_streams streams_;
+    stream_numberings numberings_;
     reach_monitor reach_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
--- a/packages/fleet/src/stream_exchange.cpp
+++ b/packages/fleet/src/stream_exchange.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/fleet/stream_exchange.hpp"
 
 #include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,8 +17,8 @@
 
 } // namespace
 
-stream_exchange::stream_exchange(const begun_streams& streams, sender send)
-    : streams_{streams}, send_{std::move(send)} {}
+stream_exchange::stream_exchange(const begun_streams& streams, stream_numberings& numberings, sender send)
+    : streams_{streams}, numberings_{numberings}, send_{std::move(send)} {}
 
 void stream_exchange::ask(std::uint64_t key, const std::vector<std::uint64_t>& routers, reply_callback reply,
                           time_point now) {
@@ -32,6 +33,9 @@
     for (const std::uint64_t key : message.stream_queries) {
         if (const auto version = streams_.version_of(key, now)) {
             answer.stream_versions.push_back({key, *version});
+            if (const auto numbering = numberings_.entry_of(*version, now)) {
+                answer.stream_numberings.push_back(*numbering);
+            }
         }
     }
     if (!answer.stream_versions.empty()) {
--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_POLICY_STREAM_POSITION_HPP_INCLUDED
 
 #include "citronwick/policy/sequence_fault.hpp"
+#include "citronwick/policy/stream_numbering.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -28,7 +29,8 @@
     explicit stream_position(std::string last_event_id);
 
     /// Begins to count the events of another run.
-    void begin_run();
+    /// @param known how its upstream numbers events; empty if that is not known
+    void begin_run(std::optional<stream_numbering> known = std::nullopt);
 
     /// Why an event cannot come next: it would be joined to events that it does not follow.
     /// The first event of a run is compared with the last one of the run before.
@@ -59,12 +61,20 @@
     /// Identifier of the run's first event, empty if it has none.
     const std::string& run_first_event_id() const { return run_first_event_id_; }
 
+    /// How the upstream of the last run numbers events, as far as the events since the construction
+    /// tell. Gaps show within any run, their absence only in a whole stream of one run.
+    /// @param is_whole whether the end of the stream is proved
+    std::optional<stream_numbering> shown_numbering(bool is_whole) const;
+
 private:
     bool goes_back(const stream_event& next) const;
     std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
     bool repeats_between_runs(const stream_event& next) const;
     void move_behind(const std::string& id);
-    bool is_consecutive() const { return has_step_of_one_ && !has_other_step_ && !has_other_ids_; }
+    bool is_consecutive() const {
+        const bool is_known = known_numbering_ == stream_numbering::consecutive;
+        return (has_step_of_one_ || is_known) && !has_other_step_ && !has_other_ids_;
+    }
 
     std::string first_event_id_;
     std::string run_first_event_id_;
@@ -79,6 +89,11 @@
     bool has_step_of_one_ = false; ///< between the numbers of two events
     bool has_other_step_ = false;
     bool has_other_ids_ = false; ///< some that are no numbers
+    bool is_taken_up_ = false;   ///< the caller has events from an earlier request
+    std::uint64_t runs_with_events_ = 0;
+    bool run_is_numbered_ = true;                     ///< by consecutive numbers, all events so far
+    std::optional<std::uint64_t> run_last_number_;    ///< of the last identifier of the run
+    std::optional<stream_numbering> known_numbering_; ///< of the run's upstream
 };
 
 } // namespace citronwick
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -29,9 +29,12 @@
 stream_position::stream_position(std::string last_event_id)
     : last_event_id_{std::move(last_event_id)}, id_of_last_event_{last_event_id_},
       has_events_{!last_event_id_.empty()}, last_event_has_id_{has_events_},
-      last_number_{number_of(last_event_id_)} {}
+      last_number_{number_of(last_event_id_)}, is_taken_up_{has_events_} {}
 
-void stream_position::begin_run() {
+void stream_position::begin_run(std::optional<stream_numbering> known) {
+    known_numbering_ = known;
+    run_is_numbered_ = true;
+    run_last_number_.reset();
     run_events_ = 0;
     run_first_event_id_.clear();
 }
@@ -89,6 +92,8 @@
         return;
     }
     const std::string id = next.id.value_or("");
+    run_is_numbered_ = run_is_numbered_ && (next.is_final || number_of(id).has_value());
+    runs_with_events_ += run_events_ == 0 ? 1 : 0;
     first_event_id_ = events_ == 0 ? id : first_event_id_;
     run_first_event_id_ = run_events_ == 0 ? id : run_first_event_id_;
     id_of_last_event_ = id.empty() ? id_of_last_event_ : id;
@@ -99,6 +104,15 @@
     is_final_ = is_final_ || next.is_final;
 }
 
+std::optional<stream_numbering> stream_position::shown_numbering(bool is_whole) const {
+    if (!run_is_numbered_) {
+        return stream_numbering::with_gaps;
+    }
+    const bool is_of_one_run = !is_taken_up_ && runs_with_events_ == 1;
+    const bool is_shown = is_whole && is_of_one_run && has_step_of_one_ && !has_other_step_;
+    return is_shown ? std::optional{stream_numbering::consecutive} : std::nullopt;
+}
+
 void stream_position::move_behind(const std::string& id) {
     const auto last = number_of(last_event_id_);
     const auto number = number_of(id);
@@ -106,6 +120,10 @@
         has_step_of_one_ = has_step_of_one_ || *number - *last == 1;
         has_other_step_ = has_other_step_ || *number - *last != 1;
     }
+    if (number && run_last_number_ && *number != *run_last_number_) {
+        run_is_numbered_ = run_is_numbered_ && *number - *run_last_number_ == 1;
+    }
+    run_last_number_ = number ? number : run_last_number_;
     last_event_id_ = id;
     last_number_ = id.empty() ? last_number_ : number;
     has_other_ids_ = has_other_ids_ || (!id.empty() && !number);
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -76,6 +76,54 @@
     CHECK(fault_of(stream_position{"5"}, "5") == sequence_fault::repeated);
 }
 
+// Guards against omissions behind a single event and at take-ups (ORDER).
+TEST_CASE("an omission is recognized where the upstream is known to number events consecutively") {
+    for (stream_position position : {stream_position{"5"}, position_behind({"5"})}) {
+        position.begin_run(stream_numbering::consecutive);
+        CHECK_FALSE(fault_of(position, "6"));
+        CHECK(fault_of(position, "7") == sequence_fault::omitted);
+        CHECK(fault_of(position, "a") == sequence_fault::unnumbered);
+        position.begin_run(stream_numbering::with_gaps);
+        CHECK_FALSE(fault_of(position, "7"));
+    }
+    auto sparse = position_behind({"1", "4"});
+    sparse.begin_run(stream_numbering::consecutive);
+    CHECK_FALSE(fault_of(sparse, "7"));
+}
+
+TEST_CASE("a whole stream of one run shows that its upstream numbers events consecutively") {
+    stream_position position;
+    position.begin_run();
+    position.advance({.id = "1"});
+    CHECK_FALSE(position.shown_numbering(true));
+    position.advance({.id = "2"});
+    CHECK_FALSE(position.shown_numbering(false));
+    CHECK(position.shown_numbering(true) == stream_numbering::consecutive);
+    position.begin_run(); // the confirmation of its end
+    CHECK(position.shown_numbering(true) == stream_numbering::consecutive);
+    position.advance({.id = "3"});
+    CHECK_FALSE(position.shown_numbering(true));
+    stream_position taken_up{"1"};
+    taken_up.begin_run();
+    taken_up.advance({.id = "2"});
+    taken_up.advance({.id = "3"});
+    CHECK_FALSE(taken_up.shown_numbering(true));
+}
+
+TEST_CASE("gaps within any run show that its upstream does not number events consecutively") {
+    for (const char* const id : {"3", "x", ""}) {
+        CAPTURE(id);
+        stream_position position{"0"};
+        position.begin_run();
+        position.advance({.id = "1"});
+        position.advance({.id = id});
+        CHECK(position.shown_numbering(false) == stream_numbering::with_gaps);
+    }
+    stream_position unnumbered;
+    unnumbered.advance({});
+    CHECK(unnumbered.shown_numbering(true) == stream_numbering::with_gaps);
+}
+
 TEST_CASE("identifiers that are no numbers are compared for equality between runs") {
     const auto position = position_behind({"a", "b", "c"});
     CHECK(fault_of(position, "a") == sequence_fault::repeated);
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -1,5 +1,8 @@
 // Relays the event stream of a routed request, from one upstream or from several in turn.
 
+#include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/event_sequence.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
@@ -48,8 +51,16 @@
     const bool continues = state_.response_started;
     const bool follows_unproved_end = unproved_end_ == position_.events();
     ++runs_;
-    position_.begin_run();
+    auto& numberings = context_.plane.numberings();
+    const std::uint32_t version =
+        begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
+    position_.begin_run(numberings.numbering_of(version, clock::now()));
     auto result = co_await relay_run(connection);
+    const bool is_whole = stream_is_complete_ && stream_end_ != stream_end::connection_closed;
+    const auto numbering = position_.shown_numbering(is_whole);
+    if (numbering && route_->kind == request_kind::resumable_stream) {
+        numberings.record(version, *numbering, clock::now());
+    }
     if (follows_unproved_end && position_.run_events() > 0) {
         context_.early_ends[service_->name] = clock::now();
     }
--- a/packages/wire/include/citronwick/wire/messages.hpp
+++ b/packages/wire/include/citronwick/wire/messages.hpp
@@ -219,6 +219,13 @@
     std::uint32_t version = 0; ///< short hash of its name
 };
 
+/// How a version of a service numbers the events of its streams.
+struct stream_numbering {
+    std::uint32_t version = 0; ///< short hash of its name
+    std::uint16_t age = 0;     ///< seconds since a stream showed it
+    bool has_gaps = false;     ///< its numbers are not consecutive
+};
+
 /// Asks for a place of the receiver on a brittle upstream, for one request.
 struct place_request {
     std::uint32_t upstream = 0;
@@ -275,6 +282,8 @@
     std::vector<place_request> place_requests;
     std::vector<place_reply> place_replies;
     std::vector<std::uint32_t> returned_places; ///< nonces of loans that the sender no longer needs
+    std::vector<std::uint64_t> unseen_streams;  ///< keys of queries that the sender cannot answer
+    std::vector<stream_numbering> stream_numberings;
 };
 
 /// Incarnation that numbered the load table or list in a message, 0 if unknown.
--- a/packages/wire/include/citronwick/wire/serialization.hpp
+++ b/packages/wire/include/citronwick/wire/serialization.hpp
@@ -203,6 +203,11 @@
     archive(reply.nonce, reply.granted);
 }
 
+template <class Archive>
+void serialize(Archive& archive, stream_numbering& entry) {
+    archive(entry.version, entry.age, entry.has_gaps);
+}
+
 /// Serializes only the lists that are not empty, preceded by a bit mask of them.
 template <class Archive, class... Lists>
 void serialize_present(Archive& archive, Lists&... lists) {
@@ -238,12 +243,14 @@
 /// routers that do not know them do not read on.
 template <class Archive>
 void serialize_more_lists(Archive& archive, gossip& message) {
-    serialize_present(archive, message.place_requests, message.place_replies, message.returned_places);
+    serialize_present(archive, message.place_requests, message.place_replies, message.returned_places,
+                      message.unseen_streams, message.stream_numberings);
 }
 
 inline bool has_more_lists(const gossip& message) {
     return !message.place_requests.empty() || !message.place_replies.empty() ||
-           !message.returned_places.empty();
+           !message.returned_places.empty() || !message.unseen_streams.empty() ||
+           !message.stream_numberings.empty();
 }
 
 template <class Archive>
--- a/packages/wire/tests/envelope.tests.cpp
+++ b/packages/wire/tests/envelope.tests.cpp
@@ -51,6 +51,8 @@
     const wire::envelope envelope{"key"};
     wire::gossip message = sample_message();
     message.place_requests.push_back({0xabcd, 70'000, 90'000});
+    message.unseen_streams.push_back(0x123456789);
+    message.stream_numberings.push_back({0xdcba, 600, true});
     message.place_replies.push_back({8, true});
     message.returned_places.push_back(9);
     const auto opened = envelope.open<wire::gossip>(envelope.seal({1, 2, 3}, message), "peer");
@@ -59,6 +61,10 @@
     CHECK(opened->message.place_requests.at(0).upstream == 0xabcd);
     CHECK(opened->message.place_requests.at(0).nonce == 70'000);
     CHECK(opened->message.place_requests.at(0).lifetime == 90'000);
+    CHECK(opened->message.unseen_streams.at(0) == 0x123456789);
+    CHECK(opened->message.stream_numberings.at(0).version == 0xdcba);
+    CHECK(opened->message.stream_numberings.at(0).age == 600);
+    CHECK(opened->message.stream_numberings.at(0).has_gaps);
     CHECK(opened->message.place_replies.at(0).granted);
     CHECK(opened->message.returned_places.at(0) == 9);
 }
--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -320,3 +320,78 @@
         CHECK((stream.is_complete || stream.status == 503));
     }
 }
+
+// Guards against omissions where this request brought no two events that show consecutive numbers (ORDER).
+TEST_CASE(
+    "proof: a run that omits events is not joined to a single event or where a caller takes a stream up") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    taken_stream whole{.name = "whole"};
+    ask_for(whole, system.routers()[0]);
+    REQUIRE(whole.is_complete);
+    std::this_thread::sleep_for(1s); // longer than the interval of the routers' messages
+    set_faults(system.engines(), R"({"cut_after":1,"omit":1})");
+    auto begun = new_streams();
+    ask_for_all(begun, {&system.routers()[0]});
+    set_faults(system.engines(), R"({"omit":1})");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK_FALSE(stream.is_complete);
+    }
+    set_faults(system.engines(), "{}");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(stream.is_complete);
+    }
+}
+
+// Guards against omissions at a take-up by a router that has just started (ORDER).
+TEST_CASE("proof: a router that has just started does not answer a take-up by a run that omits events") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    taken_stream whole{.name = "whole"};
+    ask_for(whole, system.routers()[0]);
+    REQUIRE(whole.is_complete);
+    auto begun = begin_streams(system);
+    system.routers()[1].process->kill();
+    system.restart_router(system.routers()[1]);
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"omit":1})");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+    }
+}
+
+// Guards against whole streams of services with gaps that end broken.
+TEST_CASE("proof: streams whose numbers have gaps go on and are taken up") {
+    for (const std::string numbering : {"strided", "sparse"}) {
+        CAPTURE(numbering);
+        routed_fleet system{{.routers = 2, .engines = 2}};
+        REQUIRE(system.wait_ready());
+        REQUIRE(wait_versions(system, {0, 1}, 1));
+        const std::string setting = R"("numbering":")" + numbering + "\"}";
+        set_faults(system.engines(), "{" + setting);
+        taken_stream whole{.name = "whole"};
+        ask_for(whole, system.routers()[0]);
+        CHECK(whole.is_complete);
+        const auto expected = whole.events;
+        CHECK(expected.size() == last_event);
+        for (const std::string cut : {"1", "2", "3"}) {
+            auto begun = new_streams();
+            std::ranges::for_each(begun, [&](taken_stream& each) { each.name += "-" + cut; });
+            set_faults(system.engines(), R"({"cut_after":)" + cut + "," + setting);
+            ask_for_all(begun, {&system.routers()[0]});
+            set_faults(system.engines(), "{" + setting);
+            ask_for_all(begun, {&system.routers()[1]});
+            for (const taken_stream& stream : begun) {
+                CHECK_MESSAGE(stream.events == expected, describe(stream));
+                CHECK(stream.is_complete);
+            }
+        }
+    }
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -32,6 +32,7 @@
             .is_unframed = string_member(settings, "framing") == "none",
             .segment_bytes = static_cast<std::size_t>(integer_member(settings, "segment_bytes")),
             .event_format = string_member(settings, "event_format"),
+            .numbering = string_member(settings, "numbering"),
             .only_path = string_member(settings, "only_path")};
 }
 
@@ -310,7 +311,7 @@
     if (request.target().find("/stream/") != std::string_view::npos) {
         body = "";
         for (std::int64_t id = 1; id <= event_count_; ++id) {
-            body += format_event(id, stream_faults_.event_format);
+            body += format_event(id, stream_faults_);
         }
         body.resize(fault == "unframed_cut" ? body.size() - 1 : body.size());
     }
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -51,7 +51,7 @@
     http::response_header<> make_header(const http_request& request) const;
     void record_run(const http_request& request);
 
-    std::string format_event(std::int64_t number, std::string_view format) const;
+    std::string format_event(std::int64_t number, const stream_faults& faults) const;
 
     std::string id_;
     std::string version_;
--- a/tests/standin/routed_worker_streams.cpp
+++ b/tests/standin/routed_worker_streams.cpp
@@ -14,10 +14,33 @@
 
 using boost::beast::tcp_stream;
 
+namespace {
+
+/// Identifier of an event. Those of strided streams differ by three, those of sparse ones by one or two.
+std::int64_t id_of(std::int64_t number, std::string_view numbering) {
+    constexpr std::int64_t stride = 3;
+    if (numbering == "strided") {
+        return stride * number;
+    }
+    return numbering == "sparse" ? number + number / stride : number;
+}
+
+/// Number of the first event whose identifier is higher.
+std::int64_t number_behind(std::int64_t id, std::string_view numbering) {
+    std::int64_t number = 1;
+    while (id_of(number, numbering) <= id) {
+        ++number;
+    }
+    return number;
+}
+
+} // namespace
+
 /// Formats an event in one of the forms that text/event-stream allows.
-std::string routed_worker::format_event(std::int64_t number, std::string_view format) const {
-    const std::string id = std::to_string(number);
-    const std::string data = "piece " + id + (version_.empty() ? "" : " of " + version_);
+std::string routed_worker::format_event(std::int64_t number, const stream_faults& faults) const {
+    const std::string_view format = faults.event_format;
+    const std::string id = std::to_string(id_of(number, faults.numbering));
+    const std::string data = "piece " + std::to_string(number) + (version_.empty() ? "" : " of " + version_);
     if (format == "unnumbered") {
         return "data: " + data + "\n\n";
     }
@@ -64,7 +87,7 @@
     if (last_event_id.empty() || faults.begins_anew) {
         return 1;
     }
-    const std::int64_t next = std::stoll(last_event_id) + 1;
+    const std::int64_t next = number_behind(std::stoll(last_event_id), faults.numbering);
     const bool is_known = next > 2 && request.count("Resumes") == 0;
     if (faults.omits_if_known && !is_known) {
         return next;
@@ -77,7 +100,7 @@
                                                  const stream_faults& faults) const {
     std::vector<std::string> parts;
     for (std::int64_t id = first_event; id <= event_count_; ++id) {
-        parts.push_back(format_event(id, faults.event_format));
+        parts.push_back(format_event(id, faults));
     }
     if (faults.segment_bytes == 0) {
         return parts;
--- a/tests/standin/stream_faults.hpp
+++ b/tests/standin/stream_faults.hpp
@@ -23,6 +23,7 @@
         0; ///< sent at a time, wherever events begin and end; 0 for an event at a time
     std::string
         event_format;      ///< "compact", "crlf", "cr", "unnumbered" or "id_behind"; empty for the usual one
+    std::string numbering; ///< of the events: "strided", "sparse", or empty for consecutive numbers
     std::string only_path; ///< part of the paths that are affected, empty for all
 };
 
