--- a/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/stream_exchange.hpp
@@ -14,18 +14,19 @@
 namespace citronwick {
 
 class begun_streams;
+class stream_numberings;
 
 /// Asks the other routers at which version they saw a stream begin. All are asked,
-/// since any may have relayed it. Those that do not remember it reply that, so that a
-/// router that is late is not taken for one that knows nothing. Used by the control
-/// thread only.
+/// since any may have relayed it. Those that know it also tell how its version numbers events.
+/// Those that do not remember it reply that, so that a router that is late is not taken for
+/// one that knows nothing. Used by the control thread only.
 class stream_exchange {
 public:
     /// @param version short hash; none if no router remembers the stream
     using reply_callback = std::function<void(std::optional<std::uint32_t> version)>;
     using sender = std::function<void(const wire::gossip&, std::uint64_t to, time_point)>;
 
-    stream_exchange(const begun_streams& streams, sender send);
+    stream_exchange(const begun_streams& streams, stream_numberings& numberings, sender send);
 
     /// @param key see `begun_streams::key`
     /// @param routers that may have relayed it
@@ -50,6 +51,7 @@
     };
 
     const begun_streams& streams_;
+    stream_numberings& numberings_;
     sender send_;
     std::map<std::uint64_t, std::vector<question>> questions_; ///< by key
 };
--- a/packages/fleet/tests/stream_exchange.tests.cpp
+++ b/packages/fleet/tests/stream_exchange.tests.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/fleet/stream_exchange.hpp"
 
 #include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -23,9 +24,11 @@
     }
 
     begun_streams streams;
+    stream_numberings numberings;
     wire::gossip reply;
     stream_exchange exchange{
-        streams, [this](const wire::gossip& message, std::uint64_t, time_point) { reply = message; }};
+        streams, numberings,
+        [this](const wire::gossip& message, std::uint64_t, time_point) { reply = message; }};
     time_point now = clock::now();
 };
 
@@ -45,8 +48,9 @@
     }
 
     begun_streams streams;
+    stream_numberings numberings;
     std::string told;
-    stream_exchange exchange{streams, [](const wire::gossip&, std::uint64_t, time_point) {}};
+    stream_exchange exchange{streams, numberings, [](const wire::gossip&, std::uint64_t, time_point) {}};
     time_point now = clock::now();
 };
 
--- a/tests/standin/stream_faults.hpp
+++ b/tests/standin/stream_faults.hpp
@@ -25,6 +25,7 @@
         event_format; ///< "compact", "crlf", "cr", "unnumbered" or "id_behind"; empty for the usual one
     bool answers_early = false; ///< before it has read the body of the request, which it then never reads
     bool resets = false;        ///< connections that it closes
+    std::string numbering;      ///< of the events: "strided", "sparse", or empty for consecutive numbers
     std::string only_path;      ///< part of the paths that are affected, empty for all
 };
 
