Reset connections in the stand-in that is to reset them

The worker of "a response without length or chunks is delivered if the next connection is reset" set linger to 0 and left the close to the socket's destructor, in which Asio takes that back. Workers reset connections beyond their limit (PROTOCOL, "Workers").

The worker closes the socket itself now.

--- a/tests/integration/unframed_responses.tests.cpp
+++ b/tests/integration/unframed_responses.tests.cpp
@@ -76,6 +76,7 @@
             acceptor_.accept(connection);
             if (resets_ < responses_) {
                 connection.set_option(asio::socket_base::linger{true, 0});
+                connection.close(); // the destructor would close it in order
                 ++resets_;
                 continue;
             }
