Give an overdue response up only once a repeat has a connection

The router now opens the repeat's connection first (early_connection), to the upstream that placement would choose, while it goes on waiting. Once it is open, the repeat is taken from the budget, once, the overdue connection is closed, and the next attempt is placed on that upstream if it may take the request (`preferred`), elsewhere otherwise. The overdue response is relayed if it comes before; two runs are never relayed, as its connection is closed before the next attempt begins. A connect that fails is recorded as any other, so that a cut is noticed as before, and the next one tries another upstream. None is opened if the budget has no repeat.

--- a/packages/policy/include/citronwick/policy/retry_window.hpp
+++ b/packages/policy/include/citronwick/policy/retry_window.hpp
@@ -26,6 +26,9 @@
     /// Records the first attempt of a request.
     void record_request(time_point now);
 
+    /// Whether the limits allow a retry.
+    bool has_retry(const retry_limits& limits, std::size_t sharers, time_point now);
+
     /// Records a retry if the limits allow it.
     /// @param sharers number of counters that share the extra retries, including this one
     /// @return whether the retry is allowed
--- a/packages/policy/src/retry_window.cpp
+++ b/packages/policy/src/retry_window.cpp
@@ -17,15 +17,19 @@
     requests_.push_back(now);
 }
 
-bool retry_window::take_retry(const retry_limits& limits, std::size_t sharers, time_point now) {
+bool retry_window::has_retry(const retry_limits& limits, std::size_t sharers, time_point now) {
     expire(limits, now);
     const double allowed = limits.share * static_cast<double>(requests_.size()) +
                            limits.extra / static_cast<double>(std::max<std::size_t>(sharers, 1));
-    if (static_cast<double>(retries_.size()) + 1.0 > allowed) {
-        return false;
+    return static_cast<double>(retries_.size()) + 1.0 <= allowed;
+}
+
+bool retry_window::take_retry(const retry_limits& limits, std::size_t sharers, time_point now) {
+    const bool is_allowed = has_retry(limits, sharers, now);
+    if (is_allowed) {
+        retries_.push_back(now);
     }
-    retries_.push_back(now);
-    return true;
+    return is_allowed;
 }
 
 } // namespace citronwick
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -303,6 +303,8 @@
         ++granted;
     }
     CHECK(granted == 6);
+    CHECK_FALSE(window.has_retry(budget, 6, start + 9s));
     CHECK_FALSE(window.take_retry(budget, 6, start + 9s));
+    CHECK(window.has_retry(budget, 6, start + 11s));
     CHECK(window.take_retry(budget, 6, start + 11s));
 }
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -81,6 +81,7 @@
     {
         const auto executor = co_await asio::this_coro::executor;
         const overdue_response watched{executor, overdue < latest ? overdue : time_point::max(),
+                                       [this] { return open_early_connection(); },
                                        [&] { return give_up_response(connection); }};
         result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, latest);
     }
@@ -126,15 +127,6 @@
     co_return result;
 }
 
-/// Closes the connection to an upstream whose response is overdue if another one may be asked instead.
-bool route_exchange::give_up_response(upstream_connection& connection) {
-    const bool has_repeat = take_repeat();
-    if (has_repeat) {
-        connection.close();
-    }
-    return has_repeat;
-}
-
 http::request_header<> route_exchange::make_forwarded_header() const {
     http::request_header<> forwarded = request_.base();
     forward_metadata metadata{.upstream = placement_->upstream.entry.id,
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -9,6 +9,7 @@
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
+#include "early_connection.hpp"
 #include "route_context.hpp"
 #include "upstream_exchange.hpp"
 
@@ -168,6 +169,7 @@
         co_return false;
     }
     if (!is_confirmation_) {
+        prefer_early_connection();
         co_await place_when_free(started);
     }
     refuse_if_late(clock::now());
@@ -186,7 +188,7 @@
          {"upstream", placement_->upstream.entry.id},
          {"software", placement_->upstream.entry.version},
          {"reason", std::string{placement_->reason}},
-         {"directly", needs_peer() ? "no" : "yes"},
+         {"directly", needs_peer(*placement_) ? "no" : "yes"},
          {"prefix",
           std::to_string(placement_request_.prefixes.empty() ? 0 : placement_request_.prefixes.back().key)},
          {"in_flight", std::to_string(static_cast<int>(placement_->in_flight))},
@@ -236,22 +238,41 @@
     return std::min(deadline_, now + attempt_timeout);
 }
 
-/// Takes a repeat for a request whose response is overdue, if another upstream may be asked for it.
-/// Without one, the upstream is waited for, as giving it up would fail the request.
-bool route_exchange::take_repeat() {
+/// Chooses the upstream to which a connection was opened ahead, if it can take the request.
+void route_exchange::prefer_early_connection() {
+    placement_request_.preferred.reset();
+    if (early_connection_ && early_connection_->is_ready()) {
+        placement_request_.preferred = early_connection_->upstream();
+    }
+}
+
+/// Whether a request whose response is overdue may be sent to another upstream. Without one, the
+/// upstream is waited for, as giving it up would fail the request.
+bool route_exchange::may_repeat_elsewhere(time_point now) {
     attempt_state given_up = state_;
     given_up.last_outcome = attempt_outcome::may_have_run;
     ++given_up.sent;
-    given_up.time_left = remaining_time(clock::now()) > 0ms;
+    given_up.time_left = remaining_time(now) > 0ms;
     given_up.caller_connected = !caller_.disconnected();
-    has_taken_repeat_ = may_try_elsewhere(given_up) && has_untried_upstream() && spend_retry_budget();
+    return may_try_elsewhere(given_up) && has_untried_upstream() &&
+           context_.retry_windows[service_->name].has_retry(context_.plane.settings().retries,
+                                                            budget_sharers(), now);
+}
+
+/// Takes a repeat for a request whose response is overdue.
+bool route_exchange::take_repeat() {
+    has_taken_repeat_ = may_repeat_elsewhere(clock::now()) && spend_retry_budget();
     return has_taken_repeat_;
 }
 
+std::size_t route_exchange::budget_sharers() const {
+    return view_->known_routers * context_.settings.threads;
+}
+
 bool route_exchange::spend_retry_budget() {
     const routing_settings& settings = context_.plane.settings();
-    const std::size_t budget_sharers = view_->known_routers * context_.settings.threads;
-    return context_.retry_windows[service_->name].take_retry(settings.retries, budget_sharers, clock::now());
+    return context_.retry_windows[service_->name].take_retry(settings.retries, budget_sharers(),
+                                                             clock::now());
 }
 
 /// Records the result of an attempt and chooses the next step.
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -18,6 +18,7 @@
 namespace citronwick {
 
 class buffer_reservation;
+class early_connection;
 class place_queue;
 struct exchange_result;
 class upstream_connection;
@@ -97,9 +98,13 @@
     task<bool> begin_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, complete_events arrived);
     std::unique_ptr<upstream_connection> acquire_connection(time_point now);
+    std::unique_ptr<upstream_connection> acquire_connection(const routed_placement& placement,
+                                                            time_point now);
     void release_connection(std::unique_ptr<upstream_connection> connection);
-    bool needs_peer() const;
-    task<io_result<void>> connect(upstream_connection& connection, std::chrono::milliseconds timeout);
+    bool needs_peer(const routed_placement& placement) const;
+    void record_connect_failure(std::uint64_t upstream, const failure& error);
+    task<void> open_early_connection();
+    void prefer_early_connection();
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
     void record_reach(const upstream_connection& connection, const exchange_result& result);
     bool record_attempt(const exchange_result& result);
@@ -111,7 +116,9 @@
     http::request_header<> make_forwarded_header() const;
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
+    bool may_repeat_elsewhere(time_point now);
     bool take_repeat();
+    std::size_t budget_sharers() const;
     bool has_untried_upstream() const;
     bool give_up_response(upstream_connection& connection);
     std::chrono::milliseconds remaining_time(time_point now) const;
@@ -140,7 +147,9 @@
     bool is_relayed_ = false;        ///< the attempt passes through another router
     bool is_new_connection_ = false; ///< the attempt opened its connection
     attempt_state state_;
-    bool has_taken_repeat_ = false; ///< from the retry budget, for the next attempt
+    bool has_taken_repeat_ = false;                      ///< from the retry budget, for the next attempt
+    std::shared_ptr<early_connection> early_connection_; ///< for the next attempt, none if there is none
+    std::vector<std::uint64_t> not_reached_early_;       ///< upstreams to which none could be opened
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
     std::optional<problem> refusal_before_send_; ///< set if the request is refused after its arrival
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -76,6 +76,10 @@
         placement_request_.may_use_limited = may_use_limited && now >= context_.permits_paused_until;
         placement_ = choose_upstream(placement_request_, *view_, context_.plane.observations(), limits,
                                      parameters, settings.failure_domain, now);
+        if (!placement_ && placement_request_.preferred) {
+            placement_request_.preferred.reset();
+            continue;
+        }
         if (!placement_ || !placement_->rate_limit) {
             co_return;
         }
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -177,7 +177,8 @@
                                        ? !contains(request.not_lent, upstreams[index].hash)
                                        : !most[index] || upstreams[index].load->taken_places.load(
                                                              std::memory_order_relaxed) < *most[index];
-            candidates[index].usable = has_version(upstreams[index], request) &&
+            const bool is_asked_for = !request.preferred || upstreams[index].hash == *request.preferred;
+            candidates[index].usable = is_asked_for && has_version(upstreams[index], request) &&
                                        !was_tried(upstreams[index], request) && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -25,10 +25,11 @@
     std::uint64_t request_hash = 0;      ///< hash of the request identifier
     std::vector<shared_prefix> prefixes; ///< of the prompt, shortest first
     std::uint32_t prompt_tokens = 0;
-    std::optional<std::string> version{}; ///< of the upstreams that may be chosen, none for any
-    std::vector<std::uint64_t> tried;     ///< hashes of upstreams that earlier attempts used
-    bool may_use_limited = true;          ///< whether upstreams with a rate limit may be chosen
-    bool has_permit = false;              ///< for the chosen upstream, which has a rate limit
+    std::optional<std::string> version{};     ///< of the upstreams that may be chosen, none for any
+    std::vector<std::uint64_t> tried;         ///< hashes of upstreams that earlier attempts used
+    std::optional<std::uint64_t> preferred{}; ///< hash of the upstream to choose, none for any
+    bool may_use_limited = true;              ///< whether upstreams with a rate limit may be chosen
+    bool has_permit = false;                  ///< for the chosen upstream, which has a rate limit
     /// Whether to choose an upstream for which a place is to be borrowed, this router's own
     /// being taken.
     bool borrows = false;
--- a/tests/integration/silent_upstreams.tests.cpp
+++ b/tests/integration/silent_upstreams.tests.cpp
@@ -1,14 +1,21 @@
 // A sound upstream may fall silent for a second or so and go on, which ends nothing.
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/io/json_text.hpp"
+#include "citronwick/io/task.hpp"
 #include "routed_fleet.hpp"
+#include "waiting.hpp"
 
 #include <algorithm>
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
 #include <future>
+#include <linux/filter.h>
 #include <string>
+#include <sys/socket.h>
 #include <vector>
 
 using namespace citronwick;
@@ -28,6 +35,25 @@
     R"("silent_after_down":330)",
 };
 
+/// Listens at an address, and drops all packets that come there.
+class silent_listener {
+public:
+    explicit silent_listener(const std::string& name) {
+        sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+        const sock_fprog program{1, &drop_all};
+        ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+        entry_.name = name;
+        entry_.addresses = {to_endpoint(acceptor_.local_endpoint())};
+    }
+
+    const node& entry() const { return entry_; }
+
+private:
+    asio::io_context context_{1};
+    asio::ip::tcp::acceptor acceptor_{context_, {asio::ip::address_v4::loopback(), 0}};
+    node entry_;
+};
+
 /// A request that is under way.
 struct asked {
     std::string path;
@@ -141,3 +167,32 @@
     set_proxy_fault(system.plain_workers()[0], R"({"silence_ms":1200,"silent_after_up":0})");
     CHECK(is_whole(ask(system.routers()[0].address(), "/read/1", "only", ""), false));
 }
+
+// Guards against repeatable requests that are given up for a repeat that reaches no upstream.
+TEST_CASE("proof: an overdue response is waited for if no connection to another upstream can be opened") {
+    const silent_listener listener{"desk-silent"};
+    routed_fleet system{{.routers = 1, .plain_workers = 1, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    system.register_worker(listener.entry(), "desk");
+    const auto knows_both = [&] {
+        const auto seen = system.view(system.routers()[0]);
+        const auto* const services = object_member(seen, "services");
+        return services != nullptr && services->contains("desk") &&
+               services->at("desk").as_array().size() == 2;
+    };
+    REQUIRE(wait_until(knows_both));
+    set_proxy_fault(system.plain_workers()[0], R"({"silence_ms":1200,"silent_after_up":0})");
+    const endpoint router = system.routers()[0].address();
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::future<reply>> answers;
+        for (int count = 0; count < 4; ++count) {
+            const std::string attempt = std::to_string(round) + "-" + std::to_string(count);
+            answers.push_back(std::async(std::launch::async, ask, router, "/read/1", attempt, ""));
+        }
+        for (std::future<reply>& each : answers) {
+            const reply answer = each.get();
+            CAPTURE(answer.body);
+            CHECK(is_whole(answer, false));
+        }
+    }
+}
