--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <docopt/docopt.h>
 #include <exception>
 #include <iostream>
@@ -186,6 +187,9 @@
 
 int report(soak_run& run) {
     const auto violations = run.checker.violations();
+    if (!violations.empty()) {
+        ::setenv("CITRONWICK_KEEP_LOGS", "1", 1); // read by the destructor of the fleet
+    }
     std::cout << "event=soak_ended seed=" << run.options.seed << " asked=" << run.checker.request_count()
               << " breaches=" << violations.size();
     for (const auto& [status, count] : run.checker.statuses()) {
