--- a/tests/harness/node.hpp
+++ b/tests/harness/node.hpp
@@ -20,6 +20,7 @@
     std::vector<endpoint> addresses;
     std::unique_ptr<node> proxy{}; ///< fault proxy in front of the process, if any
     bool leaving = false;
+    std::string program{};        ///< path, empty for the program under test
     std::string source_address{}; ///< of outbound connections, empty for any
 
     /// The address to connect to: that of the proxy if there is one.
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -104,11 +104,12 @@
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
-void routed_fleet::start_router() {
+void routed_fleet::start_router(std::string program) {
     const std::size_t index = next_index_++;
     const std::size_t number = index % options_.failure_domains;
     node router{.name = "entry-" + std::to_string(index),
                 .failure_domain = number == 0 ? domain : "domain-" + std::to_string(number)};
+    router.program = std::move(program);
     router.log = file(router.name + ".log");
     if (options_.proxies) {
         // Tells routers apart at the proxies.
@@ -153,8 +154,9 @@
         << options_.limit_settings << "\n[shutdown]\nbalancer_lag = \"" << options_.balancer_lag.count()
         << "ms\"\n"
         << options_.shutdown_settings << "\n[log]\nformat = \"" << options_.log_format << "\"\n";
-    router.process = std::make_unique<child_process>(
-        std::vector<std::string>{binary_path("citronwickd"), "--config", settings}, router.log, process);
+    const std::string program = router.program.empty() ? binary_path("citronwickd") : router.program;
+    router.process = std::make_unique<child_process>(std::vector<std::string>{program, "--config", settings},
+                                                     router.log, process);
 }
 
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -90,7 +90,8 @@
     /// assignment of streams to versions and all routers in its view.
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds{10});
 
-    void start_router();
+    /// @param program path, empty for the program under test
+    void start_router(std::string program = {});
 
     /// Starts a router whose process has ended.
     void restart_router(node& router);
