End a stream broken if nothing proves its end, also without a retry budget

Callers got resumable streams without length or chunks as complete after event 3 of 6. Cause: once the retry budget was used up, the close of the connection was taken for the end if the upstream lived on and this thread had not seen the service end early (accept_unproved_end).

Such an end is complete now only if the last event proves it: all whole streams of the version lately, three at least, ended with the same data, and none had them elsewhere (last_events). Otherwise the stream ends broken, and its caller may take it up. What this router has learnt is not told to others.

Two new cases guard the rule.

--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -19,6 +19,7 @@
 class borrowed_place;
 class platform_adapter;
 class reach_monitor;
+class last_events;
 class stream_numberings;
 class upstream_observations;
 class suspect_registry;
@@ -62,6 +63,8 @@
     begun_streams& streams();
     /// How versions of services number the events of their streams. Thread-safe.
     stream_numberings& numberings();
+    /// With which events the streams of versions of services end. Thread-safe.
+    last_events& ends();
     reach_monitor& reach();
     const reach_monitor& reach() const;
     upstream_limits& limits();
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -63,6 +63,10 @@
     return state_->numberings();
 }
 
+last_events& routing_plane::ends() {
+    return state_->ends();
+}
+
 void routing_plane::ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
     state_->ask_stream_version(key, std::move(reply));
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/fleet/borrowed_place.hpp"
+#include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/router_peers.hpp"
@@ -88,6 +89,7 @@
     upstream_limits& limits() { return limits_; }
     begun_streams& streams() { return streams_; }
     stream_numberings& numberings() { return numberings_; }
+    last_events& ends() { return ends_; }
     reach_monitor& reach() { return reach_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
@@ -315,6 +317,7 @@
             suspects_.expire(now);
             streams_.expire(now);
             numberings_.expire(now);
+            ends_.expire(now);
         }
     }
 
@@ -366,6 +369,7 @@
     upstream_limits limits_;
     begun_streams streams_;
     stream_numberings numberings_;
+    last_events ends_;
     reach_monitor reach_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
--- a/packages/policy/include/citronwick/policy/stream_event.hpp
+++ b/packages/policy/include/citronwick/policy/stream_event.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_POLICY_STREAM_EVENT_HPP_INCLUDED
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,7 @@
     std::optional<std::string> id{}; ///< an empty one cannot be used to resume the stream
     bool is_final = false;           ///< its data says that no event follows
     bool has_data = true;            ///< it is an event
+    std::uint64_t data_hash = 0;     ///< over the lines of its data
 };
 
 } // namespace citronwick
--- a/packages/traffic/include/citronwick/traffic/event_splitter.hpp
+++ b/packages/traffic/include/citronwick/traffic/event_splitter.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/policy/stream_event.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +48,7 @@
     bool is_first_line_ = true;      ///< of a response, which may begin with a byte order mark
     bool is_event_empty_ = true;     ///< no line of the current event is complete
     bool event_has_data_ = false;
+    std::uint64_t event_data_hash_ = 0;
     bool event_is_final_ = false;
     std::optional<std::string> event_id_;
     std::vector<stream_event> events_; ///< complete ones in `pending_`
--- a/packages/traffic/include/citronwick/traffic/stream_end.hpp
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -11,6 +11,8 @@
     framed,            ///< its length or last chunk shows that it is whole
     final_event,       ///< its last event says that none follows
     confirmed,         ///< it has none of these, and a second run had nothing to add
+    known_last_event,  ///< it has none of these, and its last event is one that ends each stream of the
+                       ///< version
     connection_closed, ///< it has none of these, and its upstream accepts connections after its close
     unproved,          ///< its connection was closed in order, which a process that ends does as well
     upstream_gone,     ///< its connection was closed in order, and its upstream accepts no other
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/traffic/event_splitter.hpp"
 
+#include "citronwick/core/hash.hpp"
 #include "citronwick/traffic/event_field.hpp"
 
 #include <utility>
@@ -64,6 +65,7 @@
     const auto [name, value] = parse_event_field(line);
     if (name == "data") {
         event_has_data_ = true;
+        event_data_hash_ = hash_combine(event_data_hash_, hash64(value));
         event_is_final_ = event_is_final_ || value == done_data;
     } else if (name == "id" && value.find('\0') == std::string_view::npos) {
         // An event with an overlong identifier counts as one without.
@@ -74,7 +76,7 @@
 /// @param end position behind the event
 void event_splitter::end_event(std::size_t end) {
     if (event_has_data_ || event_id_) {
-        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_});
+        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_, event_data_hash_});
     }
     begin_event();
 }
@@ -82,6 +84,7 @@
 void event_splitter::begin_event() {
     is_event_empty_ = true;
     event_has_data_ = false;
+    event_data_hash_ = 0;
     event_is_final_ = false;
     event_id_.reset();
 }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -117,6 +117,8 @@
     std::chrono::milliseconds remaining_time(time_point now) const;
     void log_attempt(const exchange_result& result, duration elapsed) const;
     std::string last_event_text() const;
+    void note_relayed(const stream_event& event);
+    void record_run();
     void log_request_end(std::string_view result) const;
 
     route_context& context_;
@@ -148,13 +150,17 @@
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
-    stream_position position_;     ///< of the caller in the stream
-    std::string media_type_;       ///< of the response whose header was relayed
+    stream_position position_;                  ///< of the caller in the stream
+    std::optional<std::uint64_t> last_data_;    ///< hash of the data of the last event that was relayed
+    bool passed_known_last_event_ = false;      ///< an event followed one that ends the version's streams
+    std::optional<std::uint64_t> expected_end_; ///< see `last_events::last_event_of`
+    std::string media_type_;                    ///< of the response whose header was relayed
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
     std::optional<std::uint64_t> unproved_end_;  ///< events behind which a run ended without proof
     endpoint unproved_at_;                       ///< upstream of that run
     std::optional<fleet_peer> unproved_through_; ///< router that relayed it, if any
     std::size_t unproved_run_ = 0;               ///< number of that run
+    std::uint32_t run_version_ = 0;              ///< see `begun_streams::version_hash`
     std::size_t runs_ = 0;                       ///< responses of upstreams that were relayed as streams
     stream_end stream_end_ = stream_end::broken; ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -1,5 +1,7 @@
 // Decides whether the end of a response is the end of its stream.
 
+#include "citronwick/fleet/last_events.hpp"
+#include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
@@ -66,14 +68,19 @@
     co_return !error || error == asio::error::connection_reset;
 }
 
-/// Completes a stream whose end could not be confirmed by a second run, under the conditions for
-/// streams that may not be resumed.
+/// Completes a stream whose end could not be confirmed by a second run if its last event proves it.
+/// Otherwise it ends broken, and its caller may take it up.
 task<void> route_exchange::accept_unproved_end() {
     const bool has_no_other_run = unproved_end_ == position_.events() && unproved_run_ == runs_;
     if (!has_no_other_run || stream_is_complete_ || caller_.disconnected() ||
         service_ends_early(clock::now())) {
         co_return;
     }
+    const bool has_last_event =
+        last_data_ && context_.plane.ends().is_last_event(run_version_, *last_data_, clock::now());
+    if (!has_last_event) {
+        co_return;
+    }
     endpoint peer = unproved_at_;
     auto through = unproved_through_;
     const bool is_alive = co_await upstream_accepts(std::move(peer), std::move(through));
@@ -81,7 +88,7 @@
         stream_end_ = stream_end::upstream_gone;
         co_return;
     }
-    stream_end_ = stream_end::connection_closed;
+    stream_end_ = stream_end::known_last_event;
     stream_is_complete_ = co_await caller_.end_relay();
 }
 
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -1,6 +1,7 @@
 // Relays the event stream of a routed request, from one upstream or from several in turn.
 
 #include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/io/log.hpp"
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/case_conv.hpp>
+#include <utility>
 
 namespace citronwick {
 
@@ -51,16 +53,11 @@
     const bool continues = state_.response_started;
     const bool follows_unproved_end = unproved_end_ == position_.events();
     ++runs_;
-    auto& numberings = context_.plane.numberings();
-    const std::uint32_t version =
-        begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
-    position_.begin_run(numberings.numbering_of(version, clock::now()));
+    run_version_ = begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
+    position_.begin_run(context_.plane.numberings().numbering_of(run_version_, clock::now()));
+    expected_end_ = context_.plane.ends().last_event_of(run_version_, clock::now());
     auto result = co_await relay_run(connection);
-    const bool is_whole = stream_is_complete_ && stream_end_ != stream_end::connection_closed;
-    const auto numbering = position_.shown_numbering(is_whole);
-    if (numbering && route_->kind == request_kind::resumable_stream) {
-        numberings.record(version, *numbering, clock::now());
-    }
+    record_run();
     if (follows_unproved_end && position_.run_events() > 0) {
         context_.early_ends[service_->name] = clock::now();
     }
@@ -77,6 +74,33 @@
     co_return result;
 }
 
+/// Remembers what the run shows of all streams of its version.
+void route_exchange::record_run() {
+    if (route_->kind != request_kind::resumable_stream) {
+        return;
+    }
+    const auto now = clock::now();
+    const bool is_whole = stream_is_complete_ && stream_end_ != stream_end::connection_closed;
+    if (const auto numbering = position_.shown_numbering(is_whole)) {
+        context_.plane.numberings().record(run_version_, *numbering, now);
+    }
+    if (std::exchange(passed_known_last_event_, false)) {
+        context_.plane.ends().record_followed(run_version_, now);
+    }
+    if (is_whole && last_data_) {
+        context_.plane.ends().record_end(run_version_, *last_data_, now);
+    }
+}
+
+/// Moves behind an event that was written to the caller.
+void route_exchange::note_relayed(const stream_event& event) {
+    position_.advance(event);
+    if (event.has_data) {
+        passed_known_last_event_ = passed_known_last_event_ || (last_data_ && last_data_ == expected_end_);
+        last_data_ = event.data_hash;
+    }
+}
+
 /// Relays complete events only, so that an interrupted stream can be resumed on
 /// another upstream after its last event.
 task<exchange_result> route_exchange::relay_run(upstream_connection& connection) {
@@ -167,7 +191,7 @@
     if (!is_written) {
         co_return false;
     }
-    std::ranges::for_each(arrived.events, [this](const stream_event& each) { position_.advance(each); });
+    std::ranges::for_each(arrived.events, [this](const stream_event& each) { note_relayed(each); });
     co_return true;
 }
 
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -245,6 +245,7 @@
 TEST_CASE(
     "proof: a stream is whole although its worker does not answer the question whether an event follows") {
     routed_fleet system{{.routers = 1, .engines = 0}};
+    std::atomic<bool> confirms = true;
     std::atomic<bool> rejects = true;
     const auto serve = [&](asio::ip::tcp::socket& connection) {
         const std::string header = read_request(connection);
@@ -253,6 +254,8 @@
             const std::string stream =
                 start + "Connection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
             asio::write(connection, asio::buffer(stream));
+        } else if (confirms) {
+            asio::write(connection, asio::buffer(start + "Connection: close\r\n\r\n"));
         } else if (rejects) {
             const std::string refusal = "HTTP/1.1 503 Full\r\nCitronwick-Not-Run: 1\r\n" +
                                         start.substr(start.find("Citronwick-Attempt-Id")) +
@@ -265,6 +268,10 @@
     const scripted_worker worker{"busy", serve};
     system.register_worker(worker.entry(), "bench");
     REQUIRE(wait_streams_served(system));
+    for (const char* const attempt : {"first", "second", "third"}) {
+        CHECK(system.ask(system.routers()[0], "/quote/stream/1", attempt).error.empty());
+    }
+    confirms = false;
     for (const char* const attempt : {"rejected", "late"}) {
         CAPTURE(attempt);
         const auto asked_at = std::chrono::steady_clock::now();
@@ -285,7 +292,44 @@
     }
     const node& router = system.routers()[0];
     CHECK(wait_logged(router, {"request_ended", "/quote/", "runs=2 end=confirmed"}));
-    CHECK(wait_logged(router, {"request_ended", "/quote/", "runs=1 end=connection-closed"}));
+    CHECK(wait_logged(router, {"request_ended", "/quote/", "runs=1 end=known-last-event"}));
+}
+
+// Guards against an orderly close that counts as an end once no second run can be had (ORDER).
+TEST_CASE("proof: a stream that is closed early is not complete once the retry budget is used up") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"framing":"none"})");
+    ask_for_streams(system, "/quote/stream/a", stand_in_events);
+    ask_for_streams(system, "/quote/stream/b", stand_in_events);
+    set_faults(system.engines(), R"({"framing":"none","close_after":3})");
+    ask_for_streams(system, "/quote/stream/closed", stand_in_events);
+    CHECK(wait_logged(system.routers()[0], {"request_ended", "/quote/", "events=3", "result=stream-broken"}));
+}
+
+// Guards against an end that is taken for proved because nobody could be asked for a proof (ORDER).
+TEST_CASE("proof: a stream without length or chunks is not complete if nothing has ever shown its end") {
+    routed_fleet system{{.routers = 1, .engines = 0}};
+    const auto serve = [&](asio::ip::tcp::socket& connection) {
+        const std::string header = read_request(connection);
+        const std::string start = response_header(header);
+        const bool is_first_run = field_of(header, "Last-Event-Id").empty();
+        const std::string refusal = "HTTP/1.1 503 Full\r\nCitronwick-Not-Run: 1\r\n" +
+                                    start.substr(start.find("Citronwick-Attempt-Id")) +
+                                    "Content-Length: 0\r\n\r\n";
+        asio::write(
+            connection,
+            asio::buffer(is_first_run ? start + "Connection: close\r\n\r\nid: 1\ndata: a\n\n" : refusal));
+    };
+    const scripted_worker worker{"never", serve};
+    system.register_worker(worker.entry(), "bench");
+    REQUIRE(wait_streams_served(system));
+    for (int count = 0; count < streams; ++count) {
+        const auto answer =
+            system.ask(system.routers()[0], "/quote/stream/1", "never" + std::to_string(count));
+        CHECK_FALSE(answer.error.empty());
+        CHECK(event_ids(answer.body) == std::vector{1});
+    }
 }
 
 // Guards against a VM that is gone and answers nothing, which is no sign of life (ORDER).
@@ -324,6 +368,10 @@
     routed_fleet system{{.routers = 1, .engines = 1}};
     REQUIRE(system.wait_ready());
     node& engine = system.engines()[0];
+    set_fault(engine, R"({"framing":"none"})");
+    for (const char* const attempt : {"first", "second", "third"}) {
+        CHECK(system.ask(system.routers()[0], "/quote/stream/1", attempt).error.empty());
+    }
     set_fault(engine, R"({"framing":"none","event_gap_ms":150})");
     auto asked = std::async(std::launch::async,
                             [&] { return system.ask(system.routers()[0], "/quote/stream/1", "leaving"); });
