--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -104,6 +104,14 @@
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
+void routed_fleet::replace_worker(node& worker, const std::string& version) {
+    worker.process->kill();
+    const std::string port = std::to_string(worker.addresses.front().port);
+    node started = start_standin_in(directory_, "worker", worker.name,
+                                    {"--id", worker.name, "--software", version, "--port", port});
+    worker.process = std::move(started.process);
+}
+
 void routed_fleet::start_router() {
     const std::size_t index = next_index_++;
     const std::size_t number = index % options_.failure_domains;
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -79,6 +79,11 @@
     void restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
                         const std::string& fault = {});
 
+    /// Kills a worker and starts one with the same identifier at the same address, whose entry stays as it
+    /// is.
+    /// @param version of its software, which its events name
+    void replace_worker(node& worker, const std::string& version);
+
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -30,8 +30,12 @@
             .omits_if_known = integer_member(settings, "omit_if_known") != 0,
             .begins_anew = integer_member(settings, "begin_anew") != 0,
             .is_unframed = string_member(settings, "framing") == "none",
+            .event_bytes = static_cast<std::size_t>(integer_member(settings, "event_bytes")),
             .segment_bytes = static_cast<std::size_t>(integer_member(settings, "segment_bytes")),
             .event_format = string_member(settings, "event_format"),
+            .weights = integer_member(settings, "weights"),
+            .newer_weights_at = integer_member(settings, "newer_weights_at"),
+            .ignores_expected_weights = integer_member(settings, "ignore_expected_weights") != 0,
             .only_path = string_member(settings, "only_path")};
 }
 
@@ -55,9 +59,9 @@
 } // namespace
 
 routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id,
-                             std::string version)
+                             std::uint16_t port, std::string version)
     : id_{std::move(id)}, version_{std::move(version)},
-      server_{context, ip, 0, [this](tcp_stream& stream, http_request request) {
+      server_{context, ip, port, [this](tcp_stream& stream, http_request request) {
                   return handle(stream, std::move(request));
               }} {}
 
@@ -70,6 +74,7 @@
         remaining_faults_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
         failure_status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
+        born_ = integer_member(fault_settings, "born");
         stream_faults_ = read_stream_faults(fault_settings);
         refusals_.clear();
         crashing_part_ = string_member(fault_settings, "crash_on_part");
@@ -84,6 +89,13 @@
         json::object status{{"runs", runs_}, {"unfinished", aborted_runs_}, {"arrivals", arrivals_}};
         co_return co_await send_json(stream, std::move(status));
     }
+    if (target == "/v1/report") {
+        json::object report{{"seq", 1}};
+        if (born_ > 0) {
+            report["born"] = born_;
+        }
+        co_return co_await send_json(stream, std::move(report));
+    }
     arrivals_.emplace_back(clock::now().time_since_epoch() / 1ms);
     if (request["Citronwick-Expect-Instance"] != id_) {
         http_response refusal{http::status::misdirected_request, 11};
@@ -92,12 +104,27 @@
         auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
         co_return !error;
     }
+    if (expects_other_weights(request)) {
+        http_response refusal{make_header(request)};
+        refusal.erase("Citronwick-Server-Stamp");
+        refusal.result(http::status::misdirected_request);
+        refusal.set("Citronwick-Not-Run", "1");
+        refusal.prepare_payload();
+        auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
+        co_return !error;
+    }
     if (slots_) {
         co_return co_await run_in_slot(stream, std::move(request), slots_);
     }
     co_return co_await run(stream, std::move(request));
 }
 
+bool routed_worker::expects_other_weights(const http_request& request) const {
+    const auto expected = request["Citronwick-Expect-Version"];
+    return !expected.empty() && stream_faults_.weights > 0 && !stream_faults_.ignores_expected_weights &&
+           expected != std::to_string(stream_faults_.weights);
+}
+
 /// Runs a request as soon as a slot is free, or refuses it for want of room.
 task<bool> routed_worker::run_in_slot(tcp_stream& stream, http_request request,
                                       std::shared_ptr<slot_queue> queue) {
@@ -152,6 +179,9 @@
     if (!brittle_.empty()) {
         header.set("Server-Brittle", brittle_);
     }
+    if (stream_faults_.weights > 0) {
+        header.set("Citronwick-Weight-Versions", std::to_string(stream_faults_.weights));
+    }
     if (says_leaving_) {
         header.set("Server-Leaving", "1");
     }
@@ -310,7 +340,7 @@
     if (request.target().find("/stream/") != std::string_view::npos) {
         body = "";
         for (std::int64_t id = 1; id <= event_count_; ++id) {
-            body += format_event(id, stream_faults_.event_format);
+            body += format_event(id, stream_faults_);
         }
         body.resize(fault == "unframed_cut" ? body.size() - 1 : body.size());
     }
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -22,8 +22,10 @@
 /// injects the fault set by POST /standin/fault.
 class routed_worker {
 public:
+    /// @param port to listen on, 0 for a free one
     /// @param version that its events name, empty for none
-    routed_worker(asio::io_context& context, const std::string& ip, std::string id, std::string version);
+    routed_worker(asio::io_context& context, const std::string& ip, std::string id, std::uint16_t port,
+                  std::string version);
 
     endpoint address() const { return server_.address(); }
 
@@ -51,7 +53,8 @@
     http::response_header<> make_header(const http_request& request) const;
     void record_run(const http_request& request);
 
-    std::string format_event(std::int64_t number, std::string_view format) const;
+    bool expects_other_weights(const http_request& request) const;
+    std::string format_event(std::int64_t number, const stream_faults& faults) const;
 
     std::string id_;
     std::string version_;
@@ -60,6 +63,7 @@
     unsigned failure_status_ = 0;       ///< of responses while the fault "status" is active
     std::chrono::milliseconds delay_{0};
     std::int64_t event_count_ = 6;
+    std::int64_t born_ = 0; ///< time of its start that it reports, 0 for none
     stream_faults stream_faults_;
     std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
     std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
--- a/tests/standin/routed_worker_streams.cpp
+++ b/tests/standin/routed_worker_streams.cpp
@@ -15,9 +15,18 @@
 using boost::beast::tcp_stream;
 
 /// Formats an event in one of the forms that text/event-stream allows.
-std::string routed_worker::format_event(std::int64_t number, std::string_view format) const {
+std::string routed_worker::format_event(std::int64_t number, const stream_faults& faults) const {
+    const std::string& format = faults.event_format;
     const std::string id = std::to_string(number);
-    const std::string data = "piece " + id + (version_.empty() ? "" : " of " + version_);
+    std::string data = "piece " + id + (version_.empty() ? "" : " of " + version_);
+    data += std::string(faults.event_bytes, 'x');
+    if (faults.weights > 0) {
+        const bool has_newer_weights = faults.newer_weights_at > 0 && number >= faults.newer_weights_at;
+        const std::string weights = std::to_string(faults.weights + (has_newer_weights ? 1 : 0));
+        const std::string change =
+            number == faults.newer_weights_at ? "citronwick-weight-versions:" + weights + "\n" : "";
+        return change + "id: " + id + "\ndata: " + data + " with weights " + weights + "\n\n";
+    }
     if (format == "unnumbered") {
         return "data: " + data + "\n\n";
     }
@@ -77,7 +86,7 @@
                                                  const stream_faults& faults) const {
     std::vector<std::string> parts;
     for (std::int64_t id = first_event; id <= event_count_; ++id) {
-        parts.push_back(format_event(id, faults.event_format));
+        parts.push_back(format_event(id, faults));
     }
     if (faults.segment_bytes == 0) {
         return parts;
