Go on with the weights that a stream's events had

The router read neither Citronwick-Weight-Versions nor the line by which an event names a change, and asked for no version. The position of a stream now has the weights of its last event. A run that goes on asks for them (Citronwick-Expect-Version); the refusal of a worker with others says nothing of its health, and the stream goes on elsewhere or ends broken. A worker that runs the request all the same is left at its first event, unless that names newer weights, which the caller then sees. Changes within a run are relayed as they come. Workers that name no weights are asked for none. A confirmation of a stream's end asks for none either, as it brings no event.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -30,6 +30,8 @@
     std::optional<std::uint32_t> priority{}; ///< 0 is the most urgent
     std::string last_event_id;               ///< last event received before a resume, empty for a new stream
     std::optional<endpoint> fetch_from{};    ///< upstream from whose cache prompt parts are to be fetched
+    /// Version of the weights without which the request must not run, none for any.
+    std::optional<std::uint64_t> expected_weights{};
 };
 
 /// Load that an upstream reports with a response.
@@ -56,6 +58,7 @@
     /// Time for which a refusal asks for no further requests; empty if it names none.
     std::optional<std::chrono::milliseconds> retry_after{};
     std::optional<std::chrono::milliseconds> idle_timeout{}; ///< of the connection
+    std::optional<std::uint64_t> weight_version{}; ///< of the weights with which the response begins
 };
 
 /// Reads and writes the header fields of one platform's HTTP messages.
@@ -75,6 +78,10 @@
 
     virtual response_traits read_response(const boost::beast::http::fields& fields) const = 0;
 
+    /// Name of the field by which an event of a stream names the version of its weights, empty if
+    /// events name none.
+    virtual std::string weight_event_field() const { return {}; }
+
     /// Removes hop-by-hop fields from an upstream's response.
     virtual void prepare_response(boost::beast::http::fields& fields) const = 0;
 };
--- a/packages/policy/include/citronwick/policy/stream_event.hpp
+++ b/packages/policy/include/citronwick/policy/stream_event.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_POLICY_STREAM_EVENT_HPP_INCLUDED
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,8 @@
     std::optional<std::string> id{}; ///< an empty one cannot be used to resume the stream
     bool is_final = false;           ///< its data says that no event follows
     bool has_data = true;            ///< it is an event
+    /// Version of the weights with which it and those behind it were made, none if it names none.
+    std::optional<std::uint64_t> weight_version{};
 };
 
 } // namespace citronwick
--- a/packages/policy/include/citronwick/policy/stream_position.hpp
+++ b/packages/policy/include/citronwick/policy/stream_position.hpp
@@ -18,6 +18,10 @@
 ///
 /// A block without data moves the identifier behind which a run goes on. It is not counted, and
 /// may name the event before or behind it.
+///
+/// The weights of a model may change within a run, which says so. A caller is told of no change
+/// between two runs, since a response keeps the header of its first one, so a run goes on with the
+/// weights of the last event.
 class stream_position {
 public:
     /// The beginning of a stream.
@@ -28,7 +32,8 @@
     explicit stream_position(std::string last_event_id);
 
     /// Begins to count the events of another run.
-    void begin_run();
+    /// @param weight_version with which it begins, as its header says; none if that names none
+    void begin_run(std::optional<std::uint64_t> weight_version = std::nullopt);
 
     /// Why an event cannot come next: it would be joined to events that it does not follow.
     /// The first event of a run is compared with the last one of the run before.
@@ -44,6 +49,9 @@
     /// beginning, or the last event has an identifier.
     bool is_resumable() const { return !has_events_ || last_event_has_id_; }
 
+    /// Version of the weights with which the last event was made, none if it is not known.
+    std::optional<std::uint64_t> weight_version() const { return weight_version_; }
+
     /// Whether the final event is among the events.
     bool is_final() const { return is_final_; }
 
@@ -63,6 +71,7 @@
     bool goes_back(const stream_event& next) const;
     std::optional<sequence_fault> find_fault_between_runs(const stream_event& next) const;
     bool repeats_between_runs(const stream_event& next) const;
+    bool has_other_weights(const stream_event& next) const;
     void move_behind(const std::string& id);
     bool is_consecutive() const { return has_step_of_one_ && !has_other_step_ && !has_other_ids_; }
 
@@ -74,7 +83,9 @@
     std::uint64_t run_events_ = 0;
     bool has_events_ = false;
     bool last_event_has_id_ = false;
-    std::optional<std::uint64_t> last_number_; ///< of the last identifier that is not empty
+    std::optional<std::uint64_t> last_number_;        ///< of the last identifier that is not empty
+    std::optional<std::uint64_t> weight_version_;     ///< of the last event
+    std::optional<std::uint64_t> run_weight_version_; ///< with which the run begins
     bool is_final_ = false;
     bool has_step_of_one_ = false; ///< between the numbers of two events
     bool has_other_step_ = false;
--- a/packages/policy/src/stream_position.cpp
+++ b/packages/policy/src/stream_position.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 std::string_view to_text(sequence_fault value) {
-    constexpr std::array<std::string_view, 3> names{"repeated", "omitted", "unnumbered"};
+    constexpr std::array<std::string_view, 4> names{"repeated", "omitted", "unnumbered", "of other weights"};
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -31,7 +31,8 @@
       has_events_{!last_event_id_.empty()}, last_event_has_id_{has_events_},
       last_number_{number_of(last_event_id_)} {}
 
-void stream_position::begin_run() {
+void stream_position::begin_run(std::optional<std::uint64_t> weight_version) {
+    run_weight_version_ = weight_version;
     run_events_ = 0;
     run_first_event_id_.clear();
 }
@@ -40,10 +41,21 @@
     if (!has_other_ids_ && goes_back(next)) {
         return sequence_fault::repeated;
     }
+    if (run_events_ == 0 && has_other_weights(next)) {
+        return sequence_fault::other_weights;
+    }
     const bool is_between_runs = run_events_ == 0 && has_events_ && last_event_has_id_;
     return is_between_runs ? find_fault_between_runs(next) : std::nullopt;
 }
 
+/// Whether the first event of a run was made with weights of which the caller is not told. Newer
+/// ones that the event names are told.
+bool stream_position::has_other_weights(const stream_event& next) const {
+    const auto made_with = next.weight_version ? next.weight_version : run_weight_version_;
+    return made_with && weight_version_ &&
+           (*made_with < *weight_version_ || (*made_with > *weight_version_ && !next.weight_version));
+}
+
 /// Whether a number is lower than the last one, or an event has that of the event before.
 bool stream_position::goes_back(const stream_event& next) const {
     const auto number = next.id ? number_of(*next.id) : std::nullopt;
@@ -79,6 +91,12 @@
 }
 
 void stream_position::advance(const stream_event& next) {
+    if (run_events_ == 0 && run_weight_version_) {
+        weight_version_ = run_weight_version_;
+    }
+    if (next.weight_version) {
+        weight_version_ = next.weight_version;
+    }
     if (next.id) {
         move_behind(*next.id);
     }
--- a/packages/policy/tests/stream_position.tests.cpp
+++ b/packages/policy/tests/stream_position.tests.cpp
@@ -177,3 +177,39 @@
     position.advance(block(""));
     CHECK_FALSE(position.is_resumable());
 }
+
+// Guards against runs of two weights in one response (ORDER).
+TEST_CASE("a run that goes on has the weights of the last event, or names newer ones") {
+    stream_position position;
+    position.begin_run(3);
+    CHECK_FALSE(position.weight_version());
+    position.advance({.id = "1"});
+    CHECK(position.weight_version() == 3);
+    position.advance({.id = "2", .weight_version = 4});
+    CHECK(position.weight_version() == 4);
+    CHECK_FALSE(position.find_fault({.id = "3", .weight_version = 3}));
+    position.begin_run(4);
+    CHECK_FALSE(position.find_fault({.id = "3"}));
+    CHECK_FALSE(position.find_fault({.id = "3", .weight_version = 5}));
+    CHECK(position.find_fault({.id = "3", .weight_version = 3}) == sequence_fault::other_weights);
+    position.begin_run(3);
+    CHECK(position.find_fault({.id = "3"}) == sequence_fault::other_weights);
+    position.begin_run(5);
+    CHECK(position.find_fault({.id = "3"}) == sequence_fault::other_weights);
+    CHECK_FALSE(position.find_fault({.id = "3", .weight_version = 5}));
+}
+
+TEST_CASE("weights that are not named are not compared") {
+    stream_position position;
+    position.begin_run();
+    position.advance({.id = "1"});
+    position.begin_run(2);
+    CHECK_FALSE(position.find_fault({.id = "2"}));
+    position.advance({.id = "2"});
+    position.begin_run();
+    CHECK_FALSE(position.find_fault({.id = "3"}));
+    CHECK(position.weight_version() == 2);
+    stream_position taken_up{"7"};
+    taken_up.begin_run(1);
+    CHECK_FALSE(taken_up.find_fault({.id = "8"}));
+}
--- a/packages/traffic/include/citronwick/traffic/event_splitter.hpp
+++ b/packages/traffic/include/citronwick/traffic/event_splitter.hpp
@@ -3,9 +3,11 @@
 
 #include "citronwick/policy/stream_event.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace citronwick {
@@ -23,6 +25,10 @@
 /// What the caller has received is not known here (`stream_position`).
 class event_splitter {
 public:
+    /// @param weight_field name of the field by which events name the version of their weights, empty for
+    /// none
+    explicit event_splitter(std::string weight_field = {}) : weight_field_{std::move(weight_field)} {}
+
     /// Appends bytes of the stream.
     /// @return the events that are now complete
     complete_events push(std::string_view bytes);
@@ -39,6 +45,7 @@
     void end_event(std::size_t end);
     void begin_event();
 
+    std::string weight_field_;
     std::string pending_;
     std::size_t line_begin_ = 0;     ///< in `pending_`, of the line that is not complete yet
     std::size_t scanned_ = 0;        ///< bytes of `pending_` that were searched for a line end
@@ -49,6 +56,7 @@
     bool event_has_data_ = false;
     bool event_is_final_ = false;
     std::optional<std::string> event_id_;
+    std::optional<std::uint64_t> event_weight_version_;
     std::vector<stream_event> events_; ///< complete ones in `pending_`
     bool has_output_ = false;          ///< `push` has returned bytes
 };
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/traffic/event_field.hpp"
 
+#include <charconv>
 #include <utility>
 
 namespace citronwick {
@@ -13,6 +14,14 @@
 /// Longest identifier that is sent to an upstream to resume a stream after its event.
 constexpr std::size_t max_id_bytes = 4'096;
 
+/// @return none if the text is not a decimal number
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+    std::uint64_t number = 0;
+    const char* const end = text.data() + text.size();
+    const auto [parsed, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc{} && parsed == end ? std::optional{number} : std::nullopt;
+}
+
 } // namespace
 
 complete_events event_splitter::push(std::string_view bytes) {
@@ -68,13 +77,16 @@
     } else if (name == "id" && value.find('\0') == std::string_view::npos) {
         // An event with an overlong identifier counts as one without.
         event_id_ = value.size() <= max_id_bytes ? value : std::string_view{};
+    } else if (!weight_field_.empty() && name == weight_field_) {
+        event_weight_version_ = parse_number(value);
     }
 }
 
 /// @param end position behind the event
 void event_splitter::end_event(std::size_t end) {
     if (event_has_data_ || event_id_) {
-        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_});
+        events_.push_back(
+            {end, std::move(event_id_), event_is_final_, event_has_data_, event_weight_version_});
     }
     begin_event();
 }
@@ -84,6 +96,7 @@
     event_has_data_ = false;
     event_is_final_ = false;
     event_id_.reset();
+    event_weight_version_.reset();
 }
 
 void event_splitter::discard_pending() {
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr unsigned unavailable = 503;
+constexpr unsigned misdirected = 421;
 constexpr std::uint32_t lowest_priority = 9;
 /// Number of route priorities within each team priority.
 constexpr std::uint32_t route_priority_levels = 3;
@@ -94,6 +95,10 @@
     if (result.outcome == attempt_outcome::answered && withholds_status(connection.status())) {
         result.outcome = attempt_outcome::failed_run;
     }
+    // A refusal for the sake of the weights says nothing of the upstream's health.
+    result.is_local =
+        result.is_local || (result.outcome == attempt_outcome::not_run &&
+                            connection.status() == misdirected && position_.weight_version().has_value());
     in_flight.mark_prompt_processed();
     if (!connection.through() && exchange.has_response()) {
         context_.plane.reach().record_received();
@@ -150,6 +155,9 @@
     if (!position_.last_event_id().empty()) {
         metadata.last_event_id = position_.last_event_id();
     }
+    if (!is_confirmation_) {
+        metadata.expected_weights = position_.weight_version();
+    }
     if (placement_->fetch_from) {
         metadata.fetch_from = placement_->fetch_from->address;
     }
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -34,7 +34,7 @@
 route_exchange::route_exchange(route_context& context, caller& from, http_request request,
                                buffer_reservation& buffers)
     : context_{context}, caller_{from}, request_{std::move(request)}, buffers_{buffers},
-      view_{context.plane.view()}, config_{view_->config} {}
+      view_{context.plane.view()}, config_{view_->config}, events_{context.dialect.weight_event_field()} {}
 
 std::chrono::milliseconds route_exchange::remaining_time(time_point now) const {
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now), 0ms);
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -35,6 +35,10 @@
     return type;
 }
 
+std::string weights_text(std::optional<std::uint64_t> version) {
+    return version ? std::to_string(*version) : "-";
+}
+
 } // namespace
 
 /// Text of an event's identifier for the log.
@@ -48,7 +52,7 @@
     const bool continues = state_.response_started;
     const bool follows_unproved_end = unproved_end_ == position_.events();
     ++runs_;
-    position_.begin_run();
+    position_.begin_run(context_.dialect.read_response(connection.header()).weight_version);
     auto result = co_await relay_run(connection);
     if (follows_unproved_end && position_.run_events() > 0) {
         context_.early_ends[service_->name] = clock::now();
@@ -61,6 +65,7 @@
                                   {"first_event", event_id_text(position_.run_first_event_id())},
                                   {"last_event", last_event_text()},
                                   {"events", std::to_string(position_.run_events())},
+                                  {"weights", weights_text(position_.weight_version())},
                                   {"framing", std::string{framing}},
                                   {"end", std::string{to_text(stream_end_)}}});
     co_return result;
--- a/packages/traffic/tests/event_splitter.tests.cpp
+++ b/packages/traffic/tests/event_splitter.tests.cpp
@@ -140,3 +140,14 @@
     CHECK(followed.position.last_event_id() == "4");
     CHECK(followed.position.is_resumable());
 }
+
+TEST_CASE("an event names its weights by a field that the platform chooses") {
+    event_splitter splitter{"weights"};
+    const auto events =
+        splitter.push("weights:7\nid:1\ndata:a\n\nid:2\ndata:b\n\nweights: x\ndata:c\n\n").events;
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].weight_version == 7);
+    CHECK_FALSE(events[1].weight_version);
+    CHECK_FALSE(events[2].weight_version);
+    CHECK_FALSE(event_splitter{}.push("weights:7\ndata:a\n\n").events.front().weight_version);
+}
