Let no stream go on at a worker that has started again

A worker that starts again under its identifier and address may be of another software version, which its entry tells up to two seconds later.

Neither a broken connection nor a refused connect tells soundly: a router without a connection notices nothing, and most broken connections are no restarts. The worker's report does, as it states the start of the process that serves the connection. So before a stream goes on at a worker whose entry states its start, the router asks for the report on the connection that then carries the request. If it states another start, or none comes within 200 ms, nothing is sent and the stream goes on elsewhere. Where it states no start, the request goes to another connection as before. Platforms whose workers get a new identifier with each start pay nothing.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace citronwick {
 
@@ -82,6 +83,12 @@
     /// events name none.
     virtual std::string weight_event_field() const { return {}; }
 
+    /// Target of an upstream's report on itself, empty if there is none.
+    virtual std::string report_target() const { return {}; }
+
+    /// Incarnation of the process that sent a report, none if that does not say.
+    virtual std::optional<std::uint64_t> read_incarnation(std::string_view report) const;
+
     /// Removes hop-by-hop fields from an upstream's response.
     virtual void prepare_response(boost::beast::http::fields& fields) const = 0;
 };
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -211,6 +211,9 @@
         if (in_flight.has_place()) {
             co_await connect_if_needed(*connection, result);
         }
+        if (result.detail.empty()) {
+            co_await check_identity(connection, result);
+        }
         if (result.detail.empty()) {
             result = co_await send_request(*connection, in_flight);
         }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -36,8 +36,8 @@
 /// route_delivery.cpp, connections in route_connections.cpp, the relaying of streams in
 /// route_streams.cpp, the proof of their end in route_stream_ends.cpp, what concerns
 /// brittle upstreams in route_places.cpp, what concerns crashes of upstreams in
-/// route_crashes.cpp, the software version of streams in route_versions.cpp, and the
-/// choice of an upstream in route_permits.cpp.
+/// route_crashes.cpp, the identity of an upstream's process in route_identity.cpp, the software version of
+/// streams in route_versions.cpp, and the choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request, buffer_reservation& buffers);
@@ -101,6 +101,7 @@
     bool needs_peer() const;
     task<io_result<void>> connect(upstream_connection& connection, std::chrono::milliseconds timeout);
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
+    task<void> check_identity(std::unique_ptr<upstream_connection>& connection, exchange_result& result);
     void record_reach(const upstream_connection& connection, const exchange_result& result);
     bool record_attempt(const exchange_result& result);
     bool spend_retry_budget();
