Add a failing test of streams that begin at a worker that started again

A stream that begins there before the entry tells of the restart counts as one of the old version: 5 of 12 responses are joined to the version of the entry behind the cut.

--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -17,8 +17,9 @@
 /// @return none if the text is not a decimal number
 std::optional<std::uint64_t> parse_number(std::string_view text) {
     std::uint64_t number = 0;
-    const char* const end = text.data() + text.size();
-    const auto [parsed, error] = std::from_chars(text.data(), end, number);
+    const char* const begin = text.data();
+    const char* const end = begin + text.size();
+    const auto [parsed, error] = std::from_chars(begin, end, number);
     return error == std::errc{} && parsed == end ? std::optional{number} : std::nullopt;
 }
 
--- a/tests/integration/replaced_workers.tests.cpp
+++ b/tests/integration/replaced_workers.tests.cpp
@@ -107,6 +107,20 @@
     }
 }
 
+// Guards against a stream that is taken for one of the old version (ORDER).
+TEST_CASE("proof: a stream that begins at a worker that started again goes on at no other version") {
+    routed_fleet system{{.routers = 1, .engines = 2, .engine_versions = {"v1"}}};
+    REQUIRE(system.wait_ready());
+    system.replace_worker(system.engines()[0], "v2");
+    set_fault(system.engines()[0], R"({"born":2,"cut_after":3})");
+    set_fault(system.engines()[1], reports_itself);
+    for (int count = 0; count < 2 * streams; ++count) {
+        const auto answer = system.ask(system.routers()[0], "/quote/stream/1", "s" + std::to_string(count));
+        CHECK(is_in_order(answer, 1));
+        CHECK_MESSAGE(versions_in(answer.body).size() == 1, answer.body);
+    }
+}
+
 // Guards against streams that do not go on at workers that tell their start or do not.
 TEST_CASE("proof: a stream goes on at a worker that is the process of its entry or does not say") {
     std::string fault = "{}";
