--- a/packages/policy/include/citronwick/policy/stream_event.hpp
+++ b/packages/policy/include/citronwick/policy/stream_event.hpp
@@ -16,6 +16,8 @@
     bool is_final = false;           ///< its data says that no event follows
     bool has_data = true;            ///< it is an event
     std::uint64_t data_hash = 0;     ///< over the lines of its data
+    /// Version of the weights with which it and those behind it were made, none if it names none.
+    std::optional<std::uint64_t> weight_version{};
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -40,6 +40,10 @@
     return type;
 }
 
+std::string weights_text(std::optional<std::uint64_t> version) {
+    return version ? std::to_string(*version) : "-";
+}
+
 } // namespace
 
 /// Text of an event's identifier for the log.
@@ -53,9 +57,11 @@
     const bool continues = state_.response_started;
     const bool follows_unproved_end = unproved_end_ == position_.events();
     ++runs_;
+    const auto begun = clock::now();
     run_version_ = begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
-    position_.begin_run(context_.plane.numberings().numbering_of(run_version_, clock::now()));
-    expected_end_ = context_.plane.ends().last_event_of(run_version_, clock::now());
+    position_.begin_run(context_.plane.numberings().numbering_of(run_version_, begun),
+                        context_.dialect.read_response(connection.header()).weight_version);
+    expected_end_ = context_.plane.ends().last_event_of(run_version_, begun);
     auto result = co_await relay_run(connection);
     record_run();
     if (follows_unproved_end && position_.run_events() > 0) {
@@ -69,6 +75,7 @@
                                   {"first_event", event_id_text(position_.run_first_event_id())},
                                   {"last_event", last_event_text()},
                                   {"events", std::to_string(position_.run_events())},
+                                  {"weights", weights_text(position_.weight_version())},
                                   {"framing", std::string{framing}},
                                   {"end", std::string{to_text(stream_end_)}}});
     co_return result;
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -90,6 +90,11 @@
     void set_version(const std::string& worker, const std::string& version) { versions_[worker] = version; }
     std::string version_of(const std::string& worker) const;
 
+    /// Kills a worker and starts one with the same identifier at the same address, whose entry stays as it
+    /// is.
+    /// @param version of its software, which its events name
+    void replace_worker(node& worker, const std::string& version);
+
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
--- a/tests/standin/routed_worker_streams.cpp
+++ b/tests/standin/routed_worker_streams.cpp
@@ -40,7 +40,15 @@
 std::string routed_worker::format_event(std::int64_t number, const stream_faults& faults) const {
     const std::string_view format = faults.event_format;
     const std::string id = std::to_string(id_of(number, faults.numbering));
-    const std::string data = "piece " + std::to_string(number) + (version_.empty() ? "" : " of " + version_);
+    std::string data = "piece " + std::to_string(number) + (version_.empty() ? "" : " of " + version_);
+    data += std::string(faults.event_bytes, 'x');
+    if (faults.weights > 0) {
+        const bool has_newer_weights = faults.newer_weights_at > 0 && number >= faults.newer_weights_at;
+        const std::string weights = std::to_string(faults.weights + (has_newer_weights ? 1 : 0));
+        const std::string change =
+            number == faults.newer_weights_at ? "citronwick-weight-versions:" + weights + "\n" : "";
+        return change + "id: " + id + "\ndata: " + data + " with weights " + weights + "\n\n";
+    }
     if (format == "unnumbered") {
         return "data: " + data + "\n\n";
     }
