Let slots decide for a stream that is taken up only if the store has confirmed them

Slots as old as the view then decided. The store is asked now whatever the others replied, since its slots, unsettled ones included, say where a stream can have begun. The unit test expects the question.

--- a/packages/policy/src/version_slots.cpp
+++ b/packages/policy/src/version_slots.cpp
@@ -147,7 +147,8 @@
     if (may_be_remembered && !known.is_service_sure) {
         return {step::ask_later, {}, "not all routers replied whether they saw the stream begin"};
     }
-    if (stream.others != answers::all_unseen && !stream.is_confirmed) {
+    // A router that has ended since may have been the only one to see the stream begin.
+    if (!stream.is_confirmed) {
         return {step::confirm, {}, "the slots may have changed"};
     }
     if (!stream.origin) {
--- a/packages/policy/tests/version_slots.tests.cpp
+++ b/packages/policy/tests/version_slots.tests.cpp
@@ -31,9 +31,12 @@
     for (int count = 0; count < 1'000; ++count) {
         const std::uint64_t first = random();
         const auto begun = decide_version(&*slots, proven, {.attempt = first});
-        const auto taken_up = decide_version(
-            &*slots, proven,
-            {.attempt = random(), .origin = first, .has_events = true, .others = answers::all_unseen});
+        const auto taken_up = decide_version(&*slots, proven,
+                                             {.attempt = random(),
+                                              .origin = first,
+                                              .has_events = true,
+                                              .others = answers::all_unseen,
+                                              .is_confirmed = true});
         CHECK(begun.next == step::use);
         CHECK(taken_up.next == step::use);
         CHECK(taken_up.version == begun.version);
@@ -43,7 +46,7 @@
 TEST_CASE("a stream whose slot moved since it may have begun is taken up only where a router saw it begin") {
     version_slots slots{"v1"};
     slots.move(5, "v2");
-    stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true};
+    stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true, .is_confirmed = true};
     CHECK(decide_version(&slots, proven, taken_up).next == step::ask_routers);
     auto remembered = taken_up;
     remembered.remembered = "v1";
@@ -62,6 +65,8 @@
     stream_identity taken_up{.attempt = 7, .origin = 5, .has_events = true};
     CHECK(decide_version(&slots, proven, taken_up).next == step::ask_routers);
     taken_up.others = answers::all_unseen;
+    CHECK(decide_version(&slots, proven, taken_up).next == step::confirm);
+    taken_up.is_confirmed = true;
     CHECK(decide_version(&slots, proven, taken_up).version == "v1");
     taken_up.remembered = "v2";
     CHECK(decide_version(&slots, proven, taken_up).version == "v2");
