Keep the newest of several requests for a confirmation

A request with an earlier arrival replaced a later one, which then waited for its timeout and was refused. Found by a review, by reading; not seen in a run.

--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -84,7 +84,7 @@
 }
 
 void store_follower::confirm_since(boot_time since) {
-    confirmation_needed_since_ = since;
+    confirmation_needed_since_ = std::max(confirmation_needed_since_.value_or(since), since);
     confirm_timer_.cancel();
 }
 
