Count only a stated refusal as one for the sake of the weights

Any 421 counted so once a stream had weights, also that of a worker that has got the address, which then was not recorded as wrong. Found by a review, by reading.

--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -98,7 +98,7 @@
     }
     // A refusal for the sake of the weights says nothing of the upstream's health.
     result.is_local =
-        result.is_local || (result.outcome == attempt_outcome::not_run &&
+        result.is_local || (result.outcome == attempt_outcome::not_run && exchange.traits().is_not_run &&
                             connection.status() == misdirected && position_.weight_version().has_value());
     in_flight.mark_prompt_processed();
     if (!connection.through() && exchange.has_response()) {
