Take an upstream's late report on itself for no crash

While an end was confirmed, a report that came late counted as a broken connection, so that the request could be suspected of crashing upstreams. Nothing had been sent. A connection that has brought a report is no new one either, so that its end says nothing of the way to the upstream.

--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -306,8 +306,9 @@
     if (result.outcome == attempt_outcome::answered) {
         record_served(now);
     }
-    const bool may_have_crashed =
-        result.is_broken || (is_confirmation_ && result.outcome == attempt_outcome::not_sent);
+    const bool was_not_reached =
+        is_confirmation_ && result.outcome == attempt_outcome::not_sent && !result.is_local;
+    const bool may_have_crashed = result.is_broken || was_not_reached;
     if (may_have_crashed && !caller_disconnected) {
         report_broken_connection(now);
     }
--- a/packages/traffic/src/route_identity.cpp
+++ b/packages/traffic/src/route_identity.cpp
@@ -61,7 +61,7 @@
     const auto report = co_await ask_for_report(*connection, context_.dialect, deadline);
     if (report.has_error() || !report->traits.attempt_id.empty()) {
         connection->close();
-        result = {attempt_outcome::not_sent, "the upstream did not report on itself"};
+        result = {attempt_outcome::not_sent, "the upstream did not report on itself", false, true};
         co_return;
     }
     const auto incarnation = context_.dialect.read_incarnation(report->body);
@@ -76,6 +76,7 @@
     }
     if (incarnation && connection->reusable()) {
         connection->record_unidentified_response();
+        is_new_connection_ = false;
         co_return;
     }
     // The request is sent on another connection, as nothing is known of what answers here.
