test: let stand-in workers report their start

Workers that start again under their identifier state another start in all that they say of themselves; stand-ins stated one only by a fault.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -74,8 +74,9 @@
     return started;
 }
 
-std::vector<std::string> routed_fleet::worker_arguments(const std::string& name) const {
-    std::vector<std::string> arguments{"--id", name};
+std::vector<std::string> routed_fleet::worker_arguments(const std::string& name,
+                                                        std::int64_t incarnation) const {
+    std::vector<std::string> arguments{"--id", name, "--born", std::to_string(incarnation)};
     if (const auto version = versions_.find(name); version != versions_.end()) {
         arguments.insert(arguments.end(), {"--software", version->second});
     }
@@ -87,13 +88,15 @@
     return version == versions_.end() ? "v1" : version->second;
 }
 
-node routed_fleet::start_engine(const std::string& name, const std::string& version) {
+node routed_fleet::start_engine(const std::string& name, const std::string& version,
+                                std::int64_t incarnation) {
     set_version(name, version);
-    return start_standin("worker", name, worker_arguments(name));
+    return start_standin("worker", name, worker_arguments(name, incarnation));
 }
 
-void routed_fleet::start_worker_again(node& worker, const std::string& fault) {
-    node started = start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name));
+void routed_fleet::start_worker_again(node& worker, std::int64_t incarnation, const std::string& fault) {
+    node started =
+        start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name, incarnation));
     worker.process = std::move(started.process);
     worker.addresses = std::move(started.addresses);
     if (worker.proxy) {
@@ -109,7 +112,7 @@
 
 void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
                                   const std::string& fault) {
-    start_worker_again(worker, fault);
+    start_worker_again(worker, incarnation, fault);
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -80,11 +80,12 @@
                         const std::string& fault = {});
 
     /// Starts a worker whose process has ended at its proxy again, without writing its entry.
-    void start_worker_again(node& worker, const std::string& fault = {});
+    /// @param incarnation that it reports
+    void start_worker_again(node& worker, std::int64_t incarnation, const std::string& fault = {});
 
     /// Starts a worker under a new identifier, without writing its entry.
     /// @param version of its software
-    node start_engine(const std::string& name, const std::string& version);
+    node start_engine(const std::string& name, const std::string& version, std::int64_t incarnation);
 
     /// Sets the software version of a worker, which its next process has.
     void set_version(const std::string& worker, const std::string& version) { versions_[worker] = version; }
@@ -126,7 +127,7 @@
     node start_standin(const std::string& kind, const std::string& name,
                        const std::vector<std::string>& arguments);
     void start_process(node& router) const;
-    std::vector<std::string> worker_arguments(const std::string& name) const;
+    std::vector<std::string> worker_arguments(const std::string& name, std::int64_t incarnation = 1) const;
     std::string file(const std::string& name) const { return directory_ + "/" + name; }
 
     routed_options options_;
--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -330,7 +330,8 @@
     }
     restarted.process->kill();
     system.set_version(restarted.name, "v2");
-    system.start_worker_again(restarted);
+    constexpr std::int64_t second = 2;
+    system.start_worker_again(restarted, second);
     set_fault(system.engines()[0], cut_after_one);
     for (int count = 0; count < streams; ++count) {
         const auto answer = system.ask(router, "/quote/stream/1", stream_name(count));
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -115,7 +115,8 @@
 void soak_run::replace_engine(harness::node& engine, std::chrono::milliseconds drain_time) {
     const std::scoped_lock lock{nodes_mutex_};
     const std::string version = other_version(fleet.version_of(engine.name));
-    harness::node started = fleet.start_engine("engine-new-" + std::to_string(++newest_incarnation), version);
+    harness::node started =
+        fleet.start_engine("engine-new-" + std::to_string(++newest_incarnation), version, newest_incarnation);
     incarnations_[started.name] = newest_incarnation;
     fleet.register_worker(started, "bench", "ready", newest_incarnation, version);
     const auto found = incarnations_.find(engine.name);
@@ -133,10 +134,11 @@
     engine.process->kill();
     const std::string version = other_version(fleet.version_of(engine.name));
     fleet.set_version(engine.name, version);
-    fleet.start_worker_again(engine);
+    const std::int64_t incarnation = ++newest_incarnation;
+    fleet.start_worker_again(engine, incarnation);
     std::this_thread::sleep_for(entry_delay);
-    incarnations_[engine.name] = ++newest_incarnation;
-    fleet.register_worker(engine, "bench", "ready", newest_incarnation, version);
+    incarnations_[engine.name] = incarnation;
+    fleet.register_worker(engine, "bench", "ready", incarnation, version);
 }
 
 void soak_run::give_address_to(harness::node& engine, const harness::node& other) {
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -25,7 +25,7 @@
                  [--decode-us N] [--slots N] [--report-lag-ms N]
   standin service --port-file FILE [--ip IP]
   standin store --port-file FILE [--ip IP]
-  standin worker --port-file FILE [--ip IP] --id ID [--software VERSION] [--port N]
+  standin worker --port-file FILE [--ip IP] --id ID [--software VERSION] [--port N] [--born MS]
   standin kv --port-file FILE [--ip IP]
   standin vmlist --port-file FILE [--ip IP]
   standin proxy --port-file FILE [--ip IP]
@@ -41,6 +41,7 @@
   --slots N           Maximum of concurrent requests of an engine [default: 16].
   --id ID             Identifier of a worker.
   --software VERSION  Version that a worker names in the events of its streams.
+  --born MS           Time of a worker's start that it reports, 0 for none [default: 0].
   --port N            Port that a worker listens on [default: 0].
   --report-lag-ms N   Maximum age of the load that an engine reports, in milliseconds [default: 250].
 )";
@@ -92,6 +93,7 @@
         const auto& version = options.at("--software");
         add_server<standin::routed_worker>(started, io, ip, options.at("--id").asString(),
                                            static_cast<std::uint16_t>(options.at("--port").asLong()),
+                                           options.at("--born").asLong(),
                                            version ? version.asString() : std::string{});
     } else if (options.at("kv").asBool()) {
         add_server<standin::key_value_service>(started, io, ip);
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -67,8 +67,8 @@
 }
 
 routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id,
-                             std::uint16_t port, std::string version)
-    : id_{std::move(id)}, version_{std::move(version)},
+                             std::uint16_t port, std::int64_t born, std::string version)
+    : id_{std::move(id)}, version_{std::move(version)}, born_{born},
       server_{context, ip, port,
               [this](tcp_stream& stream, http_request request) { return handle(stream, std::move(request)); },
               [this](const http::request_header<>& header) { return answers_early(header); }} {}
@@ -87,7 +87,7 @@
         remaining_faults_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
         failure_status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
-        born_ = integer_member(fault_settings, "born");
+        born_ = fault_settings.contains("born") ? integer_member(fault_settings, "born") : born_;
         stream_faults_ = read_stream_faults(fault_settings);
         refusals_.clear();
         surplus_.clear();
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -23,9 +23,10 @@
 class routed_worker {
 public:
     /// @param port to listen on, 0 for a free one
+    /// @param born time of its start that it reports, 0 for none
     /// @param version that its events name, empty for none
     routed_worker(asio::io_context& context, const std::string& ip, std::string id, std::uint16_t port,
-                  std::string version);
+                  std::int64_t born, std::string version);
 
     endpoint address() const { return server_.address(); }
 
@@ -61,12 +62,12 @@
 
     std::string id_;
     std::string version_;
+    std::int64_t born_;                 ///< time of its start that it reports, 0 for none
     std::string fault_mode_;            ///< active fault, empty for none
     std::int64_t remaining_faults_ = 0; ///< number of requests that it still affects
     unsigned failure_status_ = 0;       ///< of responses while the fault "status" is active
     std::chrono::milliseconds delay_{0};
     std::int64_t event_count_ = 6;
-    std::int64_t born_ = 0; ///< time of its start that it reports, 0 for none
     stream_faults stream_faults_;
     std::string crashing_part_;         ///< part of a prompt on which the process ends, empty for none
     std::int64_t aborted_runs_ = 0;     ///< runs whose caller closed the connection
