--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -19,6 +19,8 @@
 class borrowed_place;
 class platform_adapter;
 class reach_monitor;
+class last_events;
+class stream_numberings;
 class upstream_observations;
 class suspect_registry;
 class upstream_limits;
@@ -59,6 +61,10 @@
     upstream_observations& observations();
     suspect_registry& suspects();
     begun_streams& streams();
+    /// How versions of services number the events of their streams. Thread-safe.
+    stream_numberings& numberings();
+    /// With which events the streams of versions of services end. Thread-safe.
+    last_events& ends();
     reach_monitor& reach();
     const reach_monitor& reach() const;
     upstream_limits& limits();
@@ -82,9 +88,13 @@
 
     /// Asks the other routers at which version they saw a stream begin.
     /// @param key see `begun_streams::key`
-    /// @param reply called on the control thread with the short hash of the version, or
-    ///        never if no router knows it
-    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply);
+    /// @param reply called on the control thread, see `stream_exchange::ask`
+    void ask_stream_version(std::uint64_t key, std::function<void(std::optional<std::uint32_t>)> reply);
+
+    /// Asks the store whether this router knows all of its changes.
+    /// @param since when the question may have been asked at the earliest
+    /// @param reply called on the control thread once it does, or never if the store does not answer
+    void request_confirmation(boot_time since, std::function<void(bool)> reply);
 
     /// Records that a connection broke while the upstream was running a request.
     /// @param suspects the request and the parts of its prompt that may have caused it
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -59,10 +59,23 @@
     return state_->streams();
 }
 
-void routing_plane::ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+stream_numberings& routing_plane::numberings() {
+    return state_->numberings();
+}
+
+last_events& routing_plane::ends() {
+    return state_->ends();
+}
+
+void routing_plane::ask_stream_version(std::uint64_t key,
+                                       std::function<void(std::optional<std::uint32_t>)> reply) {
     state_->ask_stream_version(key, std::move(reply));
 }
 
+void routing_plane::request_confirmation(boot_time since, std::function<void(bool)> reply) {
+    state_->request_confirmation(since, std::move(reply));
+}
+
 upstream_limits& routing_plane::limits() {
     return state_->limits();
 }
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -7,12 +7,14 @@
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/fleet/borrowed_place.hpp"
+#include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/reach_monitor.hpp"
 #include "citronwick/fleet/router_peers.hpp"
 #include "citronwick/fleet/routing_settings.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/fleet/store_follower.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/fleet/version_assignment.hpp"
@@ -40,7 +42,7 @@
           store_{adapter.connect_store(context_.get_executor(), settings_.store, settings_.store_timeout),
                  store_calls_},
           follower_{context_.get_executor(), store_, settings_.lapse_grace, make_store_listener()},
-          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_, streams_,
+          peers_{context_.get_executor(), settings_, observations_, suspects_, limits_, streams_, numberings_,
                  make_peer_callbacks()},
           declared_{adapter, suspects_},
           versions_{context_.get_executor(), store_, layout_.own_prefix + plane_timing::version_keys,
@@ -86,6 +88,8 @@
     suspect_registry& suspects() { return suspects_; }
     upstream_limits& limits() { return limits_; }
     begun_streams& streams() { return streams_; }
+    stream_numberings& numberings() { return numberings_; }
+    last_events& ends() { return ends_; }
     reach_monitor& reach() { return reach_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
@@ -123,12 +127,22 @@
         });
     }
 
-    void ask_stream_version(std::uint64_t key, std::function<void(std::uint32_t)> reply) {
+    void ask_stream_version(std::uint64_t key, std::function<void(std::optional<std::uint32_t>)> reply) {
         asio::post(context_, [this, key, reply = std::move(reply)]() mutable {
             peers_.ask_stream_version(key, std::move(reply), clock::now());
         });
     }
 
+    void request_confirmation(boot_time since, std::function<void(bool)> reply) {
+        asio::post(context_, [this, since, reply = std::move(reply)]() mutable {
+            confirmation_requests_.push_back({since, std::move(reply), clock::now()});
+            answer_confirmation_requests();
+            if (!confirmation_requests_.empty()) {
+                follower_.confirm_since(since);
+            }
+        });
+    }
+
     void report_leaving_upstream(std::uint64_t upstream) {
         asio::post(context_, [this, upstream] {
             if (declared_.record_leaving(upstream)) {
@@ -213,6 +227,18 @@
         }
         confirmed_at_.store(static_cast<std::int64_t>(*confirmed), std::memory_order_release);
         staleness_logged_ = false;
+        answer_confirmation_requests();
+    }
+
+    void answer_confirmation_requests() {
+        const auto confirmed = freshness_.confirmed_at();
+        std::erase_if(confirmation_requests_, [&](const confirmation_request& each) {
+            const bool is_answered = confirmed && *confirmed >= each.since;
+            if (is_answered) {
+                each.reply(true);
+            }
+            return is_answered;
+        });
     }
 
     // Changes of the store
@@ -220,7 +246,7 @@
     void apply_listing(const kv_listing& listing, std::optional<time_point> usable_until) {
         const auto now = clock::now();
         registration_->begin_listing(listing.position);
-        versions_.begin_listing();
+        versions_.begin_listing(listing.position.era, now);
         for (const kv_item& item : listing.items) {
             apply_change({item.key, item.value, item.position}, usable_until, now);
         }
@@ -260,6 +286,9 @@
         next->active_routers = peers_.active_routers(now);
         next->self = peers_.self_hash();
         next->stream_versions = versions_.slots();
+        next->unproven_versions = versions_.unproven();
+        next->config_changed_at =
+            next->config == view_.load()->config ? view_.load()->config_changed_at : now;
         next->position = follower_.position();
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
@@ -312,6 +341,11 @@
             limits_.expire(declared_.hashes(), now);
             suspects_.expire(now);
             streams_.expire(now);
+            std::erase_if(confirmation_requests_, [now](const confirmation_request& each) {
+                return now - each.asked_at >= plane_timing::expiry_interval;
+            });
+            numberings_.expire(now);
+            ends_.expire(now);
         }
     }
 
@@ -355,6 +389,12 @@
         }
     }
 
+    struct confirmation_request {
+        boot_time since;
+        std::function<void(bool)> reply;
+        time_point asked_at;
+    };
+
     routing_settings settings_;
     store_layout layout_;
     asio::io_context context_{1};
@@ -362,6 +402,8 @@
     suspect_registry suspects_;
     upstream_limits limits_;
     begun_streams streams_;
+    stream_numberings numberings_;
+    last_events ends_;
     reach_monitor reach_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
@@ -372,6 +414,7 @@
     version_assignment versions_;
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_load>> loads_;
+    std::vector<confirmation_request> confirmation_requests_;
     time_point last_expiry_;
     time_point directory_set_at_;
     time_point versions_checked_at_;
--- a/packages/traffic/src/event_splitter.cpp
+++ b/packages/traffic/src/event_splitter.cpp
@@ -1,7 +1,9 @@
 #include "citronwick/traffic/event_splitter.hpp"
 
+#include "citronwick/core/hash.hpp"
 #include "citronwick/traffic/event_field.hpp"
 
+#include <charconv>
 #include <utility>
 
 namespace citronwick {
@@ -13,6 +15,15 @@
 /// Longest identifier that is sent to an upstream to resume a stream after its event.
 constexpr std::size_t max_id_bytes = 4'096;
 
+/// @return none if the text is not a decimal number
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+    std::uint64_t number = 0;
+    const char* const begin = text.data();
+    const char* const end = begin + text.size();
+    const auto [parsed, error] = std::from_chars(begin, end, number);
+    return error == std::errc{} && parsed == end ? std::optional{number} : std::nullopt;
+}
+
 } // namespace
 
 complete_events event_splitter::push(std::string_view bytes) {
@@ -64,17 +75,21 @@
     const auto [name, value] = parse_event_field(line);
     if (name == "data") {
         event_has_data_ = true;
+        event_data_hash_ = hash_combine(event_data_hash_, hash64(value));
         event_is_final_ = event_is_final_ || value == done_data;
     } else if (name == "id" && value.find('\0') == std::string_view::npos) {
         // An event with an overlong identifier counts as one without.
         event_id_ = value.size() <= max_id_bytes ? value : std::string_view{};
+    } else if (!weight_field_.empty() && name == weight_field_) {
+        event_weight_version_ = parse_number(value);
     }
 }
 
 /// @param end position behind the event
 void event_splitter::end_event(std::size_t end) {
     if (event_has_data_ || event_id_) {
-        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_});
+        events_.push_back({end, std::move(event_id_), event_is_final_, event_has_data_, event_data_hash_,
+                           event_weight_version_});
     }
     begin_event();
 }
@@ -82,8 +97,10 @@
 void event_splitter::begin_event() {
     is_event_empty_ = true;
     event_has_data_ = false;
+    event_data_hash_ = 0;
     event_is_final_ = false;
     event_id_.reset();
+    event_weight_version_.reset();
 }
 
 void event_splitter::discard_pending() {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -6,6 +6,7 @@
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/policy/attempt_policy.hpp"
 #include "citronwick/policy/stream_position.hpp"
+#include "citronwick/policy/version_slots.hpp"
 #include "citronwick/traffic/caller.hpp"
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/stream_end.hpp"
@@ -18,13 +19,13 @@
 namespace citronwick {
 
 class buffer_reservation;
+class early_connection;
 class place_queue;
 struct exchange_result;
 class upstream_connection;
 class upstream_exchange;
 struct route_context;
 struct service_capacity;
-struct version_decision;
 
 /// Processes one routed request.
 ///
@@ -36,8 +37,8 @@
 /// route_delivery.cpp, connections in route_connections.cpp, the relaying of streams in
 /// route_streams.cpp, the proof of their end in route_stream_ends.cpp, what concerns
 /// brittle upstreams in route_places.cpp, what concerns crashes of upstreams in
-/// route_crashes.cpp, the software version of streams in route_versions.cpp, and the
-/// choice of an upstream in route_permits.cpp.
+/// route_crashes.cpp, the identity of an upstream's process in route_identity.cpp, the software version of
+/// streams in route_versions.cpp, and the choice of an upstream in route_permits.cpp.
 class route_exchange {
 public:
     route_exchange(route_context& context, caller& from, http_request request, buffer_reservation& buffers);
@@ -57,10 +58,13 @@
     task<void> choose_version();
     std::uint64_t stream_key() const;
     const version_slots* slots_of_service() const;
-    task<std::optional<std::uint32_t>> ask_routers();
+    slot_knowledge slot_knowledge_of_service() const;
+    task<version_decision> decide_version_of(stream_identity stream);
+    task<std::optional<std::optional<std::uint32_t>>> ask_routers();
+    task<bool> confirm_slots(boot_time since);
     std::optional<std::string> follow(std::optional<std::uint32_t> version);
     void refuse_if_version_is_gone();
-    void refuse_stream(std::string detail, bool has_events);
+    void refuse_stream(const version_decision& decision, bool has_events);
     void record_stream();
     void log_version(const version_decision& decision) const;
     task<void> place(time_point started);
@@ -97,10 +101,15 @@
     task<bool> begin_stream(upstream_connection& connection);
     task<bool> relay_events(upstream_connection& connection, complete_events arrived);
     std::unique_ptr<upstream_connection> acquire_connection(time_point now);
+    std::unique_ptr<upstream_connection> acquire_connection(const routed_placement& placement,
+                                                            time_point now);
     void release_connection(std::unique_ptr<upstream_connection> connection);
-    bool needs_peer() const;
-    task<io_result<void>> connect(upstream_connection& connection, std::chrono::milliseconds timeout);
+    bool needs_peer(const routed_placement& placement) const;
+    void record_connect_failure(std::uint64_t upstream, const failure& error);
+    task<void> open_early_connection();
+    void prefer_early_connection();
     task<void> connect_if_needed(upstream_connection& connection, exchange_result& result);
+    task<void> check_identity(std::unique_ptr<upstream_connection>& connection, exchange_result& result);
     void record_reach(const upstream_connection& connection, const exchange_result& result);
     bool record_attempt(const exchange_result& result);
     bool spend_retry_budget();
@@ -111,12 +120,16 @@
     http::request_header<> make_forwarded_header() const;
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
+    bool may_repeat_elsewhere(time_point now);
     bool take_repeat();
+    std::size_t budget_sharers() const;
     bool has_untried_upstream() const;
     bool give_up_response(upstream_connection& connection);
     std::chrono::milliseconds remaining_time(time_point now) const;
     void log_attempt(const exchange_result& result, duration elapsed) const;
     std::string last_event_text() const;
+    void note_relayed(const stream_event& event);
+    void record_run();
     void log_request_end(std::string_view result) const;
 
     route_context& context_;
@@ -140,7 +153,9 @@
     bool is_relayed_ = false;        ///< the attempt passes through another router
     bool is_new_connection_ = false; ///< the attempt opened its connection
     attempt_state state_;
-    bool has_taken_repeat_ = false; ///< from the retry budget, for the next attempt
+    bool has_taken_repeat_ = false;                      ///< from the retry budget, for the next attempt
+    std::shared_ptr<early_connection> early_connection_; ///< for the next attempt, none if there is none
+    std::vector<std::uint64_t> not_reached_early_;       ///< upstreams to which none could be opened
     next_step next_step_ = next_step::refuse;
     std::string last_attempt_detail_;
     std::optional<problem> refusal_before_send_; ///< set if the request is refused after its arrival
@@ -148,13 +163,17 @@
     std::optional<http_response>
         buffered_response_; ///< complete response, or an error that is relayed if no later attempt succeeds
     event_splitter events_;
-    stream_position position_;     ///< of the caller in the stream
-    std::string media_type_;       ///< of the response whose header was relayed
+    stream_position position_;                  ///< of the caller in the stream
+    std::optional<std::uint64_t> last_data_;    ///< hash of the data of the last event that was relayed
+    bool passed_known_last_event_ = false;      ///< an event followed one that ends the version's streams
+    std::optional<std::uint64_t> expected_end_; ///< see `last_events::last_event_of`
+    std::string media_type_;                    ///< of the response whose header was relayed
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
     std::optional<std::uint64_t> unproved_end_;  ///< events behind which a run ended without proof
     endpoint unproved_at_;                       ///< upstream of that run
     std::optional<fleet_peer> unproved_through_; ///< router that relayed it, if any
     std::size_t unproved_run_ = 0;               ///< number of that run
+    std::uint32_t run_version_ = 0;              ///< see `begun_streams::version_hash`
     std::size_t runs_ = 0;                       ///< responses of upstreams that were relayed as streams
     stream_end stream_end_ = stream_end::broken; ///< of the last run
     upstream_connection* active_connection_ = nullptr; ///< closed when the caller disconnects
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -1,5 +1,9 @@
 // Relays the event stream of a routed request, from one upstream or from several in turn.
 
+#include "citronwick/fleet/begun_streams.hpp"
+#include "citronwick/fleet/last_events.hpp"
+#include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/fleet/stream_numberings.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/traffic/event_sequence.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
@@ -10,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/algorithm/string/case_conv.hpp>
+#include <utility>
 
 namespace citronwick {
 
@@ -35,6 +40,10 @@
     return type;
 }
 
+std::string weights_text(std::optional<std::uint64_t> version) {
+    return version ? std::to_string(*version) : "-";
+}
+
 } // namespace
 
 /// Text of an event's identifier for the log.
@@ -48,8 +57,13 @@
     const bool continues = state_.response_started;
     const bool follows_unproved_end = unproved_end_ == position_.events();
     ++runs_;
-    position_.begin_run();
+    const auto begun = clock::now();
+    run_version_ = begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
+    position_.begin_run(context_.plane.numberings().numbering_of(run_version_, begun),
+                        context_.dialect.read_response(connection.header()).weight_version);
+    expected_end_ = context_.plane.ends().last_event_of(run_version_, begun);
     auto result = co_await relay_run(connection);
+    record_run();
     if (follows_unproved_end && position_.run_events() > 0) {
         context_.early_ends[service_->name] = clock::now();
     }
@@ -61,11 +75,39 @@
                                   {"first_event", event_id_text(position_.run_first_event_id())},
                                   {"last_event", last_event_text()},
                                   {"events", std::to_string(position_.run_events())},
+                                  {"weights", weights_text(position_.weight_version())},
                                   {"framing", std::string{framing}},
                                   {"end", std::string{to_text(stream_end_)}}});
     co_return result;
 }
 
+/// Remembers what the run shows of all streams of its version.
+void route_exchange::record_run() {
+    if (route_->kind != request_kind::resumable_stream) {
+        return;
+    }
+    const auto now = clock::now();
+    const bool is_whole = stream_is_complete_ && stream_end_ != stream_end::connection_closed;
+    if (const auto numbering = position_.shown_numbering(is_whole)) {
+        context_.plane.numberings().record(run_version_, *numbering, now);
+    }
+    if (std::exchange(passed_known_last_event_, false)) {
+        context_.plane.ends().record_followed(run_version_, now);
+    }
+    if (is_whole && last_data_) {
+        context_.plane.ends().record_end(run_version_, *last_data_, now);
+    }
+}
+
+/// Moves behind an event that was written to the caller.
+void route_exchange::note_relayed(const stream_event& event) {
+    position_.advance(event);
+    if (event.has_data) {
+        passed_known_last_event_ = passed_known_last_event_ || (last_data_ && last_data_ == expected_end_);
+        last_data_ = event.data_hash;
+    }
+}
+
 /// Relays complete events only, so that an interrupted stream can be resumed on
 /// another upstream after its last event.
 task<exchange_result> route_exchange::relay_run(upstream_connection& connection) {
@@ -156,7 +198,7 @@
     if (!is_written) {
         co_return false;
     }
-    std::ranges::for_each(arrived.events, [this](const stream_event& each) { position_.advance(each); });
+    std::ranges::for_each(arrived.events, [this](const stream_event& each) { note_relayed(each); });
     co_return true;
 }
 
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -74,8 +74,9 @@
     return started;
 }
 
-std::vector<std::string> routed_fleet::worker_arguments(const std::string& name) const {
-    std::vector<std::string> arguments{"--id", name};
+std::vector<std::string> routed_fleet::worker_arguments(const std::string& name,
+                                                        std::int64_t incarnation) const {
+    std::vector<std::string> arguments{"--id", name, "--born", std::to_string(incarnation)};
     if (const auto version = versions_.find(name); version != versions_.end()) {
         arguments.insert(arguments.end(), {"--software", version->second});
     }
@@ -87,13 +88,15 @@
     return version == versions_.end() ? "v1" : version->second;
 }
 
-node routed_fleet::start_engine(const std::string& name, const std::string& version) {
+node routed_fleet::start_engine(const std::string& name, const std::string& version,
+                                std::int64_t incarnation) {
     set_version(name, version);
-    return start_standin("worker", name, worker_arguments(name));
+    return start_standin("worker", name, worker_arguments(name, incarnation));
 }
 
-void routed_fleet::start_worker_again(node& worker, const std::string& fault) {
-    node started = start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name));
+void routed_fleet::start_worker_again(node& worker, std::int64_t incarnation, const std::string& fault) {
+    node started =
+        start_standin_in(directory_, "worker", worker.name, worker_arguments(worker.name, incarnation));
     worker.process = std::move(started.process);
     worker.addresses = std::move(started.addresses);
     if (worker.proxy) {
@@ -109,15 +112,24 @@
 
 void routed_fleet::restart_worker(node& worker, const std::string& service, std::int64_t incarnation,
                                   const std::string& fault) {
-    start_worker_again(worker, fault);
+    start_worker_again(worker, incarnation, fault);
     register_worker(worker, service, "ready", incarnation, version_of(worker.name));
 }
 
-void routed_fleet::start_router() {
+void routed_fleet::replace_worker(node& worker, const std::string& version) {
+    worker.process->kill();
+    const std::string port = std::to_string(worker.addresses.front().port);
+    node started = start_standin_in(directory_, "worker", worker.name,
+                                    {"--id", worker.name, "--software", version, "--port", port});
+    worker.process = std::move(started.process);
+}
+
+void routed_fleet::start_router(std::string program) {
     const std::size_t index = next_index_++;
     const std::size_t number = index % options_.failure_domains;
     node router{.name = "entry-" + std::to_string(index),
                 .failure_domain = number == 0 ? domain : "domain-" + std::to_string(number)};
+    router.program = std::move(program);
     router.log = file(router.name + ".log");
     if (options_.proxies) {
         // Tells routers apart at the proxies.
@@ -162,8 +174,9 @@
         << options_.limit_settings << "\n[shutdown]\nbalancer_lag = \"" << options_.balancer_lag.count()
         << "ms\"\n"
         << options_.shutdown_settings << "\n[log]\nformat = \"" << options_.log_format << "\"\n";
-    router.process = std::make_unique<child_process>(
-        std::vector<std::string>{binary_path("citronwickd"), "--config", settings}, router.log, process);
+    const std::string program = router.program.empty() ? binary_path("citronwickd") : router.program;
+    router.process = std::make_unique<child_process>(std::vector<std::string>{program, "--config", settings},
+                                                     router.log, process);
 }
 
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -80,16 +80,22 @@
                         const std::string& fault = {});
 
     /// Starts a worker whose process has ended at its proxy again, without writing its entry.
-    void start_worker_again(node& worker, const std::string& fault = {});
+    /// @param incarnation that it reports
+    void start_worker_again(node& worker, std::int64_t incarnation, const std::string& fault = {});
 
     /// Starts a worker under a new identifier, without writing its entry.
     /// @param version of its software
-    node start_engine(const std::string& name, const std::string& version);
+    node start_engine(const std::string& name, const std::string& version, std::int64_t incarnation);
 
     /// Sets the software version of a worker, which its next process has.
     void set_version(const std::string& worker, const std::string& version) { versions_[worker] = version; }
     std::string version_of(const std::string& worker) const;
 
+    /// Kills a worker and starts one with the same identifier at the same address, whose entry stays as it
+    /// is.
+    /// @param version of its software, which its events name
+    void replace_worker(node& worker, const std::string& version);
+
     /// Writes or removes a key of the store directly.
     void put_key(const std::string& key, const std::string& value);
     void remove_key(const std::string& key);
@@ -101,7 +107,8 @@
     /// assignment of streams to versions and all routers in its view.
     bool wait_ready(std::chrono::milliseconds timeout = std::chrono::seconds{10});
 
-    void start_router();
+    /// @param program path, empty for the program under test
+    void start_router(std::string program = {});
 
     /// Starts a router whose process has ended.
     void restart_router(node& router);
@@ -120,7 +127,7 @@
     node start_standin(const std::string& kind, const std::string& name,
                        const std::vector<std::string>& arguments);
     void start_process(node& router) const;
-    std::vector<std::string> worker_arguments(const std::string& name) const;
+    std::vector<std::string> worker_arguments(const std::string& name, std::int64_t incarnation = 1) const;
     std::string file(const std::string& name) const { return directory_ + "/" + name; }
 
     routed_options options_;
--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -222,6 +222,41 @@
     CHECK(used.size() == 2);
 }
 
+// Guards against a router that does not know the process which saw the stream begin (ORDER).
+TEST_CASE(
+    "proof: a stream that a restarted router began is joined nowhere by one that does not know it yet") {
+    routed_fleet system{{.routers = 2, .engines = 4, .key_lifetime = 20s, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    bool is_paused = false;
+    SUBCASE("because it was paused") {
+        is_paused = true;
+    }
+    SUBCASE("because it has lost the store") {}
+    if (is_paused) {
+        system.routers()[1].process->signal(SIGSTOP);
+    } else {
+        set_proxy_fault(system.store(),
+                        R"({"dropped_sources":[")" + system.routers()[1].source_address + R"("]})");
+    }
+    system.routers()[0].process->kill();
+    system.restart_router(system.routers()[0]);
+    REQUIRE(wait_until([&] {
+        return system.view(system.routers()[0]).at("stream_versions").as_object().contains("bench");
+    }));
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0}, 2));
+    auto begun = begin_streams(system);
+    auto taken_up = std::async(std::launch::async, [&] { ask_for_all(begun, {&system.routers()[1]}); });
+    std::this_thread::sleep_for(50ms);
+    system.routers()[1].process->signal(SIGCONT);
+    taken_up.get();
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(groups_of(system, stream, 2).size() == 1);
+    }
+}
+
 // Guards against a service that is chosen again by weights that have moved (ORDER).
 TEST_CASE("proof: a stream is taken up at the service that began it after the weights of its route moved") {
     routed_fleet system{{.routers = 3, .engines = 2}};
@@ -283,6 +318,29 @@
     CHECK(runs_of(system.engines()[1 - used], "long") == 0);
 }
 
+// Guards against a worker whose version is known by the entry of its earlier process (ORDER).
+TEST_CASE(
+    "proof: a response does not go on at a worker that started again as another version, unlisted yet") {
+    routed_fleet system{{.routers = 1, .engines = 2, .engine_versions = {"v1"}, .proxies = true}};
+    REQUIRE(system.wait_ready());
+    const node& router = system.routers().front();
+    node& restarted = system.engines()[1];
+    for (int count = 0; count < streams; ++count) {
+        CHECK(system.ask(router, "/quote/stream/1", "before-" + std::to_string(count)).status == 200);
+    }
+    restarted.process->kill();
+    system.set_version(restarted.name, "v2");
+    constexpr std::int64_t second = 2;
+    system.start_worker_again(restarted, second);
+    set_fault(system.engines()[0], cut_after_one);
+    for (int count = 0; count < streams; ++count) {
+        const auto answer = system.ask(router, "/quote/stream/1", stream_name(count));
+        const bool is_joined =
+            answer.body.find("of v1") != std::string::npos && answer.body.find("of v2") != std::string::npos;
+        CHECK_FALSE_MESSAGE(is_joined, answer.body);
+    }
+}
+
 TEST_CASE("proof: a stream is taken up at its version after the store came back from an older copy") {
     routed_fleet system{{.routers = 2, .engines = 4}};
     REQUIRE(system.wait_ready());
@@ -305,6 +363,46 @@
     CHECK(used.size() == 2);
 }
 
+TEST_CASE(
+    "proof: routers that all lost power when the store came back from a copy take up later streams only") {
+    routed_fleet system{{.routers = 2, .engines = 4}};
+    REQUIRE(system.wait_ready());
+    set_fault(system.store(), R"({"copy":1})");
+    register_new_version(system);
+    REQUIRE(wait_versions(system, {0, 1}, 2));
+    auto begun = begin_streams(system);
+    set_fault(system.store(), R"({"restore":1})");
+    register_new_version(system);
+    std::ranges::for_each(system.routers(), [](node& router) { router.process->kill(); });
+    std::ranges::for_each(system.routers(), [&](node& router) { system.restart_router(router); });
+    REQUIRE(system.wait_ready());
+    ask_for_all(begun, {&system.routers()[0], &system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(stream.status == 503);
+        CHECK(groups_of(system, stream, 2).size() == 1);
+    }
+    const node& last = system.routers()[1];
+    REQUIRE(wait_until(
+        [&] {
+            const auto unsettled = system.view(last).at("stream_versions").at("bench").at("unsettled");
+            return unsettled.to_number<int>() == 0 && !find_log_lines(last, "era=2 ").empty();
+        },
+        30s));
+    auto later = new_streams();
+    std::ranges::for_each(later, [](taken_stream& each) { each.name += "-later"; });
+    set_faults(system.engines(), cut_after_one);
+    ask_for_all(later, {&system.routers()[0]});
+    set_faults(system.engines(), "{}");
+    system.routers()[0].process->kill();
+    ask_for_all(later, {&last});
+    for (const taken_stream& stream : later) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(stream.is_complete);
+        CHECK(groups_of(system, stream, 2).size() == 1);
+    }
+}
+
 TEST_CASE(
     "contract: a take-up that names no stream of its route is answered behind its last event or refused") {
     routed_fleet system{{.routers = 2, .engines = 2}};
@@ -320,3 +418,78 @@
         CHECK((stream.is_complete || stream.status == 503));
     }
 }
+
+// Guards against omissions where this request brought no two events that show consecutive numbers (ORDER).
+TEST_CASE(
+    "proof: a run that omits events is not joined to a single event or where a caller takes a stream up") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    taken_stream whole{.name = "whole"};
+    ask_for(whole, system.routers()[0]);
+    REQUIRE(whole.is_complete);
+    std::this_thread::sleep_for(1s); // longer than the interval of the routers' messages
+    set_faults(system.engines(), R"({"cut_after":1,"omit":1})");
+    auto begun = new_streams();
+    ask_for_all(begun, {&system.routers()[0]});
+    set_faults(system.engines(), R"({"omit":1})");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK_FALSE(stream.is_complete);
+    }
+    set_faults(system.engines(), "{}");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+        CHECK(stream.is_complete);
+    }
+}
+
+// Guards against omissions at a take-up by a router that has just started (ORDER).
+TEST_CASE("proof: a router that has just started does not answer a take-up by a run that omits events") {
+    routed_fleet system{{.routers = 2, .engines = 2}};
+    REQUIRE(system.wait_ready());
+    REQUIRE(wait_versions(system, {0, 1}, 1));
+    taken_stream whole{.name = "whole"};
+    ask_for(whole, system.routers()[0]);
+    REQUIRE(whole.is_complete);
+    auto begun = begin_streams(system);
+    system.routers()[1].process->kill();
+    system.restart_router(system.routers()[1]);
+    REQUIRE(system.wait_ready());
+    set_faults(system.engines(), R"({"omit":1})");
+    ask_for_all(begun, {&system.routers()[1]});
+    for (const taken_stream& stream : begun) {
+        CHECK_MESSAGE(is_in_order(stream), describe(stream));
+    }
+}
+
+// Guards against whole streams of services with gaps that end broken.
+TEST_CASE("proof: streams whose numbers have gaps go on and are taken up") {
+    for (const std::string numbering : {"strided", "sparse"}) {
+        CAPTURE(numbering);
+        routed_fleet system{{.routers = 2, .engines = 2}};
+        REQUIRE(system.wait_ready());
+        REQUIRE(wait_versions(system, {0, 1}, 1));
+        const std::string setting = R"("numbering":")" + numbering + "\"}";
+        set_faults(system.engines(), "{" + setting);
+        taken_stream whole{.name = "whole"};
+        ask_for(whole, system.routers()[0]);
+        CHECK(whole.is_complete);
+        const auto expected = whole.events;
+        CHECK(expected.size() == last_event);
+        for (const std::string cut : {"1", "2", "3"}) {
+            auto begun = new_streams();
+            std::ranges::for_each(begun, [&](taken_stream& each) { each.name += "-" + cut; });
+            set_faults(system.engines(), R"({"cut_after":)" + cut + "," + setting);
+            ask_for_all(begun, {&system.routers()[0]});
+            set_faults(system.engines(), "{" + setting);
+            ask_for_all(begun, {&system.routers()[1]});
+            for (const taken_stream& stream : begun) {
+                CHECK_MESSAGE(stream.events == expected, describe(stream));
+                CHECK(stream.is_complete);
+            }
+        }
+    }
+}
--- a/tests/standin/routed_worker.cpp
+++ b/tests/standin/routed_worker.cpp
@@ -30,10 +30,15 @@
             .omits_if_known = integer_member(settings, "omit_if_known") != 0,
             .begins_anew = integer_member(settings, "begin_anew") != 0,
             .is_unframed = string_member(settings, "framing") == "none",
+            .event_bytes = static_cast<std::size_t>(integer_member(settings, "event_bytes")),
             .segment_bytes = static_cast<std::size_t>(integer_member(settings, "segment_bytes")),
             .event_format = string_member(settings, "event_format"),
             .answers_early = integer_member(settings, "early") != 0,
             .resets = integer_member(settings, "reset") != 0,
+            .numbering = string_member(settings, "numbering"),
+            .weights = integer_member(settings, "weights"),
+            .newer_weights_at = integer_member(settings, "newer_weights_at"),
+            .ignores_expected_weights = integer_member(settings, "ignore_expected_weights") != 0,
             .only_path = string_member(settings, "only_path")};
 }
 
@@ -62,9 +67,9 @@
 }
 
 routed_worker::routed_worker(asio::io_context& context, const std::string& ip, std::string id,
-                             std::string version)
-    : id_{std::move(id)}, version_{std::move(version)},
-      server_{context, ip, 0,
+                             std::uint16_t port, std::int64_t born, std::string version)
+    : id_{std::move(id)}, version_{std::move(version)}, born_{born},
+      server_{context, ip, port,
               [this](tcp_stream& stream, http_request request) { return handle(stream, std::move(request)); },
               [this](const http::request_header<>& header) { return answers_early(header); }} {}
 
@@ -82,6 +87,7 @@
         remaining_faults_ = times == 0 ? std::numeric_limits<std::int64_t>::max() : times;
         failure_status_ = static_cast<unsigned>(integer_member(fault_settings, "status"));
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
+        born_ = fault_settings.contains("born") ? integer_member(fault_settings, "born") : born_;
         stream_faults_ = read_stream_faults(fault_settings);
         refusals_.clear();
         surplus_.clear();
@@ -97,6 +103,13 @@
         json::object status{{"runs", runs_}, {"unfinished", aborted_runs_}, {"arrivals", arrivals_}};
         co_return co_await send_json(stream, std::move(status));
     }
+    if (target == "/v1/report") {
+        json::object report{{"seq", 1}};
+        if (born_ > 0) {
+            report["born"] = born_;
+        }
+        co_return co_await send_json(stream, std::move(report));
+    }
     arrivals_.emplace_back(clock::now().time_since_epoch() / 1ms);
     if (request["Citronwick-Expect-Instance"] != id_) {
         http_response refusal{http::status::misdirected_request, 11};
@@ -105,12 +118,27 @@
         auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
         co_return !error;
     }
+    if (expects_other_weights(request)) {
+        http_response refusal{make_header(request)};
+        refusal.erase("Citronwick-Server-Stamp");
+        refusal.result(http::status::misdirected_request);
+        refusal.set("Citronwick-Not-Run", "1");
+        refusal.prepare_payload();
+        auto [error, size] = co_await http::async_write(stream, refusal, use_tuple);
+        co_return !error;
+    }
     if (slots_) {
         co_return co_await run_in_slot(stream, std::move(request), slots_);
     }
     co_return co_await run(stream, std::move(request));
 }
 
+bool routed_worker::expects_other_weights(const http_request& request) const {
+    const auto expected = request["Citronwick-Expect-Version"];
+    return !expected.empty() && stream_faults_.weights > 0 && !stream_faults_.ignores_expected_weights &&
+           expected != std::to_string(stream_faults_.weights);
+}
+
 /// Runs a request as soon as a slot is free, or refuses it for want of room.
 task<bool> routed_worker::run_in_slot(tcp_stream& stream, http_request request,
                                       std::shared_ptr<slot_queue> queue) {
@@ -165,6 +193,9 @@
     if (!brittle_.empty()) {
         header.set("Server-Brittle", brittle_);
     }
+    if (stream_faults_.weights > 0) {
+        header.set("Citronwick-Weight-Versions", std::to_string(stream_faults_.weights));
+    }
     if (says_leaving_) {
         header.set("Server-Leaving", "1");
     }
@@ -322,12 +353,12 @@
         co_return co_await run_stream(stream, request);
     }
     const bool sent = co_await send(stream, request, ok, "done by " + id_);
-    if (sent && fault == "late_surplus") {
-        keep_for_surplus(stream, std::move(request));
-    }
     if (sent && (fault == "extra" || fault == "surplus")) {
         co_return co_await send(stream, request, ok, "a second answer");
     }
+    if (sent && fault == "late_surplus") {
+        keep_for_surplus(stream, std::move(request));
+    }
     co_return sent;
 }
 
@@ -362,7 +393,7 @@
     if (request.target().find("/stream/") != std::string_view::npos) {
         body = "";
         for (std::int64_t id = 1; id <= event_count_; ++id) {
-            body += format_event(id, stream_faults_.event_format);
+            body += format_event(id, stream_faults_);
         }
         body.resize(fault == "unframed_cut" ? body.size() - 1 : body.size());
     }
--- a/tests/standin/routed_worker.hpp
+++ b/tests/standin/routed_worker.hpp
@@ -22,8 +22,11 @@
 /// injects the fault set by POST /standin/fault.
 class routed_worker {
 public:
+    /// @param port to listen on, 0 for a free one
+    /// @param born time of its start that it reports, 0 for none
     /// @param version that its events name, empty for none
-    routed_worker(asio::io_context& context, const std::string& ip, std::string id, std::string version);
+    routed_worker(asio::io_context& context, const std::string& ip, std::string id, std::uint16_t port,
+                  std::int64_t born, std::string version);
 
     endpoint address() const { return server_.address(); }
 
@@ -54,10 +57,12 @@
     http::response_header<> make_header(const http_request& request) const;
     void record_run(const http_request& request);
 
-    std::string format_event(std::int64_t number, std::string_view format) const;
+    bool expects_other_weights(const http_request& request) const;
+    std::string format_event(std::int64_t number, const stream_faults& faults) const;
 
     std::string id_;
     std::string version_;
+    std::int64_t born_;                 ///< time of its start that it reports, 0 for none
     std::string fault_mode_;            ///< active fault, empty for none
     std::int64_t remaining_faults_ = 0; ///< number of requests that it still affects
     unsigned failure_status_ = 0;       ///< of responses while the fault "status" is active
