--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Incarnation of workers that state no start.
+constexpr std::int64_t states_no_start = 0;
+
 namespace json = boost::json;
 
 constexpr const char* domain = "busan-a";
@@ -35,7 +38,7 @@
     store_ = start_standin("store", "store", {});
     for (std::size_t index = 0; index < options_.plain_workers; ++index) {
         const std::string id = "desk-" + std::to_string(index);
-        plain_workers_.push_back(start_standin("worker", id, worker_arguments(id)));
+        plain_workers_.push_back(start_standin("worker", id, worker_arguments(id, states_no_start)));
         register_worker(plain_workers_.back(), "desk");
     }
     for (std::size_t index = 0; index < options_.engines; ++index) {
@@ -43,7 +46,7 @@
         if (!options_.engine_versions.empty()) {
             versions_[id] = options_.engine_versions[index % options_.engine_versions.size()];
         }
-        engines_.push_back(start_standin("worker", id, worker_arguments(id)));
+        engines_.push_back(start_standin("worker", id, worker_arguments(id, states_no_start)));
         register_worker(engines_.back(), "bench", "ready", 1, version_of(id));
     }
     declare({"club-key"});
