--- a/packages/traffic/src/route_versions.cpp
+++ b/packages/traffic/src/route_versions.cpp
@@ -17,12 +17,11 @@
 
 using namespace std::chrono_literals;
 
-/// Time after which a stream that is refused for now may be taken up again.
+/// Longest wait for a router that saw the stream begin.
+constexpr duration reply_timeout = 80ms;
+/// Longest wait for the store.
+constexpr duration confirmation_timeout = 200ms;
 constexpr std::chrono::milliseconds assignment_pause{300};
-/// Longest waits for a router that saw the stream begin, and for the store. A refusal would cost the
-/// caller no less.
-constexpr duration reply_timeout = assignment_pause;
-constexpr duration confirmation_timeout = assignment_pause;
 
 } // namespace
 
