--- a/tests/integration/stream_take_ups.tests.cpp
+++ b/tests/integration/stream_take_ups.tests.cpp
@@ -482,7 +482,11 @@
         for (const std::string cut : {"1", "2", "3"}) {
             auto begun = new_streams();
             std::ranges::for_each(begun, [&](taken_stream& each) { each.name += "-" + cut; });
-            set_faults(system.engines(), R"({"cut_after":)" + cut + "," + setting);
+            std::string fault = R"({"cut_after":)";
+            fault += cut;
+            fault += ",";
+            fault += setting;
+            set_faults(system.engines(), fault);
             ask_for_all(begun, {&system.routers()[0]});
             set_faults(system.engines(), "{" + setting);
             ask_for_all(begun, {&system.routers()[1]});
