--- a/packages/traffic/src/crash_probe.hpp
+++ b/packages/traffic/src/crash_probe.hpp
@@ -32,14 +32,13 @@
     /// ends closes its listener after its connections. If this router is refused or cut from the
     /// upstreams, others are asked.
     /// A connect that is not answered says nothing of the process, so it is repeated as long as sound
-    /// upstreams may be silent.
+    /// upstreams may be silent. A connection that is closed in order right away was not accepted by
+    /// the process.
     /// @param timeout for all of it, `shortest_time` for a single round of connects
     /// @param tunnels way through other routers, if there may be one
     /// @param through router that relayed the connection, if it was not direct; it must live on, too
-    /// A connection that is closed in order right away was not accepted by the process.
-    /// @return why no connection was accepted, or how it ended; refused if the process has ended, as others
-    /// report or as
-    ///         this router alone sees it if there are no others
+    /// @return why no connection was accepted, or how it ended; refused if the process has ended, as
+    ///         others report or as this router alone sees it if there are no others
     static task<boost::system::error_code> connect_after_pause(endpoint address,
                                                                std::chrono::milliseconds timeout,
                                                                tunnel_opener* tunnels,
