Divide what cold upstreams bear between the routers, and heed evacuations

Cause: nobody read coldRemainingMs and coldPerS, and op/evacuate/ was not followed. Change: cold_allowance_of gives a router its places on a cold upstream by rendezvous hashing, send_window keeps to them from the moment of sending; upstreams of evacuated failure domains are in no list of the view. Platforms whose services declare no rate, and that hold no such key, are served as before.

--- a/packages/config/include/citronwick/config/routing_configuration.hpp
+++ b/packages/config/include/citronwick/config/routing_configuration.hpp
@@ -25,6 +25,8 @@
     std::string name;
     std::uint32_t connection_limit = 64;    ///< connections that one upstream accepts from all callers
     std::optional<engine_profile> engine{}; ///< none for a plain service
+    /// Requests a second that one of its upstreams bears while it is cold; none for no limit.
+    std::optional<double> cold_rate{};
 };
 
 /// Team that may send requests, with the API keys that authenticate it.
--- a/packages/fleet/include/citronwick/fleet/platform_adapter.hpp
+++ b/packages/fleet/include/citronwick/fleet/platform_adapter.hpp
@@ -19,6 +19,7 @@
     std::string configuration_key; ///< holds the declaration in force, written by operators
     std::string upstream_prefix;   ///< of the entries that upstreams write about themselves
     std::string own_prefix;        ///< reserved for the entries of the routers
+    std::string evacuation_prefix; ///< of keys that name a failure domain to which nothing may be sent
 };
 
 /// Translates between the fleet and the protocols and formats of one platform.
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -5,6 +5,8 @@
 #include "citronwick/core/store_position.hpp"
 #include "citronwick/core/time.hpp"
 #include "citronwick/fleet/upstream_entry.hpp"
+#include "citronwick/policy/cold_places.hpp"
+#include "citronwick/policy/send_window.hpp"
 #include "citronwick/policy/version_slots.hpp"
 
 #include <atomic>
@@ -30,6 +32,7 @@
     std::atomic<std::int32_t> connections{0};       ///< open connections from this router
     /// Of this router's places, if the upstream is brittle: by its own requests, and lent to others.
     std::atomic<std::int32_t> taken_places{0};
+    send_window cold_sends; ///< of this router while the upstream is cold
 };
 
 /// One of this router's places on an upstream, taken for the lifetime of the object.
@@ -53,6 +56,10 @@
     upstream_entry entry;
     std::uint64_t hash = 0; ///< of identifier and incarnation
     std::shared_ptr<upstream_load> load;
+    time_point cold_until{};            ///< bears few requests only before
+    std::optional<cold_allowance> cold; ///< of this router until then, none for no limit
+
+    bool is_cold(time_point now) const { return cold && now < cold_until; }
 };
 
 /// Immutable snapshot on which traffic threads base their routing decisions.
@@ -71,6 +78,11 @@
     std::map<std::string, time_point, std::less<>> unproven_versions;
     time_point config_changed_at; ///< as seen by this router
     store_position position{};    ///< of the store, up to which this view includes all changes
+    std::size_t evacuated_domains =
+        0; ///< failure domains whose upstreams get nothing by the operators' order
+
+    /// The upstream of the service that accepts new requests under a hash, null if there is none.
+    const routed_upstream* find(std::string_view service, std::uint64_t upstream) const;
 
     /// Whether an incarnation is an upstream of the service that accepts new requests.
     /// @param upstream its hash
--- a/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_directory.hpp
@@ -37,8 +37,10 @@
 public:
     /// Adds or updates an entry.
     /// @param position of its last change; entries older than the known one are ignored
+    /// @param now its cold time runs from now on, unless the entry is known already
     /// @return the incarnation that it replaced, if any
-    std::optional<ended_upstream> put(const upstream_entry& entry, store_position position);
+    std::optional<ended_upstream> put(const upstream_entry& entry, store_position position,
+                                      time_point now = {});
 
     /// Removes an entry that was deleted or cannot be decoded.
     /// @param usable_until end of the lapse window, none outside of one
--- a/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_entry.hpp
@@ -3,6 +3,7 @@
 
 #include "citronwick/core/endpoint.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +20,8 @@
     std::uint64_t incarnation = 0; ///< changes with each start
     bool leaving = false;          ///< accepts no new requests
     std::uint64_t sequence = 0;    ///< increases with what this incarnation writes
+    /// For which it bears few requests only, from the moment at which it wrote this.
+    std::chrono::milliseconds cold_time{0};
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -4,6 +4,8 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
 
+#include <algorithm>
+#include <ranges>
 #include <set>
 
 namespace citronwick {
@@ -16,6 +18,21 @@
 /// a crash.
 constexpr duration crash_window = 6s;
 
+using upstreams_by_service = std::map<std::string, std::vector<routed_upstream>, std::less<>>;
+
+/// Removes the upstreams of evacuated failure domains.
+upstreams_by_service without_evacuated(upstreams_by_service upstreams, const std::set<std::string>& domains) {
+    if (!domains.empty()) {
+        std::ranges::for_each(upstreams | std::views::values, [&](std::vector<routed_upstream>& each) {
+            std::erase_if(each, [&](const routed_upstream& upstream) {
+                return domains.contains(upstream.entry.failure_domain);
+            });
+        });
+        std::erase_if(upstreams, [](const auto& each) { return each.second.empty(); });
+    }
+    return upstreams;
+}
+
 } // namespace
 
 declared_fleet::declared_fleet(const platform_adapter& adapter, suspect_registry& suspects)
@@ -30,6 +47,10 @@
         apply_upstream(change, usable_until, now);
         return true;
     }
+    if (change.key.starts_with(layout_.evacuation_prefix)) {
+        apply_evacuation(change);
+        return true;
+    }
     return false;
 }
 
@@ -44,6 +65,7 @@
     for (const ended_upstream& ended : directory_.retain(listed, listing.position, usable_until)) {
         handle_end(ended, now);
     }
+    retain_evacuations(listing);
 }
 
 bool declared_fleet::expire(time_point now) {
@@ -78,11 +100,11 @@
 }
 
 std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::usable() const {
-    return directory_.usable();
+    return without_evacuated(directory_.usable(), evacuated_);
 }
 
 std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::leaving() const {
-    return directory_.leaving();
+    return without_evacuated(directory_.leaving(), evacuated_);
 }
 
 /// Applies a new configuration. One that cannot be decoded is refused, and the
@@ -110,6 +132,28 @@
                                         {"teams", std::to_string(config_->team_count())}});
 }
 
+void declared_fleet::apply_evacuation(const kv_change& change) {
+    const std::string domain = change.key.substr(layout_.evacuation_prefix.size());
+    const bool is_changed = change.value ? evacuated_.insert(domain).second : evacuated_.erase(domain) > 0;
+    if (is_changed) {
+        log_info(change.value ? "evacuation_in_force" : "evacuation_ended",
+                 {{"failure_domain", domain}, {"position", to_text(change.position)}});
+    }
+}
+
+/// Ends the evacuations that a complete listing lacks.
+void declared_fleet::retain_evacuations(const kv_listing& listing) {
+    std::erase_if(evacuated_, [&](const std::string& domain) {
+        const bool is_listed = std::ranges::find(listing.items, layout_.evacuation_prefix + domain,
+                                                 &kv_item::key) != listing.items.end();
+        if (!is_listed) {
+            log_info("evacuation_ended",
+                     {{"failure_domain", domain}, {"position", to_text(listing.position)}});
+        }
+        return !is_listed;
+    });
+}
+
 void declared_fleet::apply_upstream(const kv_change& change, std::optional<time_point> usable_until,
                                     time_point now) {
     const std::string id = change.key.substr(layout_.upstream_prefix.size());
@@ -127,13 +171,14 @@
         handle_end(directory_.remove(id, change.position, std::nullopt, "entry unreadable"), now);
         return;
     }
-    handle_end(directory_.put(*entry, change.position), now);
+    handle_end(directory_.put(*entry, change.position, now), now);
     log_info("upstream_learnt", {{"upstream", entry->id},
                                  {"service", entry->service},
                                  {"address", to_text(entry->address)},
                                  {"failure_domain", entry->failure_domain},
                                  {"incarnation", std::to_string(entry->incarnation)},
                                  {"leaving", entry->leaving ? "yes" : "no"},
+                                 {"cold_ms", std::to_string(entry->cold_time.count())},
                                  {"position", to_text(change.position)}});
 }
 
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -7,6 +7,8 @@
 
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 namespace citronwick {
 
@@ -21,7 +23,7 @@
     /// Applies a change of a key.
     /// @param usable_until time until which an upstream remains usable although its
     ///        entry is removed, none outside of a lapse window
-    /// @return false if the key is neither a configuration nor an upstream
+    /// @return false if the key is neither a configuration, nor an upstream, nor an evacuation
     bool apply(const kv_change& change, std::optional<time_point> usable_until, time_point now);
 
     /// Removes the upstreams that a complete listing lacks.
@@ -55,11 +57,16 @@
     std::map<std::string, std::vector<routed_upstream>, std::less<>> usable() const;
     std::map<std::string, std::vector<routed_upstream>, std::less<>> leaving() const;
 
+    /// Failure domains whose upstreams get nothing by the operators' order.
+    const std::set<std::string>& evacuated_domains() const { return evacuated_; }
+
     /// Hashes of all known incarnations.
     std::set<std::uint64_t> hashes() const { return directory_.hashes(); }
 
 private:
     void apply_configuration(const kv_change& change);
+    void apply_evacuation(const kv_change& change);
+    void retain_evacuations(const kv_listing& listing);
     void apply_upstream(const kv_change& change, std::optional<time_point> usable_until, time_point now);
     void handle_end(const std::optional<ended_upstream>& ended, time_point now);
     void handle_end(const ended_upstream& ended, time_point now);
@@ -71,6 +78,7 @@
     upstream_directory directory_;
     crash_detector crash_detector_;
     std::shared_ptr<const routing_configuration> config_;
+    std::set<std::string> evacuated_; ///< failure domains
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -290,6 +290,8 @@
         next->config_changed_at =
             next->config == view_.load()->config ? view_.load()->config_changed_at : now;
         next->position = follower_.position();
+        next->evacuated_domains = declared_.evacuated_domains().size();
+        set_cold_allowances(*next, now);
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
             for (const routed_upstream& each : upstreams) {
@@ -302,6 +304,23 @@
         }
     }
 
+    /// Divides what cold upstreams bear between the routers of a view.
+    void set_cold_allowances(routing_view& next, time_point now) const {
+        for (auto& [name, upstreams] : next.upstreams) {
+            const auto* const service = next.config ? next.config->find_service(name) : nullptr;
+            if (service == nullptr || !service->cold_rate) {
+                continue;
+            }
+            for (routed_upstream& each : upstreams) {
+                if (now < each.cold_until) {
+                    each.cold =
+                        cold_allowance_of(each.hash, *service->cold_rate, next.self, next.active_routers);
+                    each.load->cold_sends.close_until(started_at_ + each.cold->interval);
+                }
+            }
+        }
+    }
+
     // Periodic tasks
 
     task<void> tick_loop() {
@@ -415,6 +434,7 @@
     key_freshness freshness_;
     std::map<std::uint32_t, std::shared_ptr<upstream_load>> loads_;
     std::vector<confirmation_request> confirmation_requests_;
+    time_point started_at_ = clock::now();
     time_point last_expiry_;
     time_point directory_set_at_;
     time_point versions_checked_at_;
--- a/packages/fleet/src/routing_view.cpp
+++ b/packages/fleet/src/routing_view.cpp
@@ -33,11 +33,17 @@
     return std::nullopt;
 }
 
+const routed_upstream* routing_view::find(std::string_view service, std::uint64_t upstream) const {
+    const auto of_service = upstreams.find(service);
+    if (of_service == upstreams.end()) {
+        return nullptr;
+    }
+    const auto found = std::ranges::find(of_service->second, upstream, &routed_upstream::hash);
+    return found == of_service->second.end() ? nullptr : &*found;
+}
+
 bool routing_view::accepts_requests(std::string_view service, std::uint64_t upstream) const {
-    const auto found = upstreams.find(service);
-    return found != upstreams.end() &&
-           std::ranges::any_of(found->second,
-                               [upstream](const routed_upstream& each) { return each.hash == upstream; });
+    return find(service, upstream) != nullptr;
 }
 
 } // namespace citronwick
--- a/packages/fleet/src/upstream_directory.cpp
+++ b/packages/fleet/src/upstream_directory.cpp
@@ -21,6 +21,22 @@
                                                   : entry.sequence < known.sequence;
 }
 
+/// Added to an upstream's cold time, as others are told of its end later than itself.
+constexpr duration cold_margin = std::chrono::milliseconds{200};
+
+time_point cold_end(const upstream_entry& entry, time_point now) {
+    return entry.cold_time > std::chrono::milliseconds{0} ? now + entry.cold_time + cold_margin
+                                                          : time_point{};
+}
+
+routed_upstream make_upstream(const upstream_entry& entry, time_point now) {
+    return {.entry = entry,
+            .hash = upstream_hash(entry),
+            .load = std::make_shared<upstream_load>(),
+            .cold_until = cold_end(entry, now),
+            .cold = std::nullopt};
+}
+
 } // namespace
 
 bool upstream_directory::is_older_than_removal(const upstream_entry& entry, store_position position) const {
@@ -39,13 +55,14 @@
     upstream.entry.leaving = upstream.entry.leaving || said_leaving_.contains(upstream.hash);
 }
 
-std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, store_position position) {
+std::optional<ended_upstream> upstream_directory::put(const upstream_entry& entry, store_position position,
+                                                      time_point now) {
     if (is_older_than_removal(entry, position)) {
         return std::nullopt;
     }
     const auto found = entries_.find(entry.id);
     if (found == entries_.end()) {
-        entries_[entry.id] = {{entry, upstream_hash(entry), std::make_shared<upstream_load>()}, position};
+        entries_[entry.id] = {make_upstream(entry, now), position};
         apply_mark(entries_[entry.id].upstream);
         return std::nullopt;
     }
@@ -54,6 +71,7 @@
         return std::nullopt;
     }
     const bool is_of_copy = position.era > old.position.era;
+    const bool is_known = position == old.position;
     old.position = position;
     old.usable_until.reset();
     if (is_of_copy && is_older_state(entry, old.upstream.entry)) {
@@ -63,10 +81,13 @@
         const bool was_leaving = old.upstream.entry.leaving;
         old.upstream.entry = entry;
         old.upstream.entry.leaving = was_leaving || entry.leaving;
+        if (!is_known) {
+            old.upstream.cold_until = cold_end(entry, now);
+        }
         return std::nullopt;
     }
     ended_upstream ended{old.upstream.entry, "replaced by a new incarnation"};
-    old.upstream = {entry, upstream_hash(entry), std::make_shared<upstream_load>()};
+    old.upstream = make_upstream(entry, now);
     apply_mark(old.upstream);
     return ended;
 }
--- a/packages/fleet/tests/upstream_directory.tests.cpp
+++ b/packages/fleet/tests/upstream_directory.tests.cpp
@@ -154,3 +154,24 @@
     CHECK(detector.upstream_ended(100, start + 1s).empty());
     CHECK(detector.upstream_ended(200, start + 7s).empty());
 }
+
+TEST_CASE("an upstream is cold for the time that its entry says, which runs once for each entry") {
+    upstream_directory directory;
+    auto cold = worker("a");
+    cold.cold_time = 3s;
+    directory.put(cold, {10}, start);
+    const auto cold_until = [&] { return directory.usable().at("drafts").front().cold_until; };
+    const auto first_end = cold_until();
+    CHECK(first_end >= start + 3s);
+    CHECK(first_end < start + 4s);
+    directory.put(cold, {10}, start + 2s); // listed again
+    CHECK(cold_until() == first_end);
+    directory.put(cold, {11}, start + 60s); // cold again
+    CHECK(cold_until() >= start + 63s);
+    directory.put(worker("a"), {12}, start + 61s);
+    CHECK(cold_until() < start);
+    auto next = cold;
+    next.incarnation = 2;
+    directory.put(next, {13}, start + 70s);
+    CHECK(cold_until() >= start + 73s);
+}
--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -33,6 +33,11 @@
     /// Counts a request for a permit to send to a rate-limited upstream.
     void count_permit(std::string_view service, std::string_view decision);
 
+    /// Counts a decision on a request for a cold upstream.
+    /// @param decision "sent", "no place" if the upstream became cold before the request was sent, or
+    ///        "refused" if all upstreams are cold
+    void count_cold_send(std::string_view service, std::string_view decision);
+
     /// Counts a new connection to an upstream.
     void count_connection(std::string_view service);
 
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -47,9 +47,11 @@
         }
     }
     view_ = context_.plane.view();
-    if (!view_->accepts_requests(service_->name, placement_->upstream.hash)) {
+    const routed_upstream* const target = view_->find(service_->name, placement_->upstream.hash);
+    if (target == nullptr) {
         co_return exchange_result{attempt_outcome::not_sent, "the upstream left meanwhile"};
     }
+    const bool is_cold = target->is_cold(clock::now());
     upstream_limits& limits = context_.plane.limits();
     const std::uint64_t upstream = placement_->upstream.hash;
     if (!placement_request_.has_permit && limits.limit_of(upstream)) {
@@ -62,6 +64,13 @@
     if (remaining_time(now) <= 0ms) {
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
     }
+    if (!in_flight.begin_send(is_cold, now)) {
+        context_.counters.count_cold_send(service_->name, "no place");
+        co_return exchange_result{attempt_outcome::not_sent, "the upstream has become cold meanwhile"};
+    }
+    if (is_cold) {
+        context_.counters.count_cold_send(service_->name, "sent");
+    }
     context_.plane.observations().record_prompt(placement_request_.prefixes, placement_->upstream.hash, now);
     if (placement_->fetch_from) {
         context_.counters.count_fetch(service_->name, placement_->fetched_tokens);
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -137,6 +137,7 @@
         placement_->reason = "may have more events";
         placement_->fetch_from.reset();
         placement_->most_in_flight.reset();
+        placement_->cold = cold_allowance_now(*placement_);
         placement_->uncached_tokens = 0;
         placement_->fetched_tokens = 0;
         placement_request_.has_permit = false;
@@ -198,13 +199,14 @@
          {"per_second", placement_->rate_limit ? std::to_string(*placement_->rate_limit) : "-"},
          {"expected_wait_ms", std::to_string(static_cast<int>(placement_->expected_wait_ms))},
          {"places", placement_->most_in_flight ? std::to_string(*placement_->most_in_flight) : "-"},
+         {"cold_places", placement_->cold ? std::to_string(placement_->cold->places) : "-"},
          {"position", to_text(view_->position)}});
     log_suspicions(started);
     placement_request_.tried.push_back(placement_->upstream.hash);
     const auto placed_at = clock::now();
     exchange_result result;
     {
-        in_flight_guard in_flight{*placement_};
+        in_flight_guard in_flight{*placement_, placed_at};
         if (!in_flight.has_place()) {
             result = {attempt_outcome::not_sent, "the place was taken meanwhile"};
         }
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -70,6 +70,8 @@
     task<void> place(time_point started);
     task<void> place_when_free(time_point started);
     task<void> wait_for_place(time_point started);
+    void note_cold_places(time_point now);
+    std::optional<cold_allowance> cold_allowance_now(const routed_placement& placement) const;
     task<void> borrow_place();
     task<void> ask_lenders();
     std::optional<std::uint64_t> choose_lender(const routed_upstream& upstream, time_point now);
@@ -145,7 +147,10 @@
     const routed_team* team_ = nullptr;
     routed_placement_request placement_request_;
     std::optional<routed_placement> placement_;
-    std::optional<std::int32_t> places_; ///< of this router on the service's brittle upstreams, if it has any
+    /// Of this router on the service's brittle upstreams, if it has any, or on its upstreams if all of them
+    /// are cold.
+    std::optional<std::int32_t> places_;
+    bool are_places_cold_ = false;
     std::uint64_t fingerprint_ = 0;
     std::vector<std::uint64_t> part_fingerprints_; ///< of the prompt's shared parts
     time_point deadline_;
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -5,6 +5,7 @@
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/io/counted_kv_client.hpp"
 
+#include <algorithm>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -60,6 +61,10 @@
                                    .Name("citronwick_permits_total")
                                    .Help("Permits requested for rate-limited upstreams, by decision")
                                    .Register(registry);
+    Family<Counter>& cold_sends = prometheus::BuildCounter()
+                                      .Name("citronwick_cold_requests_total")
+                                      .Help("Requests for upstreams that are cold, by service and decision")
+                                      .Register(registry);
     Family<Counter>& fetched_tokens =
         prometheus::BuildCounter()
             .Name("citronwick_fetched_prompt_tokens_total")
@@ -85,6 +90,14 @@
                                            .Name("citronwick_rate_limited_upstreams")
                                            .Help("Upstreams that have named a rate limit")
                                            .Register(registry);
+    Family<Gauge>& cold_upstreams = prometheus::BuildGauge()
+                                        .Name("citronwick_cold_upstreams")
+                                        .Help("Upstreams that are cold, by service")
+                                        .Register(registry);
+    Family<Gauge>& evacuated_domains = prometheus::BuildGauge()
+                                           .Name("citronwick_evacuated_failure_domains")
+                                           .Help("Failure domains whose upstreams get no requests by order")
+                                           .Register(registry);
     Family<Gauge>& version = prometheus::BuildGauge()
                                  .Name("citronwick_declaration_version")
                                  .Help("Version of the declaration in force")
@@ -145,6 +158,11 @@
         .Increment();
 }
 
+void route_metrics::count_cold_send(std::string_view service, std::string_view decision) {
+    families_->cold_sends.Add({{"service", std::string{service}}, {"decision", std::string{decision}}})
+        .Increment();
+}
+
 void route_metrics::count_fetch(std::string_view service, std::uint32_t tokens) {
     families_->fetches.Add({{"service", std::string{service}}}).Increment();
     families_->fetched_tokens.Add({{"service", std::string{service}}}).Increment(tokens);
@@ -185,8 +203,13 @@
         families_->store_calls.Add({{"kind", name}, {"result", "failed"}})
             .Set(static_cast<double>(outcomes.failed));
     }
+    families_->evacuated_domains.Add({}).Set(static_cast<double>(view->evacuated_domains));
+    const auto now = clock::now();
     for (const auto& [service, upstreams] : view->upstreams) {
         families_->upstreams.Add({{"service", service}}).Set(static_cast<double>(upstreams.size()));
+        const auto cold = std::ranges::count_if(
+            upstreams, [now](const routed_upstream& each) { return each.is_cold(now); });
+        families_->cold_upstreams.Add({{"service", service}}).Set(static_cast<double>(cold));
     }
     return prometheus::TextSerializer{}.Serialize(families_->registry.Collect());
 }
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -69,6 +69,13 @@
     return contains(request.tried, upstream.hash);
 }
 
+/// Whether a cold upstream, or any that is not cold, has room for a request of this router.
+bool has_cold_place(const routed_upstream& upstream, const routed_placement_request& request,
+                    time_point now) {
+    return !upstream.is_cold(now) ||
+           (request.may_use_cold && upstream.load->cold_sends.has_room(*upstream.cold, now));
+}
+
 bool has_version(const routed_upstream& upstream, const routed_placement_request& request) {
     return !request.version || upstream.entry.version == *request.version;
 }
@@ -160,7 +167,8 @@
         most.push_back(most_in_flight(upstreams[index], limited[index], view));
         candidates.push_back(
             make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
-        candidates.back().usable = has_version(upstreams[index], request);
+        // A cold engine has cached nothing yet, so that it is not assumed to hold a prefix.
+        candidates.back().usable = has_version(upstreams[index], request) && !upstreams[index].is_cold(now);
         candidates.back().rate_limited = limited[index].per_second.has_value();
         candidates.back().permit_price_ms = limited[index].permit_price_ms;
     }
@@ -177,13 +185,14 @@
                                        ? !contains(request.not_lent, upstreams[index].hash)
                                        : !most[index] || upstreams[index].load->taken_places.load(
                                                              std::memory_order_relaxed) < *most[index];
+            const bool has_any_place = has_place && has_cold_place(upstreams[index], request, now);
             const bool is_asked_for = !request.preferred || upstreams[index].hash == *request.preferred;
             candidates[index].usable = is_asked_for && has_version(upstreams[index], request) &&
                                        !was_tried(upstreams[index], request) && may_send &&
                                        (!level.avoid_outliers || !summaries[index].is_outlier) &&
                                        (!level.avoid_unreachable || summaries[index].is_reachable);
-            is_full = is_full || (candidates[index].usable && !has_place);
-            candidates[index].usable = candidates[index].usable && has_place;
+            is_full = is_full || (candidates[index].usable && !has_any_place);
+            candidates[index].usable = candidates[index].usable && has_any_place;
         }
         const auto decision = request.service->engine
                                   ? place_on_engine(affinity, candidates, parameters, sources.sources)
@@ -200,6 +209,9 @@
                                        .saving_ms = decision.saving_ms,
                                        .queue_wait_ms = decision.queue_wait_ms,
                                        .most_in_flight = most[*decision.index]};
+            if (placement.upstream.is_cold(now)) {
+                placement.cold = placement.upstream.cold;
+            }
             if (decision.fetch) {
                 placement.fetch_from = sources.upstreams[decision.fetch->source]->entry;
                 placement.fetched_tokens = static_cast<std::uint32_t>(decision.fetch->tokens);
@@ -238,13 +250,36 @@
     return places;
 }
 
-in_flight_guard::in_flight_guard(const routed_placement& placement)
+std::optional<std::int32_t> places_on_cold(const routed_placement_request& request, const routing_view& view,
+                                           time_point now) {
+    const auto found = view.upstreams.find(request.service->name);
+    if (found == view.upstreams.end()) {
+        return std::nullopt;
+    }
+    std::optional<std::int32_t> places;
+    for (const routed_upstream& each : found->second) {
+        if (!has_version(each, request) || was_tried(each, request)) {
+            continue;
+        }
+        if (!each.is_cold(now)) {
+            return std::nullopt;
+        }
+        places = places.value_or(0) + each.cold->places;
+    }
+    return places;
+}
+
+in_flight_guard::in_flight_guard(const routed_placement& placement, time_point now)
     : load_{placement.upstream.load},
       unprocessed_tokens_{static_cast<std::int32_t>(placement.uncached_tokens - placement.fetched_tokens)} {
     if (!placement.borrowed) {
         place_.emplace(load_);
     }
     has_place_ = !placement.most_in_flight || !place_ || place_->taken_then() <= *placement.most_in_flight;
+    if (placement.cold && has_place_) {
+        has_cold_place_ = load_->cold_sends.reserve(*placement.cold, now);
+        has_place_ = has_cold_place_;
+    }
     load_->in_flight.fetch_add(1, std::memory_order_relaxed);
     load_->backlog.fetch_add(unprocessed_tokens_, std::memory_order_relaxed);
 }
@@ -252,6 +287,17 @@
 in_flight_guard::~in_flight_guard() {
     mark_prompt_processed();
     load_->in_flight.fetch_sub(1, std::memory_order_relaxed);
+    if (has_cold_place_) {
+        load_->cold_sends.release();
+    }
+}
+
+bool in_flight_guard::begin_send(bool is_cold, time_point now) {
+    if (std::exchange(has_cold_place_, false)) {
+        load_->cold_sends.record_sent(now);
+        return true;
+    }
+    return !is_cold;
 }
 
 void in_flight_guard::mark_prompt_processed() {
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -34,6 +34,8 @@
     /// being taken.
     bool borrows = false;
     std::vector<std::uint64_t> not_lent; ///< hashes of upstreams on which it found no place to borrow
+    /// Whether cold upstreams may be chosen. They may not while this router's list of routers is old.
+    bool may_use_cold = true;
 };
 
 /// Upstream chosen for a request, and the estimates behind the choice.
@@ -53,6 +55,7 @@
     /// it is not brittle.
     std::optional<std::int32_t> most_in_flight{};
     std::shared_ptr<const borrowed_place> borrowed{}; ///< place of another router, if it is used
+    std::optional<cold_allowance> cold{};             ///< of this router, if the upstream is cold
 };
 
 /// Chooses the upstream of a request from the current view and from observations
@@ -71,17 +74,26 @@
                                               const routing_view& view, const upstream_limits& limits,
                                               time_point now);
 
+/// Places of this router on the upstreams that could still take a request, if all of these are cold.
+/// @return none if any of them is not cold, or there are none
+std::optional<std::int32_t> places_on_cold(const routed_placement_request& request, const routing_view& view,
+                                           time_point now);
+
 /// Counts a request as in flight on an upstream during its lifetime.
 class in_flight_guard {
 public:
-    explicit in_flight_guard(const routed_placement& placement);
+    in_flight_guard(const routed_placement& placement, time_point now);
     in_flight_guard(const in_flight_guard&) = delete;
     in_flight_guard& operator=(const in_flight_guard&) = delete;
     ~in_flight_guard();
 
-    /// Whether the request has a place, if the upstream is brittle.
+    /// Whether the request has a place, if the upstream is brittle or cold.
     bool has_place() const { return has_place_; }
 
+    /// Counts the request as sent, if the upstream is cold.
+    /// @return false if the upstream is cold and the request has no place, as that was not known before
+    bool begin_send(bool is_cold, time_point now);
+
     /// Removes the request's prompt tokens from the upstream's backlog.
     void mark_prompt_processed();
 
@@ -90,6 +102,7 @@
     std::int32_t unprocessed_tokens_;
     std::optional<taken_place> place_; ///< of this router's own
     bool has_place_;
+    bool has_cold_place_ = false; ///< reserved, and nothing was sent yet
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -1,4 +1,4 @@
-// Places on brittle upstreams: which requests wait for one, and which are refused at once.
+// Places on brittle and on cold upstreams: which requests wait for one, and which are refused at once.
 
 #include "citronwick/core/hash.hpp"
 #include "citronwick/fleet/borrowed_place.hpp"
@@ -7,6 +7,7 @@
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/brittle_places.hpp"
+#include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "permit_waiter.hpp"
 #include "place_queue.hpp"
@@ -36,6 +37,8 @@
 constexpr int max_loan_requests = 6;
 /// Time for which a router that did not reply is not asked again.
 constexpr duration silent_lender_pause = 1s;
+/// Time for which a request takes a place on a cold upstream.
+constexpr duration cold_place_time = 1s;
 constexpr unsigned unavailable = 503;
 
 void log_loan(std::string_view request, const routed_placement& wanted, std::uint64_t lender,
@@ -53,9 +56,15 @@
 /// Chooses the upstream of an attempt. While the upstreams are brittle and this router has no place
 /// on them, the request waits for a short time, or is not placed.
 task<void> route_exchange::place_when_free(time_point started) {
+    placement_request_.may_use_cold = context_.plane.keys_are_fresh(boot_now());
     places_ = places_on_brittle(placement_request_, *view_, context_.plane.limits(), started);
+    are_places_cold_ = false;
     if (!places_) {
         co_await place(started);
+        note_cold_places(started);
+        if (are_places_cold_ && *places_ > 0) {
+            co_await wait_for_place(started);
+        }
         co_return;
     }
     placement_.reset();
@@ -73,6 +82,20 @@
     }
 }
 
+/// Notes the places of this router if a request was not placed and only cold upstreams are left for it.
+void route_exchange::note_cold_places(time_point now) {
+    if (!placement_) {
+        places_ = places_on_cold(placement_request_, *view_, now);
+        are_places_cold_ = places_.has_value();
+    }
+}
+
+/// What this router may send to the upstream of a placement, if that is cold by now.
+std::optional<cold_allowance> route_exchange::cold_allowance_now(const routed_placement& placement) const {
+    const routed_upstream* const upstream = view_->find(service_->name, placement.upstream.hash);
+    return upstream != nullptr && upstream->is_cold(clock::now()) ? upstream->cold : std::nullopt;
+}
+
 /// A router that may have a place to lend on an upstream. Each request asks another one, since
 /// nobody knows which places are free.
 std::optional<std::uint64_t> route_exchange::choose_lender(const routed_upstream& upstream, time_point now) {
@@ -181,10 +204,15 @@
     if (placement_ || refusal_before_send_ || state_.may_have_run_before) {
         return;
     }
-    const std::chrono::duration<double> held = waiting_requests()->mean_held();
+    const std::chrono::duration<double> held =
+        are_places_cold_ ? cold_place_time : waiting_requests()->mean_held();
     const double rate = std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
-    refusal_before_send_ = problem{503, "upstreams-full", "the upstreams have no place for more requests",
-                                   outcome::not_run, capacity.returns.next(rate, now)};
+    if (are_places_cold_) {
+        context_.counters.count_cold_send(service_->name, "refused");
+    }
+    refusal_before_send_ = problem{503, are_places_cold_ ? "upstreams-cold" : "upstreams-full",
+                                   "the upstreams have no place for more requests", outcome::not_run,
+                                   capacity.returns.next(rate, now)};
 }
 
 /// Records what a response says of how many refusals the upstream bears, and its refusal.
--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -21,8 +21,6 @@
 
 namespace json = boost::json;
 
-constexpr const char* domain = "busan-a";
-
 json::object make_route(const char* path, const char* kind, const char* service, int attempts) {
     return {{"name", path},           {"host", "shop.example"},
             {"prefix", path},         {"kind", kind},
@@ -31,14 +29,28 @@
             {"priority", 1},          {"resumeStreams", std::string_view{path} == "/quote/stream/"}};
 }
 
+/// The declaration of a service without an engine.
+json::object make_plain_service(const char* name, double cold_rate) {
+    json::object service{{"name", name}, {"connectionLimit", 96}};
+    if (cold_rate > 0.0) {
+        service["coldPerS"] = cold_rate;
+    }
+    return service;
+}
+
 } // namespace
 
+std::string domain_name(std::size_t number) {
+    return number == 0 ? "busan-a" : "domain-" + std::to_string(number);
+}
+
 routed_fleet::routed_fleet(routed_options options)
     : options_{std::move(options)}, directory_{make_directory()} {
     store_ = start_standin("store", "store", {});
     for (std::size_t index = 0; index < options_.plain_workers; ++index) {
         const std::string id = "desk-" + std::to_string(index);
         plain_workers_.push_back(start_standin("worker", id, worker_arguments(id, states_no_start)));
+        plain_workers_.back().failure_domain = domain_name(index % options_.worker_domains);
         register_worker(plain_workers_.back(), "desk");
     }
     for (std::size_t index = 0; index < options_.engines; ++index) {
@@ -47,6 +59,7 @@
             versions_[id] = options_.engine_versions[index % options_.engine_versions.size()];
         }
         engines_.push_back(start_standin("worker", id, worker_arguments(id, states_no_start)));
+        engines_.back().failure_domain = domain_name(index % options_.worker_domains);
         register_worker(engines_.back(), "bench", "ready", 1, version_of(id));
     }
     declare({"club-key"});
@@ -69,7 +82,7 @@
 node routed_fleet::start_standin(const std::string& kind, const std::string& name,
                                  const std::vector<std::string>& arguments) {
     node started = start_standin_in(directory_, kind, name, arguments);
-    started.failure_domain = domain;
+    started.failure_domain = domain_name(0);
     if (options_.proxies) {
         started.proxy = std::make_unique<node>(start_standin_in(directory_, "proxy", name + "-proxy", {}));
         set_proxy_target(*started.proxy, started);
@@ -130,8 +143,7 @@
 void routed_fleet::start_router(std::string program) {
     const std::size_t index = next_index_++;
     const std::size_t number = index % options_.failure_domains;
-    node router{.name = "entry-" + std::to_string(index),
-                .failure_domain = number == 0 ? domain : "domain-" + std::to_string(number)};
+    node router{.name = "entry-" + std::to_string(index), .failure_domain = domain_name(number)};
     router.program = std::move(program);
     router.log = file(router.name + ".log");
     if (options_.proxies) {
@@ -221,7 +233,7 @@
         {"version", ++version_},
         {"routes", std::move(routes)},
         {"services",
-         json::array{json::object{{"name", "desk"}, {"connectionLimit", 96}},
+         json::array{make_plain_service("desk", options_.cold_rate),
                      json::object{{"name", "other-bench"}, {"connectionLimit", 96}},
                      json::object{{"name", "bench"},
                                   {"connectionLimit", 96},
@@ -234,13 +246,14 @@
 
 void routed_fleet::register_worker(const node& worker, const std::string& service, const std::string& state,
                                    std::int64_t incarnation, const std::string& version) {
+    const auto cold = cold_times_.find(worker.name);
     const json::object entry{{"service", service},
                              {"address", to_text(worker.address())},
-                             {"zone", domain},
+                             {"zone", worker.failure_domain},
                              {"version", version},
                              {"slots", options_.worker_slots},
                              {"state", state},
-                             {"coldRemainingMs", 0},
+                             {"coldRemainingMs", cold == cold_times_.end() ? 0 : cold->second.count()},
                              {"seq", 1},
                              {"born", incarnation}};
     put_key("servers/" + worker.name, json::serialize(entry));
--- a/tests/harness/routed_fleet.hpp
+++ b/tests/harness/routed_fleet.hpp
@@ -33,7 +33,9 @@
     std::int64_t body_bytes = 65'536; ///< largest request body, as declared
     process_options router_process{}; ///< how the routers are started
     std::chrono::milliseconds balancer_lag{300};
-    int worker_slots = 8; ///< as the entries of the workers say
+    int worker_slots = 8;           ///< as the entries of the workers say
+    std::size_t worker_domains = 1; ///< failure domains over which the workers are spread
+    double cold_rate = 0.0; ///< requests a second that a cold worker bears, as declared; 0 for no limit
 };
 
 /// Runs routers, workers and the metadata store as processes on this machine.
@@ -72,6 +74,11 @@
                          std::int64_t incarnation = 1, const std::string& version = "v1");
     void unregister_worker(const node& worker);
 
+    /// Sets the time for which a worker's later entries say that it is cold.
+    void set_cold_time(const node& worker, std::chrono::milliseconds time) {
+        cold_times_[worker.name] = time;
+    }
+
     /// Starts a worker whose process has ended, at another port, and writes its entry. Its proxy is
     /// started, too, if it has ended.
     /// @param incarnation higher than that of the process that ended
@@ -136,7 +143,8 @@
     std::deque<node> routers_;
     std::deque<node> plain_workers_;
     std::deque<node> engines_;
-    std::map<std::string, std::string> versions_; ///< by the names of workers that name them
+    std::map<std::string, std::string> versions_;                 ///< by the names of workers that name them
+    std::map<std::string, std::chrono::milliseconds> cold_times_; ///< by the names of workers that are cold
     std::int64_t version_ = 0;
     std::pair<int, int> split_{1, 1}; ///< weights of "bench" and "other-bench"
     std::mutex keys_mutex_;
@@ -144,6 +152,9 @@
     std::size_t next_index_ = 0;
 };
 
+/// Name of the failure domain with a number, under which routers and workers of a fleet run.
+std::string domain_name(std::size_t number);
+
 /// Sets the same faults on several workers.
 void set_faults(const std::deque<node>& workers, const std::string& fault);
 
--- a/tests/integration/rate_limits.tests.cpp
+++ b/tests/integration/rate_limits.tests.cpp
@@ -1,12 +1,12 @@
 // Upstreams that name how many requests a second they take from all routers together.
 
 #include "routed_fleet.hpp"
+#include "steady_load.hpp"
 #include "waiting.hpp"
 
 #include "citronwick/core/time.hpp"
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
 #include <thread>
@@ -37,31 +37,6 @@
     return most;
 }
 
-/// Sends requests to all routers, each from a thread of its own, until it ends.
-class steady_load {
-public:
-    steady_load(routed_fleet& fleet, std::chrono::milliseconds pause) {
-        for (std::size_t index = 0; index < fleet.routers().size(); ++index) {
-            threads_.emplace_back([this, &fleet, index, pause](const std::stop_token& stop) {
-                for (int count = 0; !stop.stop_requested(); ++count) {
-                    const std::string attempt = "l" + std::to_string(index) + "-" + std::to_string(count);
-                    const auto status = fleet.ask(fleet.routers()[index], "/read/1", attempt).status;
-                    ++(status == 200 ? served_ : refused_);
-                    std::this_thread::sleep_for(pause);
-                }
-            });
-        }
-    }
-
-    int served() const { return served_; }
-    int refused() const { return refused_; }
-
-private:
-    std::atomic<int> served_{0};
-    std::atomic<int> refused_{0};
-    std::vector<std::jthread> threads_;
-};
-
 /// What an upstream may get within four seconds, by the users' rule.
 constexpr double allowed(double limit) {
     return 1.5 * 4.0 * limit + 5.0;
