Divide the places of plain upstreams that refuse for want of room, and let citronctl evacuate

Change: an upstream that refuses for want of room puts its service into a state in which places are divided, lent and waited for as on brittle upstreams; requests beyond a fair share and late ones wait behind the others. citronctl evacuate and restore keep the order in the root of the configuration.

--- a/packages/config/include/citronwick/config/config_store.hpp
+++ b/packages/config/include/citronwick/config/config_store.hpp
@@ -18,9 +18,10 @@
 
 /// Change that an operator submits.
 struct configuration_change {
-    std::string text;                 ///< the complete declaration
-    std::string active_preset;        ///< preset to activate
-    std::vector<std::string> drained; ///< upstreams that receive no new requests
+    std::string text;                   ///< the complete declaration
+    std::string active_preset;          ///< preset to activate
+    std::vector<std::string> drained;   ///< upstreams that receive no new requests
+    std::vector<std::string> evacuated; ///< failure domains whose upstreams receive no new requests
     std::string writer;
     std::string reason;
     std::string time; ///< UTC, ISO 8601
--- a/packages/config/include/citronwick/config/configuration.hpp
+++ b/packages/config/include/citronwick/config/configuration.hpp
@@ -15,10 +15,11 @@
 struct configuration_root {
     std::uint64_t generation = 0;
     std::string active_preset;
-    std::vector<std::string> chunks;  ///< SHA-256 digests of the declaration's chunks, in order
-    std::vector<std::string> drained; ///< upstreams that receive no new requests
-    std::string previous;             ///< digest of the preceding root, empty for the first
-    std::string change_id;            ///< unique to one commit; identifies it if its response is lost
+    std::vector<std::string> chunks;    ///< SHA-256 digests of the declaration's chunks, in order
+    std::vector<std::string> drained;   ///< upstreams that receive no new requests
+    std::vector<std::string> evacuated; ///< failure domains whose upstreams receive no new requests
+    std::string previous;               ///< digest of the preceding root, empty for the first
+    std::string change_id;              ///< unique to one commit; identifies it if its response is lost
     std::string writer;
     std::string time; ///< UTC, ISO 8601; informational only
     std::string reason;
--- a/packages/config/src/config_store.cpp
+++ b/packages/config/src/config_store.cpp
@@ -106,6 +106,7 @@
     configuration_root next{.generation = base == nullptr ? 1 : base->value.root.generation + 1,
                             .active_preset = change.active_preset,
                             .drained = change.drained,
+                            .evacuated = change.evacuated,
                             .change_id = random_id(),
                             .writer = change.writer,
                             .time = change.time,
--- a/packages/config/src/configuration.cpp
+++ b/packages/config/src/configuration.cpp
@@ -40,6 +40,7 @@
 constexpr std::array list_members{
     list_member{"chunks", &configuration_root::chunks},
     list_member{"drained", &configuration_root::drained},
+    list_member{"evacuated", &configuration_root::evacuated},
 };
 
 } // namespace
--- a/packages/control/include/citronwick/control/upstream_table.hpp
+++ b/packages/control/include/citronwick/control/upstream_table.hpp
@@ -46,6 +46,9 @@
     /// Sets the names of the upstreams that operators have drained.
     void set_drained(const std::vector<std::string>& names);
 
+    /// Sets the failure domains to whose upstreams operators want nothing sent.
+    void set_evacuated(const std::vector<std::string>& failure_domains);
+
     /// Stores an observation if it is newer than the previous one.
     /// @return whether it was stored
     bool observe(std::uint32_t upstream, const upstream_observation& seen);
@@ -143,6 +146,7 @@
     std::uint64_t self_ = 0;
     std::map<std::uint32_t, entry> entries_;
     std::set<std::string> drained_;
+    std::set<std::string> evacuated_;                ///< failure domains
     std::map<std::uint32_t, std::uint64_t> leaving_; ///< highest leaving incarnation
     std::map<std::string, time_point> silent_domains_;
 };
--- a/packages/control/src/control_plane_state.hpp
+++ b/packages/control/src/control_plane_state.hpp
@@ -264,6 +264,7 @@
 
     void apply_configuration(std::shared_ptr<const configuration> next) {
         upstreams_.set_drained(next->root.drained);
+        upstreams_.set_evacuated(next->root.evacuated);
         config_ = std::move(next);
         announce_versions();
     }
--- a/packages/control/src/upstream_table.cpp
+++ b/packages/control/src/upstream_table.cpp
@@ -52,6 +52,10 @@
     drained_ = {names.begin(), names.end()};
 }
 
+void upstream_table::set_evacuated(const std::vector<std::string>& failure_domains) {
+    evacuated_ = {failure_domains.begin(), failure_domains.end()};
+}
+
 bool upstream_table::observe(std::uint32_t upstream, const upstream_observation& seen) {
     const auto found = entries_.find(upstream);
     if (found == entries_.end() || (found->second.report && seen.at <= found->second.report->at)) {
@@ -193,6 +197,7 @@
 availability upstream_table::state_of(const entry& upstream, time_point now) const {
     const auto mark = leaving_.find(short_hash(upstream.hash));
     if (upstream.vm.leaving || drained_.contains(upstream.vm.name) ||
+        evacuated_.contains(upstream.vm.failure_domain) ||
         (mark != leaving_.end() && mark->second >= upstream.incarnation)) {
         return availability::leaving;
     }
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -132,7 +132,10 @@
     auto change = make_change(command.options);
     change.text = file->text;
     change.active_preset = select_preset(command.options, *base, file->declared);
-    change.drained = *base ? (*base)->value.root.drained : std::vector<std::string>{};
+    if (*base) {
+        change.drained = (*base)->value.root.drained;
+        change.evacuated = (*base)->value.root.evacuated;
+    }
     if (file->declared.find_preset(change.active_preset) == nullptr) {
         command.errors << "preset \"" << change.active_preset << "\" is not declared in "
                        << command.options.file << "\n";
@@ -174,6 +177,7 @@
     change.text = base->value.text;
     change.active_preset = base->value.root.active_preset;
     change.drained = base->value.root.drained;
+    change.evacuated = base->value.root.evacuated;
     const std::string error = modify(change, base->value.declared);
     if (!error.empty()) {
         command.errors << error << "\n";
@@ -193,22 +197,42 @@
         });
 }
 
-exit_code drain(const command_context& command) {
+/// Adds the name that the command gives to a list of the configuration root.
+exit_code add_name(const command_context& command, std::vector<std::string> configuration_change::* list) {
     return change_root(command, [&](configuration_change& change, const declaration&) -> std::string {
-        std::set<std::string> names{change.drained.begin(), change.drained.end()};
+        std::set<std::string> names{(change.*list).begin(), (change.*list).end()};
         names.insert(command.options.name);
-        change.drained = {names.begin(), names.end()};
+        change.*list = {names.begin(), names.end()};
         return {};
     });
 }
 
-exit_code undrain(const command_context& command) {
+/// Removes the name that the command gives from a list of the configuration root.
+/// @param missing what the error message says of a name that is not in the list
+exit_code remove_name(const command_context& command, std::vector<std::string> configuration_change::* list,
+                      std::string_view missing) {
     return change_root(command, [&](configuration_change& change, const declaration&) -> std::string {
-        const bool was_drained = std::erase(change.drained, command.options.name) > 0;
-        return was_drained ? "" : "upstream \"" + command.options.name + "\" is not drained";
+        const bool was_listed = std::erase(change.*list, command.options.name) > 0;
+        return was_listed ? "" : fmt::format("\"{}\" {}", command.options.name, missing);
     });
 }
 
+exit_code drain(const command_context& command) {
+    return add_name(command, &configuration_change::drained);
+}
+
+exit_code undrain(const command_context& command) {
+    return remove_name(command, &configuration_change::drained, "is not a drained upstream");
+}
+
+exit_code evacuate(const command_context& command) {
+    return add_name(command, &configuration_change::evacuated);
+}
+
+exit_code restore(const command_context& command) {
+    return remove_name(command, &configuration_change::evacuated, "is not an evacuated failure domain");
+}
+
 exit_code preset_list(const command_context& command) {
     store_session session{command.options};
     const auto base = load_in_force(session);
@@ -260,6 +284,8 @@
     command_entry{"history", &history},
     command_entry{"drain", &drain},
     command_entry{"undrain", &undrain},
+    command_entry{"evacuate", &evacuate},
+    command_entry{"restore", &restore},
     command_entry{"status", &status},
     command_entry{"explain", &explain_chat},
     command_entry{"explain request", &explain_request},
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -21,6 +21,8 @@
   citronctl history --kv ADDRESSES [--prefix PREFIX]
   citronctl drain NAME --kv ADDRESSES [--prefix PREFIX] [--base N] [--writer NAME] [--reason TEXT]
   citronctl undrain NAME --kv ADDRESSES [--prefix PREFIX] [--base N] [--writer NAME] [--reason TEXT]
+  citronctl evacuate DOMAIN --kv ADDRESSES [--prefix PREFIX] [--base N] [--writer NAME] [--reason TEXT]
+  citronctl restore DOMAIN --kv ADDRESSES [--prefix PREFIX] [--base N] [--writer NAME] [--reason TEXT]
   citronctl status --routers ADDRESSES [--json]
   citronctl explain --chat ID --team NAME --model NAME --kv ADDRESSES --routers ADDRESSES [--prefix PREFIX]
   citronctl explain --request ID [--json] LOG...
@@ -35,6 +37,8 @@
   preset use   Put a preset in force.
   history      List the changes, newest first.
   drain        Send no new requests to an upstream; undrain reverts this.
+  evacuate     Send no new requests to the upstreams of a failure domain; restore
+               reverts this.
   status       Show routers and upstreams.
   explain      Show how a chat would be placed, or the timeline and outcome of
                a request from the routers' JSON log files.
@@ -83,8 +87,8 @@
 }
 
 std::string command_name(const arguments& given) {
-    constexpr std::array single_words{"check",   "plan",   "apply",   "history", "drain",
-                                      "undrain", "status", "explain", "hash-key"};
+    constexpr std::array single_words{"check",    "plan",    "apply",  "history", "drain",   "undrain",
+                                      "evacuate", "restore", "status", "explain", "hash-key"};
     if (given.at("preset").asBool()) {
         return given.at("use").asBool() ? "preset use" : "preset list";
     }
@@ -97,8 +101,9 @@
 }
 
 int run(const arguments& given) {
+    const std::string name = string_argument(given, "NAME");
     citronwick::command_options options{.file = string_argument(given, "FILE"),
-                                        .name = string_argument(given, "NAME"),
+                                        .name = name.empty() ? string_argument(given, "DOMAIN") : name,
                                         .key_prefix = string_argument(given, "--prefix"),
                                         .preset = string_argument(given, "--preset"),
                                         .writer = string_argument(given, "--writer"),
--- a/packages/ctl/src/router_commands.cpp
+++ b/packages/ctl/src/router_commands.cpp
@@ -53,6 +53,12 @@
     }
 }
 
+void print_evacuated(const command_context& command, const json::object& view) {
+    for (const std::string& domain : string_array_member(view, "evacuated")) {
+        command.out << "\nfailure domain " << domain << " is evacuated\n";
+    }
+}
+
 void print_routers(const command_context& command, const std::vector<router_status>& routers) {
     command.out << fmt::format("{:<24} {:>10} {:<14} {:>6} {:>14} {:>8}\n", "router", "generation", "preset",
                                "hears", "control bytes", "reuse");
@@ -88,6 +94,7 @@
     } else {
         print_routers(command, routers);
         if (first_reachable != routers.end()) {
+            print_evacuated(command, *first_reachable->view);
             print_upstreams(command, (*first_reachable->view).at("services").as_object());
         }
     }
--- a/packages/fleet/include/citronwick/fleet/router_peers.hpp
+++ b/packages/fleet/include/citronwick/fleet/router_peers.hpp
@@ -120,6 +120,9 @@
 
     /// Hashes of the routers that may send requests, including this one, in ascending order.
     std::vector<std::uint64_t> active_routers(time_point now) const;
+
+    /// Hashes of the live routers, including this one, in ascending order.
+    std::vector<std::uint64_t> heard_routers(time_point now) const;
     std::uint64_t self_hash() const { return members_.self_hash(); }
 
     /// Number of routers registered in the store, including this one.
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -21,6 +21,8 @@
 
 namespace citronwick {
 
+class upstream_limits;
+
 /// Load on one upstream: this router's, counted by the traffic threads, and
 /// that of the other routers as they last reported it.
 struct upstream_load {
@@ -71,6 +73,7 @@
     std::size_t live_routers = 1;              ///< including this one
     std::size_t known_routers = 1;             ///< registered routers, including this one
     std::vector<std::uint64_t> active_routers; ///< hashes of those that may send requests, and this one
+    std::vector<std::uint64_t> heard_routers;  ///< hashes of the live ones, and this one
     std::uint64_t self = 0;                    ///< hash of this router
     /// Assignment of resumable streams to software versions, by service.
     std::map<std::string, std::shared_ptr<const version_slots>, std::less<>> stream_versions;
@@ -84,6 +87,11 @@
     /// The upstream of the service that accepts new requests under a hash, null if there is none.
     const routed_upstream* find(std::string_view service, std::uint64_t upstream) const;
 
+    /// Hashes of the routers between which the places of an upstream are divided. A brittle one must not
+    /// get more than it bears, so all that may send count; one that is short of room loses no places
+    /// to routers that are not heard.
+    const std::vector<std::uint64_t>& place_sharers(bool is_short) const;
+
     /// Whether an incarnation is an upstream of the service that accepts new requests.
     /// @param upstream its hash
     bool accepts_requests(std::string_view service, std::uint64_t upstream) const;
@@ -96,8 +104,10 @@
 };
 
 /// @param upstream short hash of its incarnation
+/// @param limits tell whether it is short of room
 /// @return none if the view has no such upstream that accepts requests
-std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream);
+std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream,
+                                              const upstream_limits& limits, time_point now);
 
 /// Hash that identifies an incarnation of an upstream.
 std::uint64_t upstream_hash(const upstream_entry& entry);
--- a/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
+++ b/packages/fleet/include/citronwick/fleet/upstream_limits.hpp
@@ -42,7 +42,13 @@
     void record_brittle(std::uint64_t upstream, const std::string& id, std::optional<double> refusals,
                         time_point sent_at, time_point now);
 
-    /// Whether any upstream is known to be brittle. Takes no lock.
+    /// Records that an upstream that is not brittle refused a request for want of room, or that a request
+    /// found no place on one that had done so.
+    /// @param upstream hash of its incarnation
+    /// @param id for the log
+    void record_shortage(std::uint64_t upstream, const std::string& id, time_point now);
+
+    /// Whether any upstream is known to be brittle or short of room. Takes no lock.
     bool has_brittle() const { return has_brittle_.load(std::memory_order_relaxed); }
 
     /// Records that a brittle upstream refused a request for want of room.
@@ -65,10 +71,12 @@
     struct summary {
         std::optional<double> per_second; ///< empty if no limit holds
         bool may_request_permit = true;
-        bool is_paused = false;                      ///< it wants no requests from this router now
-        double permit_price_ms = 0.0;                ///< estimated from the coordinator's last decision
-        std::optional<double> refusals_per_second{}; ///< that it bears; empty if it is not brittle
-        bool has_refused_lately = false;             ///< this router, although it is brittle
+        bool is_paused = false;       ///< it wants no requests from this router now
+        double permit_price_ms = 0.0; ///< estimated from the coordinator's last decision
+        /// That it bears; empty if it is neither brittle nor short of room.
+        std::optional<double> refusals_per_second{};
+        bool is_short = false;           ///< it is not brittle, and has refused requests for want of room
+        bool has_refused_lately = false; ///< this router, although it is brittle
     };
 
     /// An upstream of which nothing is known counts as brittle if others of its service are.
@@ -112,6 +120,7 @@
     void note_brittle();
     void log_limit(std::uint32_t upstream, const std::string& id, const char* source) const;
     void log_brittle(std::uint32_t upstream, const std::string& id, const char* source) const;
+    bool is_short(std::uint32_t upstream) const;
     std::optional<double> refusals_of(std::uint32_t upstream, time_point now) const;
 
     mutable std::mutex mutex_;
--- a/packages/fleet/src/router_peers.cpp
+++ b/packages/fleet/src/router_peers.cpp
@@ -144,6 +144,13 @@
     return routers;
 }
 
+std::vector<std::uint64_t> router_peers::heard_routers(time_point now) const {
+    std::vector<std::uint64_t> routers{members_.self_hash()};
+    std::ranges::transform(members_.live(now), std::back_inserter(routers), &member::hash);
+    std::ranges::sort(routers);
+    return routers;
+}
+
 void router_peers::handle_message(const wire::header& from, const wire::gossip& message) {
     const auto now = clock::now();
     std::ranges::for_each(message.members,
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -207,7 +207,9 @@
                         }
                     },
                 .places_to_lend =
-                    [this](std::uint32_t upstream) { return places_to_lend(*view_.load(), upstream); }};
+                    [this](std::uint32_t upstream) {
+                        return places_to_lend(*view_.load(), upstream, limits_, clock::now());
+                    }};
     }
 
     registration_listener make_registration_listener() {
@@ -284,6 +286,7 @@
         next->live_routers = peers_.live_routers(now);
         next->known_routers = peers_.known_routers();
         next->active_routers = peers_.active_routers(now);
+        next->heard_routers = peers_.heard_routers(now);
         next->self = peers_.self_hash();
         next->stream_versions = versions_.slots();
         next->unproven_versions = versions_.unproven();
@@ -337,7 +340,8 @@
         const auto current = view_.load();
         const bool fleet_changed = peers_.live_routers(now) != current->live_routers ||
                                    peers_.known_routers() != current->known_routers ||
-                                   peers_.active_routers(now) != current->active_routers;
+                                   peers_.active_routers(now) != current->active_routers ||
+                                   peers_.heard_routers(now) != current->heard_routers;
         if (upstreams_changed || fleet_changed) {
             publish(now);
         }
--- a/packages/fleet/src/routing_view.cpp
+++ b/packages/fleet/src/routing_view.cpp
@@ -1,7 +1,9 @@
 #include "citronwick/fleet/routing_view.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/policy/brittle_places.hpp"
+#include "citronwick/policy/room_shortage.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -16,18 +18,22 @@
     load_->taken_places.fetch_sub(1, std::memory_order_relaxed);
 }
 
-std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream) {
+std::optional<lendable_places> places_to_lend(const routing_view& view, std::uint32_t upstream,
+                                              const upstream_limits& limits, time_point now) {
     for (const auto& upstreams : view.upstreams | std::views::values) {
         const auto found = std::ranges::find(
             upstreams, upstream, [](const routed_upstream& each) { return short_hash(each.hash); });
         if (found != upstreams.end()) {
-            if (!are_places_lent(found->entry.slots, view.active_routers.size())) {
+            const bool is_short = limits.summaries({found->hash}, now).front().is_short;
+            const std::uint32_t places =
+                is_short ? places_while_short(found->entry.slots) : found->entry.slots;
+            const auto& routers = view.place_sharers(is_short);
+            if (!are_places_lent(places, routers.size())) {
                 return std::nullopt;
             }
             constexpr double no_refusals = 0.0; // only what exceeds the part depends on them
-            const brittle_places places{found->hash, found->entry.slots, no_refusals, view.self,
-                                        view.active_routers};
-            return lendable_places{found->load, places.own()};
+            const brittle_places parts{found->hash, places, no_refusals, view.self, routers};
+            return lendable_places{found->load, parts.own()};
         }
     }
     return std::nullopt;
@@ -42,6 +48,10 @@
     return found == of_service->second.end() ? nullptr : &*found;
 }
 
+const std::vector<std::uint64_t>& routing_view::place_sharers(bool is_short) const {
+    return is_short ? heard_routers : active_routers;
+}
+
 bool routing_view::accepts_requests(std::string_view service, std::uint64_t upstream) const {
     return find(service, upstream) != nullptr;
 }
--- a/packages/fleet/src/upstream_limits.cpp
+++ b/packages/fleet/src/upstream_limits.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/permit_pool.hpp"
+#include "citronwick/policy/room_shortage.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -26,6 +27,9 @@
 /// The same for the refusals that a brittle upstream bears, and their precision in messages.
 constexpr double max_refusals = 10'000.0;
 constexpr double refusal_steps = 256.0;
+/// Stands in the table and in messages for an upstream that is short of room and not brittle. A
+/// router of an earlier landing takes it for one that bears any number of refusals.
+constexpr double shortage_mark = max_refusals;
 /// Time after which an upstream that nobody hears of is no longer taken for brittle.
 constexpr duration brittle_lifetime = 10s;
 /// Time for which a brittle upstream's refusal keeps this router to its part of the slots.
@@ -104,11 +108,33 @@
     const std::uint32_t name = short_hash(upstream);
     const auto named = refusals ? std::optional{refusals_in_message_precision(*refusals)} : std::nullopt;
     const std::scoped_lock lock{mutex_};
+    if (!named && is_short(name)) {
+        return; // ends by itself
+    }
     if (record(refusals_, name, named, sent_at, now)) {
         log_brittle(name, id, "response");
     }
 }
 
+void upstream_limits::record_shortage(std::uint64_t upstream, const std::string& id, time_point now) {
+    const std::uint32_t name = short_hash(upstream);
+    const std::scoped_lock lock{mutex_};
+    const bool is_known = refusals_of(name, now).has_value();
+    if (is_known && !is_short(name)) {
+        return;
+    }
+    record(refusals_, name, shortage_mark, now, now);
+    if (!is_known) {
+        log_info("upstream_short_of_room", {{"upstream", id}, {"upstream_hash", std::to_string(name)}});
+    }
+}
+
+/// Whether the last thing known of an upstream is that it is short of room.
+bool upstream_limits::is_short(std::uint32_t upstream) const {
+    const auto found = refusals_.known.entries().find(upstream);
+    return found != refusals_.known.entries().end() && found->second.per_second >= shortage_mark;
+}
+
 /// Records what a response names of one kind.
 /// @return whether that changes what is known
 bool upstream_limits::record(tables& kind, std::uint32_t upstream, std::optional<double> named,
@@ -188,8 +214,9 @@
 /// of it lately.
 std::optional<double> upstream_limits::refusals_of(std::uint32_t upstream, time_point now) const {
     const auto found = refusals_.known.entries().find(upstream);
+    const duration lifetime = is_short(upstream) ? shortage_lifetime : brittle_lifetime;
     const bool is_brittle = found != refusals_.known.entries().end() && found->second.holds() &&
-                            now - found->second.named_at < brittle_lifetime;
+                            now - found->second.named_at < lifetime;
     return is_brittle ? std::optional{found->second.per_second} : std::nullopt;
 }
 
@@ -233,6 +260,7 @@
         if (least_refusals) {
             known.refusals_per_second =
                 refusals_.known.entries().contains(name) ? refusals_of(name, now) : least_refusals;
+            known.is_short = known.refusals_per_second && *known.refusals_per_second >= shortage_mark;
             const auto refusal = refused_at_.find(upstream);
             known.has_refused_lately = refusal != refused_at_.end() && now - refusal->second < refusal_pause;
         }
--- a/packages/traffic/src/chat_pages.cpp
+++ b/packages/traffic/src/chat_pages.cpp
@@ -32,9 +32,11 @@
         }
         services[name] = std::move(list);
     }
+    const auto domains = view.config ? view.config->root.evacuated : std::vector<std::string>{};
     return {{"generation", view.config ? view.config->root.generation : 0},
             {"preset", view.config ? view.config->root.active_preset : ""},
             {"live_routers", view.live_routers},
+            {"evacuated", json::array(domains.begin(), domains.end())},
             {"services", std::move(services)}};
 }
 
--- a/packages/traffic/src/place_queue.cpp
+++ b/packages/traffic/src/place_queue.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 place_queue::ticket::ticket(std::shared_ptr<place_queue> queue, const asio::any_io_executor& executor,
-                            std::uint32_t priority, std::size_t most)
-    : queue_{std::move(queue)}, timer_{executor}, position_{queue_->waiting_.emplace(priority, this)} {
+                            place_order order, std::size_t most)
+    : queue_{std::move(queue)}, timer_{executor}, position_{queue_->waiting_.emplace(order, this)} {
     if (queue_->waiting_.size() > most) {
         std::prev(queue_->waiting_.end())->second->leave();
     }
@@ -43,15 +43,25 @@
     co_await timer_.async_wait(use_tuple);
 }
 
+void place_queue::ticket::mark_late() {
+    if (is_queued_ && !position_->first.is_late) {
+        place_order order = position_->first;
+        order.is_late = true;
+        queue_->waiting_.erase(position_);
+        position_ = queue_->waiting_.emplace(order, this);
+    }
+}
+
 bool place_queue::ticket::is_next() const {
     return is_queued_ && position_ == queue_->waiting_.begin();
 }
 
-bool place_queue::has_before(std::uint32_t priority) const {
-    return !waiting_.empty() && waiting_.begin()->first <= priority;
+bool place_queue::has_before(const place_order& order) const {
+    return !waiting_.empty() && waiting_.begin()->first <= order;
 }
 
-void place_queue::record_held(duration held) {
+void place_queue::record_served(duration held, time_point now) {
+    served_.record(now);
     mean_held_ += (held - mean_held_) / averaging_weight;
 }
 
--- a/packages/traffic/src/place_queue.hpp
+++ b/packages/traffic/src/place_queue.hpp
@@ -3,6 +3,8 @@
 
 #include "citronwick/core/time.hpp"
 #include "citronwick/io/task.hpp"
+#include "citronwick/policy/recent_rate.hpp"
+#include "citronwick/policy/room_shortage.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
@@ -12,8 +14,8 @@
 
 namespace citronwick {
 
-/// Requests of one traffic thread that wait for a place on a service's brittle upstreams, the more
-/// urgent ones first, and those of one priority in the order of their arrival.
+/// Requests of one traffic thread that wait for a place on a service's upstreams, sorted by
+/// `place_order` and then by arrival.
 class place_queue {
 public:
     /// One waiting request. It leaves the queue at its end. It shares the queue, as requests that still
@@ -21,10 +23,9 @@
     class ticket {
     public:
         /// Adds a request. If the queue is full, the last one leaves it, which may be this one.
-        /// @param priority 0 is the highest
         /// @param most number of requests that may wait
-        ticket(std::shared_ptr<place_queue> queue, const asio::any_io_executor& executor,
-               std::uint32_t priority, std::size_t most);
+        ticket(std::shared_ptr<place_queue> queue, const asio::any_io_executor& executor, place_order order,
+               std::size_t most);
         ticket(const ticket&) = delete;
         ticket& operator=(const ticket&) = delete;
         ~ticket();
@@ -32,6 +33,9 @@
         /// Waits until a place may be free, or until some time.
         task<void> wait(time_point until);
 
+        /// Moves the request behind those that are in time, if it is not there yet.
+        void mark_late();
+
         /// Whether the request still waits, and is the next.
         bool is_queued() const { return is_queued_; }
         bool is_next() const;
@@ -43,15 +47,18 @@
 
         std::shared_ptr<place_queue> queue_;
         asio::steady_timer timer_;
-        std::multimap<std::uint32_t, ticket*>::iterator position_;
+        std::multimap<place_order, ticket*>::iterator position_;
         bool is_queued_ = true;
     };
 
-    /// Whether requests wait that come before one of this priority.
-    bool has_before(std::uint32_t priority) const;
+    /// Whether requests wait that come before a new one.
+    bool has_before(const place_order& order) const;
+
+    /// Records that a request was served, and for how long it had its place.
+    void record_served(duration held, time_point now);
 
-    /// Records for how long a request had its place.
-    void record_held(duration held);
+    /// Requests a second that were served lately.
+    double served_per_second(time_point now) { return served_.per_second(now); }
 
     /// Lets the next request look for a place.
     void wake_next();
@@ -66,9 +73,10 @@
     duration mean_held() const { return mean_held_; }
 
 private:
-    std::multimap<std::uint32_t, ticket*> waiting_; ///< by priority
-    time_point borrow_at_;                          ///< time from which other routers may be asked
-    duration borrow_interval_{0};                   ///< doubled with each time that they have no place
+    std::multimap<place_order, ticket*> waiting_;
+    time_point borrow_at_;        ///< time from which other routers may be asked
+    duration borrow_interval_{0}; ///< doubled with each time that they have no place
+    recent_rate served_;
     duration mean_held_{std::chrono::milliseconds{100}};
 };
 
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -24,8 +24,6 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned misdirected = 421;
 constexpr std::uint32_t lowest_priority = 9;
-/// Number of route priorities within each team priority.
-constexpr std::uint32_t route_priority_levels = 3;
 
 } // namespace
 
@@ -148,10 +146,7 @@
                               .time_left = remaining_time(clock::now()),
                               .last_event_id = traits_.last_event_id};
     if (service_->engine) {
-        const std::uint32_t team_priority = team_ == nullptr ? 0 : team_->priority;
-        metadata.priority = std::min(team_priority * route_priority_levels +
-                                         std::min(route_->priority, route_priority_levels - 1),
-                                     lowest_priority);
+        metadata.priority = std::min(request_priority(), lowest_priority);
     }
     if (!position_.last_event_id().empty()) {
         metadata.last_event_id = position_.last_event_id();
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -5,6 +5,7 @@
 #include "citronwick/fleet/request_dialect.hpp"
 #include "citronwick/fleet/routing_view.hpp"
 #include "citronwick/policy/attempt_policy.hpp"
+#include "citronwick/policy/room_shortage.hpp"
 #include "citronwick/policy/stream_position.hpp"
 #include "citronwick/policy/version_slots.hpp"
 #include "citronwick/traffic/caller.hpp"
@@ -69,15 +70,19 @@
     void log_version(const version_decision& decision) const;
     task<void> place(time_point started);
     task<void> place_when_free(time_point started);
-    task<void> wait_for_place(time_point started);
+    task<void> wait_for_place(time_point started, place_order order);
+    bool is_short_of_room(time_point now) const;
     void note_cold_places(time_point now);
     std::optional<cold_allowance> cold_allowance_now(const routed_placement& placement) const;
     task<void> borrow_place();
     task<void> ask_lenders();
-    std::optional<std::uint64_t> choose_lender(const routed_upstream& upstream, time_point now);
+    std::optional<std::uint64_t> choose_lender(const routed_placement& wanted, time_point now);
     placement_parameters current_parameters() const;
     time_point last_wait(time_point now) const;
+    std::size_t most_waiting(duration wait, time_point now);
+    std::uint32_t request_priority() const;
     void refuse_if_full(time_point now);
+    void renew_shortage(time_point now);
     void record_scarce_capacity(service_capacity& capacity, time_point now) const;
     void record_brittle(const response_traits& traits, unsigned status, time_point sent_at);
     void release_place(const exchange_result& result, duration held);
@@ -151,6 +156,7 @@
     /// are cold.
     std::optional<std::int32_t> places_;
     bool are_places_cold_ = false;
+    bool is_short_ = false; ///< upstreams of the service are short of room, see `upstream_limits`
     std::uint64_t fingerprint_ = 0;
     std::vector<std::uint64_t> part_fingerprints_; ///< of the prompt's shared parts
     time_point deadline_;
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -3,6 +3,7 @@
 #include "citronwick/fleet/upstream_limits.hpp"
 #include "citronwick/fleet/upstream_observations.hpp"
 #include "citronwick/policy/brittle_places.hpp"
+#include "citronwick/policy/room_shortage.hpp"
 
 #include <algorithm>
 #include <array>
@@ -48,12 +49,24 @@
     return hashes;
 }
 
-/// Requests that this router may have in flight on an upstream, none if it is not brittle.
+/// Places that the routers share on an upstream that is brittle or short of room.
+std::uint32_t shared_places_of(const routed_upstream& upstream, const upstream_limits::summary& limits) {
+    return limits.is_short ? places_while_short(upstream.entry.slots) : upstream.entry.slots;
+}
+
+/// Requests that this router may have in flight on an upstream, none if it is neither brittle nor
+/// short of room.
 std::optional<std::int32_t> most_in_flight(const routed_upstream& upstream,
                                            const upstream_limits::summary& limits, const routing_view& view) {
     if (!limits.refusals_per_second) {
         return std::nullopt;
     }
+    if (limits.is_short) {
+        constexpr double no_refusals = 0.0;
+        return brittle_places{upstream.hash, shared_places_of(upstream, limits), no_refusals, view.self,
+                              view.place_sharers(true)}
+            .own();
+    }
     const brittle_places places{upstream.hash, upstream.entry.slots, *limits.refusals_per_second, view.self,
                                 view.active_routers};
     return places.allowed(
@@ -209,6 +222,10 @@
                                        .saving_ms = decision.saving_ms,
                                        .queue_wait_ms = decision.queue_wait_ms,
                                        .most_in_flight = most[*decision.index]};
+            if (placement.most_in_flight) {
+                placement.shared_places = shared_places_of(placement.upstream, limited[*decision.index]);
+                placement.is_short = limited[*decision.index].is_short;
+            }
             if (placement.upstream.is_cold(now)) {
                 placement.cold = placement.upstream.cold;
             }
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -52,8 +52,10 @@
     std::optional<upstream_entry> fetch_from{}; ///< upstream whose cache holds prompt tokens that it lacks
     std::uint32_t fetched_tokens = 0;           ///< part of the uncached tokens that it can fetch there
     /// Requests that this router may have in flight on the upstream, this one included; none if
-    /// it is not brittle.
+    /// it is neither brittle nor short of room.
     std::optional<std::int32_t> most_in_flight{};
+    bool is_short = false;           ///< of room, see `upstream_limits`
+    std::uint32_t shared_places = 0; ///< that the routers share on it, if it is brittle or short of room
     std::shared_ptr<const borrowed_place> borrowed{}; ///< place of another router, if it is used
     std::optional<cold_allowance> cold{};             ///< of this router, if the upstream is cold
 };
@@ -69,7 +71,7 @@
                 const placement_parameters& parameters, std::string_view failure_domain, time_point now);
 
 /// Requests that this router may have in flight on the upstreams that could still take a request.
-/// @return none if no upstream of these is brittle
+/// @return none if no upstream of these is brittle or short of room
 std::optional<std::int32_t> places_on_brittle(const routed_placement_request& request,
                                               const routing_view& view, const upstream_limits& limits,
                                               time_point now);
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -16,6 +16,7 @@
 #include "upstream_exchange.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace citronwick {
 
@@ -39,6 +40,8 @@
 constexpr duration silent_lender_pause = 1s;
 /// Time for which a request takes a place on a cold upstream.
 constexpr duration cold_place_time = 1s;
+/// Number of route priorities within each team priority.
+constexpr std::uint32_t route_priority_levels = 3;
 constexpr unsigned unavailable = 503;
 
 void log_loan(std::string_view request, const routed_placement& wanted, std::uint64_t lender,
@@ -63,23 +66,47 @@
         co_await place(started);
         note_cold_places(started);
         if (are_places_cold_ && *places_ > 0) {
-            co_await wait_for_place(started);
+            co_await wait_for_place(started, {.priority = request_priority()});
         }
         co_return;
     }
     placement_.reset();
-    if (!may_use_scarce_capacity(started)) {
+    is_short_ = is_short_of_room(started);
+    const bool is_within_share = may_use_scarce_capacity(started);
+    if (!is_within_share && !is_short_) {
         co_return;
     }
-    if (!waiting_requests()->has_before(route_->priority)) {
+    const place_order order{.priority = request_priority(), .is_beyond_share = !is_within_share};
+    if (!waiting_requests()->has_before(order)) {
         co_await place(started);
         if (!placement_) {
             co_await borrow_place();
         }
     }
     if (!placement_) {
-        co_await wait_for_place(started);
+        co_await wait_for_place(started, order);
     }
+    if (!placement_ && is_short_) {
+        renew_shortage(clock::now());
+    }
+}
+
+/// Priority of the request among all of its service, that of its team first.
+std::uint32_t route_exchange::request_priority() const {
+    const std::uint32_t team_priority = team_ == nullptr ? 0 : team_->priority;
+    return team_priority * route_priority_levels + std::min(route_->priority, route_priority_levels - 1);
+}
+
+/// Whether upstreams of the service are short of room, and none is brittle.
+bool route_exchange::is_short_of_room(time_point now) const {
+    const auto found = view_->upstreams.find(service_->name);
+    if (found == view_->upstreams.end()) {
+        return false;
+    }
+    std::vector<std::uint64_t> hashes;
+    std::ranges::transform(found->second, std::back_inserter(hashes), &routed_upstream::hash);
+    const auto limited = context_.plane.limits().summaries(hashes, now);
+    return std::ranges::any_of(limited, &upstream_limits::summary::is_short);
 }
 
 /// Notes the places of this router if a request was not placed and only cold upstreams are left for it.
@@ -98,12 +125,13 @@
 
 /// A router that may have a place to lend on an upstream. Each request asks another one, since
 /// nobody knows which places are free.
-std::optional<std::uint64_t> route_exchange::choose_lender(const routed_upstream& upstream, time_point now) {
+std::optional<std::uint64_t> route_exchange::choose_lender(const routed_placement& wanted, time_point now) {
     std::erase_if(context_.silent_lenders, [now](const auto& each) { return now >= each.second; });
-    if (!are_places_lent(upstream.entry.slots, view_->active_routers.size())) {
+    const auto& routers = view_->place_sharers(wanted.is_short);
+    if (!are_places_lent(wanted.shared_places, routers.size())) {
         return std::nullopt;
     }
-    auto lenders = place_holders(upstream.hash, upstream.entry.slots, view_->active_routers);
+    auto lenders = place_holders(wanted.upstream.hash, wanted.shared_places, routers);
     std::erase_if(lenders, [this](std::uint64_t router) {
         return router == view_->self || context_.silent_lenders.contains(router);
     });
@@ -144,7 +172,7 @@
             co_return;
         }
         request.not_lent.push_back(wanted->upstream.hash);
-        const auto lender = choose_lender(wanted->upstream, now);
+        const auto lender = choose_lender(*wanted, now);
         if (!lender) {
             continue;
         }
@@ -166,21 +194,37 @@
     }
 }
 
-/// Time up to which the request may wait for a place.
+/// Time up to which the request may wait for a place. Where upstreams are short of room, a late response
+/// is worth more to the caller than a refusal, after which it has less time left.
 time_point route_exchange::last_wait(time_point now) const {
-    return now + std::min(target_latencies * route_->target_latency, remaining_time(now) / time_left_part);
+    const duration part = remaining_time(now) / time_left_part;
+    return now + (is_short_ ? part : std::min<duration>(target_latencies * route_->target_latency, part));
 }
 
-task<void> route_exchange::wait_for_place(time_point started) {
+/// Requests of this thread that may wait for a place until some time.
+std::size_t route_exchange::most_waiting(duration wait, time_point now) {
+    if (is_short_) {
+        const std::chrono::duration<double> seconds = wait;
+        const double served = waiting_requests()->served_per_second(now) * seconds.count();
+        return std::max(static_cast<std::size_t>(served), min_waiting);
+    }
+    return std::max(static_cast<std::size_t>(*places_ * waiting_per_place) / context_.settings.threads,
+                    min_waiting);
+}
+
+task<void> route_exchange::wait_for_place(time_point started, place_order order) {
     const auto queue = waiting_requests();
-    const auto most = static_cast<std::size_t>(*places_ * waiting_per_place) / context_.settings.threads;
     const auto executor = co_await asio::this_coro::executor;
     {
-        place_queue::ticket ticket{queue, executor, route_->priority, std::max(most, min_waiting)};
         const auto until = last_wait(started);
+        place_queue::ticket ticket{queue, executor, order, most_waiting(until - started, started)};
+        const auto late_at = caller_.arrived() + route_->target_latency;
         for (auto now = started; !placement_ && ticket.is_queued() && now < until && !caller_.disconnected();
              now = clock::now()) {
             co_await ticket.wait(std::min(until, now + look_interval));
+            if (clock::now() >= late_at) {
+                ticket.mark_late();
+            }
             if (ticket.is_next()) {
                 view_ = context_.plane.view();
                 co_await place(clock::now());
@@ -206,7 +250,9 @@
     }
     const std::chrono::duration<double> held =
         are_places_cold_ ? cold_place_time : waiting_requests()->mean_held();
-    const double rate = std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
+    const double rate =
+        is_short_ ? waiting_requests()->served_per_second(now)
+                  : std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
     if (are_places_cold_) {
         context_.counters.count_cold_send(service_->name, "refused");
     }
@@ -215,14 +261,33 @@
                                    capacity.returns.next(rate, now)};
 }
 
+/// Keeps upstreams that are short of room in that state, as a request has found no place on them.
+void route_exchange::renew_shortage(time_point now) {
+    const auto found = view_->upstreams.find(service_->name);
+    if (found == view_->upstreams.end()) {
+        return;
+    }
+    upstream_limits& limits = context_.plane.limits();
+    for (const routed_upstream& each : found->second) {
+        if (limits.summaries({each.hash}, now).front().is_short) {
+            limits.record_shortage(each.hash, each.entry.id, now);
+        }
+    }
+}
+
 /// Records what a response says of how many refusals the upstream bears, and its refusal.
 void route_exchange::record_brittle(const response_traits& traits, unsigned status, time_point sent_at) {
     upstream_limits& limits = context_.plane.limits();
+    const routed_upstream& upstream = placement_->upstream;
+    const auto now = clock::now();
+    const bool lacks_room = traits.is_not_run && status == unavailable && !traits.retry_after;
+    if (!traits.refusals_per_second && lacks_room && !service_->engine && remaining_time(now) > 0ms) {
+        limits.record_shortage(upstream.hash, upstream.entry.id, now);
+        return;
+    }
     if (!traits.refusals_per_second && !limits.has_brittle()) {
         return;
     }
-    const routed_upstream& upstream = placement_->upstream;
-    const auto now = clock::now();
     limits.record_brittle(upstream.hash, upstream.entry.id, traits.refusals_per_second, sent_at, now);
     if (traits.refusals_per_second && traits.is_not_run && status == unavailable) {
         limits.record_refusal(upstream.hash, upstream.entry.id, now);
@@ -234,7 +299,7 @@
     placement_->borrowed.reset();
     const auto queue = waiting_requests();
     if (result.outcome == attempt_outcome::answered) {
-        queue->record_held(held);
+        queue->record_served(held, clock::now());
     }
     queue->wake_next();
 }
--- a/tests/integration/evacuations.tests.cpp
+++ b/tests/integration/evacuations.tests.cpp
@@ -1,13 +1,18 @@
 // Failure domains to whose upstreams the operators want nothing sent until further notice.
 
+#include "chat.hpp"
+#include "fleet.hpp"
 #include "routed_fleet.hpp"
 #include "steady_load.hpp"
 #include "waiting.hpp"
 
 #include "citronwick/core/time.hpp"
+#include "citronwick/io/json_text.hpp"
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <set>
+#include <string>
 #include <thread>
 
 using namespace citronwick;
@@ -115,3 +120,39 @@
         CHECK((arrivals_since(worker, begin) > 0) == !is_in_second(worker));
     }
 }
+
+TEST_CASE("proof: citronctl evacuates a failure domain on all routers, and restores it") {
+    fleet system{
+        {.routers = 2, .failure_domains = {"busan-a", "busan-b"}, .engines = 4, .service_workers = 0}};
+    REQUIRE(system.wait_ready());
+    const auto leaving_of = [&system](const router_node& router) {
+        const auto view = system.view(router);
+        const auto* const services = object_member(view, "services");
+        std::set<std::string> leaving;
+        for (const auto& service : services == nullptr ? boost::json::object{} : *services) {
+            for (const auto& upstream : service.value().as_array()) {
+                if (string_member(upstream.as_object(), "state") == "leaving") {
+                    leaving.insert(string_member(upstream.as_object(), "failure_domain"));
+                }
+            }
+        }
+        return leaving;
+    };
+    const auto all_see = [&](const std::set<std::string>& leaving) {
+        return wait_until([&] {
+            return std::ranges::all_of(system.routers(),
+                                       [&](const router_node& each) { return leaving_of(each) == leaving; });
+        });
+    };
+    CHECK(system.ctl({"evacuate", "busan-b", "--reason", "works on the power supply"}).exit == 0);
+    CHECK(all_see({"busan-b"}));
+    CHECK(chat(system.routers()[0].callers(), {}).is_complete(4));
+    const auto shown = system.ctl({"status", "--routers", to_text(system.routers()[0].operators())}, false);
+    CHECK(shown.output.find("busan-b is evacuated") != std::string::npos);
+    // Other changes keep the order.
+    CHECK(system.ctl({"preset", "use", "peak"}).exit == 0);
+    CHECK(all_see({"busan-b"}));
+    CHECK(system.ctl({"restore", "busan-b"}).exit == 0);
+    CHECK(all_see({}));
+    CHECK(system.ctl({"restore", "busan-b"}).exit == 2);
+}
