Take a response whose status is none for a broken one

Cause: statuses below 200 were taken for interim responses, so that 000 and 099 made the caller wait out its deadline (504 after 2 s); 600 and 999 reached the caller as responses. RFC 9110 (section 15) knows 100 to 599. Change: such a response closes its connection as an unreadable one; idempotent requests go elsewhere at once. Measured: invalid_statuses.tests.cpp fails before (504 after 4 s for two requests, 600, 999) and passes now. The other case, a long upload that is answered without a length and reset while it is written, is guarded by resets_while_sending.tests.cpp, which passes; the product's own interface writes a request before it reads the response.

--- a/packages/traffic/src/upstream_connection.cpp
+++ b/packages/traffic/src/upstream_connection.cpp
@@ -17,6 +17,9 @@
 
 /// Responses below this status are interim ones, which have no body and precede the response.
 constexpr unsigned first_final_status = 200;
+/// Statuses outside of these are none (RFC 9110, section 15).
+constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;
 constexpr std::size_t chunk_bytes = 16'384;
 /// Largest body that is buffered, whatever its length field states.
 constexpr std::size_t max_buffered_bytes = 16'777'216;
@@ -161,6 +164,9 @@
             parser_->body_limit(boost::none);
         }
         auto [error, size] = co_await http::async_read_header(*stream_, buffer_, *parser_, use_tuple);
+        if (!error && (status() < first_status || status() > last_status)) {
+            error = http::error::bad_status;
+        }
         if (!error && status() < first_final_status && clock::now() >= deadline) {
             error = boost::beast::error::timeout;
         }
