Divide plain requests evenly by old knowledge, and read the slowness of upstreams

Cause: in fleets of more than nine routers, plain requests went to any upstream within half a request a slot of the least loaded one by an average of old reports, and the load header was dropped if it had a fourth figure. Change: choose_evenly takes the requests into account that have arrived since the report; the fourth figure, averaged, scales the capacity of plain upstreams and the estimated times of engines.

--- a/packages/fleet/include/citronwick/fleet/load_exchange.hpp
+++ b/packages/fleet/include/citronwick/fleet/load_exchange.hpp
@@ -93,7 +93,6 @@
     std::map<table_kind, upstream_list> lists_;
     time_point upstreams_listed_at_;
     time_point tables_built_at_;
-    time_point averaged_at_;
     std::map<std::uint64_t, message_number> newest_table_; ///< by aggregator
 };
 
--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -40,6 +40,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::optional<double> slowness{}; ///< time that work takes now, as a multiple of the usual one
 };
 
 /// Properties of a response, read from the upstream's header fields.
--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -30,8 +30,9 @@
     std::atomic<std::int32_t> backlog{0}; ///< prompt tokens sent whose response has not begun
     std::atomic<std::int32_t> remote_in_flight{0};
     std::atomic<std::int32_t> remote_backlog{0};
-    std::atomic<double> mean_remote_in_flight{0.0}; ///< `remote_in_flight` averaged over a few seconds
-    std::atomic<std::int32_t> connections{0};       ///< open connections from this router
+    /// Time that work takes there, as a multiple of the usual one, averaged over its last reports.
+    std::atomic<double> slowness{1.0};
+    std::atomic<std::int32_t> connections{0}; ///< open connections from this router
     /// Of this router's places, if the upstream is brittle: by its own requests, and lent to others.
     std::atomic<std::int32_t> taken_places{0};
     send_window cold_sends; ///< of this router while the upstream is cold
--- a/packages/fleet/src/load_exchange.cpp
+++ b/packages/fleet/src/load_exchange.cpp
@@ -3,7 +3,6 @@
 #include "citronwick/fleet/routing_view.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdlib>
 #include <iterator>
 #include <limits>
@@ -28,8 +27,6 @@
 constexpr double table_bytes_per_second = 3'000.0;
 /// Bytes of a table besides its counts.
 constexpr std::size_t table_header_bytes = 70;
-/// Time constant for averaging the requests of other routers.
-constexpr duration averaging_time = 3s;
 
 std::uint16_t to_uint16(std::int64_t value) {
     return static_cast<std::uint16_t>(
@@ -198,15 +195,10 @@
 }
 
 void load_exchange::update_remote_loads(time_point now) {
-    const std::chrono::duration<double> elapsed{now - std::exchange(averaged_at_, now)};
-    const double weight = 1.0 - std::exp(-elapsed / std::chrono::duration<double>{averaging_time});
     for (const auto& [upstream, load] : tracked_loads_()) {
         const load_amount remote = totals_.remote_load(upstream, now);
         load->remote_in_flight.store(remote.in_flight, std::memory_order_relaxed);
         load->remote_backlog.store(remote.backlog, std::memory_order_relaxed);
-        const double mean = load->mean_remote_in_flight.load(std::memory_order_relaxed);
-        load->mean_remote_in_flight.store(mean + weight * (remote.in_flight - mean),
-                                          std::memory_order_relaxed);
     }
 }
 
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -17,6 +17,7 @@
     std::uint64_t hash = 0;       ///< hash of identifier and incarnation
     double in_flight = 0.0;       ///< concurrent requests from all routers
     double slots = 1.0;           ///< requests that the upstream runs concurrently
+    double slowness = 1.0;        ///< time that work takes there, as a multiple of the usual one
     double backlog_tokens = 0.0;  ///< prompt tokens waiting for prefill
     double uncached_tokens = 0.0; ///< prompt tokens of this request that the upstream has not cached
     double cached_tokens = 0.0;   ///< prompt tokens of this request that the upstream has cached
@@ -32,7 +33,9 @@
     double load_slack = 3.0;             ///< requests that the bound allows beyond that multiple
     double prefill_tokens_per_ms = 30.0; ///< assumed prefill speed of an engine
     double acceptable_wait_ms = 0.0;     ///< time to first token that still meets the latency target
-    double load_tie_threshold = 0.0;     ///< difference in load per slot up to which plain upstreams tie
+    /// Requests to plain upstreams that arrive while the load counts grow old, as a multiple of those in
+    /// flight; 0 if the counts are younger than requests last.
+    double load_turnover = 0.0;
     /// Cost of fetching a prompt token from another engine's cache, as a share of the
     /// cost of prefilling it. From 1 on, nothing is fetched.
     double fetch_cost = 0.2;
@@ -42,7 +45,9 @@
 ///
 /// In a large fleet counts are a fraction of a second old, and other routers send
 /// requests meanwhile.
-placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers);
+/// @param response_time of plain upstreams, on average
+placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers,
+                                    duration response_time);
 
 /// An engine from whose cache others can fetch, also if it accepts no requests itself.
 struct cache_source {
@@ -99,9 +104,8 @@
 /// failure domain.
 ///
 /// If many routers share load counts that are older than the duration of a
-/// request, they would all choose the same upstream. A `load_tie_threshold` above
-/// 0 prevents this: upstreams whose load differs by no more than the threshold tie,
-/// the bonus is not applied, and requests spread over them.
+/// request, they would all choose the same upstream. A `load_turnover` above 0
+/// prevents this: see `choose_evenly`.
 routed_decision place_on_plain_upstream(std::uint64_t request, std::span<const routed_candidate> upstreams,
                                         const placement_parameters& parameters);
 
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -1,9 +1,13 @@
 #include "citronwick/policy/engine_placement.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/policy/even_choice.hpp"
 #include "citronwick/policy/rendezvous_ranking.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <numeric>
 #include <ranges>
 #include <utility>
 #include <vector>
@@ -28,8 +32,10 @@
 /// Largest fleet in which routers learn of each other's requests before these have
 /// ended.
 constexpr std::size_t max_small_fleet_routers = 9;
-/// Error of the load per slot that outdated counts cause in larger fleets.
-constexpr double large_fleet_tie_threshold = 0.5;
+/// Age of the load counts in larger fleets.
+constexpr std::chrono::duration<double> large_fleet_load_age{0.3};
+/// Shortest response time that is assumed, so that the turnover stays finite.
+constexpr std::chrono::duration<double> min_response_time{0.005};
 /// Load slack in larger fleets; the rest is left for requests that other routers
 /// have sent since the counts were taken. From 1 on, the least loaded upstream is
 /// always within the bound.
@@ -57,7 +63,7 @@
 
 /// Time to obtain the prompt tokens that an engine has not cached, by prefill and fetch.
 double prefill_ms(const routed_candidate& engine, double fetched, const placement_parameters& parameters) {
-    return (engine.uncached_tokens - fetched * (1.0 - parameters.fetch_cost)) /
+    return engine.slowness * (engine.uncached_tokens - fetched * (1.0 - parameters.fetch_cost)) /
            parameters.prefill_tokens_per_ms;
 }
 
@@ -65,8 +71,8 @@
 double queue_wait_ms(const routed_candidate& engine, const placement_parameters& parameters) {
     const double occupancy = engine.in_flight / std::max(engine.slots, 1.0);
     const double queued = std::max(0.0, engine.in_flight + 1.0 - engine.slots);
-    return engine.backlog_tokens / parameters.prefill_tokens_per_ms +
-           full_engine_delay_ms * (occupancy + queued);
+    return engine.slowness * (engine.backlog_tokens / parameters.prefill_tokens_per_ms +
+                              full_engine_delay_ms * (occupancy + queued));
 }
 
 /// Chooses among the sources from which `target` can fetch the most tokens.
@@ -100,13 +106,35 @@
             .queue_wait_ms = best->queue_wait_ms};
 }
 
+/// Places a request by load counts that are older than requests last.
+routed_decision place_evenly(std::uint64_t request, std::span<const routed_candidate> upstreams, double bound,
+                             double load_turnover) {
+    std::vector<known_load> loads;
+    std::ranges::transform(upstreams, std::back_inserter(loads), [&](const routed_candidate& each) {
+        const bool may_be_chosen = each.usable && each.in_flight + 1.0 <= bound;
+        return may_be_chosen ? known_load{each.in_flight, std::max(each.slots, 1.0) / each.slowness}
+                             : known_load{0.0, 0.0};
+    });
+    const double in_flight = std::transform_reduce(loads.begin(), loads.end(), 0.0, std::plus{},
+                                                   [](const known_load& each) { return each.in_flight; });
+    const auto chosen = choose_evenly(loads, load_turnover * in_flight, request);
+    if (!chosen) {
+        return {.reason = "no upstream is usable"};
+    }
+    return {.index = chosen,
+            .reason = "even load",
+            .expected_wait_ms = upstreams[*chosen].in_flight / std::max(upstreams[*chosen].slots, 1.0)};
+}
+
 } // namespace
 
-placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers) {
+placement_parameters adapt_to_fleet(placement_parameters parameters, std::size_t live_routers,
+                                    duration response_time) {
     if (live_routers <= max_small_fleet_routers) {
         return parameters;
     }
-    parameters.load_tie_threshold = large_fleet_tie_threshold;
+    parameters.load_turnover =
+        large_fleet_load_age / std::max<std::chrono::duration<double>>(response_time, min_response_time);
     parameters.load_slack = std::min(parameters.load_slack, large_fleet_load_slack);
     return parameters;
 }
@@ -182,8 +210,10 @@
 routed_decision place_on_plain_upstream(std::uint64_t request, std::span<const routed_candidate> upstreams,
                                         const placement_parameters& parameters) {
     const double bound = load_limit(upstreams, parameters);
+    if (parameters.load_turnover > 0.0) {
+        return place_evenly(request, upstreams, bound, parameters.load_turnover);
+    }
     constexpr double same_domain_bonus = 1.0;
-    const bool prefers_same_domain = parameters.load_tie_threshold == 0.0;
     std::vector<estimate> estimates;
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
         const routed_candidate& upstream = upstreams[index];
@@ -192,10 +222,10 @@
         }
         const double load = upstream.in_flight / std::max(upstream.slots, 1.0);
         const double score = rendezvous_score(request, upstream.hash) +
-                             (prefers_same_domain && upstream.same_failure_domain ? same_domain_bonus : 0.0);
+                             (upstream.same_failure_domain ? same_domain_bonus : 0.0);
         estimates.push_back({.index = index, .cost = load, .wait_ms = load, .score = score});
     }
-    return choose(std::move(estimates), parameters.load_tie_threshold, "least loaded");
+    return choose(std::move(estimates), 0.0, "least loaded");
 }
 
 } // namespace citronwick
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -219,16 +219,16 @@
     upstreams[0].in_flight = 2;
     upstreams[1].in_flight = 2;
     upstreams[3].in_flight = 6;
-    auto with_tie_threshold = parameters;
-    with_tie_threshold.load_tie_threshold = 0.5;
+    auto with_turnover = parameters;
+    with_turnover.load_turnover = 1.0;
     std::vector<int> chosen(upstreams.size());
-    std::vector<int> chosen_without_threshold(upstreams.size());
+    std::vector<int> chosen_without_turnover(upstreams.size());
     for (const std::uint64_t request : std::views::iota(0U, 400U)) {
         const std::uint64_t hash = hash64(std::to_string(request));
-        ++chosen[*place_on_plain_upstream(hash, upstreams, with_tie_threshold).index];
-        ++chosen_without_threshold[*place_on_plain_upstream(hash, upstreams, parameters).index];
+        ++chosen[*place_on_plain_upstream(hash, upstreams, with_turnover).index];
+        ++chosen_without_turnover[*place_on_plain_upstream(hash, upstreams, parameters).index];
     }
-    CHECK(chosen_without_threshold[2] == 400);
+    CHECK(chosen_without_turnover[2] == 400);
     CHECK(std::ranges::max(chosen) < 200);
     CHECK(chosen[3] == 0);
 }
@@ -236,14 +236,14 @@
 TEST_CASE("counts of a large fleet that are 300 ms old do not push engines over the load bound") {
     auto small_fleet = parameters;
     small_fleet.acceptable_wait_ms = 240;
-    const auto large_fleet = adapt_to_fleet(small_fleet, 77);
+    const auto large_fleet = adapt_to_fleet(small_fleet, 77, 60ms);
     CHECK(share_over_bound(small_fleet, 700ms) > 0.03);
     CHECK(share_over_bound(large_fleet, 300ms) <= 0.03);
 }
 
 TEST_CASE("in a large fleet an idle service still accepts requests") {
     const auto engines = make_upstreams(3);
-    CHECK(place_on_engine(1, engines, adapt_to_fleet(parameters, 77)).index);
+    CHECK(place_on_engine(1, engines, adapt_to_fleet(parameters, 77, 60ms)).index);
 }
 
 TEST_CASE("a prefix expires after the retention time") {
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -116,6 +116,7 @@
         limits.record_response(upstream, placement_->upstream.entry.id, exchange.traits().rate_limit, now,
                                clock::now());
         record_brittle(exchange.traits(), connection.status(), now);
+        record_slowness(exchange.traits());
         if (connection.status() == unavailable && exchange.traits().retry_after) {
             limits.record_pause(upstream, placement_->upstream.entry.id, *exchange.traits().retry_after,
                                 clock::now());
--- a/packages/traffic/src/route_exchange.cpp
+++ b/packages/traffic/src/route_exchange.cpp
@@ -10,6 +10,7 @@
 #include "citronwick/traffic/route_metrics.hpp"
 #include "citronwick/traffic/traffic_settings.hpp"
 #include "early_connection.hpp"
+#include "place_queue.hpp"
 #include "route_context.hpp"
 #include "upstream_exchange.hpp"
 
@@ -224,8 +225,11 @@
         active_connection_ = nullptr;
         release_connection(std::move(connection));
     }
+    if (result.outcome == attempt_outcome::answered && (placement_->most_in_flight || !service_->engine)) {
+        waiting_requests()->record_served(clock::now() - placed_at, clock::now());
+    }
     if (placement_->most_in_flight) {
-        release_place(result, clock::now() - placed_at);
+        release_place();
     }
     log_attempt(result, clock::now() - started);
     co_return record_attempt(result);
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -77,15 +77,16 @@
     task<void> borrow_place();
     task<void> ask_lenders();
     std::optional<std::uint64_t> choose_lender(const routed_placement& wanted, time_point now);
-    placement_parameters current_parameters() const;
+    placement_parameters current_parameters();
     time_point last_wait(time_point now) const;
     std::size_t most_waiting(duration wait, time_point now);
     std::uint32_t request_priority() const;
     void refuse_if_full(time_point now);
     void renew_shortage(time_point now);
     void record_scarce_capacity(service_capacity& capacity, time_point now) const;
+    void record_slowness(const response_traits& traits) const;
     void record_brittle(const response_traits& traits, unsigned status, time_point sent_at);
-    void release_place(const exchange_result& result, duration held);
+    void release_place();
     std::shared_ptr<place_queue> waiting_requests();
     bool may_use_scarce_capacity(time_point now);
     void refuse_if_late(time_point now);
--- a/packages/traffic/src/route_permits.cpp
+++ b/packages/traffic/src/route_permits.cpp
@@ -54,9 +54,10 @@
 
 } // namespace
 
-placement_parameters route_exchange::current_parameters() const {
+placement_parameters route_exchange::current_parameters() {
     placement_parameters parameters =
-        adapt_to_fleet(context_.plane.settings().placement, view_->live_routers);
+        adapt_to_fleet(context_.plane.settings().placement, view_->live_routers,
+                       service_->engine ? duration::zero() : waiting_requests()->mean_held());
     parameters.acceptable_wait_ms =
         acceptable_wait_share * static_cast<double>(route_->target_latency.count());
     return parameters;
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -26,17 +26,16 @@
 
 routed_candidate make_candidate(const routed_upstream& upstream,
                                 const upstream_observations::summary& observed,
-                                const routed_placement_request& request, bool use_mean_load,
-                                std::string_view failure_domain) {
+                                const routed_placement_request& request, std::string_view failure_domain) {
     const upstream_load& load = *upstream.load;
-    const double remote_in_flight = use_mean_load ? load.mean_remote_in_flight.load(std::memory_order_relaxed)
-                                                  : load.remote_in_flight.load(std::memory_order_relaxed);
+    const double remote_in_flight = load.remote_in_flight.load(std::memory_order_relaxed);
     const auto backlog =
         load.backlog.load(std::memory_order_relaxed) + load.remote_backlog.load(std::memory_order_relaxed);
     const auto cached = std::min(observed.cached_tokens, request.prompt_tokens);
     return {.hash = upstream.hash,
             .in_flight = load.in_flight.load(std::memory_order_relaxed) + remote_in_flight,
             .slots = static_cast<double>(upstream.entry.slots),
+            .slowness = load.slowness.load(std::memory_order_relaxed),
             .backlog_tokens = static_cast<double>(backlog),
             .uncached_tokens = static_cast<double>(request.prompt_tokens - cached),
             .cached_tokens = static_cast<double>(cached),
@@ -171,15 +170,11 @@
                                   observations.summaries(hashes_of(leaving->second), request.prefixes, now));
         }
     }
-    // In large fleets, a plain request has usually ended before other routers learn
-    // of it, so the average load from other routers is used.
-    const bool use_mean_load = !request.service->engine && parameters.load_tie_threshold > 0.0;
     std::vector<routed_candidate> candidates;
     std::vector<std::optional<std::int32_t>> most;
     for (std::size_t index = 0; index < upstreams.size(); ++index) {
         most.push_back(most_in_flight(upstreams[index], limited[index], view));
-        candidates.push_back(
-            make_candidate(upstreams[index], summaries[index], request, use_mean_load, failure_domain));
+        candidates.push_back(make_candidate(upstreams[index], summaries[index], request, failure_domain));
         // A cold engine has cached nothing yet, so that it is not assumed to hold a prefix.
         candidates.back().usable = has_version(upstreams[index], request) && !upstreams[index].is_cold(now);
         candidates.back().rate_limited = limited[index].per_second.has_value();
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -275,6 +275,18 @@
     }
 }
 
+/// Records how long work takes on the upstream. A single report is true for a fraction of a second only, so
+/// the average of the last ones counts.
+void route_exchange::record_slowness(const response_traits& traits) const {
+    constexpr double averaging_weight = 1.0 / 8.0;
+    if (traits.load && traits.load->slowness) {
+        std::atomic<double>& slowness = placement_->upstream.load->slowness;
+        const double known = slowness.load(std::memory_order_relaxed);
+        slowness.store(known + (*traits.load->slowness - known) * averaging_weight,
+                       std::memory_order_relaxed);
+    }
+}
+
 /// Records what a response says of how many refusals the upstream bears, and its refusal.
 void route_exchange::record_brittle(const response_traits& traits, unsigned status, time_point sent_at) {
     upstream_limits& limits = context_.plane.limits();
@@ -295,13 +307,9 @@
 }
 
 /// Lets the next request have the place of an attempt that has ended.
-void route_exchange::release_place(const exchange_result& result, duration held) {
+void route_exchange::release_place() {
     placement_->borrowed.reset();
-    const auto queue = waiting_requests();
-    if (result.outcome == attempt_outcome::answered) {
-        queue->record_served(held, clock::now());
-    }
-    queue->wake_next();
+    waiting_requests()->wake_next();
 }
 
 /// Requests of this thread that wait for a place on the service's upstreams.
