--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -37,7 +37,7 @@
 /// stream were already relayed. Sending and relaying are implemented in
 /// route_delivery.cpp, connections in route_connections.cpp, the relaying of streams in
 /// route_streams.cpp, the proof of their end in route_stream_ends.cpp, what concerns
-/// brittle upstreams in route_places.cpp, what concerns crashes of upstreams in
+/// places on upstreams in route_places.cpp, what concerns crashes of upstreams in
 /// route_crashes.cpp, the identity of an upstream's process in route_identity.cpp, the software version of
 /// streams in route_versions.cpp, and the choice of an upstream in route_permits.cpp.
 class route_exchange {
@@ -79,6 +79,7 @@
     std::optional<std::uint64_t> choose_lender(const routed_placement& wanted, time_point now);
     placement_parameters current_parameters();
     time_point last_wait(time_point now) const;
+    double places_per_second(time_point now);
     std::size_t most_waiting(duration wait, time_point now);
     std::uint32_t request_priority() const;
     void refuse_if_full(time_point now);
--- a/packages/traffic/src/route_places.cpp
+++ b/packages/traffic/src/route_places.cpp
@@ -1,4 +1,5 @@
-// Places on brittle and on cold upstreams: which requests wait for one, and which are refused at once.
+// Places on upstreams that are brittle, short of room or cold: which requests wait for one, and which are
+// refused at once.
 
 #include "citronwick/core/hash.hpp"
 #include "citronwick/fleet/borrowed_place.hpp"
@@ -16,6 +17,7 @@
 #include "upstream_exchange.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <iterator>
 
 namespace citronwick {
@@ -56,12 +58,13 @@
 
 } // namespace
 
-/// Chooses the upstream of an attempt. While the upstreams are brittle and this router has no place
-/// on them, the request waits for a short time, or is not placed.
+/// Chooses the upstream of an attempt. While places of the service are divided and this router has none
+/// free, the request waits for a while, or is not placed.
 task<void> route_exchange::place_when_free(time_point started) {
     placement_request_.may_use_cold = context_.plane.keys_are_fresh(boot_now());
     places_ = places_on_brittle(placement_request_, *view_, context_.plane.limits(), started);
     are_places_cold_ = false;
+    is_short_ = false;
     if (!places_) {
         co_await place(started);
         note_cold_places(started);
@@ -237,8 +240,8 @@
     queue->wake_next();
 }
 
-/// While upstreams of the service are brittle, records whether they had a place for the request, and
-/// prepares its refusal if they had none.
+/// While places of the service are divided, records whether there was one for the request, and prepares its
+/// refusal if there was none.
 void route_exchange::refuse_if_full(time_point now) {
     if (!places_ || is_confirmation_) {
         return;
@@ -248,17 +251,22 @@
     if (placement_ || refusal_before_send_ || state_.may_have_run_before) {
         return;
     }
-    const std::chrono::duration<double> held =
-        are_places_cold_ ? cold_place_time : waiting_requests()->mean_held();
-    const double rate =
-        is_short_ ? waiting_requests()->served_per_second(now)
-                  : std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
     if (are_places_cold_) {
         context_.counters.count_cold_send(service_->name, "refused");
     }
     refusal_before_send_ = problem{503, are_places_cold_ ? "upstreams-cold" : "upstreams-full",
                                    "the upstreams have no place for more requests", outcome::not_run,
-                                   capacity.returns.next(rate, now)};
+                                   capacity.returns.next(places_per_second(now), now)};
+}
+
+/// Requests a second for which this thread expects to have places.
+double route_exchange::places_per_second(time_point now) {
+    if (is_short_) {
+        return waiting_requests()->served_per_second(now);
+    }
+    const std::chrono::duration<double> held =
+        are_places_cold_ ? cold_place_time : waiting_requests()->mean_held();
+    return std::max(*places_, 1) / std::max(held.count(), 1e-3) / context_.settings.threads;
 }
 
 /// Keeps upstreams that are short of room in that state, as a request has found no place on them.
--- a/tests/integration/invalid_statuses.tests.cpp
+++ b/tests/integration/invalid_statuses.tests.cpp
@@ -44,7 +44,8 @@
         const scripted_worker broken{"desk-broken", answer_with(status)};
         system.register_worker(broken.entry(), "desk");
         REQUIRE(system.wait_ready());
-        REQUIRE(wait_until([&] { return system.ask(system.routers()[0], "/read/1", "known").status != 503; }));
+        REQUIRE(
+            wait_until([&] { return system.ask(system.routers()[0], "/read/1", "known").status != 503; }));
         const auto asked_at = clock::now();
         const auto booked = system.ask(system.routers()[0], "/book/1", "b");
         CHECK(booked.status == bad_gateway);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -40,7 +40,9 @@
             .proxies = true,
             .limit_settings = options.limits_memory ? memory_setting : "",
             .shutdown_settings = "grace = \"" + std::to_string(router_grace.count()) + "ms\"\n",
-            .body_bytes = max_body_bytes};
+            .body_bytes = max_body_bytes,
+            .worker_domains = soak_worker_domains,
+            .cold_rate = soak_cold_rate};
 }
 
 std::string other_version(const std::string& version) {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -38,6 +38,11 @@
     std::size_t engines = 0;
 };
 
+/// Failure domains over which the workers are spread.
+constexpr std::size_t soak_worker_domains = 2;
+/// Requests a second that a cold worker bears, as declared.
+constexpr double soak_cold_rate = 6.0;
+
 /// State shared by the threads that send requests and those that inject faults.
 class soak_run {
 public:
