--- a/packages/ctl/include/citronwick/ctl/command_options.hpp
+++ b/packages/ctl/include/citronwick/ctl/command_options.hpp
@@ -24,6 +24,8 @@
     std::string chat;
     std::string team;
     std::string model;
+    std::string adapter;           ///< platform whose format a declaration of routes has, empty for none
+    std::optional<endpoint> store; ///< store of that platform
     std::string request;           ///< request identifier sent by the caller
     std::vector<std::string> logs; ///< JSON log files of routers
     bool json = false;
--- a/packages/ctl/src/command_context.hpp
+++ b/packages/ctl/src/command_context.hpp
@@ -22,6 +22,9 @@
 /// @return the exit code for it
 exit_code report_failure(const command_context& command, const failure& error);
 
+/// Reads a whole file.
+io_result<std::string> read_file(const std::string& file);
+
 /// Loads the configuration in force.
 /// @return a failure if none has been applied yet
 io_result<stored_configuration> load_in_force(store_session& session);
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/ctl/commands.hpp"
 
+#include "check_routing.hpp"
 #include "citronwick/config/io_result_of.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/ctl/declaration_diff.hpp"
@@ -11,26 +12,14 @@
 #include <algorithm>
 #include <array>
 #include <ctime>
-#include <fstream>
 #include <iostream>
 #include <set>
 #include <spdlog/fmt/fmt.h>
-#include <sstream>
 
 namespace citronwick {
 
 namespace {
 
-io_result<std::string> read_file(const std::string& file) {
-    std::ifstream input{file, std::ios::binary};
-    if (!input) {
-        return failure{"read file", file, "cannot be opened"};
-    }
-    std::ostringstream text;
-    text << input.rdbuf();
-    return std::move(text).str();
-}
-
 io_result<declaration> parse(const std::string& text, const std::string& file) {
     return io_result_of<declaration>([&] { return declaration::parse(text, file); });
 }
@@ -67,6 +56,9 @@
 }
 
 exit_code check(const command_context& command) {
+    if (!command.options.adapter.empty()) {
+        return check_routing(command);
+    }
     const auto file = read_declaration(command);
     if (!file) {
         return exit_code::usage;
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -13,7 +13,7 @@
 constexpr const char* usage = R"(citronctl: configures and operates a fleet of citronwick routers.
 
 Usage:
-  citronctl check FILE
+  citronctl check FILE [--adapter NAME [--store ADDRESS]]
   citronctl plan FILE --kv ADDRESSES [--prefix PREFIX]
   citronctl apply FILE --kv ADDRESSES [--prefix PREFIX] [--preset NAME] [--base N] [--writer NAME] [--reason TEXT]
   citronctl preset list --kv ADDRESSES [--prefix PREFIX]
@@ -30,7 +30,9 @@
   citronctl (-h | --help)
 
 Commands:
-  check        Check a declaration.
+  check        Check a declaration; with --adapter, one of routes in a platform's format, for
+               errors, entries that no request can reach, limits that contradict each
+               other and, with --store, what differs from the version in force.
   plan         Show how a declaration differs from the one in force.
   apply        Put a declaration in force atomically.
   preset list  List the presets; an asterisk marks the one in force.
@@ -47,6 +49,8 @@
 Options:
   --kv ADDRESSES       Servers of the key-value service, IP:PORT, separated by commas.
   --routers ADDRESSES  Operator addresses of routers, IP:PORT, separated by commas.
+  --adapter NAME       Adapter of the platform whose store holds the declaration of routes.
+  --store ADDRESS      Store of that platform, IP:PORT.
   --prefix PREFIX      Prefix of the fleet's keys [default: /citronwick].
   --preset NAME        Preset to put in force with the declaration.
   --base N             Generation that the change is based on; refused if another is in force.
@@ -111,6 +115,7 @@
                                         .chat = string_argument(given, "--chat"),
                                         .team = string_argument(given, "--team"),
                                         .model = string_argument(given, "--model"),
+                                        .adapter = string_argument(given, "--adapter"),
                                         .request = string_argument(given, "--request"),
                                         .logs = given.at("LOG").asStringList(),
                                         .json = given.at("--json").asBool()};
@@ -118,6 +123,13 @@
         !parse_addresses(string_argument(given, "--routers"), options.routers)) {
         return static_cast<int>(exit_code::usage);
     }
+    std::vector<endpoint> stores;
+    if (!parse_addresses(string_argument(given, "--store"), stores)) {
+        return static_cast<int>(exit_code::usage);
+    }
+    if (!stores.empty()) {
+        options.store = stores.front();
+    }
     if (const std::string base = string_argument(given, "--base"); !base.empty()) {
         std::uint64_t generation = 0;
         const auto [end, error] = std::from_chars(base.data(), base.data() + base.size(), generation);
