--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -82,8 +82,9 @@
     std::map<std::string, time_point, std::less<>> unproven_versions;
     time_point config_changed_at; ///< as seen by this router
     store_position position{};    ///< of the store, up to which this view includes all changes
-    std::size_t evacuated_domains =
-        0; ///< failure domains whose upstreams get nothing by the operators' order
+    /// Failure domains whose upstreams get nothing by the operators' order.
+    std::size_t evacuated_domains = 0;
+    std::map<std::string, std::size_t, std::less<>> evacuated; ///< number of these upstreams, by service
 
     /// The upstream of the service that accepts new requests under a hash, null if there is none.
     const routed_upstream* find(std::string_view service, std::uint64_t upstream) const;
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -103,6 +103,19 @@
     return without_evacuated(directory_.usable(), evacuated_);
 }
 
+std::map<std::string, std::size_t, std::less<>> declared_fleet::evacuated_upstreams() const {
+    std::map<std::string, std::size_t, std::less<>> counts;
+    if (!evacuated_.empty()) {
+        for (const auto& [service, upstreams] : directory_.usable()) {
+            counts[service] = static_cast<std::size_t>(
+                std::ranges::count_if(upstreams, [this](const routed_upstream& each) {
+                    return evacuated_.contains(each.entry.failure_domain);
+                }));
+        }
+    }
+    return counts;
+}
+
 std::map<std::string, std::vector<routed_upstream>, std::less<>> declared_fleet::leaving() const {
     return without_evacuated(directory_.leaving(), evacuated_);
 }
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -60,6 +60,9 @@
     /// Failure domains whose upstreams get nothing by the operators' order.
     const std::set<std::string>& evacuated_domains() const { return evacuated_; }
 
+    /// Number of upstreams in evacuated failure domains that do not leave, by service.
+    std::map<std::string, std::size_t, std::less<>> evacuated_upstreams() const;
+
     /// Hashes of all known incarnations.
     std::set<std::uint64_t> hashes() const { return directory_.hashes(); }
 
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -294,6 +294,7 @@
             next->config == view_.load()->config ? view_.load()->config_changed_at : now;
         next->position = follower_.position();
         next->evacuated_domains = declared_.evacuated_domains().size();
+        next->evacuated = declared_.evacuated_upstreams();
         set_cold_allowances(*next, now);
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
--- a/packages/fleet/tests/declared_fleet.tests.cpp
+++ b/packages/fleet/tests/declared_fleet.tests.cpp
@@ -68,6 +68,7 @@
     two_domains declared;
     declared.put("evacuated/a", "", 3);
     CHECK(declared.usable() == "b");
+    CHECK(declared.fleet.evacuated_upstreams().at("desk") == 1);
     declared.put("evacuated/b", "", 4);
     CHECK(declared.usable().empty());
     declared.put("evacuated/nowhere", "", 5);
--- a/packages/policy/include/citronwick/policy/engine_placement.hpp
+++ b/packages/policy/include/citronwick/policy/engine_placement.hpp
@@ -31,6 +31,7 @@
 struct placement_parameters {
     double load_multiple = 2.0;          ///< load bound as a multiple of the service's mean load
     double load_slack = 3.0;             ///< requests that the bound allows beyond that multiple
+    std::size_t evacuated = 0;           ///< further upstreams of the service, which count in its mean load
     double prefill_tokens_per_ms = 30.0; ///< assumed prefill speed of an engine
     double acceptable_wait_ms = 0.0;     ///< time to first token that still meets the latency target
     /// Requests to plain upstreams that arrive while the load counts grow old, as a multiple of those in
--- a/packages/policy/src/engine_placement.cpp
+++ b/packages/policy/src/engine_placement.cpp
@@ -149,7 +149,7 @@
             ++count;
         }
     }
-    const double mean = total / static_cast<double>(std::max<std::size_t>(count, 1));
+    const double mean = total / static_cast<double>(std::max<std::size_t>(count + parameters.evacuated, 1));
     return parameters.load_multiple * mean + parameters.load_slack;
 }
 
--- a/packages/policy/tests/routed_placement.tests.cpp
+++ b/packages/policy/tests/routed_placement.tests.cpp
@@ -196,6 +196,16 @@
     CHECK(place_on_engine(1, engines, parameters).index != 2);
 }
 
+// Guards against engines that get over the set multiple of the mean load while a failure domain is evacuated.
+TEST_CASE("evacuated engines count in the mean load, and so lower the bound of the others") {
+    auto engines = make_upstreams(4);
+    std::ranges::for_each(engines, [](routed_candidate& each) { each.in_flight = 9; });
+    auto evacuated = parameters;
+    evacuated.evacuated = 2;
+    CHECK(load_limit(engines, evacuated) == doctest::Approx(2.0 * 4 * 9 / 6 + 3.0));
+    CHECK(load_limit(engines, evacuated) < load_limit(engines, parameters));
+}
+
 TEST_CASE("an unusable engine is never chosen") {
     auto engines = make_upstreams(3);
     std::ranges::for_each(engines, [](routed_candidate& each) { each.usable = false; });
--- a/packages/traffic/src/route_placer.cpp
+++ b/packages/traffic/src/route_placer.cpp
@@ -151,11 +151,13 @@
 std::optional<routed_placement>
 choose_upstream(const routed_placement_request& request, const routing_view& view,
                 const upstream_observations& observations, const upstream_limits& limits,
-                const placement_parameters& parameters, std::string_view failure_domain, time_point now) {
+                placement_parameters parameters, std::string_view failure_domain, time_point now) {
     const auto found = view.upstreams.find(request.service->name);
     if (found == view.upstreams.end()) {
         return std::nullopt;
     }
+    const auto evacuated = view.evacuated.find(request.service->name);
+    parameters.evacuated = evacuated == view.evacuated.end() ? 0 : evacuated->second;
     const auto& upstreams = found->second;
     const auto hashes = hashes_of(upstreams);
     const auto summaries = observations.summaries(hashes, request.prefixes, now);
--- a/packages/traffic/src/route_placer.hpp
+++ b/packages/traffic/src/route_placer.hpp
@@ -68,7 +68,7 @@
 std::optional<routed_placement>
 choose_upstream(const routed_placement_request& request, const routing_view& view,
                 const upstream_observations& observations, const upstream_limits& limits,
-                const placement_parameters& parameters, std::string_view failure_domain, time_point now);
+                placement_parameters parameters, std::string_view failure_domain, time_point now);
 
 /// Requests that this router may have in flight on the upstreams that could still take a request.
 /// @return none if no upstream of these is brittle or short of room
