test: reset a service's early response to a long upload, and pause a router for 5 s before a cold upstream

The long upload was tried with the real program on routes only; the product's own interface answers it with a failure as well, so that nothing is to be mended. The two lists of routers are played with 6, 66 and 295 routers.

--- a/packages/policy/tests/cold_places.tests.cpp
+++ b/packages/policy/tests/cold_places.tests.cpp
@@ -6,6 +6,7 @@
 #include "citronwick/policy/send_window.hpp"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <doctest/doctest.h>
 #include <limits>
@@ -122,11 +123,15 @@
 }
 
 TEST_CASE("routers with two lists of each other send a cold upstream no more than the users allow") {
-    for (const double rate : {9.4, 11.0}) {
-        const auto before = fleet_of(66);
+    constexpr std::array sizes{std::size_t{6}, std::size_t{66}, std::size_t{295}};
+    constexpr std::array rates{0.5, 4.0, 9.4, 11.0};
+    for (std::size_t combination = 0; combination < sizes.size() * rates.size(); ++combination) {
+        const std::size_t size = sizes.at(combination % sizes.size());
+        const double rate = rates.at(combination / sizes.size());
+        const auto before = fleet_of(size);
         auto after = before;
         std::erase_if(after, [](std::uint64_t router) { return router % 3 == 0; });
-        std::ranges::copy(fleet_of(22, 5'000), std::back_inserter(after));
+        std::ranges::copy(fleet_of(size / 3, 5'000), std::back_inserter(after));
         std::deque<greedy_router> fleet;
         std::ranges::for_each(before, [&](std::uint64_t hash) { fleet.emplace_back(hash, before); });
         std::ranges::for_each(after, [&](std::uint64_t hash) { fleet.emplace_back(hash, after); });
--- a/tests/integration/cold_upstreams.tests.cpp
+++ b/tests/integration/cold_upstreams.tests.cpp
@@ -48,14 +48,14 @@
     REQUIRE(fleet.wait_ready());
     steady_load load{fleet, 20ms};
     const node& cold = fleet.plain_workers()[0];
-    fleet.set_cold_time(cold, 7s);
+    fleet.set_cold_time(cold, 11s);
     fleet.register_worker(cold, "desk", "ready", 2);
     const auto begin = clock::now() + known_after;
     std::this_thread::sleep_for(2s);
     fleet.routers()[1].process->kill();
     fleet.restart_router(fleet.routers()[1]);
     fleet.routers()[2].process->pause();
-    std::this_thread::sleep_for(2s);
+    std::this_thread::sleep_for(5s);
     fleet.routers()[2].process->signal(SIGCONT);
     std::this_thread::sleep_for(2s);
     const auto end = clock::now();
--- a/tests/integration/resets_while_sending.tests.cpp
+++ b/tests/integration/resets_while_sending.tests.cpp
@@ -2,6 +2,7 @@
 // written, that need not be the one that reads the response.
 
 #include "citronwick/io/task.hpp"
+#include "fleet.hpp"
 #include "routed_fleet.hpp"
 #include "scripted_worker.hpp"
 #include "waiting.hpp"
@@ -133,3 +134,31 @@
         CHECK(answer.body == "id: 1\ndata: a\n\n");
     }
 }
+
+// Guards the product's own interface against the same (MIXED).
+TEST_CASE("proof: a service's response that is reset while its request is being written is not complete") {
+    for (const ending end : {reset, end_and_reset}) {
+        CAPTURE(end == reset);
+        const scripted_worker desk{"desk-a", answer_early("half", end), receive_buffer_bytes};
+        fleet system{{.routers = 1,
+                      .engines = 0,
+                      .service_workers = 0,
+                      .router_settings = "[limits]\nbody_bytes = " + std::to_string(2 * body_bytes) + "\n"}};
+        node entry{.name = desk.entry().name, .failure_domain = "busan-a"};
+        entry.addresses = desk.entry().addresses;
+        system.workers().push_back(std::move(entry));
+        system.publish_vms();
+        REQUIRE(system.wait_ready());
+        call upload{
+            .method = "POST",
+            .target = "/services/shop-desk/bookings",
+            .headers = {{"Authorization", "Bearer " + team_key("club")}, {"Idempotency-Key", "ready"}}};
+        const endpoint& router = system.routers().front().callers();
+        REQUIRE(wait_until([&] { return http_call(router, upload).status == 200; }));
+        upload.headers.back().second = "long";
+        upload.body.assign(body_bytes, 'x');
+        const auto answer = http_call(router, upload);
+        CHECK(answer.status >= 500);
+        CHECK(answer.body.find("half") == std::string::npos);
+    }
+}
