Encode what stands in the query strings of calls to the store

Callers saw almost every request refused (503) after a restart of all routers, while another writer's key with "&", "+", "#", "%", a blank, a line break or bytes above 0x7f in its name stood in the store, whether among the upstreams' entries or elsewhere.

Cause: prefix, after and key were put into query strings as they are. A store that reads queries as forms are read understood another key, so that the second page of a listing was the first one again, or was refused. The stand-in store read them as they are, too, so no test could see it.

The stand-in now splits queries at "&", decodes "+" and "%XX", drops what follows "#", and answers 400 to what cannot be read; the size of its pages can be set.

--- a/tests/harness/routed_fleet.cpp
+++ b/tests/harness/routed_fleet.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iterator>
 #include <numeric>
+#include <spdlog/fmt/fmt.h>
 
 namespace citronwick::harness {
 
@@ -38,6 +39,15 @@
     return service;
 }
 
+/// Target by which a key of the stand-in store is written or removed. All bytes are escaped, whatever
+/// they are.
+std::string key_target(std::string_view key) {
+    std::string target = "/standin/key?key=";
+    std::ranges::for_each(
+        key, [&target](char each) { target += fmt::format("%{:02x}", static_cast<unsigned char>(each)); });
+    return target;
+}
+
 } // namespace
 
 std::string domain_name(std::size_t number) {
@@ -197,20 +207,19 @@
 void routed_fleet::put_key(const std::string& key, const std::string& value) {
     const std::scoped_lock lock{keys_mutex_};
     keys_[key] = value;
-    http_call(store_.addresses.front(), {.method = "PUT", .target = "/standin/key?" + key, .body = value});
+    http_call(store_.addresses.front(), {.method = "PUT", .target = key_target(key), .body = value});
 }
 
 void routed_fleet::remove_key(const std::string& key) {
     const std::scoped_lock lock{keys_mutex_};
     keys_.erase(key);
-    http_call(store_.addresses.front(), {.method = "DELETE", .target = "/standin/key?" + key});
+    http_call(store_.addresses.front(), {.method = "DELETE", .target = key_target(key)});
 }
 
 void routed_fleet::write_keys_again() {
     const std::scoped_lock lock{keys_mutex_};
     for (const auto& [key, value] : keys_) {
-        http_call(store_.addresses.front(),
-                  {.method = "PUT", .target = "/standin/key?" + key, .body = value});
+        http_call(store_.addresses.front(), {.method = "PUT", .target = key_target(key), .body = value});
     }
 }
 
--- /dev/null
+++ b/tests/integration/odd_entries.tests.cpp
@@ -0,0 +1,100 @@
+// Keys and entries in the store that another writer has put there.
+
+#include "http_call.hpp"
+#include "routed_fleet.hpp"
+#include "scripted_worker.hpp"
+#include "waiting.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <boost/json/object.hpp>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <string>
+#include <vector>
+
+using namespace citronwick;
+using namespace citronwick::harness;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Makes the stand-in store put each key on a page of its own.
+constexpr const char* single_item_pages = R"({"page_items":1})";
+
+/// Names that no header field can carry.
+const std::vector<std::string> unusable_names{"a\r\nX-Injected: yes", "a\nX-Injected: yes", "a\x01", " a",
+                                              "a "};
+
+/// Names that sort before those of the workers.
+const std::vector<std::string> odd_names{
+    "a&b",
+    "a+b",
+    "a#b",
+    "a%b",
+    "a%2Fb",
+    "a b",
+    "a ",
+    "a=b?c",
+    "a\nb",
+    "a\r\nX-Injected: yes",
+    "a\tb",
+    "a\"b\\c",
+    std::string{"a\0b", 3},
+    "a\xc3\xa9",
+    "a\x7f",
+    "a&prefix=zz",
+    std::string(190, 'a') + "&",
+};
+
+void restart_all_routers(routed_fleet& fleet) {
+    std::ranges::for_each(fleet.routers(), [](node& each) { each.process->kill(); });
+    std::ranges::for_each(fleet.routers(), [&](node& each) { fleet.restart_router(each); });
+}
+
+/// Number of requests that are served, of a few at each router.
+int count_served(routed_fleet& fleet, const std::string& label) {
+    constexpr int requests = 6;
+    int served = 0;
+    for (const node& router : fleet.routers()) {
+        for (int request = 0; request < requests; ++request) {
+            const std::string id = label + router.name + std::to_string(request);
+            served += fleet.ask(router, "/read/1", id).status == 200 ? 1 : 0;
+        }
+    }
+    return served;
+}
+
+/// Upstreams of a service as a router sees them.
+std::size_t count_upstreams(const routed_fleet& fleet, const node& router, const char* service) {
+    const auto view = fleet.view(router);
+    const auto* const services = view.if_contains("services");
+    const auto* const found = services == nullptr ? nullptr : services->as_object().if_contains(service);
+    return found == nullptr ? 0 : found->as_array().size();
+}
+
+} // namespace
+
+TEST_CASE("proof: a key of another writer costs no worker and no request, whatever is in its name") {
+    routed_fleet fleet{{.routers = 2, .plain_workers = 3, .engines = 1}};
+    REQUIRE(fleet.wait_ready());
+    set_fault(fleet.store(), single_item_pages);
+    std::string folder;
+    SUBCASE("among the entries of workers") {
+        folder = "servers/";
+    }
+    SUBCASE("elsewhere") {
+        folder = "notes/";
+    }
+    for (const std::string& name : odd_names) {
+        CAPTURE(name);
+        fleet.put_key(folder + name, "{}");
+        restart_all_routers(fleet);
+        CHECK(fleet.wait_ready(5s));
+        CHECK(count_served(fleet, name.substr(0, 1)) == 12);
+        for (const node& router : fleet.routers()) {
+            CHECK(count_upstreams(fleet, router, "desk") == 3);
+        }
+        fleet.remove_key(folder + name);
+    }
+}
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <charconv>
 #include <ranges>
 #include <vector>
 
@@ -17,17 +18,12 @@
 using boost::beast::tcp_stream;
 using namespace std::chrono_literals;
 
-std::string query_parameter(const std::string& target, const std::string& name) {
-    const auto found = target.find(name + "=");
-    if (found == std::string::npos) {
-        return {};
-    }
-    const auto begin = found + name.size() + 1;
-    return target.substr(begin, target.find('&', begin) - begin);
-}
-
-std::int64_t parse_number(const std::string& text) {
-    return text.empty() ? 0 : std::stoll(text);
+/// Number that ends a path.
+std::int64_t last_segment(const std::string& target) {
+    const std::string segment = target.substr(target.rfind('/') + 1);
+    std::int64_t number = 0;
+    std::from_chars(segment.data(), segment.data() + segment.size(), number);
+    return number;
 }
 
 } // namespace
@@ -39,8 +35,12 @@
 
 task<bool> metadata_store::handle(tcp_stream& stream, http_request request) {
     const std::string target{request.target()};
+    auto query = form_query::parse(target);
+    if (!query) {
+        co_return co_await send(stream, http::status::bad_request, "{}");
+    }
     if (target.starts_with("/standin/")) {
-        co_return co_await handle_control(stream, std::move(request));
+        co_return co_await handle_control(stream, std::move(request), std::move(*query));
     }
     ++calls_;
     expire_leases();
@@ -55,10 +55,10 @@
     }
     co_await sleep_for(delay_);
     if (target.starts_with("/v1/kv-watch")) {
-        co_return co_await watch(stream, target);
+        co_return co_await watch(stream, std::move(*query));
     }
     http::status status = http::status::ok;
-    auto body = respond(request, status);
+    auto body = respond(request, *query, status);
     if (request.method() == http::verb::post && responses_to_drop_ > 0) {
         --responses_to_drop_;
         co_return false;
@@ -94,14 +94,15 @@
     co_return true;
 }
 
-json::object metadata_store::respond(const http_request& request, http::status& status) {
+json::object metadata_store::respond(const http_request& request, const form_query& query,
+                                     http::status& status) {
     const std::string target{request.target()};
     const auto body = parse_json_object(request.body()).value_or(json::object{});
     if (target.starts_with("/v1/kv-key?")) {
-        return read_key(query_parameter(target, "key"), status);
+        return read_key(query.text("key"), status);
     }
     if (target.starts_with("/v1/kv-range")) {
-        return list(target);
+        return list(query);
     }
     if (target == "/v1/kv-txn") {
         return transact(body, status);
@@ -112,7 +113,7 @@
         return {{"lease", next_lease_++}, {"ttlMs", ttl_ms}};
     }
     if (target.starts_with("/v1/kv-keep/")) {
-        const auto lease = leases_.find(parse_number(target.substr(target.rfind('/') + 1)));
+        const auto lease = leases_.find(last_segment(target));
         if (lease != leases_.end()) {
             lease->second = clock::now() + 60s;
             return {{"ttlMs", 60'000}};
@@ -138,17 +139,16 @@
 }
 
 /// Lists the keys with a prefix. Pages are short, so that clients must follow up with further reads.
-json::object metadata_store::list(const std::string& target) const {
-    constexpr std::size_t page_size = 3;
-    const std::string prefix = query_parameter(target, "prefix");
-    const std::string after = query_parameter(target, "after");
+json::object metadata_store::list(const form_query& query) const {
+    const std::string prefix = query.text("prefix");
+    const std::string after = query.text("after");
     json::array items;
     bool has_more = false;
     for (const auto& [key, stored] : items_) {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
             continue;
         }
-        if (items.size() == page_size) {
+        if (items.size() == page_items_) {
             has_more = true;
             break;
         }
@@ -230,12 +230,11 @@
     return {{"events", std::move(events)}, {"currentRev", revision_}};
 }
 
-task<bool> metadata_store::watch(tcp_stream& stream, std::string target) {
+task<bool> metadata_store::watch(tcp_stream& stream, form_query query) {
     constexpr std::chrono::milliseconds poll_interval = 5ms;
-    const auto after = parse_number(query_parameter(target, "after"));
+    const auto after = query.number("after");
     const auto era = era_;
-    const auto deadline =
-        clock::now() + std::chrono::milliseconds{parse_number(query_parameter(target, "waitMs"))};
+    const auto deadline = clock::now() + std::chrono::milliseconds{query.number("waitMs")};
     while (((after == revision_ && era == era_) || watches_suspended_) && clock::now() < deadline &&
            mode_ == "up") {
         co_await sleep_for(poll_interval);
@@ -247,7 +246,7 @@
     if (after < compacted_revision_ || after > revision_ || era != era_) {
         co_return co_await send(stream, http::status::gone, "{}");
     }
-    auto events = events_after(query_parameter(target, "prefix"), after);
+    auto events = events_after(query.text("prefix"), after);
     if (watches_suspended_ && clock::now() >= deadline) {
         events["events"] = json::array{};
     }
@@ -256,13 +255,12 @@
 }
 
 /// Handles the endpoints by which operators and tests write keys and set faults.
-task<bool> metadata_store::handle_control(tcp_stream& stream, http_request request) {
+task<bool> metadata_store::handle_control(tcp_stream& stream, http_request request, form_query query) {
     const std::string target{request.target()};
-    const std::string key = target.substr(std::min(target.find('?'), target.size() - 1) + 1);
     if (target.starts_with("/standin/key?") && request.method() == http::verb::put) {
-        put(key, request.body(), 0);
+        put(query.text("key"), request.body(), 0);
     } else if (target.starts_with("/standin/key?")) {
-        remove(key);
+        remove(query.text("key"));
     } else if (target == "/standin/fault") {
         const auto fault_settings = parse_json_object(request.body()).value_or(json::object{});
         const std::string mode = string_member(fault_settings, "mode");
@@ -271,6 +269,8 @@
         delay_ = std::chrono::milliseconds{integer_member(fault_settings, "delay_ms")};
         bytes_per_second_ = integer_member(fault_settings, "bytes_per_second");
         watches_suspended_ = integer_member(fault_settings, "deaf") != 0;
+        const auto page_items = integer_member(fault_settings, "page_items");
+        page_items_ = page_items > 0 ? static_cast<std::size_t>(page_items) : default_page_items;
         if (integer_member(fault_settings, "copy") != 0) {
             copy_ = {revision_, items_};
         }
--- a/tests/standin/standin_server.cpp
+++ b/tests/standin/standin_server.cpp
@@ -47,6 +47,12 @@
         auto [header_error, header_size] =
             co_await http::async_read_header(stream, buffer, parser, use_tuple);
         if (header_error) {
+            const bool is_malformed = header_error.category() == http::make_error_code({}).category() &&
+                                      header_error != http::error::end_of_stream &&
+                                      header_error != http::error::partial_message;
+            if (is_malformed) {
+                co_await send_response(stream, http::status::bad_request, "{}");
+            }
             co_return;
         }
         if (is_early_ && is_early_(parser.get())) {
