Have a listing of the store lead on with each page, or fail

Callers saw requests refused, or upstreams missing, when the store's pages did not lead on: a last item without a key, an empty page, the same page again.

Cause: a listing believed hasMore and took the last item's key whatever it was. Without a later key it asked for the same page again, at once and for ever, beside a growing list; on an empty page it ended early without an error, which removed the upstreams behind it.

An item without a key is skipped and counted (store_listed); the page leads on by the last key in it.

--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -256,6 +256,7 @@
         registration_->end_listing();
         versions_.end_listing();
         log_info("store_listed", {{"keys", std::to_string(listing.items.size())},
+                                  {"items_without_key", std::to_string(listing.items_without_key)},
                                   {"position", to_text(listing.position)},
                                   {"may_have_lapsed", usable_until ? "yes" : "no"}});
         publish(now);
--- a/packages/io/include/citronwick/io/json_text.hpp
+++ b/packages/io/include/citronwick/io/json_text.hpp
@@ -1,6 +1,7 @@
 #ifndef CITRONWICK_IO_JSON_TEXT_HPP_INCLUDED
 #define CITRONWICK_IO_JSON_TEXT_HPP_INCLUDED
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,20 @@
 /// each element of another type.
 std::vector<std::string> string_array_member(const boost::json::object& object, std::string_view name);
 
+/// Calls a function for each object in an array member; elements of other types are skipped.
+template <class Function>
+void for_each_object(const boost::json::object& object, std::string_view name, Function function) {
+    const auto* const list = array_member(object, name);
+    if (list == nullptr) {
+        return;
+    }
+    for (const boost::json::value& each : *list) {
+        if (each.is_object()) {
+            function(each.as_object());
+        }
+    }
+}
+
 std::string base64_encode(std::string_view bytes);
 
 /// @return nothing if the text is not base64
--- a/packages/io/include/citronwick/io/watched_kv_client.hpp
+++ b/packages/io/include/citronwick/io/watched_kv_client.hpp
@@ -20,7 +20,8 @@
 /// include changes made after `position`.
 struct kv_listing {
     std::vector<kv_item> items;
-    store_position position{}; ///< of the store before the first page was read
+    store_position position{};         ///< of the store before the first page was read
+    std::size_t items_without_key = 0; ///< which are left out
 };
 
 /// One change of a key.
