Read pages of the store whose keys are no Unicode text

Callers saw almost every request refused after a restart of all routers, while a key with half of a surrogate pair in its name stood in the store.

Cause: Boost.JSON refuses a text with such an escape, or with invalid UTF-8, so one key cost its whole page, and with it each listing and each watch.

Why it works: the library can be told to accept invalid UTF-8, but not halves of surrogate pairs. A response that it refuses is parsed once more with these replaced by the bytes that UTF-8 would have for them, which keeps keys distinct and in order, so that a listing leads on behind such a key.

The stand-in store writes such keys as JSON escapes, and answers 400 to a transaction that it cannot read.

--- a/packages/io/include/citronwick/io/json_text.hpp
+++ b/packages/io/include/citronwick/io/json_text.hpp
@@ -15,6 +15,11 @@
 /// @return nothing if the text is malformed or another kind of value
 std::optional<boost::json::object> parse_json_object(std::string_view text);
 
+/// Parses a JSON object whose strings need not be Unicode text. Invalid UTF-8 is kept as it is, and half of
+/// a surrogate pair becomes the bytes that UTF-8 would have for its number.
+/// @return nothing if the text is malformed or another kind of value
+std::optional<boost::json::object> parse_json_object_of_bytes(std::string_view text);
+
 /// Value of a string member, or an empty string if it is missing or of another type.
 std::string string_member(const boost::json::object& object, std::string_view name);
 
--- a/tests/integration/odd_entries.tests.cpp
+++ b/tests/integration/odd_entries.tests.cpp
@@ -45,6 +45,7 @@
     "a\x7f",
     "a&prefix=zz",
     std::string(190, 'a') + "&",
+    "a\xed\xa0\x80", // half of a surrogate pair
 };
 
 void restart_all_routers(routed_fleet& fleet) {
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <ranges>
+#include <spdlog/fmt/fmt.h>
 #include <vector>
 
 namespace citronwick::standin {
@@ -18,6 +19,31 @@
 using boost::beast::tcp_stream;
 using namespace std::chrono_literals;
 
+/// Writes the bytes that UTF-8 would have for half of a surrogate pair as JSON's escape for it.
+std::string escape_surrogates(std::string_view text) {
+    constexpr unsigned char lead = 0xed;
+    constexpr unsigned char first_of_surrogates = 0xa0;
+    constexpr unsigned char first_continuation = 0x80;
+    constexpr unsigned char end_of_continuations = 0xc0;
+    constexpr std::size_t length = 3;
+    constexpr unsigned payload_bits = 6;
+    constexpr unsigned payload_mask = 0x3f;
+    constexpr unsigned lead_bits = 0xd000;
+    std::string escaped;
+    while (!text.empty()) {
+        const auto byte = [text](std::size_t index) { return static_cast<unsigned char>(text[index]); };
+        const bool is_surrogate = text.size() >= length && byte(0) == lead &&
+                                  byte(1) >= first_of_surrogates && byte(1) < end_of_continuations &&
+                                  byte(2) >= first_continuation && byte(2) < end_of_continuations;
+        escaped += is_surrogate
+                       ? fmt::format("\\u{:04x}", lead_bits | ((byte(1) & payload_mask) << payload_bits) |
+                                                      (byte(2) & payload_mask))
+                       : std::string{text.substr(0, 1)};
+        text.remove_prefix(is_surrogate ? length : 1);
+    }
+    return escaped;
+}
+
 /// Number that ends a path.
 std::int64_t last_segment(const std::string& target) {
     const std::string segment = target.substr(target.rfind('/') + 1);
@@ -70,6 +96,7 @@
 /// Sends a response, throttled to the bandwidth that all responses share.
 task<bool> metadata_store::send(tcp_stream& stream, http::status status, std::string text) {
     constexpr std::size_t chunk_bytes = 8'192;
+    text = escape_surrogates(text);
     bytes_sent_ += static_cast<std::int64_t>(text.size());
     if (bytes_per_second_ == 0) {
         std::vector<std::pair<std::string, std::string>> fields{{"Store-Era", std::to_string(era_)}};
@@ -162,9 +189,15 @@
 }
 
 json::object metadata_store::transact(const json::object& request, http::status& status) {
+    const auto* const expected = array_member(request, "expectedRevision");
+    const auto* const writes = array_member(request, "setKeys");
+    if (expected == nullptr || writes == nullptr) {
+        status = http::status::bad_request;
+        return {};
+    }
     json::array current;
     bool revisions_match = true;
-    for (const json::value& each : *array_member(request, "expectedRevision")) {
+    for (const json::value& each : *expected) {
         const std::string key = string_member(each.as_object(), "key");
         const auto found = items_.find(key);
         const std::int64_t revision = found == items_.end() ? 0 : found->second.revision;
@@ -176,7 +209,7 @@
         status = http::status::precondition_failed;
         return {{"items", std::move(current)}};
     }
-    for (const json::value& each : *array_member(request, "setKeys")) {
+    for (const json::value& each : *writes) {
         const auto& write = each.as_object();
         put(string_member(write, "key"), base64_decode(string_member(write, "value")).value_or(""),
             integer_member(write, "lease"));
