Refuse the scope of an IPv6 address in an endpoint

What callers could get: an upstream's entry, or an entry of the VM list, with an address such as "[fe80::1%0\r\nX-Injected: yes]:80" was accepted, since Boost.Asio takes any text behind "%" for a scope. The text became the value of Host and Kv-Fetch, and so added header fields to requests at upstreams.

Evidence: "an endpoint has no scope, whose text need not be a number" fails before in 4 of 4 forms, and passes now.

Why it works: an endpoint with "%" is refused. Scopes name interfaces of one machine, and endpoints of the fleet are read on all of them.

--- a/packages/core/include/citronwick/core/endpoint.hpp
+++ b/packages/core/include/citronwick/core/endpoint.hpp
@@ -18,7 +18,7 @@
 };
 
 /// Parses an endpoint such as "127.0.0.1:8080" or "[::1]:8080".
-/// @return nullopt if the address is not numeric or the port is invalid
+/// @return nullopt if the address is not numeric or has a scope, or the port is invalid
 std::optional<endpoint> parse_endpoint(std::string_view text);
 
 /// Formats an endpoint, with brackets around an IPv6 address.
--- a/packages/core/src/endpoint.cpp
+++ b/packages/core/src/endpoint.cpp
@@ -14,6 +14,10 @@
     if (host.starts_with('[') && host.ends_with(']')) {
         host = host.substr(1, host.size() - 2);
     }
+    // Boost takes any text behind the sign for the scope of an address.
+    if (host.find('%') != std::string_view::npos) {
+        return std::nullopt;
+    }
     boost::system::error_code address_error;
     boost::asio::ip::make_address(host, address_error);
     const std::string digits{text.substr(colon + 1)};
--- a/packages/core/tests/core.tests.cpp
+++ b/packages/core/tests/core.tests.cpp
@@ -29,6 +29,14 @@
     }
 }
 
+TEST_CASE("an endpoint has no scope, whose text need not be a number") {
+    for (const auto* const invalid :
+         {"[fe80::1%0\r\nX-Injected: yes]:80", "fe80::1%0\n:80", "[fe80::1%eth0]:80", "[::1%]:80"}) {
+        CAPTURE(invalid);
+        CHECK_FALSE(citronwick::parse_endpoint(invalid).has_value());
+    }
+}
+
 TEST_CASE("digests match their published test vectors") {
     CHECK(citronwick::sha256_hex("abc") ==
           "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
