Take an assignment of streams with a negative number for none

What callers could get: refused take-ups of streams (503) for good. A stored assignment with the number -1 counted as the highest there is; the routers wrote 0 as the next one and ignored that as older.

Evidence: "an assignment with an odd number, era or slot is none" fails before for the number -1 and the era -1 (the odd text stays in the store), and passes now. Odd slots were refused before.

Why it works: negative numbers and eras make the text unreadable, and what is unreadable is written again.

--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -47,9 +47,12 @@
     if (rows == nullptr || rows->size() != version_slots::slot_count) {
         return std::nullopt;
     }
-    // Earlier landings name no era.
-    stored_slots parsed{version_slots{}, static_cast<std::uint64_t>(integer_member(*document, "number")),
-                        static_cast<std::uint64_t>(integer_member(*document, "era"))};
+    const std::int64_t number = integer_member(*document, "number");
+    const std::int64_t era = integer_member(*document, "era"); // 0 from earlier landings, which name none
+    if (number < 0 || era < 0) {
+        return std::nullopt;
+    }
+    stored_slots parsed{version_slots{}, static_cast<std::uint64_t>(number), static_cast<std::uint64_t>(era)};
     for (std::size_t index = 0; index < rows->size(); ++index) {
         const json::array* const row = rows->at(index).if_array();
         const bool is_valid = row != nullptr && !row->empty() &&
--- a/packages/fleet/tests/version_assignment.tests.cpp
+++ b/packages/fleet/tests/version_assignment.tests.cpp
@@ -270,3 +270,28 @@
         CHECK(store.text.starts_with(R"({"number":8,"era":4,"slots":[["v2"],["v1"],)"));
     }
 }
+
+TEST_CASE("an assignment with an odd number, era or slot is none, and the one in force stays") {
+    one_key_store store;
+    router first{store};
+    first.tick({{"v1", 9.0}});
+    const version_slots known = first.slots();
+    const std::string sound = store.text;
+    const auto replaced = [&sound](const std::string& part, const std::string& replacement) {
+        std::string text = sound;
+        return text.replace(text.find(part), part.size(), replacement);
+    };
+    for (const std::string& text :
+         {replaced("\"number\":1", "\"number\":-1"), replaced("\"era\":0", "\"era\":-1"),
+          replaced("[\"v1\"]", "[7]"), replaced("[\"v1\"]", "[]"), replaced("[\"v1\"]", "\"v1\""),
+          replaced("[\"v1\"],", ""), std::string{"\xff"}}) {
+        CAPTURE(text);
+        store.text = text;
+        ++store.revision;
+        first.versions.apply(store.last_change(), first.now);
+        CHECK(first.slots() == known);
+        first.now += 1s;
+        first.tick({{"v1", 9.0}});
+        CHECK(store.text == replaced("\"number\":1", "\"number\":" + std::to_string(store.calls)));
+    }
+}
