Check field values where requests to upstreams are built

What callers could get: requests with header fields that nobody sent. The name of an upstream's entry became the value of Citronwick-Expect-Instance as it was, line breaks included; names of teams, identifiers of events and addresses to fetch from were not checked either.

Why it works: prepare_forward adds nothing that is no field value (RFC 9110, 5.5) and reports the field; such a request is not sent. A chat is not resumed behind an event whose identifier is none.

--- a/packages/fleet/include/citronwick/fleet/request_dialect.hpp
+++ b/packages/fleet/include/citronwick/fleet/request_dialect.hpp
@@ -2,6 +2,7 @@
 #define CITRONWICK_FLEET_REQUEST_DIALECT_HPP_INCLUDED
 
 #include "citronwick/core/endpoint.hpp"
+#include "citronwick/core/failure.hpp"
 #include "citronwick/policy/prompt.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -75,8 +76,9 @@
 
     /// Turns a caller's header fields into those sent to an upstream: removes
     /// hop-by-hop fields and those that only the fleet may set, and adds the metadata.
-    virtual void prepare_forward(boost::beast::http::fields& fields,
-                                 const forward_metadata& metadata) const = 0;
+    /// @return a `failure` if part of the metadata cannot be the value of a field
+    virtual io_result<void> prepare_forward(boost::beast::http::fields& fields,
+                                            const forward_metadata& metadata) const = 0;
 
     virtual response_traits read_response(const boost::beast::http::fields& fields) const = 0;
 
--- a/packages/traffic/src/chat_handler.cpp
+++ b/packages/traffic/src/chat_handler.cpp
@@ -4,6 +4,7 @@
 #include "citronwick/control/control_plane.hpp"
 #include "citronwick/control/load_report.hpp"
 #include "citronwick/control/suspect_registry.hpp"
+#include "citronwick/core/field_value.hpp"
 #include "citronwick/core/hash.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
@@ -447,7 +448,7 @@
     /// @return null if the stream cannot be resumed
     task<std::unique_ptr<upstream_connection>> resume(const upstream_view& upstream,
                                                       std::string last_event_id, std::uint64_t incarnation) {
-        if (last_event_id.empty()) {
+        if (last_event_id.empty() || !is_field_value(last_event_id)) {
             co_return nullptr;
         }
         auto connection = thread_.pool.create(upstream.address);
--- a/packages/traffic/src/route_delivery.cpp
+++ b/packages/traffic/src/route_delivery.cpp
@@ -62,6 +62,10 @@
     if (remaining_time(now) <= 0ms) {
         co_return exchange_result{attempt_outcome::not_sent, "the deadline has passed"};
     }
+    auto forwarded = make_forwarded_header();
+    if (forwarded.has_error()) {
+        co_return exchange_result{attempt_outcome::not_sent, to_text(forwarded.error()), false, true};
+    }
     if (!in_flight.begin_send(is_cold, now)) {
         context_.counters.count_cold_send(service_->name, "no place");
         co_return exchange_result{attempt_outcome::not_sent, "the upstream has become cold meanwhile"};
@@ -82,7 +86,6 @@
     }
     upstream_exchange exchange{connection, context_.dialect, traits_.attempt_id,
                                placement_request_.request_hash};
-    auto forwarded = make_forwarded_header();
     const time_point overdue = attempt_deadline(now);
     const time_point latest = is_confirmation_ ? overdue : deadline_;
     exchange_result result;
@@ -91,7 +94,7 @@
         const overdue_response watched{executor, overdue < latest ? overdue : time_point::max(),
                                        [this] { return open_early_connection(); },
                                        [&] { return give_up_response(connection); }};
-        result = co_await exchange.run(std::move(forwarded), body_, max_body_bytes, latest);
+        result = co_await exchange.run(std::move(*forwarded), body_, max_body_bytes, latest);
     }
     if (exchange.skipped_responses() > 0) {
         context_.counters.count_skipped_responses(service_->name, exchange.skipped_responses());
@@ -140,7 +143,7 @@
     co_return result;
 }
 
-http::request_header<> route_exchange::make_forwarded_header() const {
+io_result<http::request_header<>> route_exchange::make_forwarded_header() const {
     http::request_header<> forwarded = request_.base();
     forward_metadata metadata{.upstream = placement_->upstream.entry.id,
                               .team = team_ == nullptr ? std::string{} : team_->name,
@@ -158,8 +161,10 @@
     if (placement_->fetch_from) {
         metadata.fetch_from = placement_->fetch_from->address;
     }
-    context_.dialect.prepare_forward(forwarded, metadata);
-    return forwarded;
+    const auto prepared = context_.dialect.prepare_forward(forwarded, metadata);
+    using header_result = io_result<http::request_header<>>;
+    return prepared.has_error() ? header_result{boost::system::in_place_error, prepared.error()}
+                                : header_result{boost::system::in_place_value, std::move(forwarded)};
 }
 
 http_response route_exchange::make_response_head(const upstream_connection& connection) const {
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -126,7 +126,7 @@
     task<void> send_final_response();
     task<void> refuse(problem refusal);
     problem failure_problem(next_step step) const;
-    http::request_header<> make_forwarded_header() const;
+    io_result<http::request_header<>> make_forwarded_header() const;
     http_response make_response_head(const upstream_connection& connection) const;
     time_point attempt_deadline(time_point now) const;
     bool may_repeat_elsewhere(time_point now);
--- a/packages/traffic/tests/upstream_exchange.tests.cpp
+++ b/packages/traffic/tests/upstream_exchange.tests.cpp
@@ -29,7 +29,10 @@
 class test_dialect final : public request_dialect {
 public:
     request_traits read_request(const http::fields& /*fields*/) const override { return {}; }
-    void prepare_forward(http::fields& /*fields*/, const forward_metadata& /*metadata*/) const override {}
+    io_result<void> prepare_forward(http::fields& /*fields*/,
+                                    const forward_metadata& /*metadata*/) const override {
+        return {};
+    }
     void prepare_response(http::fields& /*fields*/) const override {}
     response_traits read_response(const http::fields& fields) const override {
         return {.attempt_id = std::string{fields["Request"]},
--- a/tests/integration/odd_entries.tests.cpp
+++ b/tests/integration/odd_entries.tests.cpp
@@ -99,3 +99,37 @@
         fleet.remove_key(folder + name);
     }
 }
+
+TEST_CASE("proof: the name of an entry adds no header field to a request") {
+    routed_fleet fleet{{.routers = 2, .plain_workers = 2, .engines = 0}};
+    REQUIRE(fleet.wait_ready());
+    std::mutex mutex;
+    std::vector<std::string> headers;
+    const scripted_worker other{"other", [&](boost::asio::ip::tcp::socket& connection) {
+                                    const std::string header = read_request(connection);
+                                    {
+                                        const std::scoped_lock lock{mutex};
+                                        headers.push_back(header);
+                                    }
+                                    const std::string response =
+                                        response_header(header) + "Content-Length: 0\r\n\r\n";
+                                    boost::asio::write(connection, boost::asio::buffer(response));
+                                }};
+    const auto entry = [&](const std::string& address) {
+        return R"({"service":"desk","address":")" + address +
+               R"(","zone":"busan-a","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"seq":1,"born":1})";
+    };
+    for (const std::string& name : unusable_names) {
+        fleet.put_key("servers/" + name, entry(to_text(other.entry().address())));
+    }
+    fleet.put_key("servers/scoped", entry("[::ffff:127.0.0.1%0\\r\\nX-Injected: yes]:" +
+                                          std::to_string(other.entry().address().port)));
+    restart_all_routers(fleet);
+    REQUIRE(fleet.wait_ready());
+    CHECK(count_served(fleet, "sound") == 12);
+    for (const node& router : fleet.routers()) {
+        CHECK(count_upstreams(fleet, router, "desk") == 2);
+    }
+    const std::scoped_lock lock{mutex};
+    CHECK(headers.empty());
+}
