Log an unusable entry of an upstream once, and count those in the store

Operators saw the same refusal with each listing, with the bytes of the name as they are, and no figure.

Evidence: "proof: odd entries cost no worker, whether they are watched, passed on or in a restored store" fails before for the lines and the gauge, and passes now; that no worker was lost beside such entries once they could be listed was so before.

Why it works: declared_fleet keeps the hash of the text of each unusable entry until it is mended, removed or no longer listed, and logs it again only if the text has changed. citronwick_unusable_upstream_entries tells how many there are.

--- a/packages/fleet/include/citronwick/fleet/routing_view.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_view.hpp
@@ -85,6 +85,7 @@
     /// Failure domains whose upstreams get nothing by the operators' order.
     std::size_t evacuated_domains = 0;
     std::map<std::string, std::size_t, std::less<>> evacuated; ///< number of these upstreams, by service
+    std::size_t unusable_entries = 0; ///< of the store, from which no upstream can be read
 
     /// The upstream of the service that accepts new requests under a hash, null if there is none.
     const routed_upstream* find(std::string_view service, std::uint64_t upstream) const;
--- a/packages/fleet/src/declared_fleet.cpp
+++ b/packages/fleet/src/declared_fleet.cpp
@@ -2,11 +2,13 @@
 
 #include "citronwick/control/suspect_registry.hpp"
 #include "citronwick/core/hash.hpp"
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/io/log.hpp"
 
 #include <algorithm>
 #include <ranges>
 #include <set>
+#include <utility>
 
 namespace citronwick {
 
@@ -62,6 +64,7 @@
             listed.insert(item.key.substr(layout_.upstream_prefix.size()));
         }
     }
+    std::erase_if(refused_, [&](const auto& each) { return !listed.contains(each.first); });
     for (const ended_upstream& ended : directory_.retain(listed, listing.position, usable_until)) {
         handle_end(ended, now);
     }
@@ -150,7 +153,7 @@
     const bool is_changed = change.value ? evacuated_.insert(domain).second : evacuated_.erase(domain) > 0;
     if (is_changed) {
         log_info(change.value ? "evacuation_in_force" : "evacuation_ended",
-                 {{"failure_domain", domain}, {"position", to_text(change.position)}});
+                 {{"failure_domain", printable(domain)}, {"position", to_text(change.position)}});
     }
 }
 
@@ -161,7 +164,7 @@
                                                  &kv_item::key) != listing.items.end();
         if (!is_listed) {
             log_info("evacuation_ended",
-                     {{"failure_domain", domain}, {"position", to_text(listing.position)}});
+                     {{"failure_domain", printable(domain)}, {"position", to_text(listing.position)}});
         }
         return !is_listed;
     });
@@ -171,8 +174,9 @@
                                     time_point now) {
     const std::string id = change.key.substr(layout_.upstream_prefix.size());
     if (!change.value) {
+        refused_.erase(id);
         const auto ended = directory_.remove(id, change.position, usable_until, "entry removed");
-        log_info("upstream_entry_removed", {{"upstream", id},
+        log_info("upstream_entry_removed", {{"upstream", printable(id)},
                                             {"position", to_text(change.position)},
                                             {"may_have_lapsed", usable_until ? "yes" : "no"}});
         handle_end(ended, now);
@@ -180,10 +184,10 @@
     }
     const auto entry = adapter_.decode_upstream(id, *change.value);
     if (entry.has_error()) {
-        log_failure("upstream_entry_refused", entry.error());
-        handle_end(directory_.remove(id, change.position, std::nullopt, "entry unreadable"), now);
+        refuse_upstream(id, change, entry.error(), now);
         return;
     }
+    refused_.erase(id);
     handle_end(directory_.put(*entry, change.position, now), now);
     log_info("upstream_learnt", {{"upstream", entry->id},
                                  {"service", entry->service},
@@ -195,6 +199,16 @@
                                  {"position", to_text(change.position)}});
 }
 
+void declared_fleet::refuse_upstream(const std::string& id, const kv_change& change, const failure& error,
+                                     time_point now) {
+    const std::uint64_t text = hash64(*change.value);
+    const auto [known, is_new] = refused_.try_emplace(id, text);
+    if (is_new || std::exchange(known->second, text) != text) {
+        log_failure("upstream_entry_refused", error);
+    }
+    handle_end(directory_.remove(id, change.position, std::nullopt, "entry unreadable"), now);
+}
+
 void declared_fleet::handle_end(const std::optional<ended_upstream>& ended, time_point now) {
     if (ended) {
         handle_end(*ended, now);
--- a/packages/fleet/src/declared_fleet.hpp
+++ b/packages/fleet/src/declared_fleet.hpp
@@ -5,6 +5,8 @@
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/upstream_directory.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -66,11 +68,16 @@
     /// Hashes of all known incarnations.
     std::set<std::uint64_t> hashes() const { return directory_.hashes(); }
 
+    /// Number of entries in the store from which no upstream can be read.
+    std::size_t unusable_entries() const { return refused_.size(); }
+
 private:
     void apply_configuration(const kv_change& change);
     void apply_evacuation(const kv_change& change);
     void retain_evacuations(const kv_listing& listing);
     void apply_upstream(const kv_change& change, std::optional<time_point> usable_until, time_point now);
+    void refuse_upstream(const std::string& id, const kv_change& change, const failure& error,
+                         time_point now);
     void handle_end(const std::optional<ended_upstream>& ended, time_point now);
     void handle_end(const ended_upstream& ended, time_point now);
     void record_crash(const upstream_entry& crashed, time_point now);
@@ -82,6 +89,8 @@
     crash_detector crash_detector_;
     std::shared_ptr<const routing_configuration> config_;
     std::set<std::string> evacuated_; ///< failure domains
+    /// Hashes of the texts of unusable entries, by identifier, so that each is logged once.
+    std::map<std::string, std::uint64_t> refused_;
 };
 
 } // namespace citronwick
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -296,6 +296,7 @@
         next->position = follower_.position();
         next->evacuated_domains = declared_.evacuated_domains().size();
         next->evacuated = declared_.evacuated_upstreams();
+        next->unusable_entries = declared_.unusable_entries();
         set_cold_allowances(*next, now);
         loads_.clear();
         for (const auto& [service, upstreams] : next->upstreams) {
--- a/packages/fleet/tests/declared_fleet.tests.cpp
+++ b/packages/fleet/tests/declared_fleet.tests.cpp
@@ -12,6 +12,8 @@
 
 const time_point start{std::chrono::hours{1}};
 
+constexpr std::string_view unreadable = "?";
+
 /// Platform whose upstream entries hold nothing but a failure domain.
 class plain_adapter final : public platform_adapter {
 public:
@@ -27,6 +29,9 @@
         return failure{"decode", "test", "not used"};
     }
     io_result<upstream_entry> decode_upstream(std::string_view id, std::string_view text) const override {
+        if (text == unreadable) {
+            return failure{"decode", std::string{id}, "unreadable"};
+        }
         return upstream_entry{.id = std::string{id},
                               .service = "desk",
                               .address = {"10.0.0.1", 80},
@@ -96,3 +101,19 @@
     declared.fleet.retain_listed(listing, std::nullopt, start);
     CHECK(declared.usable() == "a");
 }
+
+TEST_CASE("unusable entries are counted until they are mended, removed or no longer listed") {
+    two_domains declared;
+    declared.put("upstreams/v", std::string{unreadable}, 3);
+    declared.put("upstreams/w", std::string{unreadable}, 4);
+    declared.put("upstreams/z", std::string{unreadable}, 5);
+    declared.put("upstreams/z", std::string{unreadable}, 6);
+    CHECK(declared.usable() == "ab");
+    CHECK(declared.fleet.unusable_entries() == 3);
+    declared.put("upstreams/v", "a", 7);
+    declared.put("upstreams/w", std::nullopt, 8);
+    CHECK(declared.fleet.unusable_entries() == 1);
+    declared.fleet.retain_listed({.items = {{"upstreams/x", "a", {1}}}, .position = {9}}, std::nullopt,
+                                 start);
+    CHECK(declared.fleet.unusable_entries() == 0);
+}
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -98,6 +98,10 @@
                                            .Name("citronwick_evacuated_failure_domains")
                                            .Help("Failure domains whose upstreams get no requests by order")
                                            .Register(registry);
+    Family<Gauge>& unusable_entries = prometheus::BuildGauge()
+                                          .Name("citronwick_unusable_upstream_entries")
+                                          .Help("Entries in the store from which no upstream can be read")
+                                          .Register(registry);
     Family<Gauge>& version = prometheus::BuildGauge()
                                  .Name("citronwick_declaration_version")
                                  .Help("Version of the declaration in force")
@@ -204,6 +208,7 @@
             .Set(static_cast<double>(outcomes.failed));
     }
     families_->evacuated_domains.Add({}).Set(static_cast<double>(view->evacuated_domains));
+    families_->unusable_entries.Add({}).Set(static_cast<double>(view->unusable_entries));
     const auto now = clock::now();
     for (const auto& [service, upstreams] : view->upstreams) {
         families_->upstreams.Add({{"service", service}}).Set(static_cast<double>(upstreams.size()));
--- a/tests/integration/odd_entries.tests.cpp
+++ b/tests/integration/odd_entries.tests.cpp
@@ -100,6 +100,41 @@
     }
 }
 
+TEST_CASE("proof: odd entries cost no worker, whether they are watched, passed on or in a restored store") {
+    routed_fleet fleet{{.routers = 4, .plain_workers = 3, .engines = 1, .failure_domains = 2}};
+    REQUIRE(fleet.wait_ready());
+    set_fault(fleet.store(), single_item_pages);
+    for (const std::string& name : odd_names) {
+        fleet.put_key("servers/" + name, "{}");
+        fleet.put_key("notes/" + name, "{}");
+    }
+    const auto check_served = [&](const std::string& label) {
+        CAPTURE(label);
+        CHECK(fleet.wait_ready());
+        CHECK(count_served(fleet, label) == 24);
+        for (const node& router : fleet.routers()) {
+            CHECK(count_upstreams(fleet, router, "desk") == 3);
+        }
+    };
+    check_served("watched");
+    set_fault(fleet.store(), R"({"page_items":1,"copy":1})");
+    set_fault(fleet.store(), R"({"page_items":1,"restore":1})");
+    fleet.write_keys_again();
+    check_served("restored");
+    const std::string gauge =
+        "citronwick_unusable_upstream_entries " + std::to_string(odd_names.size()) + "\n";
+    for (const node& router : fleet.routers()) {
+        const auto logged = [&] { return find_log_lines(router, "upstream_entry_refused").size(); };
+        CHECK(wait_until([&] {
+            return http_call(router.addresses.at(1), {.target = "/metrics"}).body.find(gauge) !=
+                   std::string::npos;
+        }));
+        // Once for each entry, although the restored store was listed, too.
+        CHECK(wait_until([&] { return logged() >= odd_names.size(); }));
+        CHECK(logged() == odd_names.size());
+    }
+}
+
 TEST_CASE("proof: the name of an entry adds no header field to a request") {
     routed_fleet fleet{{.routers = 2, .plain_workers = 2, .engines = 0}};
     REQUIRE(fleet.wait_ready());
