Register a router only under the key that names it

What callers could get: requests refused because the routers sent their messages elsewhere. An entry under routers/X that named router Y replaced Y's address and incarnation.

Why it works: an entry counts only if its member vm is the last part of its key, as every landing writes it.

--- a/packages/fleet/src/fleet_registration.cpp
+++ b/packages/fleet/src/fleet_registration.cpp
@@ -1,6 +1,7 @@
 #include "fleet_registration.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
 #include "citronwick/policy/retry_delay.hpp"
@@ -75,8 +76,15 @@
 }
 
 void fleet_registration::apply_router_entry(const std::string& key, const kv_change& change) {
-    const bool is_self = key.substr(router_prefix.size()) == self_.vm;
-    const auto entry = change.value ? parse_json_object(*change.value) : std::nullopt;
+    const std::string vm = key.substr(router_prefix.size());
+    const bool is_self = vm == self_.vm;
+    auto entry = change.value ? parse_json_object(*change.value) : std::nullopt;
+    if (entry && (vm.empty() || string_member(*entry, "vm") != vm)) {
+        log_warn("router_entry_refused", {{"router", printable(vm)},
+                                          {"reason", "names another router"},
+                                          {"position", to_text(change.position)}});
+        entry.reset();
+    }
     if (is_self) {
         const bool is_own = entry && string_member(*entry, "start") == start_id_;
         if (is_own && !entry_is_own_) {
@@ -84,13 +92,13 @@
         }
         entry_is_own_ = is_own;
     } else if (entry) {
-        listener_.on_router({.vm = string_member(*entry, "vm"),
+        listener_.on_router({.vm = vm,
                              .region = string_member(*entry, "region"),
                              .failure_domain = string_member(*entry, "failure_domain"),
                              .fleet_address = string_member(*entry, "fleet_address"),
                              .incarnation = to_sequence_number(change.position)});
     } else {
-        listener_.on_router_removed(key.substr(router_prefix.size()));
+        listener_.on_router_removed(vm);
     }
 }
 
--- a/packages/fleet/tests/fleet_registration.tests.cpp
+++ b/packages/fleet/tests/fleet_registration.tests.cpp
@@ -116,3 +116,16 @@
     CHECK(reader.routers.size() == 1);
     CHECK(reader.removed == std::vector<std::string>{"entry-a2"});
 }
+
+TEST_CASE("an entry registers only the router that its key names") {
+    registering_router reader;
+    reader.registration.apply({prefix + "routers/entry-a2", recorded_entry, {7, 2}});
+    CHECK(reader.routers.empty());
+    std::string unnamed = recorded_entry;
+    unnamed.replace(unnamed.find("\"entry-a1\""), std::string{"\"entry-a1\""}.size(), "7");
+    reader.registration.apply({prefix + "routers/entry-a1", unnamed, {8, 2}});
+    reader.registration.apply({prefix + "routers/", unnamed, {9, 2}});
+    CHECK(reader.routers.empty());
+    reader.registration.apply({prefix + "routers/entry-a1", recorded_entry, {10, 2}});
+    CHECK(reader.routers.size() == 1);
+}
