Wait between listings for an era that the store does not bear out

What callers could get: a router that lists the whole store again and again without a pause. An era in the header field of one response, higher than the store's own, made each listing look outdated at once.

Why it works: a listing of an older era than the newest one named is applied as before, but the next one waits, longer each time.

--- a/packages/fleet/src/store_follower.cpp
+++ b/packages/fleet/src/store_follower.cpp
@@ -253,6 +253,7 @@
                                       {"in_row", std::to_string(older_answers_in_row_)}});
 }
 
+/// @return false if the next listing has to wait
 task<bool> store_follower::list() {
     const auto requested_at = boot_now();
     auto listing = co_await store_.list("");
@@ -265,7 +266,8 @@
         refuse_older(listing->position);
         co_return false;
     }
-    older_answers_in_row_ = 0;
+    // One response may have named an era that is not the store's.
+    older_answers_in_row_ = listing->position.era < store_.newest_era() ? older_answers_in_row_ + 1 : 0;
     if (position_ > store_position{} && listing->position.era > position_.era) {
         log_warn("store_restored", {{"position", to_text(listing->position)}, {"known", to_text(position_)}});
         outage_.record_restoration(clock::now());
@@ -277,7 +279,7 @@
     notified_position_ = std::max(notified_position_, position_);
     listener_.on_listing(*listing, outage_.lapse_window_end(clock::now()));
     report_confirmed(requested_at);
-    co_return true;
+    co_return !has_era_changed();
 }
 
 task<bool> store_follower::watch(std::chrono::milliseconds wait) {
--- a/packages/fleet/tests/store_follower.tests.cpp
+++ b/packages/fleet/tests/store_follower.tests.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/fleet/store_follower.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,9 @@
     /// Delivers the next listing as if it had been sent in an earlier era.
     void send_older_listings(bool is_older) { sends_older_ = is_older; }
     std::int64_t listings() const { return listings_; }
+
+    /// Has a response name an era that is none of the store's.
+    void name_era(std::uint64_t era) { newest_era_ = era; }
     std::int64_t failed_calls() const { return failed_calls_; }
 
     kv_change remove(std::string key) {
@@ -44,7 +48,9 @@
             co_return fail();
         }
         ++listings_;
-        newest_era_ = sends_older_ ? newest_era_ : era_;
+        newest_era_ = sends_older_ ? newest_era_ : std::max(newest_era_, era_);
+        asio::steady_timer latency{timer_.get_executor(), 1ms};
+        co_await latency.async_wait(use_tuple);
         co_return kv_listing{.position = sends_older_ ? store_position{} : position()};
     }
 
@@ -54,7 +60,7 @@
         if (!is_serving_) {
             co_return fail();
         }
-        newest_era_ = era_;
+        newest_era_ = std::max(newest_era_, era_);
         co_return position();
     }
 
@@ -68,7 +74,7 @@
         if (!is_serving_) {
             co_return fail();
         }
-        newest_era_ = era_;
+        newest_era_ = std::max(newest_era_, era_);
         kv_changes found{.position = position(), .history_lost = era != era_ || after > revision_};
         std::ranges::copy_if(changes_, std::back_inserter(found.changes),
                              [after](const kv_change& each) { return each.position.revision > after; });
@@ -258,3 +264,17 @@
     CHECK(seen.confirmations == confirmations + 1);
     CHECK(seen.store.failed_calls() <= 3);
 }
+
+TEST_CASE("an era that a response names and the listings do not bear out is not listed for without a pause") {
+    followed_store followed;
+    followed.follower.set_watcher(true);
+    followed.run(20ms);
+    const auto before = followed.store.listings();
+    followed.store.name_era(4'000'000'000);
+    followed.store.remove("second");
+    followed.follower.notify_position(followed.store.position());
+    followed.run(2s);
+    CHECK(followed.store.listings() > before);
+    CHECK(followed.store.listings() - before < 30);
+    CHECK(followed.follower.position() == followed.store.position());
+}
