Have an odd entry of the VM list cost no other one

What callers could get: engines and services that stay unknown, or do not leave, as one VM without a name or a usable address had the whole list refused.

Why it works: an entry without a usable name or address is logged and skipped. A list of which nothing can be read is refused as before, since it would remove all.

--- a/packages/control/src/vm_list.cpp
+++ b/packages/control/src/vm_list.cpp
@@ -1,9 +1,13 @@
 #include "citronwick/control/vm_list.hpp"
 
+#include "citronwick/core/field_value.hpp"
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/io/json_text.hpp"
+#include "citronwick/io/log.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
+#include <optional>
 
 namespace citronwick {
 
@@ -11,7 +15,8 @@
 
 namespace json = boost::json;
 
-result<listed_vm> parse_vm(const json::object& object, const std::string& source) {
+/// @return none if the VM's name or its address is missing or unusable
+std::optional<listed_vm> parse_vm(const json::object& object) {
     listed_vm vm{.name = string_member(object, "name"),
                  .is_router = string_member(object, "role") == "entry",
                  .service = string_member(object, "service"),
@@ -19,8 +24,8 @@
                  .failure_domain = string_member(object, "failure_domain"),
                  .leaving = string_member(object, "state") == "leaving"};
     const auto address = parse_endpoint(string_member(object, "address"));
-    if (vm.name.empty() || !address) {
-        return fail({"read VM list", source, "a VM has no name or no address: " + json::serialize(object)});
+    if (!is_vm_name(vm.name) || !address) {
+        return std::nullopt;
     }
     vm.address = *address;
     const double weight = number_member(object, "weight");
@@ -49,11 +54,17 @@
     }
     std::vector<listed_vm> vms;
     for (const json::value& entry : *entries) {
-        if (!entry.is_object()) {
-            return fail({"read VM list", source, "an entry is not an object"});
+        const auto* const object = entry.if_object();
+        auto vm = object == nullptr ? std::nullopt : parse_vm(*object);
+        if (vm) {
+            vms.push_back(std::move(*vm));
+        } else {
+            log_warn("vm_list_entry_refused",
+                     {{"source", source}, {"entry", printable(json::serialize(entry))}});
         }
-        BOOST_LEAF_AUTO(vm, parse_vm(entry.as_object(), source));
-        vms.push_back(std::move(vm));
+    }
+    if (vms.empty() && !entries->empty()) {
+        return fail({"read VM list", source, "no entry names a VM and its address"});
     }
     return vms;
 }
@@ -71,11 +82,11 @@
     while (!text.empty()) {
         const auto end = text.find('\n');
         const auto object = parse_json_object(text.substr(0, end));
-        if (!object) {
-            return fail({"read VM list", source, "a line is not a JSON object"});
+        auto vm = object ? parse_vm(*object) : std::nullopt;
+        if (!vm) {
+            return fail({"read VM list", source, "a line names no VM: " + printable(text.substr(0, end))});
         }
-        BOOST_LEAF_AUTO(vm, parse_vm(*object, source));
-        vms.push_back(std::move(vm));
+        vms.push_back(std::move(*vm));
         text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
     }
     return vms;
