--- a/packages/fleet/src/version_assignment.cpp
+++ b/packages/fleet/src/version_assignment.cpp
@@ -1,5 +1,6 @@
 #include "citronwick/fleet/version_assignment.hpp"
 
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/io/log.hpp"
@@ -111,7 +112,7 @@
     known.is_stored = !is_older;
     if (is_older) {
         log_warn("stream_versions_ignored",
-                 {{"service", service},
+                 {{"service", printable(service)},
                   {"reason", parsed ? "not newer than known" : "missing or unreadable"},
                   {"position", citronwick::to_text(change.position)}});
         return true;
--- a/tests/standin/form_query.hpp
+++ b/tests/standin/form_query.hpp
@@ -18,6 +18,8 @@
     /// @return none if the target holds other bytes than visible ASCII, or an incomplete "%XX"
     static std::optional<form_query> parse(std::string_view target);
 
+    bool has(const std::string& name) const { return values_.contains(name); }
+
     /// Value of a parameter, empty if it is missing.
     std::string text(const std::string& name) const;
 
--- a/tests/standin/metadata_store.cpp
+++ b/tests/standin/metadata_store.cpp
@@ -172,7 +172,7 @@
     json::array items;
     bool has_more = false;
     for (const auto& [key, stored] : items_) {
-        if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
+        if (!key.starts_with(prefix) || (query.has("after") && key <= after)) {
             continue;
         }
         if (items.size() == page_items_) {
