Refuse names of teams that no header field can carry

What callers could get: requests at plain services with header fields that nobody sent, as the name of a team, line breaks included, becomes the value of Citronwick-Team.

Evidence: the row with a line break in "an invalid declaration is rejected with file name and reason" fails before and passes now.

Why it works: a declaration is checked before it is in force, by citronctl and by each router.

--- a/packages/config/src/declaration.cpp
+++ b/packages/config/src/declaration.cpp
@@ -1,6 +1,7 @@
 #include "citronwick/config/declaration.hpp"
 
 #include "citronwick/config/table_reader.hpp"
+#include "citronwick/core/field_value.hpp"
 #include "citronwick/core/registry.hpp"
 #include "citronwick/policy/placement.hpp"
 
@@ -123,6 +124,9 @@
     if (read.weight <= 0.0) {
         reader.reject("weight", "expected a number above 0");
     }
+    if (!is_field_value(read.name)) {
+        reader.reject("name", "expected no control characters, and no blanks at its ends");
+    }
     return read;
 }
 
--- a/packages/config/tests/declaration.tests.cpp
+++ b/packages/config/tests/declaration.tests.cpp
@@ -65,6 +65,7 @@
         {"[[service]]\nname = \"x\"\nkind = \"engine\"\nmodels = [\"repair-draft\"]",
          "is already served by another service"},
         {"[[team]]\nname = \"x\"\nkey_sha256 = \"12\"", "64 lower-case"},
+        {"[[team]]\nname = \"x\\r\\nX-Injected: yes\"\nkey_sha256 = \"12\"", "no control characters"},
         {"[preset.empty\n", "syntax"},
     };
     for (const auto& row : rows) {
