Escape control characters in log lines

What operators could see: lines of a router's log that end early or recolour the terminal, as values from entries, callers and upstreams were quoted only for blanks, quotes, "=" and line feeds.

Evidence: "proof: control characters in an entry reach no log line as they are" fails before (3 checks), and passes now.

Why it works: a value with any control character is written as a JSON string, which escapes it.

--- a/packages/io/src/log.cpp
+++ b/packages/io/src/log.cpp
@@ -95,8 +95,13 @@
 
 std::atomic<log_format> active_format{log_format::key_value};
 
+/// Control characters are escaped within quotes.
 bool needs_quotes(const std::string& value) {
-    return value.empty() || value.find_first_of(" =\"\n") != std::string::npos;
+    const auto needs = [](char each) {
+        const auto byte = static_cast<unsigned char>(each); // plain char is signed on some machines
+        return byte <= ' ' || each == '=' || each == '"';
+    };
+    return value.empty() || std::ranges::any_of(value, needs);
 }
 
 std::string as_key_value(std::string_view event, std::initializer_list<log_field> fields) {
--- a/tests/integration/odd_entries.tests.cpp
+++ b/tests/integration/odd_entries.tests.cpp
@@ -168,3 +168,16 @@
     const std::scoped_lock lock{mutex};
     CHECK(headers.empty());
 }
+
+TEST_CASE("proof: control characters in an entry reach no log line as they are") {
+    routed_fleet fleet{{.routers = 1, .plain_workers = 1, .engines = 0}};
+    REQUIRE(fleet.wait_ready());
+    fleet.put_key("servers/coloured",
+                  R"({"service":"desk","address":"127.0.0.1:9","zone":"busan\u001b[31m\r","version":"v1",)"
+                  R"("slots":8,"state":"draining","coldRemainingMs":0,"seq":1,"born":1})");
+    const node& router = fleet.routers().front();
+    CHECK(wait_until([&] { return find_log_lines(router, "upstream=coloured").size() == 1; }));
+    CHECK(find_log_lines(router, "\x1b").empty());
+    CHECK(find_log_lines(router, "\r").empty());
+    CHECK(find_log_lines(router, R"(failure_domain="busan\u001b[31m\r")").size() == 1);
+}
