--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -48,6 +48,9 @@
 /// Orders of operators about failure domains, and upstreams that come back cold. They run by name only.
 std::span<const fault> domain_faults();
 
+/// Keys and entries of other writers in the store. They run by name only.
+std::span<const fault> entry_faults();
+
 std::chrono::milliseconds pick_time(std::mt19937_64& random, int least, int most);
 
 } // namespace citronwick::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,7 +56,7 @@
                 not drawn unless named: brittle_upstreams copy_refusals silent_links
                 release_engines change_version reuse_address freeze_worker freeze_store cut_from_store
                 reset_streams early_streams early_refusals lose_answers surplus_streams leave_streams
-                evacuate cool_worker;
+                evacuate cool_worker odd_entries;
                 and, as known to break guarantees, not drawn unless named:
                 close_unframed_streams omit_resumed.
   --deadline MS  Time that callers give each request [default: 2000].
@@ -110,8 +110,9 @@
 
 /// The fault with a name, if there is one.
 std::span<const fault> find_faults(std::string_view name) {
-    for (const auto all : {fleet_faults(), process_faults(), stream_faults(), load_faults(),
-                           separate_faults(), release_faults(), connection_faults(), domain_faults()}) {
+    for (const auto all :
+         {fleet_faults(), process_faults(), stream_faults(), load_faults(), separate_faults(),
+          release_faults(), connection_faults(), domain_faults(), entry_faults()}) {
         const auto found = std::ranges::find(all, name, &fault::name);
         if (found != all.end()) {
             return {found, 1};
