Have citronctl show the rest of a view that has an odd part

What operators saw: "array required" or "out of range" instead of the status of the fleet, if one service of a view was no list or one upstream no object, and terminal escapes in names as they are.

--- a/packages/ctl/src/request_timeline.cpp
+++ b/packages/ctl/src/request_timeline.cpp
@@ -1,5 +1,6 @@
 #include "request_timeline.hpp"
 
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "command_context.hpp"
 
@@ -126,7 +127,7 @@
     for (const auto& [name, value] : line.fields) {
         const bool is_shown = name != "event" && name != "request" && value.is_string();
         if (is_shown) {
-            text += fmt::format(" {}={}", std::string_view{name}, std::string_view{value.as_string()});
+            text += fmt::format(" {}={}", printable(name), printable(value.as_string()));
         }
     }
     return text;
--- a/packages/ctl/src/router_commands.cpp
+++ b/packages/ctl/src/router_commands.cpp
@@ -1,6 +1,7 @@
 #include "router_commands.hpp"
 
 #include "citronwick/core/hash.hpp"
+#include "citronwick/core/printable_text.hpp"
 #include "citronwick/core/registry.hpp"
 #include "citronwick/io/json_text.hpp"
 #include "citronwick/policy/load_bound.hpp"
@@ -23,12 +24,19 @@
 
 namespace json = boost::json;
 
+/// Entries of one service's upstreams in a view; none of another type.
+std::vector<json::object> upstreams_of(const json::object& services, std::string_view name) {
+    std::vector<json::object> upstreams;
+    for_each_object(services, name, [&](const json::object& each) { upstreams.push_back(each); });
+    return upstreams;
+}
+
 /// Largest load over mean load of the upstreams, "-" if there is no load.
-std::string format_skew(const json::array& upstreams) {
+std::string format_skew(const std::vector<json::object>& upstreams) {
     double total = 0.0;
     double max_load = 0.0;
-    for (const json::value& each : upstreams) {
-        const double load = number_member(each.as_object(), "in_flight");
+    for (const json::object& each : upstreams) {
+        const double load = number_member(each, "in_flight");
         total += load;
         max_load = std::max(max_load, load);
     }
@@ -37,25 +45,24 @@
 }
 
 void print_upstreams(const command_context& command, const json::object& services) {
-    for (const auto& [name, value] : services) {
-        const json::array& upstreams = value.as_array();
-        command.out << fmt::format("\nservice {} (skew {})\n", std::string_view{name},
-                                   format_skew(upstreams));
+    for (const auto& service : services) {
+        const std::string_view name{service.key()};
+        const auto upstreams = upstreams_of(services, name);
+        command.out << fmt::format("\nservice {} (skew {})\n", printable(name), format_skew(upstreams));
         command.out << fmt::format("  {:<20} {:<16} {:<12} {:>9}\n", "upstream", "failure domain", "state",
                                    "in flight");
-        for (const json::value& each : upstreams) {
-            const auto& upstream = each.as_object();
-            command.out << fmt::format("  {:<20} {:<16} {:<12} {:>9.1f}\n", string_member(upstream, "name"),
-                                       string_member(upstream, "failure_domain"),
-                                       string_member(upstream, "state"),
-                                       number_member(upstream, "in_flight"));
+        for (const json::object& each : upstreams) {
+            command.out << fmt::format(
+                "  {:<20} {:<16} {:<12} {:>9.1f}\n", printable(string_member(each, "name")),
+                printable(string_member(each, "failure_domain")), printable(string_member(each, "state")),
+                number_member(each, "in_flight"));
         }
     }
 }
 
 void print_evacuated(const command_context& command, const json::object& view) {
     for (const std::string& domain : string_array_member(view, "evacuated")) {
-        command.out << "\nfailure domain " << domain << " is evacuated\n";
+        command.out << "\nfailure domain " << printable(domain) << " is evacuated\n";
     }
 }
 
@@ -72,7 +79,7 @@
                                       : fmt::format("{:.2f}", router.cached_tokens / router.prompt_tokens);
         command.out << fmt::format("{:<24} {:>10} {:<14} {:>6} {:>14.0f} {:>8}\n", to_text(router.address),
                                    integer_member(*router.view, "generation"),
-                                   string_member(*router.view, "preset"),
+                                   printable(string_member(*router.view, "preset")),
                                    integer_member(*router.view, "live_routers"), router.control_bytes, reuse);
     }
 }
@@ -95,7 +102,9 @@
         print_routers(command, routers);
         if (first_reachable != routers.end()) {
             print_evacuated(command, *first_reachable->view);
-            print_upstreams(command, (*first_reachable->view).at("services").as_object());
+            if (const auto* const services = object_member(*first_reachable->view, "services")) {
+                print_upstreams(command, *services);
+            }
         }
     }
     const bool all_reachable =
@@ -114,11 +123,11 @@
 }
 
 /// Builds placement candidates with equal weights; each refers to its entry in `names`.
-std::vector<candidate> make_candidates(const json::array& upstreams, std::vector<std::string>& names) {
+std::vector<candidate> make_candidates(const std::vector<json::object>& upstreams,
+                                       std::vector<std::string>& names) {
     std::vector<candidate> candidates;
     names.reserve(upstreams.size());
-    for (const json::value& each : upstreams) {
-        const auto& upstream = each.as_object();
+    for (const json::object& upstream : upstreams) {
         const std::string& name = names.emplace_back(string_member(upstream, "name"));
         candidates.push_back({hash64(name),
                               name,
@@ -148,10 +157,10 @@
                        << "\n";
         return served_by == nullptr ? exit_code::usage : exit_code::failed;
     }
-    const auto* const upstreams =
-        array_member((*routers.front().view).at("services").as_object(), served_by->name);
+    const auto* const services = object_member(*routers.front().view, "services");
     std::vector<std::string> names;
-    const auto candidates = make_candidates(upstreams == nullptr ? json::array{} : *upstreams, names);
+    const auto candidates = make_candidates(
+        services == nullptr ? std::vector<json::object>{} : upstreams_of(*services, served_by->name), names);
     const preset& settings = base->value.active;
     const std::uint64_t chat_hash = hash64(options.chat, hash64(options.team));
     const auto now = clock::now();
