Check what the key-value service's answers to leases and writes name

What callers could get: claims and entries that never lapse, as an answer without a lease counted as lease 0, which means none.

Evidence: "a lease that the key-value service does not name is none" (5 forms) and "a write to the key-value service whose response names no revision may have taken effect" fail before and pass now.

Why it works: as for the platform's store, a lease and a revision must be positive.

--- a/packages/io/src/etcd_gateway_client.cpp
+++ b/packages/io/src/etcd_gateway_client.cpp
@@ -99,7 +99,12 @@
         if (response.has_error()) {
             co_return response.error();
         }
-        co_return parse_swap(*response);
+        auto outcome = parse_swap(*response);
+        if (outcome.succeeded && outcome.revision <= 0) {
+            co_return failure{"/v3/kv/txn", to_text(servers_[server_]), "the response names no revision",
+                              true};
+        }
+        co_return outcome;
     }
 
     task<io_result<kv_lease>> grant_lease(std::chrono::seconds time_to_live) override {
@@ -109,8 +114,12 @@
         if (response.has_error()) {
             co_return response.error();
         }
-        co_return kv_lease{integer_member(*response, "ID"),
-                           std::chrono::seconds{integer_member(*response, "TTL")}};
+        const auto lease = integer_member(*response, "ID");
+        if (lease <= 0) {
+            co_return failure{"/v3/lease/grant", to_text(servers_[server_]), "the response names no lease",
+                              true};
+        }
+        co_return kv_lease{lease, std::chrono::seconds{integer_member(*response, "TTL")}};
     }
 
     task<io_result<bool>> wait_for_change(std::string key, std::int64_t after_revision,
