Count the upstreams of declared services only

What operators could get: a series of metrics for each service that some entry of another writer ever named, for the life of the router.

Evidence: "proof: a service that only entries name is no label of a metric" fails before, and passes now. Line breaks in labels were escaped before, by the library.

Why it works: a service that no configuration in force declares gets no requests, and its upstreams are counted nowhere.

--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -211,6 +211,10 @@
     families_->unusable_entries.Add({}).Set(static_cast<double>(view->unusable_entries));
     const auto now = clock::now();
     for (const auto& [service, upstreams] : view->upstreams) {
+        // Entries may name any service, and each would remain as a series.
+        if (view->config == nullptr || view->config->find_service(service) == nullptr) {
+            continue;
+        }
         families_->upstreams.Add({{"service", service}}).Set(static_cast<double>(upstreams.size()));
         const auto cold = std::ranges::count_if(
             upstreams, [now](const routed_upstream& each) { return each.is_cold(now); });
--- a/tests/integration/odd_entries.tests.cpp
+++ b/tests/integration/odd_entries.tests.cpp
@@ -181,3 +181,16 @@
     CHECK(find_log_lines(router, "\r").empty());
     CHECK(find_log_lines(router, R"(failure_domain="busan\u001b[31m\r")").size() == 1);
 }
+
+TEST_CASE("proof: a service that only entries name is no label of a metric") {
+    routed_fleet fleet{{.routers = 1, .plain_workers = 1, .engines = 0}};
+    REQUIRE(fleet.wait_ready());
+    fleet.put_key("servers/odd",
+                  R"({"service":"ghost\nX 1","address":"127.0.0.1:9","zone":"busan-a","version":"v1",)"
+                  R"("slots":8,"state":"ready","coldRemainingMs":0,"seq":1,"born":1})");
+    const node& router = fleet.routers().front();
+    const auto page = [&] { return http_call(router.addresses.at(1), {.target = "/metrics"}).body; };
+    CHECK(wait_until([&] { return find_log_lines(router, "upstream=odd").size() == 1; }));
+    CHECK(page().find("ghost") == std::string::npos);
+    CHECK(page().find("citronwick_usable_upstreams{service=\"desk\"} 1") != std::string::npos);
+}
