--- a/review/7/case.cpp
+++ b/review/7/case.cc
@@ -1,6 +1,6 @@
 // After one crash of a worker, whole streams of sound workers are ended without their end for minutes.
 
-#include "model_worker.hpp"
+#include "model_worker.h"
 
 using namespace rig;
 
@@ -9,9 +9,9 @@
 constexpr int workers_of_service = 9;
 constexpr int events_of_stream = 13;
 constexpr milliseconds event_interval{20};
-constexpr milliseconds down_for{2'000};      ///< the worker's process
-constexpr milliseconds calm{7'000};          ///< after the worker is back; machines are in touch after 3 s
-constexpr milliseconds client_gap{3'200};    ///< four times the objective of 800 ms
+constexpr milliseconds down_for{2'000};   ///< the worker's process
+constexpr milliseconds calm{7'000};       ///< after the worker is back; machines are in touch after 3 s
+constexpr milliseconds client_gap{3'200}; ///< four times the objective of 800 ms
 constexpr int clients = 10;
 constexpr int requests_of_client = 20;
 constexpr int unframed_request = 10; ///< of each client, on a connection that has served ten others
@@ -36,14 +36,15 @@
 
 std::string attempt_id(int client, int number) {
     char id[32];
-    std::snprintf(id, sizeof id, "9c41d0%02x%04x%s", client, number, number == unframed_request ? "5f00" : "5f68");
+    std::snprintf(id, sizeof id, "9c41d0%02x%04x%s", client, number,
+                  number == unframed_request ? "5f00" : "5f68");
     return id;
 }
 
 struct counts {
     std::atomic<int> whole = 0;
-    std::atomic<int> lost = 0;     ///< on a kept connection, which closed without the end of the answer
-    std::atomic<int> others = 0;   ///< refused, failed, or on a new connection
+    std::atomic<int> lost = 0;   ///< on a kept connection, which closed without the end of the answer
+    std::atomic<int> others = 0; ///< refused, failed, or on a new connection
 };
 
 /// Sends requests one after the other, on one connection as long as that stays open.
@@ -60,14 +61,16 @@
         const std::string attempt = attempt_id(client, number);
         write_all(socket, request_text("/lohu930/2f", attempt));
         const answer received = read_answer(socket, input, client_gap);
-        const bool is_whole = received.is_whole && received.head.status() == 200 && received.body == whole_stream();
+        const bool is_whole =
+            received.is_whole && received.head.status() == 200 && received.body == whole_stream();
         const bool is_lost = !received.is_whole && served > 0 && received.end == "connection closed";
         ++(is_whole ? seen.whole : is_lost ? seen.lost : seen.others);
         if (!is_whole || is_unframed(attempt)) {
-            log.line("client " + std::to_string(client) + ", request " + std::to_string(number) + " (" + attempt +
-                     "), behind " + std::to_string(served) + " others: status " +
+            log.line("client " + std::to_string(client) + ", request " + std::to_string(number) + " (" +
+                     attempt + "), behind " + std::to_string(served) + " others: status " +
                      std::to_string(received.head.status()) + ", " +
-                     (received.body == whole_stream() ? "all events" : "not all events") + ", " + received.end);
+                     (received.body == whole_stream() ? "all events" : "not all events") + ", " +
+                     received.end);
         }
         ++served;
         if (!received.is_whole || received.head.field("Connection") == "close") {
@@ -86,16 +89,17 @@
         workers.push_back(std::make_unique<model_worker>(fleet, "i-7f3a91c" + std::to_string(number), true,
                                                          events_of_stream, event_interval));
     }
-    fleet.put("op/config",
-              R"({"version":3,"routes":[{"name":"draft","host":"ficu95.example","prefix":"/lohu930/",)"
-              R"("kind":"streaming","service":"bench","timeoutMs":6000,"targetLatencyMs":800,"targetGapMs":250,)"
-              R"("attempts":1,"priority":1,"sessionAffinity":true},{"name":"quote","host":"ficu95.example",)"
-              R"("prefix":"/puxa403/","kind":"streaming","resumeStreams":true,"service":"bench","timeoutMs":4000,)"
-              R"("targetLatencyMs":600,"targetGapMs":250,"attempts":2,"priority":0,"sessionAffinity":true}],)"
-              R"("services":[{"name":"bench","connectionLimit":480,"healthCheckPath":"/health",)"
-              R"("engine":{"slots":96,"kvCacheTokens":245712}}],)"
-              R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":30000},)"
-              R"("tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"]}]})");
+    fleet.put(
+        "op/config",
+        R"({"version":3,"routes":[{"name":"draft","host":"ficu95.example","prefix":"/lohu930/",)"
+        R"("kind":"streaming","service":"bench","timeoutMs":6000,"targetLatencyMs":800,"targetGapMs":250,)"
+        R"("attempts":1,"priority":1,"sessionAffinity":true},{"name":"quote","host":"ficu95.example",)"
+        R"("prefix":"/puxa403/","kind":"streaming","resumeStreams":true,"service":"bench","timeoutMs":4000,)"
+        R"("targetLatencyMs":600,"targetGapMs":250,"attempts":2,"priority":0,"sessionAffinity":true}],)"
+        R"("services":[{"name":"bench","connectionLimit":480,"healthCheckPath":"/health",)"
+        R"("engine":{"slots":96,"kvCacheTokens":245712}}],)"
+        R"("limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":30000},)"
+        R"("tenants":[{"name":"hule930","apiKeys":["n2ctnfzs989anu6wsjnb"]}]})");
     for (const auto& each : workers) {
         each->announce();
     }
@@ -153,8 +157,9 @@
         log.append(each->id(), each->log());
         each->crash();
     }
-    log.line("whole: " + std::to_string(seen.whole) + ", closed without the end of the answer on a kept connection: " +
-             std::to_string(seen.lost) + ", others: " + std::to_string(seen.others));
+    log.line("whole: " + std::to_string(seen.whole) +
+             ", closed without the end of the answer on a kept connection: " + std::to_string(seen.lost) +
+             ", others: " + std::to_string(seen.others));
     if (seen.whole + seen.lost < clients * requests_of_client / 2) {
         log.line("could not run: too few requests were served");
         return 2;
--- a/review/support-2/model_worker.hpp
+++ b/review/support-2/model_worker.h
@@ -1,9 +1,9 @@
 // Stand-in of a model worker, and of the link to it.
 
-#ifndef CITRONWICK_REVIEW_MODEL_WORKER_HPP_INCLUDED
-#define CITRONWICK_REVIEW_MODEL_WORKER_HPP_INCLUDED
+#ifndef CITRONWICK_REVIEW_MODEL_WORKER_H_INCLUDED
+#define CITRONWICK_REVIEW_MODEL_WORKER_H_INCLUDED
 
-#include "rig.hpp"
+#include "rig.h"
 
 #include <memory>
 #include <optional>
@@ -14,8 +14,11 @@
     return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
 }
 
-/// Attempts whose answers have neither a length nor chunks and end with their connection. Others come in chunks.
-inline bool is_unframed(const std::string& attempt) { return attempt.ends_with("00"); }
+/// Attempts whose answers have neither a length nor chunks and end with their connection. Others come in
+/// chunks.
+inline bool is_unframed(const std::string& attempt) {
+    return attempt.ends_with("00");
+}
 
 inline void say(const std::string& text) {
     std::printf("%s\n", text.c_str());
@@ -48,11 +51,12 @@
     }
     const bool has_chunks = !is_unframed(attempt);
     const int first = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
-    say("runs " + attempt + " from event " + std::to_string(first) + (has_chunks ? "" : ", without length or chunks"));
+    say("runs " + attempt + " from event " + std::to_string(first) +
+        (has_chunks ? "" : ", without length or chunks"));
     write_all(socket, std::string{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"} +
                           (has_chunks ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n") +
-                          "Citronwick-Attempt-Id: " + attempt + "\r\nCitronwick-Server-Stamp: stamp." + settings.id +
-                          "\r\nCitronwick-Server-Load: 1,0,96\r\n\r\n");
+                          "Citronwick-Attempt-Id: " + attempt + "\r\nCitronwick-Server-Stamp: stamp." +
+                          settings.id + "\r\nCitronwick-Server-Load: 1,0,96\r\n\r\n");
     for (int number = first; number <= settings.events; ++number) {
         const std::string text = event(number);
         char size[16];
@@ -101,11 +105,12 @@
                        std::stoi(words[5]), milliseconds{std::stoi(words[6])}});
 }
 
-/// The link to a worker. While it is cut, the bytes of both directions and the ends of connections are held up,
-/// and new connections are not made.
+/// The link to a worker. While it is cut, the bytes of both directions and the ends of connections are held
+/// up, and new connections are not made.
 class link {
 public:
-    explicit link(std::uint16_t worker) : worker_{worker}, listener_{listen_on(0)}, port_{port_of(listener_)} {
+    explicit link(std::uint16_t worker)
+        : worker_{worker}, listener_{listen_on(0)}, port_{port_of(listener_)} {
         std::thread{[this] {
             while (true) {
                 const int accepted = ::accept(listener_, nullptr, nullptr);
@@ -180,7 +185,8 @@
 public:
     model_worker(const deployment& fleet, std::string id, bool is_direct, int events, milliseconds interval)
         : fleet_{fleet}, id_{std::move(id)}, events_{events}, interval_{interval}, own_port_{free_port()},
-          way_{new link{own_port_}}, port_{is_direct ? own_port_ : way_->port()}, log_{fleet.file(id_ + ".log")} {
+          way_{new link{own_port_}}, port_{is_direct ? own_port_ : way_->port()},
+          log_{fleet.file(id_ + ".log")} {
         start();
     }
 
@@ -188,8 +194,8 @@
         born_ = unix_milliseconds();
         process_ = std::make_unique<process>(
             std::vector<std::string>{std::filesystem::canonical("/proc/self/exe").string(), "worker",
-                                     std::to_string(own_port_), id_, std::to_string(born_), std::to_string(events_),
-                                     std::to_string(interval_.count())},
+                                     std::to_string(own_port_), id_, std::to_string(born_),
+                                     std::to_string(events_), std::to_string(interval_.count())},
             log_);
     }
     void crash() { process_->kill(); }
--- a/review/support-2/rig.hpp
+++ b/review/support-2/rig.h
@@ -1,8 +1,8 @@
 // Starts a small deployment of real processes: the project's router with the commands of its deploy file, the
 // project's stand-in of the store, and the stand-ins of a case. POSIX only.
 
-#ifndef CITRONWICK_REVIEW_RIG_HPP_INCLUDED
-#define CITRONWICK_REVIEW_RIG_HPP_INCLUDED
+#ifndef CITRONWICK_REVIEW_RIG_H_INCLUDED
+#define CITRONWICK_REVIEW_RIG_H_INCLUDED
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -39,10 +39,13 @@
 using steady = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-inline void sleep_for(milliseconds time) { std::this_thread::sleep_for(time); }
+inline void sleep_for(milliseconds time) {
+    std::this_thread::sleep_for(time);
+}
 
 inline std::int64_t unix_milliseconds() {
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
 }
 
 /// A case that could not run, which ends it with 2.
@@ -222,9 +225,9 @@
 /// What a client has received.
 struct answer {
     message head;
-    std::string body;       ///< without the framing
-    bool is_whole = false;  ///< as far as its framing tells
-    std::string end;        ///< how it ended
+    std::string body;      ///< without the framing
+    bool is_whole = false; ///< as far as its framing tells
+    std::string end;       ///< how it ended
 };
 
 /// Reads an answer with a length or in chunks.
@@ -440,7 +443,8 @@
             {"bounds.graceS", "8"}};
         for (const auto& [name, value] : fields) {
             const std::string placeholder = "{{" + name + "}}";
-            for (auto at = settings.find(placeholder); at != std::string::npos; at = settings.find(placeholder)) {
+            for (auto at = settings.find(placeholder); at != std::string::npos;
+                 at = settings.find(placeholder)) {
                 settings.replace(at, placeholder.size(), value);
             }
         }
@@ -449,10 +453,10 @@
         }
         const std::string path = file(on.name + ".toml");
         std::ofstream{path} << settings;
-        return std::make_unique<process>(
-            std::vector<std::string>{root_ + "/target/bin/citronwickd", "--config", path, "--memory-mb", "260",
-                                     "--descriptors", "4100"},
-            file(on.name + ".log"));
+        return std::make_unique<process>(std::vector<std::string>{root_ + "/target/bin/citronwickd",
+                                                                  "--config", path, "--memory-mb", "260",
+                                                                  "--descriptors", "4100"},
+                                         file(on.name + ".log"));
     }
 
     /// Waits until a router has answered the platform's question with 200.
@@ -494,9 +498,9 @@
 inline std::string worker_entry(const std::string& service, std::uint16_t port, std::int64_t born, int slots,
                                 const std::string& state = "ready", int sequence = 1) {
     return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port) +
-           "\",\"zone\":\"busan-a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" + state +
-           "\",\"coldRemainingMs\":0,\"seq\":" + std::to_string(sequence) + ",\"born\":" + std::to_string(born) +
-           "}";
+           "\",\"zone\":\"busan-a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" +
+           state + "\",\"coldRemainingMs\":0,\"seq\":" + std::to_string(sequence) +
+           ",\"born\":" + std::to_string(born) + "}";
 }
 
 /// Runs a case and turns what it returns into the exit code.
