--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -38,9 +38,9 @@
                     fails = is_grey && number % grey_every == 0;
                 }
                 std::this_thread::sleep_for(milliseconds{15});
-                const char* const status = !fails                             ? "200 OK"
+                const char* const status = !fails                           ? "200 OK"
                                            : number % (2 * grey_every) == 0 ? "429 Too Many Requests"
-                                                                              : "408 Request Timeout";
+                                                                            : "408 Request Timeout";
                 log("worker %s ran %s (%s), answers %s", self.id().c_str(), attempt.c_str(),
                     request.body.c_str(), status);
                 return self.answer(from, request, status, fails ? "failed" : "booked");
@@ -60,7 +60,8 @@
         for (int attempt_number = 0; attempt_number < 2; ++attempt_number) {
             const std::string attempt = next_attempt();
             auto caller = connection::open(front.front());
-            if (!caller || !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), body))) {
+            if (!caller ||
+                !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), body))) {
                 return could_not_run;
             }
             const auto answer = read_response(*caller, "POST", clock::now() + milliseconds{1500});
@@ -87,7 +88,8 @@
     for (const auto& [order, runs] : seen.runs_of_order) {
         doubled += runs > 1 ? 1 : 0;
     }
-    log("%d bookings, %d attempts refused after they had run, %d bookings run twice", bookings, broken, doubled);
+    log("%d bookings, %d attempts refused after they had run, %d bookings run twice", bookings, broken,
+        doubled);
     if (seen.runs_of_order.size() < bookings / 2) {
         return could_not_run;
     }
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -28,7 +28,8 @@
     return size + bytes + "\r\n";
 }
 
-bool run_stream(record& log, ledger& seen, worker& self, connection& from, const message& request, bool is_lost) {
+bool run_stream(record& log, ledger& seen, worker& self, connection& from, const message& request,
+                bool is_lost) {
     const std::string attempt = request.field("Citronwick-Attempt-Id");
     const std::string last = request.field("Last-Event-Id");
     const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -9,10 +9,10 @@
 
 using namespace review;
 
-constexpr milliseconds drain_bound{2000};  // drainMs
+constexpr milliseconds drain_bound{2000};   // drainMs
 constexpr milliseconds stable_window{3000}; // stableWindowMs
-constexpr milliseconds linger{7000};       // for which the leaving worker still serves
-constexpr milliseconds down_time{2000};    // for_s = 2.0
+constexpr milliseconds linger{7000};        // for which the leaving worker still serves
+constexpr milliseconds down_time{2000};     // for_s = 2.0
 
 struct ledger {
     std::mutex mutex;
@@ -24,26 +24,26 @@
     auto& seen = *new ledger;
     auto& workers = *new std::vector<std::unique_ptr<worker>>;
     for (int index = 0; index < 3; ++index) {
-        workers.push_back(std::make_unique<worker>(
-            log, "i-desk" + std::to_string(index), "shop-desk",
-            [&seen](worker& self, connection& from, const message& request) {
-                {
-                    const std::scoped_lock lock{seen.mutex};
-                    seen.run_by[request.field("Citronwick-Attempt-Id")] = self.id();
-                }
-                return self.answer(from, request, "200 OK", "booked");
-            }));
+        workers.push_back(
+            std::make_unique<worker>(log, "i-desk" + std::to_string(index), "shop-desk",
+                                     [&seen](worker& self, connection& from, const message& request) {
+                                         {
+                                             const std::scoped_lock lock{seen.mutex};
+                                             seen.run_by[request.field("Citronwick-Attempt-Id")] = self.id();
+                                         }
+                                         return self.answer(from, request, "200 OK", "booked");
+                                     }));
         workers.back()->register_at(platform);
     }
     platform.put("op/config", config_text(100, {{.prefix = "/puxa403/", .kind = "unsafe"}}, {}));
     // Machines by zone as in the site.
-    const std::vector<std::string> zones{"north-yard", "north-yard", "north-yard", "city-hall", "city-hall",
-                                         "pump-station"};
+    const std::vector<std::string> zones{"north-yard", "north-yard", "north-yard",
+                                         "city-hall",  "city-hall",  "pump-station"};
     std::vector<std::unique_ptr<router>> routers;
     for (std::size_t index = 0; index < zones.size(); ++index) {
-        routers.push_back(std::make_unique<router>(directory, "front-" + zones[index] + "-" + std::to_string(index),
-                                                   platform.address(), "127.0.0." + std::to_string(11 + index),
-                                                   zones[index]));
+        routers.push_back(std::make_unique<router>(
+            directory, "front-" + zones[index] + "-" + std::to_string(index), platform.address(),
+            "127.0.0." + std::to_string(11 + index), zones[index]));
     }
     for (const auto& each : routers) {
         if (!each->wait_until_ready()) {
@@ -99,7 +99,8 @@
         const std::string attempt = next_attempt();
         const auto sent_at = clock::now();
         auto caller = connection::open(other.front(), other.ip());
-        if (!caller || !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), "order"))) {
+        if (!caller ||
+            !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), "order"))) {
             return could_not_run;
         }
         const auto answer = read_response(*caller, "POST", clock::now() + milliseconds{1500});
@@ -115,7 +116,8 @@
         }
         std::this_thread::sleep_for(milliseconds{10});
     }
-    log("%d served; the last request to the leaving worker was sent %lld ms after its acknowledgement; %d later "
+    log("%d served; the last request to the leaving worker was sent %lld ms after its acknowledgement; %d "
+        "later "
         "than drainMs",
         served, static_cast<long long>(latest.count()), broken);
     if (served < 50) {
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -55,7 +55,8 @@
     for (int number = 0; number < requests; ++number) {
         const std::string attempt = next_attempt();
         auto caller = connection::open(front.front());
-        if (!caller || !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), "order"))) {
+        if (!caller ||
+            !caller->send(format("POST /puxa403/2f HTTP/1.1", client_fields(attempt, 1000), "order"))) {
             return could_not_run;
         }
         const auto answer = read_response(*caller, "POST", clock::now() + milliseconds{1500});
--- a/review/support-2/model_worker.h
+++ b/review/support-2/model_worker.h
@@ -10,8 +10,10 @@
 
 namespace rig {
 
-inline std::string event(int number) {
-    return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
+/// Event of a stream. Generated text differs between requests.
+inline std::string event(int number, const std::string& attempt) {
+    return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + " for " + attempt +
+           "\n\n";
 }
 
 /// Attempts whose answers have neither a length nor chunks and end with their connection. Others come in
@@ -31,6 +33,7 @@
     std::int64_t born = 0;
     int events = 0; ///< of each stream
     milliseconds interval{0};
+    std::string shed_file; ///< while it exists, 52 in 100 requests are refused; empty for never
 };
 
 /// Answers one request.
@@ -49,6 +52,16 @@
     if (request.field("Citronwick-Expect-Instance") != settings.id) {
         return write_all(socket, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
     }
+    static std::atomic<int> asked = 0;
+    constexpr int cycle = 25;
+    constexpr int refused_of_cycle = 13;
+    if (!settings.shed_file.empty() && std::filesystem::exists(settings.shed_file) &&
+        ++asked * refused_of_cycle % cycle < refused_of_cycle) {
+        say("refuses " + attempt);
+        return write_all(socket,
+                         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nCitronwick-Attempt-Id: " +
+                             attempt + "\r\nCitronwick-Not-Run: 1\r\n\r\n");
+    }
     const bool has_chunks = !is_unframed(attempt);
     const int first = std::atoi(request.field("Last-Event-Id").c_str()) + 1;
     say("runs " + attempt + " from event " + std::to_string(first) +
@@ -58,7 +71,7 @@
                           "Citronwick-Attempt-Id: " + attempt + "\r\nCitronwick-Server-Stamp: stamp." +
                           settings.id + "\r\nCitronwick-Server-Load: 1,0,96\r\n\r\n");
     for (int number = first; number <= settings.events; ++number) {
-        const std::string text = event(number);
+        const std::string text = event(number, attempt);
         char size[16];
         std::snprintf(size, sizeof size, "%zx\r\n", text.size());
         if (!write_all(socket, has_chunks ? size + text + "\r\n" : text)) {
@@ -98,11 +111,11 @@
 
 /// Runs a worker if the words of the command line ask for one.
 inline std::optional<int> run_as_worker(int count, char** words) {
-    if (count != 7 || std::string{words[1]} != "worker") {
+    if (count != 8 || std::string{words[1]} != "worker") {
         return std::nullopt;
     }
     return run_worker({static_cast<std::uint16_t>(std::stoi(words[2])), words[3], std::stoll(words[4]),
-                       std::stoi(words[5]), milliseconds{std::stoi(words[6])}});
+                       std::stoi(words[5]), milliseconds{std::stoi(words[6])}, words[7]});
 }
 
 /// The link to a worker. While it is cut, the bytes of both directions and the ends of connections are held
@@ -183,10 +196,11 @@
 /// A worker with its link, as the driver of a case sees it.
 class model_worker {
 public:
-    model_worker(const deployment& fleet, std::string id, bool is_direct, int events, milliseconds interval)
-        : fleet_{fleet}, id_{std::move(id)}, events_{events}, interval_{interval}, own_port_{free_port()},
-          way_{new link{own_port_}}, port_{is_direct ? own_port_ : way_->port()},
-          log_{fleet.file(id_ + ".log")} {
+    model_worker(const deployment& fleet, std::string id, bool is_direct, int events, milliseconds interval,
+                 std::string shed_file = {})
+        : fleet_{fleet}, id_{std::move(id)}, events_{events}, interval_{interval},
+          shed_file_{std::move(shed_file)}, own_port_{free_port()}, way_{new link{own_port_}},
+          port_{is_direct ? own_port_ : way_->port()}, log_{fleet.file(id_ + ".log")} {
         start();
     }
 
@@ -195,7 +209,7 @@
         process_ = std::make_unique<process>(
             std::vector<std::string>{std::filesystem::canonical("/proc/self/exe").string(), "worker",
                                      std::to_string(own_port_), id_, std::to_string(born_),
-                                     std::to_string(events_), std::to_string(interval_.count())},
+                                     std::to_string(events_), std::to_string(interval_.count()), shed_file_},
             log_);
     }
     void crash() { process_->kill(); }
@@ -216,6 +230,7 @@
     std::string id_;
     int events_;
     milliseconds interval_;
+    std::string shed_file_;
     std::uint16_t own_port_;
     link* way_; ///< its threads last until the process ends
     std::uint16_t port_;
