Log which upstream closed a stream early, and whether its process lives

After one crash of a worker, whole streams of sound workers are closed without their end:

1. a memory of early ends rejects them: attempt_ended would say "the service has closed connections before the end lately"; 2. the sound workers are taken for gone: "the upstream accepts no connection after its close"; 3. the caller's connection ends for a reason of its own: connection_ended alone; 4. the memory is set by something else than the crash: no log or metric showed what sets it.

For 4, each early end is now logged (stream_ended_early) and counted, with the upstream that closed, the one at which the stream went on, and whether the process that closed has responded since.

What is known of the unproved run is one structure now.

--- a/packages/traffic/include/citronwick/traffic/route_metrics.hpp
+++ b/packages/traffic/include/citronwick/traffic/route_metrics.hpp
@@ -48,6 +48,10 @@
     /// @param continues whether events of another run were relayed before
     void count_stream_run(std::string_view service, bool continues, std::string_view end);
 
+    /// Counts a run that ended before its stream did although its connection was closed in order.
+    /// @param process_lives whether the upstream's process is known to have outlived the connection
+    void count_early_end(std::string_view service, bool process_lives);
+
     /// Counts responses that an upstream sent to other requests than the one under way.
     void count_skipped_responses(std::string_view service, int count);
 
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -12,6 +12,7 @@
 #include "citronwick/traffic/event_splitter.hpp"
 #include "citronwick/traffic/stream_end.hpp"
 #include "route_placer.hpp"
+#include "unproved_run.hpp"
 
 #include <memory>
 #include <optional>
@@ -103,6 +104,9 @@
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
     bool service_ends_early(time_point now) const;
+    bool is_unproved_end() const;
+    void note_response_of_process(const upstream_connection& connection);
+    void record_early_end(const unproved_run& earlier);
     task<bool> upstream_accepts(endpoint peer, std::optional<fleet_peer> through);
     task<void> accept_unproved_end();
     task<std::optional<exchange_result>> check_end(const upstream_connection& connection);
@@ -182,10 +186,7 @@
     std::optional<std::uint64_t> expected_end_; ///< see `last_events::last_event_of`
     std::string media_type_;                    ///< of the response whose header was relayed
     bool is_confirmation_ = false; ///< the attempt asks the upstream of the last one whether an event follows
-    std::optional<std::uint64_t> unproved_end_;  ///< events behind which a run ended without proof
-    endpoint unproved_at_;                       ///< upstream of that run
-    std::optional<fleet_peer> unproved_through_; ///< router that relayed it, if any
-    std::size_t unproved_run_ = 0;               ///< number of that run
+    std::optional<unproved_run> unproved_;       ///< the last one
     std::uint32_t run_version_ = 0;              ///< see `begun_streams::version_hash`
     std::size_t runs_ = 0;                       ///< responses of upstreams that were relayed as streams
     stream_end stream_end_ = stream_end::broken; ///< of the last run
--- a/packages/traffic/src/route_identity.cpp
+++ b/packages/traffic/src/route_identity.cpp
@@ -74,6 +74,7 @@
                                             {"reported", std::to_string(*incarnation)}});
         co_return;
     }
+    note_response_of_process(*connection);
     if (incarnation && connection->reusable()) {
         connection->record_unidentified_response();
         is_new_connection_ = false;
--- a/packages/traffic/src/route_metrics.cpp
+++ b/packages/traffic/src/route_metrics.cpp
@@ -81,6 +81,12 @@
             .Help(
                 "Runs of streams on one upstream each, by service, whether another run came before, and end")
             .Register(registry);
+    Family<Counter>& early_ends =
+        prometheus::BuildCounter()
+            .Name("citronwick_early_stream_ends_total")
+            .Help("Runs of streams behind whose orderly close another run had events, by service and whether "
+                  "the upstream's process lived on")
+            .Register(registry);
     Family<Counter>& skipped_responses =
         prometheus::BuildCounter()
             .Name("citronwick_skipped_responses_total")
@@ -180,6 +186,12 @@
         .Increment();
 }
 
+void route_metrics::count_early_end(std::string_view service, bool process_lives) {
+    families_->early_ends
+        .Add({{"service", std::string{service}}, {"process", process_lives ? "lives" : "unknown"}})
+        .Increment();
+}
+
 void route_metrics::count_skipped_responses(std::string_view service, int count) {
     families_->skipped_responses.Add({{"service", std::string{service}}}).Increment(count);
 }
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -2,6 +2,7 @@
 
 #include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
+#include "citronwick/io/log.hpp"
 #include "citronwick/traffic/route_metrics.hpp"
 #include "route_context.hpp"
 #include "route_exchange.hpp"
@@ -27,12 +28,14 @@
         stream_end_ = connection.is_framed() ? stream_end::framed : stream_end::final_event;
         co_return std::nullopt;
     }
-    const bool had_nothing_to_add = is_confirmation_ && unproved_end_ == position_.events();
+    const bool had_nothing_to_add = is_confirmation_ && is_unproved_end();
     if (route_->kind == request_kind::resumable_stream && !had_nothing_to_add) {
-        unproved_end_ = position_.events();
-        unproved_at_ = connection.peer();
-        unproved_through_ = connection.through();
-        unproved_run_ = runs_;
+        unproved_ = unproved_run{.number = runs_,
+                                 .events = position_.events(),
+                                 .id = placement_->upstream.entry.id,
+                                 .upstream = placement_->upstream.hash,
+                                 .peer = connection.peer(),
+                                 .through = connection.through()};
         stream_end_ = stream_end::unproved;
         co_return exchange_result{attempt_outcome::unproved_end,
                                   "the connection was closed, which does not show the end"};
@@ -50,6 +53,32 @@
     co_return std::nullopt;
 }
 
+/// Whether the caller has the events behind which a run ended without proof, and no others.
+bool route_exchange::is_unproved_end() const {
+    return unproved_ && unproved_->events == position_.events();
+}
+
+/// Notes that the upstream of the unproved run, which is asked again, has responded and stated no other
+/// start. Where another way led to it, the end may have been that of the first way.
+void route_exchange::note_response_of_process(const upstream_connection& connection) {
+    if (is_confirmation_ && connection.through() == unproved_->through) {
+        unproved_->process_has_responded = true;
+    }
+}
+
+/// Records that events followed the unproved end of a run. Its upstream has closed the connection early
+/// only if its process has responded since: the kernel closes those of one that ends.
+void route_exchange::record_early_end(const unproved_run& earlier) {
+    context_.early_ends[service_->name] = clock::now();
+    context_.counters.count_early_end(service_->name, earlier.process_has_responded);
+    log_info("stream_ended_early", {{"request", caller_.request_id()},
+                                    {"service", service_->name},
+                                    {"upstream", earlier.id},
+                                    {"events", std::to_string(earlier.events)},
+                                    {"went_on_at", placement_->upstream.entry.id},
+                                    {"process", earlier.process_has_responded ? "lives" : "unknown"}});
+}
+
 bool route_exchange::service_ends_early(time_point now) const {
     const auto found = context_.early_ends.find(service_->name);
     return found != context_.early_ends.end() && now - found->second < early_end_memory;
@@ -71,7 +100,7 @@
 /// Completes a stream whose end could not be confirmed by a second run if its last event proves it.
 /// Otherwise it ends broken, and its caller may take it up.
 task<void> route_exchange::accept_unproved_end() {
-    const bool has_no_other_run = unproved_end_ == position_.events() && unproved_run_ == runs_;
+    const bool has_no_other_run = is_unproved_end() && unproved_->number == runs_;
     if (!has_no_other_run || stream_is_complete_ || caller_.disconnected() ||
         service_ends_early(clock::now())) {
         co_return;
@@ -81,8 +110,8 @@
     if (!has_last_event) {
         co_return;
     }
-    endpoint peer = unproved_at_;
-    auto through = unproved_through_;
+    endpoint peer = unproved_->peer;
+    auto through = unproved_->through;
     const bool is_alive = co_await upstream_accepts(std::move(peer), std::move(through));
     if (!is_alive) {
         stream_end_ = stream_end::upstream_gone;
--- a/packages/traffic/src/route_streams.cpp
+++ b/packages/traffic/src/route_streams.cpp
@@ -55,7 +55,8 @@
     const std::string resumed_after = position_.last_event_id();
     const std::string_view framing = framing_of(connection);
     const bool continues = state_.response_started;
-    const bool follows_unproved_end = unproved_end_ == position_.events();
+    note_response_of_process(connection);
+    const auto earlier = is_unproved_end() ? unproved_ : std::nullopt;
     ++runs_;
     const auto begun = clock::now();
     run_version_ = begun_streams::version_hash(service_->name, placement_->upstream.entry.version);
@@ -64,8 +65,8 @@
     expected_end_ = context_.plane.ends().last_event_of(run_version_, begun);
     auto result = co_await relay_run(connection);
     record_run();
-    if (follows_unproved_end && position_.run_events() > 0) {
-        context_.early_ends[service_->name] = clock::now();
+    if (earlier && position_.run_events() > 0) {
+        record_early_end(*earlier);
     }
     context_.counters.count_stream_run(service_->name, continues, to_text(stream_end_));
     log_info("stream_run_ended", {{"request", caller_.request_id()},
