Take the end of an upstream's process for no early close of its streams

Cause: relay_event_stream noted an early end of the service whenever a run behind an unproved end had events. That a stream goes on shows that the end was early. It does not show who closed: the kernel closes the connections of a process that ends in order, too.

Why this works: an early end is noted only if the incarnation that closed has responded after its close, by the same way, which an ended process does not.

--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -69,7 +69,9 @@
 /// Records that events followed the unproved end of a run. Its upstream has closed the connection early
 /// only if its process has responded since: the kernel closes those of one that ends.
 void route_exchange::record_early_end(const unproved_run& earlier) {
-    context_.early_ends[service_->name] = clock::now();
+    if (earlier.process_has_responded) {
+        context_.early_ends[service_->name] = clock::now();
+    }
     context_.counters.count_early_end(service_->name, earlier.process_has_responded);
     log_info("stream_ended_early", {{"request", caller_.request_id()},
                                     {"service", service_->name},
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -97,6 +97,28 @@
     });
 }
 
+/// Workers state the start that their entries have, and send streams without length or chunks.
+constexpr const char* sends_unframed = R"({"born":1,"framing":"none","event_gap_ms":20})";
+
+/// Asks for a stream that may be resumed until a worker runs one, and kills that worker meanwhile.
+/// @return what the caller of the stream got
+reply kill_under_stream(routed_fleet& system) {
+    auto asked = std::async(std::launch::async, [&system] {
+        return system.ask(system.routers()[0], "/quote/stream/killed", "killed");
+    });
+    auto& engines = system.engines();
+    const auto runs_it = [](const node& engine) { return runs_of(engine, "killed") > 0; };
+    REQUIRE(wait_until([&] { return std::ranges::any_of(engines, runs_it); }));
+    std::ranges::find_if(engines, runs_it)->process->kill();
+    return asked.get();
+}
+
+/// Asks for streams that may not be resumed, all of which must be whole.
+void check_all_whole(routed_fleet& system, const std::string& name) {
+    const std::string path = "/guide/stream/" + name;
+    CHECK(ask_for_streams(system, path, stand_in_events) == streams);
+}
+
 } // namespace
 
 // Guards against events that are dropped for lack of memory and that the next run does not repeat (ORDER).
@@ -214,6 +236,70 @@
     CHECK(ask_for_streams(system, "/guide/stream/closed", stand_in_events) == 0);
 }
 
+// Guards against whole streams of sound workers that end broken since another worker has crashed (LOST).
+TEST_CASE("proof: streams of sound workers are whole after another worker's process has ended") {
+    SUBCASE("and accepts no connection") {
+        routed_fleet system{{.routers = 1, .engines = 3}};
+        REQUIRE(system.wait_ready());
+        set_faults(system.engines(), sends_unframed);
+        check_all_whole(system, "before");
+        CHECK(is_in_order(kill_under_stream(system), stand_in_events));
+        check_all_whole(system, "after");
+    }
+    SUBCASE("behind a relay that accepts connections") {
+        routed_fleet system{{.routers = 1, .engines = 3, .proxies = true}};
+        REQUIRE(system.wait_ready());
+        set_faults(system.engines(), sends_unframed);
+        CHECK(is_in_order(kill_under_stream(system), stand_in_events));
+        system.unregister_worker(*std::ranges::find_if(
+            system.engines(), [](const node& engine) { return !engine.process->is_running(); }));
+        REQUIRE(wait_until([&] {
+            return system.view(system.routers()[0]).at("services").at("bench").as_array().size() == 2;
+        }));
+        check_all_whole(system, "after");
+    }
+    SUBCASE("and has been replaced by another one at its address") {
+        routed_fleet system{{.routers = 1, .engines = 1}};
+        REQUIRE(system.wait_ready());
+        set_faults(system.engines(), sends_unframed);
+        std::atomic<int> born = 1;
+        const auto serve = [&born](asio::ip::tcp::socket& connection) {
+            std::string header = read_request(connection);
+            while (header.starts_with("GET /v1/report ")) {
+                const std::string report = "{\"born\":" + std::to_string(born) + "}";
+                asio::write(connection, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                                     std::to_string(report.size()) + "\r\n\r\n" + report));
+                header = read_request(connection);
+            }
+            const bool ends = born == 1 && header.starts_with("POST /quote/");
+            const int last_event = ends ? 3 : stand_in_events;
+            const std::string last = field_of(header, "Last-Event-Id");
+            std::string events;
+            for (int id = last.empty() ? 1 : std::stoi(last) + 1; id <= last_event; ++id) {
+                events += "id: " + std::to_string(id) + "\ndata: x\n\n";
+            }
+            if (ends) {
+                born = 2;
+            }
+            asio::write(connection, asio::buffer(response_header(header) +
+                                                 "Content-Type: text/event-stream\r\n"
+                                                 "Connection: close\r\n\r\n" +
+                                                 events));
+        };
+        const scripted_worker worker{"restarted", serve};
+        system.register_worker(worker.entry(), "bench");
+        REQUIRE(wait_until([&] {
+            static int asked = 0;
+            const auto answer = system.ask(system.routers()[0], "/quote/stream/ready",
+                                           "restarted-" + std::to_string(asked++));
+            CHECK(is_in_order(answer, stand_in_events));
+            return born == 2;
+        }));
+        system.register_worker(worker.entry(), "bench", "ready", 2);
+        check_all_whole(system, "after");
+    }
+}
+
 // Guards against two workers that end one after the other and look like a confirmed end (ORDER).
 TEST_CASE("proof: a second run whose worker ends before its first event does not confirm the end") {
     routed_fleet system{{.routers = 1}};
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -30,7 +30,8 @@
 std::span<const fault> process_faults();
 
 /// Faults that break event streams, or join what does not belong together. Those behind the first
-/// `drawn_stream_fault_count` are known to break guarantees (KNOWN-RED.txt) and run by name only.
+/// `drawn_stream_fault_count` run by name only: they are known to break guarantees (KNOWN-RED.txt), or
+/// would be disturbed by the others.
 std::span<const fault> stream_faults();
 constexpr std::size_t drawn_stream_fault_count = 6;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,7 +56,7 @@
                 not drawn unless named: brittle_upstreams copy_refusals silent_links
                 release_engines change_version reuse_address freeze_worker freeze_store cut_from_store
                 reset_streams early_streams early_refusals lose_answers surplus_streams leave_streams
-                evacuate cool_worker odd_entries;
+                evacuate cool_worker odd_entries kill_beside_unframed;
                 and, as known to break guarantees, not drawn unless named:
                 close_unframed_streams omit_resumed.
   --deadline MS  Time that callers give each request [default: 2000].
--- a/tests/soak/stream_faults.cpp
+++ b/tests/soak/stream_faults.cpp
@@ -1,3 +1,4 @@
+#include "disturbance.hpp"
 #include "faults.hpp"
 #include "held_callers.hpp"
 #include "soak_run.hpp"
@@ -50,6 +51,28 @@
     run.restart_engine(engine);
 }
 
+/// Kills an engine under resumable streams without length or chunks. Then all engines are sound, and no
+/// response of theirs may be incomplete, whether it may be resumed or not.
+void kill_beside_unframed(soak_run& run, std::mt19937_64& random) {
+    node& engine = run.fleet.engines()[random() % run.fleet.engines().size()];
+    const std::scoped_lock used{run.engine_links};
+    {
+        const disturbance marked{run.engine_disturbances};
+        run.set_worker_fault(engine, R"({"framing":"none","event_gap_ms":100})");
+        std::this_thread::sleep_for(pick_time(random, 300, 800));
+        run.kill_engine(engine);
+        std::this_thread::sleep_for(pick_time(random, 0, 500));
+        run.restart_engine(engine);
+        std::this_thread::sleep_for(time_of_streams(10));
+    }
+    // Resumable streams have chunks meanwhile: each would spend the retry budget for the proof of its end.
+    for (const node& each : run.fleet.engines()) {
+        run.set_worker_fault(each, R"({"framing":"none","only_path":"/guide/"})");
+    }
+    std::this_thread::sleep_for(pick_time(random, 2'000, 4'000));
+    clear_engines(run);
+}
+
 /// Streams are closed between two events, which their framing shows.
 void close_streams(soak_run& run, std::mt19937_64& random) {
     for (const node& engine : run.fleet.engines()) {
@@ -158,6 +181,7 @@
     fault{"full_buffers", &fill_buffers, disturbs_all, disturbs_engines},
     fault{"close_unframed_streams", &close_unframed_streams, disturbs_all, disturbs_engines},
     fault{"omit_resumed", &omit_resumed, disturbs_all, disturbs_engines},
+    fault{"kill_beside_unframed", &kill_beside_unframed},
 };
 static_assert(faults.size() > drawn_stream_fault_count);
 
