Charge an early close to the process that made it, not to its service

What callers saw: while one upstream of a service closed streams without length or chunks early, all whole streams without length or chunks of the sound upstreams that may not be resumed were closed without their end, for ten minutes from the last early close (LOST; in the new test 0 of 14 streams of the sound worker were whole).

Cause: the memory of early ends was kept by service (route_context::early_ends), so that the evidence against one process counted against every other one, and against its own successor. It was kept by traffic thread, so that one thread knew and the other did not.

Evidence: stream_ended_early names engine-0 alone; attempt_ended of streams that ran at engine-1 said "the service has closed connections before the end lately".

Why this works: early_closers keeps what was seen by the hash of the incarnation that closed, for all threads of the router. A process that starts again has another hash, and no other upstream is looked up under it.

What the memory guards against holds: "a stream that may not be resumed is not complete by a close if its service closed too early" passes in 5 of 5 runs, all tests of stream_order and unframed_responses in 1 of 1.

--- a/packages/fleet/include/citronwick/fleet/routing_plane.hpp
+++ b/packages/fleet/include/citronwick/fleet/routing_plane.hpp
@@ -16,6 +16,7 @@
 struct kv_call_counts;
 struct permit_decision;
 class begun_streams;
+class early_closers;
 class borrowed_place;
 class platform_adapter;
 class reach_monitor;
@@ -65,6 +66,8 @@
     stream_numberings& numberings();
     /// With which events the streams of versions of services end. Thread-safe.
     last_events& ends();
+    /// Upstreams whose closes prove no end of a stream. Thread-safe.
+    early_closers& early_closes();
     reach_monitor& reach();
     const reach_monitor& reach() const;
     upstream_limits& limits();
--- a/packages/fleet/src/routing_plane.cpp
+++ b/packages/fleet/src/routing_plane.cpp
@@ -67,6 +67,10 @@
     return state_->ends();
 }
 
+early_closers& routing_plane::early_closes() {
+    return state_->early_closes();
+}
+
 void routing_plane::ask_stream_version(std::uint64_t key,
                                        std::function<void(std::optional<std::uint32_t>)> reply) {
     state_->ask_stream_version(key, std::move(reply));
--- a/packages/fleet/src/routing_plane_state.hpp
+++ b/packages/fleet/src/routing_plane_state.hpp
@@ -7,6 +7,7 @@
 #include "citronwick/core/snapshot.hpp"
 #include "citronwick/fleet/begun_streams.hpp"
 #include "citronwick/fleet/borrowed_place.hpp"
+#include "citronwick/fleet/early_closers.hpp"
 #include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/platform_adapter.hpp"
 #include "citronwick/fleet/reach_monitor.hpp"
@@ -90,6 +91,7 @@
     begun_streams& streams() { return streams_; }
     stream_numberings& numberings() { return numberings_; }
     last_events& ends() { return ends_; }
+    early_closers& early_closes() { return early_closes_; }
     reach_monitor& reach() { return reach_; }
     std::uint64_t gossip_bytes() const { return gossip_bytes_.load(std::memory_order_relaxed); }
     const kv_call_counts& store_calls() const { return store_calls_; }
@@ -372,6 +374,7 @@
             });
             numberings_.expire(now);
             ends_.expire(now);
+            early_closes_.expire(now);
         }
     }
 
@@ -430,6 +433,7 @@
     begun_streams streams_;
     stream_numberings numberings_;
     last_events ends_;
+    early_closers early_closes_;
     reach_monitor reach_;
     kv_call_counts store_calls_;
     counted_kv_client store_;
--- a/packages/traffic/include/citronwick/traffic/stream_end.hpp
+++ b/packages/traffic/include/citronwick/traffic/stream_end.hpp
@@ -15,6 +15,7 @@
                        ///< version
     connection_closed, ///< it has none of these, and its upstream accepts connections after its close
     unproved,          ///< its connection was closed in order, which a process that ends does as well
+    doubted,           ///< the same, and its upstream has closed another connection early and lived on
     upstream_gone,     ///< its connection was closed in order, and its upstream accepts no other
     broken,            ///< its connection broke, or a timeout passed
     incomplete_event,  ///< within an event
--- a/packages/traffic/src/route_context.hpp
+++ b/packages/traffic/src/route_context.hpp
@@ -46,8 +46,6 @@
     std::map<std::uint64_t, time_point> silent_lenders{};
     std::uint64_t loan_requests = 0;   ///< number of requests for places of other routers
     time_point permits_paused_until{}; ///< set after the permit coordinator did not answer
-    /// When an upstream of a service last closed a connection before the end of its stream.
-    std::map<std::string, time_point, std::less<>> early_ends{};
 };
 
 } // namespace citronwick
--- a/packages/traffic/src/route_exchange.hpp
+++ b/packages/traffic/src/route_exchange.hpp
@@ -103,7 +103,6 @@
     bool may_buffer_response(std::size_t bytes);
     task<exchange_result> relay_event_stream(upstream_connection& connection);
     task<exchange_result> relay_run(upstream_connection& connection);
-    bool service_ends_early(time_point now) const;
     bool is_unproved_end() const;
     void note_response_of_process(const upstream_connection& connection);
     void record_early_end(const unproved_run& earlier);
--- a/packages/traffic/src/route_stream_ends.cpp
+++ b/packages/traffic/src/route_stream_ends.cpp
@@ -1,5 +1,6 @@
 // Decides whether the end of a response is the end of its stream.
 
+#include "citronwick/fleet/early_closers.hpp"
 #include "citronwick/fleet/last_events.hpp"
 #include "citronwick/fleet/routing_plane.hpp"
 #include "citronwick/io/log.hpp"
@@ -12,14 +13,6 @@
 
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Time for which the streams of a service are not trusted to end with their connections after one
-/// was found to go on.
-constexpr duration early_end_memory = 10min;
-
-} // namespace
-
 /// Looks for what shows that the stream is whole. A response without length or chunks ends with
 /// its connection, which the kernel closes in the same way if the upstream's process ends.
 /// @return the result of the run if the end is not proved
@@ -40,8 +33,11 @@
         co_return exchange_result{attempt_outcome::unproved_end,
                                   "the connection was closed, which does not show the end"};
     }
-    if (!had_nothing_to_add && service_ends_early(clock::now())) {
-        co_return end_run(stream_end::unproved, "the service has closed connections before the end lately");
+    if (!had_nothing_to_add) {
+        if (const auto age = context_.plane.early_closes().age(placement_->upstream.hash, clock::now())) {
+            co_return end_run(stream_end::doubted, "the upstream closed another connection early " +
+                                                       std::to_string(*age / 1ms) + " ms ago");
+        }
     }
     endpoint peer = connection.peer();
     auto through = connection.through();
@@ -69,9 +65,6 @@
 /// Records that events followed the unproved end of a run. Its upstream has closed the connection early
 /// only if its process has responded since: the kernel closes those of one that ends.
 void route_exchange::record_early_end(const unproved_run& earlier) {
-    if (earlier.process_has_responded) {
-        context_.early_ends[service_->name] = clock::now();
-    }
     context_.counters.count_early_end(service_->name, earlier.process_has_responded);
     log_info("stream_ended_early", {{"request", caller_.request_id()},
                                     {"service", service_->name},
@@ -79,11 +72,9 @@
                                     {"events", std::to_string(earlier.events)},
                                     {"went_on_at", placement_->upstream.entry.id},
                                     {"process", earlier.process_has_responded ? "lives" : "unknown"}});
-}
-
-bool route_exchange::service_ends_early(time_point now) const {
-    const auto found = context_.early_ends.find(service_->name);
-    return found != context_.early_ends.end() && now - found->second < early_end_memory;
+    if (earlier.process_has_responded) {
+        context_.plane.early_closes().record(earlier.upstream, earlier.id, clock::now());
+    }
 }
 
 /// Whether the upstream accepts a connection after it has closed one, so that its process has not ended.
@@ -104,7 +95,7 @@
 task<void> route_exchange::accept_unproved_end() {
     const bool has_no_other_run = is_unproved_end() && unproved_->number == runs_;
     if (!has_no_other_run || stream_is_complete_ || caller_.disconnected() ||
-        service_ends_early(clock::now())) {
+        context_.plane.early_closes().age(unproved_->upstream, clock::now())) {
         co_return;
     }
     const bool has_last_event =
--- a/tests/integration/stream_order.tests.cpp
+++ b/tests/integration/stream_order.tests.cpp
@@ -7,6 +7,7 @@
 #include "kept_connection.hpp"
 #include "routed_fleet.hpp"
 #include "scripted_worker.hpp"
+#include "upstream_cuts.hpp"
 #include "waiting.hpp"
 
 #include <algorithm>
@@ -98,9 +99,9 @@
 }
 
 /// Workers state the start that their entries have, and send streams without length or chunks.
-constexpr const char* sends_unframed = R"({"born":1,"framing":"none","event_gap_ms":20})";
+constexpr const char* sends_unframed = R"({"born":1,"framing":"none","event_gap_ms":40})";
 
-/// Asks for a stream that may be resumed until a worker runs one, and kills that worker meanwhile.
+/// Asks for a stream that may be resumed, and kills the worker that runs it behind its first events.
 /// @return what the caller of the stream got
 reply kill_under_stream(routed_fleet& system) {
     auto asked = std::async(std::launch::async, [&system] {
@@ -109,10 +110,23 @@
     auto& engines = system.engines();
     const auto runs_it = [](const node& engine) { return runs_of(engine, "killed") > 0; };
     REQUIRE(wait_until([&] { return std::ranges::any_of(engines, runs_it); }));
+    std::this_thread::sleep_for(100ms);
     std::ranges::find_if(engines, runs_it)->process->kill();
     return asked.get();
 }
 
+/// Removes the entry of the worker whose process has ended. Its relay accepts requests and closes their
+/// connections.
+void unregister_killed(routed_fleet& system) {
+    const auto& engines = system.engines();
+    const auto is_killed = [](const node& engine) { return !engine.process->is_running(); };
+    system.unregister_worker(*std::ranges::find_if(engines, is_killed));
+    REQUIRE(wait_until([&] {
+        return system.view(system.routers()[0]).at("services").at("bench").as_array().size() ==
+               engines.size() - 1;
+    }));
+}
+
 /// Asks for streams that may not be resumed, all of which must be whole.
 void check_all_whole(routed_fleet& system, const std::string& name) {
     const std::string path = "/guide/stream/" + name;
@@ -251,12 +265,19 @@
         REQUIRE(system.wait_ready());
         set_faults(system.engines(), sends_unframed);
         CHECK(is_in_order(kill_under_stream(system), stand_in_events));
-        system.unregister_worker(*std::ranges::find_if(
-            system.engines(), [](const node& engine) { return !engine.process->is_running(); }));
-        REQUIRE(wait_until([&] {
-            return system.view(system.routers()[0]).at("services").at("bench").as_array().size() == 2;
-        }));
+        unregister_killed(system);
+        check_all_whole(system, "after");
+    }
+    SUBCASE("and is reached through another router") {
+        routed_fleet system{{.routers = 2, .engines = 3, .proxies = true}};
+        REQUIRE(system.wait_ready());
+        cut_off(system, {0}, packets_dropped);
+        failures_of(system, system.routers()[0], "/guide/stream/1", "cut", time_to_recover);
+        set_faults(system.engines(), sends_unframed);
+        CHECK(is_in_order(kill_under_stream(system), stand_in_events));
+        unregister_killed(system);
         check_all_whole(system, "after");
+        CHECK(wait_logged(system.routers()[0], {"request_placed", "/guide/stream/after", "directly=no"}));
     }
     SUBCASE("and has been replaced by another one at its address") {
         routed_fleet system{{.routers = 1, .engines = 1}};
@@ -300,6 +321,29 @@
     }
 }
 
+// Guards against the fault of one worker for which all others of its service are charged (LOST).
+TEST_CASE("proof: a worker that lives and closes streams early is doubted, and no other one") {
+    routed_fleet system{{.routers = 1}};
+    REQUIRE(system.wait_ready());
+    node& early = system.engines()[0];
+    const node& sound = system.engines()[1];
+    set_fault(early, R"({"born":1,"framing":"none","close_after":3})");
+    set_fault(sound, R"({"born":1,"framing":"none"})");
+    ask_for_streams(system, "/quote/stream/closed", stand_in_events);
+    REQUIRE(wait_logged(system.routers()[0], {"stream_ended_early", early.name, "process=lives"}));
+    int whole = 0;
+    int sound_runs = 0;
+    for (int count = 0; count < 2 * streams; ++count) {
+        const std::string attempt = "guide" + std::to_string(count);
+        const auto answer = system.ask(system.routers()[0], "/guide/stream/1", attempt);
+        CHECK_MESSAGE(is_in_order(answer, stand_in_events), joined(event_ids(answer.body)));
+        whole += answer.status == 200 && answer.error.empty() ? 1 : 0;
+        sound_runs += runs_of(sound, attempt) > 0 ? 1 : 0;
+    }
+    CHECK(whole == sound_runs);
+    CHECK(sound_runs > 0);
+}
+
 // Guards against two workers that end one after the other and look like a confirmed end (ORDER).
 TEST_CASE("proof: a second run whose worker ends before its first event does not confirm the end") {
     routed_fleet system{{.routers = 1}};
